--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/logging/package-info.java
@@ -0,0 +1,5 @@
+/** Numbered log events. */
+@NullMarked
+package org.vanillaslip.internal.logging;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/package-info.java
@@ -0,0 +1,5 @@
+/** Metrics of the daemon. */
+@NullMarked
+package org.vanillaslip.internal.metrics;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Settings file of the daemon. */
+@NullMarked
+package org.vanillaslip.internal.settings;
+
+import org.jspecify.annotations.NullMarked;
