Add the process harness for the demo and the scenarios

Cause: the demo and the scenarios have to start, freeze, kill and stop real processes, and only those that they started themselves. Change: proofs gets Deployment (platform, backend servers, two hosts for each failure domain, lists applied through the command-line tool), JavaProcess with freeze and thaw, and Caller.

--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Caller.java
@@ -0,0 +1,67 @@
+package org.vanillaslip.internal.proofs.processes;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** An HTTP client that plays a caller or an operator's probe. */
+public final class Caller {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(60);
+
+    private final HttpClient mClient =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(Duration.ofSeconds(5))
+                    .build();
+
+    /** Sends a POST and waits for the whole answer. */
+    public CallerResponse post(
+            String address, String path, Map<String, String> headers, String body) {
+        return postLater(address, path, headers, body).join();
+    }
+
+    /** Sends a POST and returns at once. */
+    public CompletableFuture<CallerResponse> postLater(
+            String address, String path, Map<String, String> headers, String body) {
+        HttpRequest.Builder request =
+                request(address, path).POST(HttpRequest.BodyPublishers.ofString(body));
+        headers.forEach(request::header);
+        return mClient.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+                .thenApply(Caller::toResponse);
+    }
+
+    /** Sends a GET; status 0 stands for a connection that failed. */
+    public CallerResponse get(String address, String path) {
+        try {
+            return toResponse(
+                    mClient.send(
+                            request(address, path).GET().build(),
+                            HttpResponse.BodyHandlers.ofString()));
+        } catch (IOException e) {
+            return new CallerResponse(
+                    0, String.valueOf(e.getMessage()), java.util.Optional.empty());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while calling " + address, e);
+        }
+    }
+
+    private static HttpRequest.Builder request(String address, String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .timeout(TIMEOUT)
+                .header("Content-Type", "application/json");
+    }
+
+    private static CallerResponse toResponse(HttpResponse<String> response) {
+        return new CallerResponse(
+                response.statusCode(),
+                response.body(),
+                response.headers().firstValue("Retry-After"));
+    }
+}
--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Deployment.java
@@ -0,0 +1,274 @@
+package org.vanillaslip.internal.proofs.processes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.vanillaslip.BackendKind;
+
+/**
+ * A small deployment in separate processes: the platform, two hosts for each failure domain, and
+ * the backend servers of a list file.
+ */
+public final class Deployment implements AutoCloseable {
+
+    /** Heap limit of a daemon: the memory that the design allows a node for control. */
+    private static final String HOST_HEAP = "128m";
+
+    private static final String STAND_IN_HEAP = "96m";
+    private static final int HOSTS_PER_FAILURE_DOMAIN = 2;
+    private static final long POLL_MILLIS = 50;
+
+    /** One minute: far longer than any wait on a busy machine, so that only a fault reaches it. */
+    private static final int POLL_ATTEMPTS = 1200;
+
+    private final Path mDirectory;
+    private final String mClassPath;
+    private final String mPlatformAddress;
+    private final Caller mCaller = new Caller();
+    private final Map<String, HostProcess> mHosts = new LinkedHashMap<>();
+    private final Map<String, JavaProcess> mBackendServers = new LinkedHashMap<>();
+    private final Map<String, String> mBackendAddresses = new LinkedHashMap<>();
+    private final List<JavaProcess> mProcesses = new ArrayList<>();
+
+    private Deployment(Path directory, String classPath) {
+        mDirectory = directory;
+        mClassPath = classPath;
+        mPlatformAddress = "127.0.0.1:" + Ports.free();
+    }
+
+    /** Starts every process, applies the lists, and waits until all hosts are ready. */
+    public static Deployment start(Path lists, Path directory) {
+        Deployment deployment = new Deployment(directory, System.getProperty("java.class.path"));
+        try {
+            deployment.startAll(DeploymentLists.read(lists));
+            return deployment;
+        } catch (RuntimeException e) {
+            deployment.close();
+            throw e;
+        }
+    }
+
+    /** Returns the hosts in the order of their names. */
+    public List<HostProcess> hosts() {
+        return List.copyOf(mHosts.values());
+    }
+
+    /** Returns one host. */
+    public HostProcess host(String name) {
+        return Optional.ofNullable(mHosts.get(name)).orElseThrow();
+    }
+
+    /** Returns the address of a backend server. */
+    public String backendAddress(String name) {
+        return Optional.ofNullable(mBackendAddresses.get(name)).orElseThrow();
+    }
+
+    /** Returns the process of a backend server. */
+    public JavaProcess backendServer(String name) {
+        return Optional.ofNullable(mBackendServers.get(name)).orElseThrow();
+    }
+
+    /** Returns the address of the platform's object API. */
+    public String platformAddress() {
+        return mPlatformAddress;
+    }
+
+    /** Returns a client for callers and probes. */
+    public Caller caller() {
+        return mCaller;
+    }
+
+    /** Runs the operators' command-line tool and returns what it printed. */
+    public String operate(String... arguments) {
+        List<String> all = new ArrayList<>(List.of(arguments));
+        all.add("--platform");
+        all.add(mPlatformAddress);
+        Path outputDirectory = mDirectory.resolve("commands");
+        createDirectory(outputDirectory);
+        String name = "command-" + System.identityHashCode(all) + "-" + arguments[0];
+        JavaProcess process =
+                JavaProcess.start(
+                        name,
+                        mClassPath,
+                        MainClasses.COMMAND_LINE,
+                        STAND_IN_HEAP,
+                        outputDirectory,
+                        all);
+        await("the command " + String.join(" ", arguments), () -> !process.isAlive());
+        int exitCode = process.stop();
+        if (exitCode != 0) {
+            throw new IllegalStateException(
+                    "command failed with exit code " + exitCode + ":\n" + process.output());
+        }
+        return process.output();
+    }
+
+    /** Starts a host again after it was stopped or killed. */
+    public void restartHost(String name) {
+        HostProcess host = host(name);
+        mHosts.put(name, host.withProcess(startDaemon(host.name(), host.settingsFile())));
+        awaitReady(host);
+    }
+
+    /** Waits until the condition holds; fails after a bound that only a fault can reach. */
+    public static void await(String what, BooleanSupplier condition) {
+        for (int i = 0; i < POLL_ATTEMPTS; i++) {
+            if (condition.getAsBoolean()) {
+                return;
+            }
+            pause();
+        }
+        throw new IllegalStateException("gave up waiting for " + what);
+    }
+
+    @Override
+    public void close() {
+        for (int i = mProcesses.size() - 1; i >= 0; i--) {
+            mProcesses.get(i).close();
+        }
+    }
+
+    private void startAll(DeploymentLists lists) {
+        createDirectory(mDirectory);
+        startPlatform();
+        lists.backendServers().forEach(this::startBackendServer);
+        lists.failureDomains().forEach(this::prepareHosts);
+        Path file = mDirectory.resolve("lists.json");
+        lists.write(file);
+        operate("items", "apply", file.toString());
+        mHosts.replaceAll((name, host) -> host.withProcess(startDaemon(name, host.settingsFile())));
+        hosts().forEach(this::awaitReady);
+    }
+
+    private void startPlatform() {
+        int port = Integer.parseInt(mPlatformAddress.substring(mPlatformAddress.indexOf(':') + 1));
+        mProcesses.add(
+                startStandIn(
+                        "platform",
+                        MainClasses.PLATFORM,
+                        List.of("--port", Integer.toString(port))));
+        await(
+                "the platform",
+                () -> mCaller.get(mPlatformAddress, "/apis/vanillaslip.org/v1/hosts").status() > 0);
+    }
+
+    private void startBackendServer(JsonNode server) {
+        String name = server.path("name").asText();
+        String address = server.path("address").asText();
+        boolean engine = server.path("kind").asText().equals(BackendKind.MODEL_ENGINE.name());
+        List<String> arguments = new ArrayList<>();
+        arguments.addAll(List.of("--port", address.substring(address.indexOf(':') + 1)));
+        arguments.addAll(List.of("--name", name));
+        if (engine) {
+            arguments.addAll(List.of("--memory-bytes", server.path("memory_bytes").asText()));
+            if (server.path("checks_fencing").asBoolean()) {
+                arguments.add("--fencing");
+            }
+        }
+        JavaProcess process =
+                startStandIn(name, engine ? MainClasses.ENGINE : MainClasses.SERVICE, arguments);
+        mProcesses.add(process);
+        mBackendServers.put(name, process);
+        mBackendAddresses.put(name, address);
+        String statusPath = engine ? "/v1/status" : "/status";
+        await(name, () -> mCaller.get(address, statusPath).status() == 200);
+    }
+
+    private void prepareHosts(String failureDomain) {
+        for (int i = 1; i <= HOSTS_PER_FAILURE_DOMAIN; i++) {
+            String name = "host-" + failureDomain + i;
+            String gateway = "127.0.0.1:" + Ports.free();
+            String peer = "127.0.0.1:" + Ports.free();
+            Path settings = mDirectory.resolve(name + ".ini");
+            writeSettings(settings, name, failureDomain, gateway, peer);
+            announceHost(name, failureDomain, peer);
+            JavaProcess notStarted = mProcesses.get(0);
+            mHosts.put(
+                    name,
+                    new HostProcess(name, failureDomain, gateway, peer, settings, notStarted));
+        }
+    }
+
+    private void announceHost(String name, String failureDomain, String peer) {
+        String object =
+                """
+                {"metadata": {"name": "%s"},
+                 "spec": {"failureDomain": "%s", "peerAddress": "%s", "leaving": false}}
+                """
+                        .formatted(name, failureDomain, peer);
+        mCaller.post(mPlatformAddress, "/apis/vanillaslip.org/v1/hosts", Map.of(), object);
+    }
+
+    private void writeSettings(
+            Path file, String name, String failureDomain, String gateway, String peer) {
+        String settings =
+                """
+                [host]
+                name = %s
+                failure_domain = %s
+                gateway_address = %s
+                peer_address = %s
+                shutdown_delay_seconds = 1
+                shutdown_timeout_seconds = 10
+
+                [platform]
+                address = %s
+
+                [log]
+                format = plain
+                """
+                        .formatted(name, failureDomain, gateway, peer, mPlatformAddress);
+        try {
+            Files.writeString(file, settings);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private JavaProcess startDaemon(String name, Path settings) {
+        JavaProcess process =
+                JavaProcess.start(
+                        name,
+                        mClassPath,
+                        MainClasses.DAEMON,
+                        HOST_HEAP,
+                        mDirectory,
+                        List.of("--config", settings.toString()));
+        mProcesses.add(process);
+        return process;
+    }
+
+    private JavaProcess startStandIn(String name, String mainClass, List<String> arguments) {
+        return JavaProcess.start(name, mClassPath, mainClass, STAND_IN_HEAP, mDirectory, arguments);
+    }
+
+    private void awaitReady(HostProcess host) {
+        await(
+                host.name() + " to be ready",
+                () -> mCaller.get(host.gatewayAddress(), "/readyz").status() == 200);
+    }
+
+    private static void createDirectory(Path directory) {
+        try {
+            Files.createDirectories(directory);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void pause() {
+        Executor delayed = CompletableFuture.delayedExecutor(POLL_MILLIS, TimeUnit.MILLISECONDS);
+        CompletableFuture.runAsync(() -> {}, delayed).join();
+    }
+}
--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/JavaProcess.java
@@ -0,0 +1,130 @@
+package org.vanillaslip.internal.proofs.processes;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A Java program that this process started and that it stops again. */
+public final class JavaProcess implements AutoCloseable {
+
+    private static final long STOP_SECONDS = 15;
+
+    private final String mName;
+    private final Path mLogFile;
+    private final Process mProcess;
+
+    private JavaProcess(String name, Path logFile, Process process) {
+        mName = name;
+        mLogFile = logFile;
+        mProcess = process;
+    }
+
+    /** Starts a main class with the given heap limit; its output goes to a file. */
+    public static JavaProcess start(
+            String name,
+            String classPath,
+            String mainClass,
+            String heap,
+            Path directory,
+            List<String> arguments) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.add("-Xmx" + heap);
+        command.add("-XX:+UseSerialGC");
+        command.add("-cp");
+        command.add(classPath);
+        command.add(mainClass);
+        command.addAll(arguments);
+        Path logFile = directory.resolve(name + ".log");
+        try {
+            Process process =
+                    new ProcessBuilder(command)
+                            .redirectErrorStream(true)
+                            .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile()))
+                            .redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null")))
+                            .start();
+            return new JavaProcess(name, logFile, process);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns the name given at the start. */
+    public String name() {
+        return mName;
+    }
+
+    /** Returns whether the process runs. */
+    public boolean isAlive() {
+        return mProcess.isAlive();
+    }
+
+    /** Returns everything the process has printed. */
+    public String output() {
+        try {
+            return Files.readString(mLogFile);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Stops the execution of the process without its knowledge. */
+    public void freeze() {
+        signal("STOP");
+    }
+
+    /** Continues a frozen process. */
+    public void thaw() {
+        signal("CONT");
+    }
+
+    /** Ends the process at once. */
+    public void kill() {
+        mProcess.destroyForcibly();
+        awaitExit();
+    }
+
+    /** Asks the process to stop and returns its exit code, or kills it after a bound. */
+    public int stop() {
+        mProcess.destroy();
+        return awaitExit();
+    }
+
+    @Override
+    public void close() {
+        if (mProcess.isAlive()) {
+            signal("CONT");
+            stop();
+        }
+    }
+
+    private int awaitExit() {
+        try {
+            if (!mProcess.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+                mProcess.destroyForcibly().waitFor();
+            }
+            return mProcess.exitValue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while stopping " + mName, e);
+        }
+    }
+
+    private void signal(String signal) {
+        try {
+            new ProcessBuilder("kill", "-" + signal, Long.toString(mProcess.pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while signalling " + mName, e);
+        }
+    }
+}
--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/package-info.java
@@ -0,0 +1,5 @@
+/** Runs a small deployment as separate processes on loopback, for the demo and for scenarios. */
+@NullMarked
+package org.vanillaslip.internal.proofs.processes;
+
+import org.jspecify.annotations.NullMarked;
