--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/configuration/ItemChecks.java
@@ -0,0 +1,112 @@
+package org.vanillaslip.internal.configuration;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.regex.Pattern;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.Configuration;
+import org.vanillaslip.Model;
+import org.vanillaslip.Plan;
+import org.vanillaslip.Route;
+import org.vanillaslip.WorkspaceEntry;
+
+/** Checks the values of each item by itself. */
+final class ItemChecks {
+
+    private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
+    private static final Pattern ADDRESS = Pattern.compile("\\S+:[0-9]{1,5}");
+
+    private final FaultCollector mFaults;
+
+    ItemChecks(FaultCollector faults) {
+        mFaults = faults;
+    }
+
+    void check(Configuration configuration) {
+        configuration.plans().values().forEach(this::checkPlan);
+        configuration.workspaces().values().forEach(this::checkWorkspace);
+        configuration.routes().values().forEach(this::checkRoute);
+        configuration.models().values().forEach(this::checkModel);
+        configuration.backendServers().values().forEach(this::checkServer);
+    }
+
+    private void checkPlan(Plan plan) {
+        long rate = plan.tokensPerSecond();
+        long burst = plan.burstTokens();
+        mFaults.require(rate >= 0, plan, "tokensPerSecond", rate, "0 or more");
+        mFaults.require(burst >= 0, plan, "burstTokens", burst, "0 or more");
+        for (String adapter : plan.adapters()) {
+            mFaults.require(!adapter.isBlank(), plan, "adapters", adapter, "a name");
+        }
+    }
+
+    private void checkWorkspace(WorkspaceEntry workspace) {
+        for (String digest : workspace.keyDigests()) {
+            boolean accepted = DIGEST.matcher(digest).matches();
+            // A malformed digest may be a key that was entered in its place, so it is not repeated.
+            mFaults.require(
+                    accepted,
+                    workspace,
+                    "keyDigests",
+                    "(" + digest.length() + " characters)",
+                    "64 lower-case hexadecimal digits, the SHA-256 digest of the key");
+        }
+    }
+
+    private void checkRoute(Route route) {
+        mFaults.require(
+                route.name().startsWith("/"), route, "name", route.name(), "a path from '/'");
+        mFaults.require(
+                isPositive(route.deadline()), route, "deadline", route.deadline(), "more than 0");
+    }
+
+    private void checkModel(Model model) {
+        long memory = model.memoryBytes();
+        long adapterMemory = model.adapterMemoryBytes();
+        mFaults.require(!model.name().contains(":"), model, "name", model.name(), "no ':'");
+        mFaults.require(!model.version().isBlank(), model, "version", model.version(), "a name");
+        mFaults.require(memory > 0, model, "memoryBytes", memory, "more than 0");
+        mFaults.require(
+                adapterMemory >= 0, model, "adapterMemoryBytes", adapterMemory, "0 or more");
+        long sum = 0;
+        for (Map.Entry<String, Integer> replicas : model.replicas().entrySet()) {
+            int count = replicas.getValue();
+            mFaults.require(count >= 0, model, "replicas." + replicas.getKey(), count, "0 or more");
+            sum += count;
+        }
+        mFaults.require(
+                sum <= Integer.MAX_VALUE, model, "replicas", sum, "at most " + Integer.MAX_VALUE);
+        checkLoadTime(model, "fromMemory", model.loadTimes().fromMemory());
+        checkLoadTime(model, "fromDisk", model.loadTimes().fromDisk());
+        checkLoadTime(model, "fromRemote", model.loadTimes().fromRemote());
+    }
+
+    private void checkLoadTime(Model model, String field, Duration time) {
+        mFaults.require(!time.isNegative(), model, "loadTimes." + field, time, "0 or more");
+    }
+
+    private void checkServer(BackendServer server) {
+        long memory = server.memoryBytes();
+        int accelerators = server.accelerators();
+        String address = server.address();
+        mFaults.require(ADDRESS.matcher(address).matches(), server, "address", address, "ip:port");
+        mFaults.require(memory >= 0, server, "memoryBytes", memory, "0 or more");
+        mFaults.require(accelerators >= 0, server, "accelerators", accelerators, "0 or more");
+        int initial = server.slowStart().initialConcurrency();
+        int full = server.slowStart().fullConcurrency();
+        Duration ramp = server.slowStart().ramp();
+        mFaults.require(
+                initial > 0, server, "slowStart.initialConcurrency", initial, "more than 0");
+        mFaults.require(
+                full >= initial,
+                server,
+                "slowStart.fullConcurrency",
+                full,
+                "at least initialConcurrency (" + initial + ")");
+        mFaults.require(!ramp.isNegative(), server, "slowStart.ramp", ramp, "0 or more");
+    }
+
+    private static boolean isPositive(Duration duration) {
+        return !duration.isNegative() && !duration.isZero();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/configuration/ShardChecks.java
@@ -0,0 +1,52 @@
+package org.vanillaslip.internal.configuration;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.Configuration;
+
+/** Checks the size of control shards and that none spans two failure domains. */
+final class ShardChecks {
+
+    /** One record of 32 servers stays well under the platform's limit of 1 MB per value. */
+    static final int MOST_SERVERS = 32;
+
+    private final FaultCollector mFaults;
+
+    ShardChecks(FaultCollector faults) {
+        mFaults = faults;
+    }
+
+    void check(Configuration configuration) {
+        Map<String, BackendServer> firstByShard = new HashMap<>();
+        Map<String, Integer> sizes = new HashMap<>();
+        List<BackendServer> servers =
+                configuration.backendServers().values().stream()
+                        .sorted(Comparator.comparing(BackendServer::name))
+                        .toList();
+        for (BackendServer server : servers) {
+            String shard = server.controlShard();
+            mFaults.require(!shard.isBlank(), server, "controlShard", shard, "a name");
+            BackendServer first = firstByShard.computeIfAbsent(shard, name -> server);
+            mFaults.require(
+                    first.failureDomain().equals(server.failureDomain()),
+                    server,
+                    "controlShard",
+                    shard,
+                    "a shard of one failure domain only; server '"
+                            + first.name()
+                            + "' of it is in '"
+                            + first.failureDomain().name()
+                            + "'");
+            int size = sizes.merge(shard, 1, Integer::sum);
+            mFaults.require(
+                    size <= MOST_SERVERS,
+                    server,
+                    "controlShard",
+                    shard,
+                    "a shard with at most " + MOST_SERVERS + " servers");
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/configuration/ConfigurationStateTest.java
@@ -0,0 +1,109 @@
+package org.vanillaslip.internal.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.vanillaslip.ConfigurationItem;
+import org.vanillaslip.ItemKind;
+import org.vanillaslip.ItemName;
+import org.vanillaslip.Plan;
+import org.vanillaslip.VersionedItem;
+import org.vanillaslip.WorkspaceEntry;
+
+/**
+ * configuration-in-force: what has been accepted never reverts, whatever arrives in which order.
+ */
+class ConfigurationStateTest {
+
+    @Test
+    void configurationInForceSurvivesAnOlderCopy() {
+        ConfigurationState state = ConfigurationState.empty().merge(List.of(at(5, plan("p", 50))));
+
+        ConfigurationState after = state.merge(List.of(at(4, plan("p", 40))));
+
+        assertThat(after.current().orElseThrow().plans().get("p").tokensPerSecond()).isEqualTo(50);
+    }
+
+    @Test
+    void configurationInForceKeepsARemovalDespiteAnOlderCopy() {
+        ItemName name = new ItemName(ItemKind.PLAN, "p");
+        ConfigurationState state =
+                ConfigurationState.empty()
+                        .merge(List.of(new VersionedItem(name, 5, Optional.empty())))
+                        .merge(List.of(at(4, plan("p", 40))));
+
+        assertThat(state.current().orElseThrow().plans()).isEmpty();
+    }
+
+    @Test
+    void keepsTheLastGoodSnapshotWhileNewItemsAreFaulty() {
+        ConfigurationState good = ConfigurationState.empty().merge(List.of(at(1, plan("p", 10))));
+
+        ConfigurationState faulty = good.merge(List.of(at(2, plan("p", -1))));
+        ConfigurationState corrected = faulty.merge(List.of(at(3, plan("p", 30))));
+
+        assertThat(faulty.current()).isEqualTo(good.current());
+        assertThat(faulty.faults())
+                .containsExactly(new Fault("plan.p", "tokensPerSecond", "-1", "0 or more"));
+        assertThat(corrected.faults()).isEmpty();
+        assertThat(corrected.current().orElseThrow().version()).isEqualTo(3);
+    }
+
+    @Test
+    void treatsAnObjectMissingFromANewerListAsRemoved() {
+        ConfigurationState state =
+                ConfigurationState.empty().merge(List.of(at(1, plan("p", 1)), at(9, plan("q", 1))));
+
+        ConfigurationState after = state.removeUnlisted(Set.of(), 8);
+
+        assertThat(after.current().orElseThrow().plans()).containsOnlyKeys("q");
+    }
+
+    @Test
+    void namesAKeyThatTwoWorkspacesShare() {
+        String digest = "a".repeat(64);
+        ConfigurationState state =
+                ConfigurationState.empty()
+                        .merge(
+                                List.of(
+                                        at(1, plan("p", 1)),
+                                        at(2, new WorkspaceEntry("a", "p", Set.of(digest))),
+                                        at(3, new WorkspaceEntry("b", "p", Set.of(digest)))));
+
+        assertThat(state.current()).isEmpty();
+        assertThat(state.faults()).singleElement().extracting(Fault::item).isEqualTo("workspace.b");
+    }
+
+    @Property(seed = "20261204", tries = 200)
+    void configurationInForceDoesNotDependOnTheOrderOfArrival(@ForAll long seed) {
+        List<VersionedItem> items = new ArrayList<>();
+        for (int version = 1; version <= 20; version++) {
+            items.add(at(version, plan("p" + version % 3, version)));
+        }
+        ConfigurationState inOrder = ConfigurationState.empty().merge(items);
+        Collections.shuffle(items, new Random(seed));
+
+        ConfigurationState shuffled = ConfigurationState.empty();
+        for (VersionedItem item : items) {
+            shuffled = shuffled.merge(List.of(item));
+        }
+
+        assertThat(shuffled.current()).isEqualTo(inOrder.current());
+    }
+
+    private static Plan plan(String name, long rate) {
+        return new Plan(name, Set.of(), Set.of(), rate, 10);
+    }
+
+    private static VersionedItem at(long version, ConfigurationItem item) {
+        return new VersionedItem(ItemName.of(item), version, Optional.of(item));
+    }
+}
