--- a/decisions/src/main/java/org/vanillaslip/internal/configuration/ItemChecks.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/configuration/ItemChecks.java
@@ -16,6 +16,9 @@
     private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
     private static final Pattern ADDRESS = Pattern.compile("\\S+:[0-9]{1,5}");
 
+    /** Longer times are typing errors, and their nanoseconds could overflow in later sums. */
+    private static final Duration LONGEST = Duration.ofDays(1);
+
     private final FaultCollector mFaults;
 
     ItemChecks(FaultCollector faults) {
@@ -56,8 +59,9 @@
     private void checkRoute(Route route) {
         mFaults.require(
                 route.name().startsWith("/"), route, "name", route.name(), "a path from '/'");
-        mFaults.require(
-                isPositive(route.deadline()), route, "deadline", route.deadline(), "more than 0");
+        Duration deadline = route.deadline();
+        boolean accepted = !deadline.isZero() && isAccepted(deadline);
+        mFaults.require(accepted, route, "deadline", deadline, "more than 0, at most " + LONGEST);
     }
 
     private void checkModel(Model model) {
@@ -82,7 +86,7 @@
     }
 
     private void checkLoadTime(Model model, String field, Duration time) {
-        mFaults.require(!time.isNegative(), model, "loadTimes." + field, time, "0 or more");
+        mFaults.require(isAccepted(time), model, "loadTimes." + field, time, "0 to " + LONGEST);
     }
 
     private void checkServer(BackendServer server) {
@@ -103,10 +107,10 @@
                 "slowStart.fullConcurrency",
                 full,
                 "at least initialConcurrency (" + initial + ")");
-        mFaults.require(!ramp.isNegative(), server, "slowStart.ramp", ramp, "0 or more");
+        mFaults.require(isAccepted(ramp), server, "slowStart.ramp", ramp, "0 to " + LONGEST);
     }
 
-    private static boolean isPositive(Duration duration) {
-        return !duration.isNegative() && !duration.isZero();
+    private static boolean isAccepted(Duration duration) {
+        return !duration.isNegative() && duration.compareTo(LONGEST) <= 0;
     }
 }
--- /dev/null
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/BudgetedObjectStore.java
@@ -0,0 +1,81 @@
+package org.vanillaslip.internal.platform;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.util.function.BooleanSupplier;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Refuses calls beyond the call budget of this host before they reach the platform. */
+public final class BudgetedObjectStore implements ObjectStore {
+
+    private final ObjectStore mStore;
+    private final CallBudget mBudget;
+
+    /** Creates a store that charges every call to the budget when it is subscribed to. */
+    public BudgetedObjectStore(ObjectStore store, CallBudget budget) {
+        mStore = store;
+        mBudget = budget;
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
+        return charged(take(collection), mStore.read(collection, name));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
+        return charged(mBudget::tryTake, mStore.list(collection));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> create(
+            String collection, String name, ObjectNode spec) {
+        return charged(take(collection), mStore.create(collection, name, spec));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> update(
+            String collection, String name, long expectedVersion, ObjectNode spec) {
+        return charged(take(collection), mStore.update(collection, name, expectedVersion, spec));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> delete(
+            String collection, String name, long expectedVersion) {
+        return charged(take(collection), mStore.delete(collection, name, expectedVersion));
+    }
+
+    @Override
+    public Flux<WatchEvent> watch(String collection, long fromVersion) {
+        return Flux.defer(
+                () ->
+                        mBudget.tryTakeReserved()
+                                ? mStore.watch(collection, fromVersion)
+                                : Flux.error(budgetExhausted(collection)));
+    }
+
+    private static PlatformException budgetExhausted(String collection) {
+        return new PlatformException(
+                PlatformFailure.THROTTLED,
+                "The watch of '"
+                        + collection
+                        + "' was not opened, because the call budget of this host is used up.");
+    }
+
+    /** Lease objects may use the reserve: a read after a lost answer decides about a lease too. */
+    private BooleanSupplier take(String collection) {
+        return collection.equals(PlatformCollections.CONTROL_SHARDS)
+                ? mBudget::tryTakeReserved
+                : mBudget::tryTake;
+    }
+
+    private static <T> Mono<Either<PlatformFailure, T>> charged(
+            BooleanSupplier take, Mono<Either<PlatformFailure, T>> call) {
+        return Mono.defer(
+                () ->
+                        take.getAsBoolean()
+                                ? call
+                                : Mono.just(Either.left(PlatformFailure.THROTTLED)));
+    }
+}
--- /dev/null
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -0,0 +1,202 @@
+package org.vanillaslip.internal.platform;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.json.JsonObjectDecoder;
+import io.vavr.control.Either;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+
+/** The platform's object API over HTTP. */
+public final class HttpObjectStore implements ObjectStore {
+
+    private static final String PREFIX = "/apis/vanillaslip.org/v1/";
+
+    /** Values are up to 1 MB; a list of the configuration at design size has about 8 MB. */
+    private static final int MOST_EVENT_BYTES = 2 << 20;
+
+    private final HttpClient mClient;
+    private final ObjectJson mJson;
+    private final Duration mAnswerTimeout;
+    private final Scheduler mTimer;
+
+    /**
+     * Creates a store.
+     *
+     * @param client client with the connection pool to use
+     * @param baseUrl {@code http://ip:port} of the platform
+     * @param failureDomain sent with each call
+     * @param answerTimeout after which the answer of a call counts as lost
+     * @param timer measures the silence of watches
+     */
+    public HttpObjectStore(
+            HttpClient client,
+            String baseUrl,
+            String failureDomain,
+            ObjectJson json,
+            Duration answerTimeout,
+            Scheduler timer) {
+        // The client would repeat a write on another connection, although the first may have
+        // taken effect.
+        mClient =
+                client.baseUrl(baseUrl)
+                        .disableRetry(true)
+                        .headers(headers -> headers.set("X-Failure-Domain", failureDomain));
+        mJson = json;
+        mAnswerTimeout = answerTimeout;
+        mTimer = timer;
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
+        return call(HttpMethod.GET, path(collection, name), null, object(collection));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
+        return call(
+                HttpMethod.GET,
+                PREFIX + collection,
+                null,
+                node -> mJson.decodeList(collection, node));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> create(
+            String collection, String name, ObjectNode spec) {
+        ObjectNode body = mJson.encode(new StoredObject(collection, name, 0, spec));
+        return call(HttpMethod.POST, PREFIX + collection, body, object(collection));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> update(
+            String collection, String name, long expectedVersion, ObjectNode spec) {
+        ObjectNode body = mJson.encode(new StoredObject(collection, name, expectedVersion, spec));
+        return call(HttpMethod.PUT, path(collection, name), body, object(collection));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> delete(
+            String collection, String name, long expectedVersion) {
+        ObjectNode spec = JsonNodeFactory.instance.objectNode();
+        ObjectNode body = mJson.encode(new StoredObject(collection, name, expectedVersion, spec));
+        return call(HttpMethod.DELETE, path(collection, name), body, object(collection));
+    }
+
+    @Override
+    public Flux<WatchEvent> watch(String collection, long fromVersion) {
+        Flux<WatchEvent> events =
+                mClient.doOnResponse(
+                                (response, connection) ->
+                                        connection.addHandlerLast(
+                                                new JsonObjectDecoder(MOST_EVENT_BYTES)))
+                        .get()
+                        .uri(PREFIX + collection + "?watch=true&resourceVersion=" + fromVersion)
+                        .response(
+                                (response, content) -> {
+                                    int status = response.status().code();
+                                    return status == 200
+                                            ? content.asByteArray()
+                                            : Flux.error(notOpened(collection, status));
+                                })
+                        .map(bytes -> mJson.decodeEvent(collection, mJson.parse(bytes)))
+                        .onErrorMap(
+                                cause -> !(cause instanceof PlatformException),
+                                cause -> broken(collection, cause));
+        return WatchSilence.limit(events, mTimer);
+    }
+
+    private <T> Mono<Either<PlatformFailure, T>> call(
+            HttpMethod method,
+            String path,
+            @Nullable ObjectNode body,
+            Function<ObjectNode, T> decode) {
+        boolean writes = !method.equals(HttpMethod.GET);
+        return Mono.defer(
+                () -> {
+                    AtomicBoolean sent = new AtomicBoolean();
+                    return mClient.doOnRequest((request, connection) -> sent.set(true))
+                            .headers(headers -> headers.set("Content-Type", "application/json"))
+                            .request(method)
+                            .uri(path)
+                            .send(
+                                    body == null
+                                            ? Mono.empty()
+                                            : Mono.fromSupplier(
+                                                    () ->
+                                                            Unpooled.wrappedBuffer(
+                                                                    mJson.write(body))))
+                            .responseSingle(
+                                    (response, content) ->
+                                            content.asByteArray()
+                                                    .defaultIfEmpty(new byte[0])
+                                                    .map(bytes -> result(response, bytes, decode)))
+                            .timeout(mAnswerTimeout, mTimer)
+                            .onErrorResume(
+                                    cause -> Mono.just(Either.left(lost(writes && sent.get()))));
+                });
+    }
+
+    private <T> Either<PlatformFailure, T> result(
+            HttpClientResponse response, byte[] bytes, Function<ObjectNode, T> decode) {
+        int status = response.status().code();
+        if (status >= 200 && status < 300) {
+            return Either.right(decode.apply(mJson.parse(bytes)));
+        }
+        PlatformFailure failure = failure(status);
+        if (status >= 500) {
+            // A server error does not tell whether the change took effect.
+            throw new PlatformException(failure, "The platform answered with " + status + ".");
+        }
+        return Either.left(failure);
+    }
+
+    private Function<ObjectNode, StoredObject> object(String collection) {
+        return node -> mJson.decodeObject(collection, node);
+    }
+
+    private static PlatformFailure lost(boolean mayHaveTakenEffect) {
+        return mayHaveTakenEffect ? PlatformFailure.OUTCOME_UNKNOWN : PlatformFailure.UNAVAILABLE;
+    }
+
+    private static PlatformFailure failure(int status) {
+        return switch (status) {
+            case 404 -> PlatformFailure.NOT_FOUND;
+            case 409 -> PlatformFailure.CONFLICT;
+            case 410 -> PlatformFailure.GONE;
+            case 429 -> PlatformFailure.THROTTLED;
+            default -> PlatformFailure.UNAVAILABLE;
+        };
+    }
+
+    private static PlatformException notOpened(String collection, int status) {
+        return new PlatformException(
+                failure(status),
+                "The platform refused the watch of '" + collection + "' with " + status + ".");
+    }
+
+    private static PlatformException broken(String collection, Throwable cause) {
+        PlatformException exception =
+                new PlatformException(
+                        PlatformFailure.UNAVAILABLE,
+                        "The watch of '" + collection + "' broke: " + cause.getMessage());
+        exception.initCause(cause);
+        return exception;
+    }
+
+    private static String path(String collection, String name) {
+        String encoded = URLEncoder.encode(name, StandardCharsets.UTF_8).replace("+", "%20");
+        return PREFIX + collection + "/" + encoded;
+    }
+}
--- /dev/null
+++ b/platform-client/src/test/java/org/vanillaslip/internal/platform/CallBudgetTest.java
@@ -0,0 +1,56 @@
+package org.vanillaslip.internal.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a host that floods the platform, or starves its own lease renewals. */
+class CallBudgetTest {
+
+    private final AtomicLong mNow = new AtomicLong();
+    private final CallBudget mBudget = new CallBudget(mNow::get, 20, 5, 2);
+
+    @Test
+    void keepsTheReserveForWatchesAndLeaseWrites() {
+        assertThat(takeAll()).isEqualTo(3);
+        assertThat(mBudget.tryTakeReserved()).isTrue();
+        assertThat(mBudget.tryTakeReserved()).isTrue();
+        assertThat(mBudget.tryTakeReserved()).isFalse();
+    }
+
+    @Test
+    void refillsAtItsRateUpToItsCapacity() {
+        takeAll();
+        mNow.addAndGet(Duration.ofMillis(50).toNanos());
+        assertThat(takeAll()).isEqualTo(1);
+        mNow.addAndGet(Duration.ofHours(1).toNanos());
+        assertThat(takeAll()).isEqualTo(3);
+    }
+
+    @Test
+    void backoffStaysBelowItsRisingBoundAndStartsAgainAfterASuccess() {
+        Backoff backoff =
+                new Backoff(Duration.ofMillis(100), Duration.ofSeconds(10), new Random(1));
+        Duration longest = Duration.ZERO;
+        for (int failure = 0; failure < 100; failure++) {
+            Duration delay = backoff.next();
+            assertThat(delay).isLessThanOrEqualTo(Duration.ofMillis(100L << Math.min(failure, 7)));
+            assertThat(delay).isLessThanOrEqualTo(Duration.ofSeconds(10));
+            longest = delay.compareTo(longest) > 0 ? delay : longest;
+        }
+        backoff.reset();
+        assertThat(longest).isGreaterThan(Duration.ofSeconds(8));
+        assertThat(backoff.next()).isLessThanOrEqualTo(Duration.ofMillis(100));
+    }
+
+    private int takeAll() {
+        int taken = 0;
+        while (mBudget.tryTake()) {
+            taken++;
+        }
+        return taken;
+    }
+}
