--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/FaultSwitches.java
@@ -0,0 +1,65 @@
+package org.vanillaslip.internal.standins.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Applies the body of {@code POST /faults}; fields that are left out stay as they are. */
+final class FaultSwitches {
+
+    private static final Set<String> FIELDS =
+            Set.of(
+                    "outage",
+                    "latencyMillis",
+                    "lostWriteAnswers",
+                    "silentWatches",
+                    "refusedFailureDomains",
+                    "breakWatches",
+                    "forgetHistory");
+
+    private final PlatformFaults mFaults;
+    private final ObjectStorage mStorage;
+
+    FaultSwitches(PlatformFaults faults, ObjectStorage storage) {
+        mFaults = faults;
+        mStorage = storage;
+    }
+
+    void apply(ObjectNode body) {
+        body.fieldNames().forEachRemaining(FaultSwitches::requireKnown);
+        if (body.has("outage")) {
+            mFaults.setOutage(body.get("outage").asBoolean());
+        }
+        if (body.has("latencyMillis")) {
+            mFaults.setLatency(Duration.ofMillis(body.get("latencyMillis").asLong()));
+        }
+        if (body.has("lostWriteAnswers")) {
+            mFaults.setLostWriteAnswers(body.get("lostWriteAnswers").asInt());
+        }
+        if (body.has("silentWatches")) {
+            mFaults.setSilentWatches(body.get("silentWatches").asBoolean());
+        }
+        if (body.has("refusedFailureDomains")) {
+            Set<String> domains = new HashSet<>();
+            for (JsonNode domain : body.get("refusedFailureDomains")) {
+                domains.add(domain.asText());
+            }
+            mFaults.setRefusedFailureDomains(domains);
+        }
+        if (body.path("breakWatches").asBoolean()) {
+            mStorage.breakWatches();
+        }
+        if (body.path("forgetHistory").asBoolean()) {
+            mStorage.forgetHistory();
+        }
+    }
+
+    private static void requireKnown(String field) {
+        if (!FIELDS.contains(field)) {
+            throw new IllegalArgumentException(
+                    "No fault is named '" + field + "'; known are " + FIELDS + ".");
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/InProcessObjectStore.java
@@ -0,0 +1,121 @@
+package org.vanillaslip.internal.standins.platform;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.function.Supplier;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformException;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.platform.WatchSilence;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/** Object store of one caller without HTTP, with the same faults as the process. */
+public final class InProcessObjectStore implements ObjectStore {
+
+    /** Interval of the platform's bookmarks. */
+    public static final Duration BOOKMARK_INTERVAL = Duration.ofSeconds(5);
+
+    private final ObjectStorage mStorage;
+    private final PlatformFaults mFaults;
+    private final CallCounts mCounts;
+    private final Scheduler mTimer;
+    private final String mFailureDomain;
+
+    /** Creates the store of a caller in the given failure domain; the timer may be virtual. */
+    public InProcessObjectStore(
+            ObjectStorage storage,
+            PlatformFaults faults,
+            CallCounts counts,
+            Scheduler timer,
+            String failureDomain) {
+        mStorage = storage;
+        mFaults = faults;
+        mCounts = counts;
+        mTimer = timer;
+        mFailureDomain = failureDomain;
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
+        return call(CallKind.READ, () -> mStorage.read(collection, name));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
+        return call(CallKind.LIST, () -> Either.right(mStorage.list(collection)));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> create(
+            String collection, String name, ObjectNode spec) {
+        return call(CallKind.CREATE, () -> mStorage.create(collection, name, spec));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> update(
+            String collection, String name, long expectedVersion, ObjectNode spec) {
+        return call(
+                CallKind.UPDATE, () -> mStorage.update(collection, name, expectedVersion, spec));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> delete(
+            String collection, String name, long expectedVersion) {
+        return call(CallKind.DELETE, () -> mStorage.delete(collection, name, expectedVersion));
+    }
+
+    @Override
+    public Flux<WatchEvent> watch(String collection, long fromVersion) {
+        Flux<WatchEvent> events =
+                Flux.defer(
+                        () -> {
+                            mCounts.add(CallKind.WATCH);
+                            return mFaults.reachableFrom(mFailureDomain)
+                                    ? withBookmarks(mStorage.watch(collection, fromVersion))
+                                    : Flux.error(unreachable());
+                        });
+        return WatchSilence.limit(new WatchFaults(mFaults).apply(mFailureDomain, events), mTimer);
+    }
+
+    private Flux<WatchEvent> withBookmarks(Flux<WatchEvent> events) {
+        Flux<WatchEvent> timer =
+                Flux.interval(BOOKMARK_INTERVAL, mTimer)
+                        .doOnNext(tick -> mStorage.sendBookmarks())
+                        .ignoreElements()
+                        .cast(WatchEvent.class)
+                        .flux();
+        return events.mergeWith(timer);
+    }
+
+    private <T> Mono<Either<PlatformFailure, T>> call(
+            CallKind kind, Supplier<Either<PlatformFailure, T>> action) {
+        return Mono.defer(
+                () -> {
+                    mCounts.add(kind);
+                    if (!mFaults.reachableFrom(mFailureDomain)) {
+                        return Mono.just(Either.left(PlatformFailure.UNAVAILABLE));
+                    }
+                    Either<PlatformFailure, T> result = action.get();
+                    boolean lost = kind.writes() && mFaults.loseWriteAnswer();
+                    return delayed(lost ? Either.left(PlatformFailure.OUTCOME_UNKNOWN) : result);
+                });
+    }
+
+    private <T> Mono<T> delayed(T answer) {
+        Duration latency = mFaults.latency();
+        return latency.isZero()
+                ? Mono.just(answer)
+                : Mono.delay(latency, mTimer).thenReturn(answer);
+    }
+
+    private static PlatformException unreachable() {
+        return new PlatformException(
+                PlatformFailure.UNAVAILABLE, "The platform is unreachable by a switched fault.");
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/InitialObjects.java
@@ -0,0 +1,29 @@
+package org.vanillaslip.internal.standins.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.vanillaslip.internal.platform.ObjectJson;
+import org.vanillaslip.internal.platform.StoredObject;
+
+/** Fills a storage from {@code {collection: [{metadata: {name}, spec}, ...], ...}}. */
+final class InitialObjects {
+
+    private final ObjectJson mJson;
+
+    InitialObjects(ObjectJson json) {
+        mJson = json;
+    }
+
+    void load(byte[] file, ObjectStorage storage) {
+        ObjectNode collections = mJson.parse(file);
+        collections
+                .properties()
+                .forEach(
+                        entry -> {
+                            for (JsonNode node : entry.getValue()) {
+                                StoredObject object = mJson.decodeObject(entry.getKey(), node);
+                                storage.create(object.collection(), object.name(), object.spec());
+                            }
+                        });
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/PlatformHttpServer.java
@@ -0,0 +1,197 @@
+package org.vanillaslip.internal.standins.platform;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import org.reactivestreams.Publisher;
+import org.vanillaslip.internal.platform.ObjectJson;
+import org.vanillaslip.internal.platform.PlatformException;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoredObject;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** The object API over HTTP, with paths to switch faults and read counts. */
+public final class PlatformHttpServer {
+
+    private final ObjectStorage mStorage;
+    private final PlatformFaults mFaults;
+    private final CallCounts mCounts;
+    private final ObjectJson mJson;
+
+    /** Creates a server for the storage. */
+    public PlatformHttpServer(
+            ObjectStorage storage, PlatformFaults faults, CallCounts counts, ObjectJson json) {
+        mStorage = storage;
+        mFaults = faults;
+        mCounts = counts;
+        mJson = json;
+    }
+
+    /** Binds to the port on the loopback address; port 0 picks a free one. */
+    public Mono<? extends DisposableServer> bind(int port) {
+        return HttpServer.create().host("127.0.0.1").port(port).handle(this::handle).bind();
+    }
+
+    private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        String path = request.uri();
+        if (path.equals("/faults") && request.method().name().equals("POST")) {
+            return body(request)
+                    .doOnNext(body -> new FaultSwitches(mFaults, mStorage).apply(body))
+                    .then(answer(response, 200, JsonNodeFactory.instance.objectNode()))
+                    .onErrorResume(
+                            IllegalArgumentException.class, cause -> refused(response, cause));
+        }
+        if (path.equals("/counts")) {
+            return answer(response, 200, counts());
+        }
+        Optional<PlatformRequest> call = PlatformRequest.of(request);
+        return call.isEmpty()
+                ? answer(response, 404, status(404))
+                : handleCall(call.get(), request, response);
+    }
+
+    private Publisher<Void> handleCall(
+            PlatformRequest call, HttpServerRequest request, HttpServerResponse response) {
+        mCounts.add(call.kind());
+        if (!mFaults.reachableFrom(call.failureDomain())) {
+            return drop(response);
+        }
+        if (call.kind() == CallKind.WATCH) {
+            return watch(call, response);
+        }
+        return body(request)
+                .flatMap(body -> answerCall(call, body, response))
+                .onErrorResume(IllegalArgumentException.class, cause -> refused(response, cause));
+    }
+
+    private Mono<Void> answerCall(
+            PlatformRequest call, ObjectNode body, HttpServerResponse response) {
+        Either<PlatformFailure, ObjectNode> result = execute(call, body);
+        if (call.kind().writes() && mFaults.loseWriteAnswer()) {
+            return drop(response);
+        }
+        int success = call.kind() == CallKind.CREATE ? 201 : 200;
+        int status = result.isRight() ? success : statusOf(result.getLeft());
+        Mono<Void> answer = answer(response, status, result.getOrElseGet(left -> status(status)));
+        Duration latency = mFaults.latency();
+        return latency.isZero() ? answer : Mono.delay(latency).then(answer);
+    }
+
+    private Either<PlatformFailure, ObjectNode> execute(PlatformRequest call, ObjectNode body) {
+        String collection = call.collection();
+        StoredObject object = mJson.decodeObject(collection, body);
+        long version = object.version();
+        return switch (call.kind()) {
+            case READ -> mStorage.read(collection, call.name()).map(mJson::encode);
+            case CREATE ->
+                    mStorage.create(collection, nameOf(object), object.spec()).map(mJson::encode);
+            case UPDATE ->
+                    mStorage.update(collection, call.name(), version, object.spec())
+                            .map(mJson::encode);
+            case DELETE -> mStorage.delete(collection, call.name(), version).map(mJson::encode);
+            default -> Either.right(mJson.encode(mStorage.list(collection)));
+        };
+    }
+
+    private Publisher<Void> watch(PlatformRequest call, HttpServerResponse response) {
+        Flux<byte[]> lines =
+                new WatchFaults(mFaults)
+                        .apply(
+                                call.failureDomain(),
+                                mStorage.watch(call.collection(), call.watchVersion()))
+                        .map(event -> line(mJson.encode(event)))
+                        .onErrorResume(
+                                cause ->
+                                        cause instanceof PlatformException failure
+                                                && failure.failure() == PlatformFailure.GONE,
+                                cause -> Flux.just(line(gone())));
+        // The headers go out before the first event, so the caller knows that the watch is open.
+        return response.status(200)
+                .header("Content-Type", "application/json")
+                .send(
+                        Flux.concat(Flux.just(new byte[] {'\n'}), lines)
+                                .map(Unpooled::wrappedBuffer),
+                        buffer -> true)
+                .then()
+                .onErrorResume(cause -> drop(response));
+    }
+
+    private Mono<ObjectNode> body(HttpServerRequest request) {
+        return request.receive()
+                .asByteArray()
+                .collect(ByteArrayOutputStream::new, ByteArrayOutputStream::writeBytes)
+                .map(
+                        bytes ->
+                                bytes.size() == 0
+                                        ? JsonNodeFactory.instance.objectNode()
+                                        : mJson.parse(bytes.toByteArray()));
+    }
+
+    private Mono<Void> answer(HttpServerResponse response, int status, ObjectNode body) {
+        return response.status(status)
+                .header("Content-Type", "application/json")
+                .sendByteArray(Mono.fromSupplier(() -> mJson.write(body)))
+                .then();
+    }
+
+    private Mono<Void> refused(HttpServerResponse response, Throwable cause) {
+        return answer(response, 400, status(400).put("message", cause.getMessage()));
+    }
+
+    private static Mono<Void> drop(HttpServerResponse response) {
+        return Mono.fromRunnable(
+                () -> response.withConnection(connection -> connection.channel().close()));
+    }
+
+    private ObjectNode counts() {
+        ObjectNode node = JsonNodeFactory.instance.objectNode();
+        for (CallKind kind : CallKind.values()) {
+            node.put(kind.name().toLowerCase(Locale.ROOT), mCounts.of(kind));
+        }
+        return node;
+    }
+
+    private byte[] line(ObjectNode node) {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        line.writeBytes(mJson.write(node));
+        line.write('\n');
+        return line.toByteArray();
+    }
+
+    private static ObjectNode gone() {
+        ObjectNode node = JsonNodeFactory.instance.objectNode().put("type", "ERROR");
+        node.set("object", status(410));
+        return node;
+    }
+
+    private static ObjectNode status(int code) {
+        return JsonNodeFactory.instance.objectNode().put("kind", "Status").put("code", code);
+    }
+
+    private static String nameOf(StoredObject object) {
+        if (object.name().isEmpty()) {
+            throw new IllegalArgumentException("An object needs 'metadata.name'.");
+        }
+        return object.name();
+    }
+
+    private static int statusOf(PlatformFailure failure) {
+        return switch (failure) {
+            case NOT_FOUND -> 404;
+            case CONFLICT -> 409;
+            case GONE -> 410;
+            case THROTTLED -> 429;
+            default -> 503;
+        };
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/WatchFaults.java
@@ -0,0 +1,40 @@
+package org.vanillaslip.internal.standins.platform;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.vanillaslip.internal.platform.PlatformException;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.WatchEvent;
+import reactor.core.publisher.Flux;
+
+/** Applies the faults of one caller to the events of a watch. */
+final class WatchFaults {
+
+    private final PlatformFaults mFaults;
+
+    WatchFaults(PlatformFaults faults) {
+        mFaults = faults;
+    }
+
+    /** A watch that has dropped an event sends nothing more, because later events hide the gap. */
+    Flux<WatchEvent> apply(String failureDomain, Flux<WatchEvent> events) {
+        return Flux.defer(
+                () -> {
+                    AtomicBoolean silent = new AtomicBoolean();
+                    return events.<WatchEvent>handle(
+                            (event, sink) -> {
+                                if (!mFaults.reachableFrom(failureDomain)) {
+                                    sink.error(unreachable());
+                                } else if (mFaults.silentWatches() || silent.get()) {
+                                    silent.set(true);
+                                } else {
+                                    sink.next(event);
+                                }
+                            });
+                });
+    }
+
+    private static PlatformException unreachable() {
+        return new PlatformException(
+                PlatformFailure.UNAVAILABLE, "The platform is unreachable by a switched fault.");
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in for the platform's object API, in process and over HTTP. */
+@NullMarked
+package org.vanillaslip.internal.standins.platform;
+
+import org.jspecify.annotations.NullMarked;
