Read watches line by line and test the HTTP store against the stand-in

Cause: Netty's frame decoders, added in doOnResponse, did not see the chunks of a watch, so the first chunk was taken for an event (HttpObjectStoreTest, two failures). Change: LineSplitter cuts the chunks into lines. Result: HttpObjectStoreTest, 10 tests, passes over real sockets.

--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.vavr.control.Either;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -23,7 +22,7 @@
 
     private static final String PREFIX = "/apis/vanillaslip.org/v1/";
 
-    /** Values are up to 1 MB; a list of the configuration at design size has about 8 MB. */
+    /** Values of the platform are up to 1 MB, and escapes make their JSON longer. */
     private static final int MOST_EVENT_BYTES = 2 << 20;
 
     private final HttpClient mClient;
@@ -96,12 +95,8 @@
 
     @Override
     public Flux<WatchEvent> watch(String collection, long fromVersion) {
-        Flux<WatchEvent> events =
-                mClient.doOnResponse(
-                                (response, connection) ->
-                                        connection.addHandlerLast(
-                                                new JsonObjectDecoder(MOST_EVENT_BYTES)))
-                        .get()
+        Flux<byte[]> chunks =
+                mClient.get()
                         .uri(PREFIX + collection + "?watch=true&resourceVersion=" + fromVersion)
                         .response(
                                 (response, content) -> {
@@ -109,14 +104,20 @@
                                     return status == 200
                                             ? content.asByteArray()
                                             : Flux.error(notOpened(collection, status));
-                                })
-                        .map(bytes -> mJson.decodeEvent(collection, mJson.parse(bytes)))
+                                });
+        Flux<WatchEvent> events =
+                Flux.defer(() -> chunks.concatMapIterable(newSplitter()::split))
+                        .map(line -> mJson.decodeEvent(collection, mJson.parse(line)))
                         .onErrorMap(
                                 cause -> !(cause instanceof PlatformException),
                                 cause -> broken(collection, cause));
         return WatchSilence.limit(events, mTimer);
     }
 
+    private static LineSplitter newSplitter() {
+        return new LineSplitter(MOST_EVENT_BYTES);
+    }
+
     private <T> Mono<Either<PlatformFailure, T>> call(
             HttpMethod method,
             String path,
--- /dev/null
+++ b/stand-ins/src/test/java/org/vanillaslip/internal/standins/platform/HttpObjectStoreTest.java
@@ -0,0 +1,173 @@
+package org.vanillaslip.internal.standins.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.vanillaslip.internal.platform.PlatformFailure.CONFLICT;
+import static org.vanillaslip.internal.platform.PlatformFailure.GONE;
+import static org.vanillaslip.internal.platform.PlatformFailure.NOT_FOUND;
+import static org.vanillaslip.internal.platform.PlatformFailure.OUTCOME_UNKNOWN;
+import static org.vanillaslip.internal.platform.PlatformFailure.UNAVAILABLE;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.vanillaslip.internal.platform.HttpObjectStore;
+import org.vanillaslip.internal.platform.ObjectJson;
+import org.vanillaslip.internal.platform.PlatformException;
+import org.vanillaslip.internal.platform.StoredObject;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.client.HttpClient;
+import reactor.test.StepVerifier;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** Guards against wrong claims about whether a call changed something, and against dead watches. */
+class HttpObjectStoreTest {
+
+    private static final Duration ANSWER = Duration.ofSeconds(3);
+
+    private final ObjectStorage mStorage = new ObjectStorage(3);
+    private final PlatformFaults mFaults = new PlatformFaults();
+    private final CallCounts mCounts = new CallCounts();
+    private final ObjectJson mJson = new ObjectJson(new ObjectMapper());
+    private final VirtualTimeScheduler mTime = VirtualTimeScheduler.create();
+    private DisposableServer mServer;
+    private HttpObjectStore mStore;
+
+    @BeforeEach
+    void start() {
+        mServer = new PlatformHttpServer(mStorage, mFaults, mCounts, mJson).bind(0).block();
+        mStore = store("north");
+    }
+
+    @AfterEach
+    void stop() {
+        mServer.disposeNow();
+    }
+
+    @Test
+    void aSlashInANameSurvivesTheWayToThePlatform() {
+        StoredObject created = get(mStore.create("c", "route./quotes/a b", spec(1))).get();
+        assertThat(get(mStore.read("c", "route./quotes/a b"))).isEqualTo(Either.right(created));
+        assertThat(get(mStore.list("c")).get().objects()).containsExactly(created);
+    }
+
+    @Test
+    void refusesAChangeWithAnOldVersion() {
+        StoredObject first = get(mStore.create("c", "a", spec(1))).get();
+        get(mStore.update("c", "a", first.version(), spec(2)));
+        assertThat(get(mStore.update("c", "a", first.version(), spec(3))).getLeft())
+                .isEqualTo(CONFLICT);
+        assertThat(get(mStore.create("c", "a", spec(3))).getLeft()).isEqualTo(CONFLICT);
+        assertThat(get(mStore.delete("c", "a", first.version())).getLeft()).isEqualTo(CONFLICT);
+        assertThat(get(mStore.read("c", "b")).getLeft()).isEqualTo(NOT_FOUND);
+    }
+
+    @Test
+    void aLostAnswerOfAWriteIsOutcomeUnknownAndTheWriteIsNotRepeated() {
+        mFaults.setLostWriteAnswers(1);
+        assertThat(get(mStore.create("c", "a", spec(1))).getLeft()).isEqualTo(OUTCOME_UNKNOWN);
+        assertThat(mCounts.of(CallKind.CREATE)).isEqualTo(1);
+        assertThat(get(mStore.read("c", "a")).isRight()).isTrue();
+    }
+
+    @Test
+    void aLateAnswerOfAWriteIsOutcomeUnknown() throws Exception {
+        mFaults.setLatency(Duration.ofMinutes(1));
+        BlockingQueue<Object> results = new LinkedBlockingQueue<>();
+        mStore.create("c", "a", spec(1)).subscribe(results::add);
+        // The change is seen on the platform before time passes for the caller.
+        mStorage.watch("c", 0).blockFirst(Duration.ofSeconds(10));
+        mTime.advanceTimeBy(ANSWER);
+        assertThat(results.poll(10, TimeUnit.SECONDS)).isEqualTo(Either.left(OUTCOME_UNKNOWN));
+    }
+
+    @Test
+    void aRefusedConnectionIsUnavailable() {
+        mServer.disposeNow();
+        assertThat(get(mStore.create("c", "a", spec(1))).getLeft()).isEqualTo(UNAVAILABLE);
+        assertThat(get(mStore.list("c")).getLeft()).isEqualTo(UNAVAILABLE);
+    }
+
+    @Test
+    void onlyTheRefusedFailureDomainIsCutOff() {
+        mFaults.setRefusedFailureDomains(Set.of("north"));
+        assertThat(get(mStore.list("c")).getLeft()).isEqualTo(UNAVAILABLE);
+        assertThat(get(store("south").list("c")).isRight()).isTrue();
+    }
+
+    @Test
+    void aWatchContinuesFromItsPosition() {
+        StoredObject first = get(mStore.create("c", "a", spec(1))).get();
+        StoredObject second = get(mStore.update("c", "a", first.version(), spec(2))).get();
+        StepVerifier.create(mStore.watch("c", first.version()).map(event -> event.object()))
+                .expectNext(second)
+                .then(() -> mStorage.create("c", "b", spec(3)))
+                .assertNext(object -> assertThat(object.name()).isEqualTo("b"))
+                .thenCancel()
+                .verify(Duration.ofSeconds(10));
+    }
+
+    @Test
+    void aTooOldPositionIsGone() {
+        for (int number = 0; number < 5; number++) {
+            mStorage.create("c", "object-" + number, spec(number));
+        }
+        StepVerifier.create(mStore.watch("c", 1))
+                .expectErrorMatches(cause -> ((PlatformException) cause).failure() == GONE)
+                .verify(Duration.ofSeconds(10));
+    }
+
+    @Test
+    void dropsAWatchAfterFifteenSilentSecondsButNotBefore() throws Exception {
+        BlockingQueue<Object> signals = new LinkedBlockingQueue<>();
+        Disposable watch = mStore.watch("c", 0).subscribe(signals::add, signals::add);
+        mTime.advanceTimeBy(Duration.ofMillis(14_900));
+        assertThat(signals).isEmpty();
+        assertThat(watch.isDisposed()).isFalse();
+        mTime.advanceTimeBy(Duration.ofMillis(100));
+        assertThat(signals.poll(10, TimeUnit.SECONDS)).isInstanceOf(PlatformException.class);
+    }
+
+    @Test
+    void faultsAreSwitchedOverHttp() {
+        String body = "{\"outage\":true,\"refusedFailureDomains\":[]}";
+        assertThat(post("/faults", body)).isEqualTo(200);
+        assertThat(get(mStore.list("c")).getLeft()).isEqualTo(UNAVAILABLE);
+        assertThat(post("/faults", "{\"outages\":true}")).isEqualTo(400);
+    }
+
+    private int post(String path, String body) {
+        return HttpClient.create()
+                .post()
+                .uri("http://127.0.0.1:" + mServer.port() + path)
+                .send(ByteBufFlux.fromString(Mono.just(body)))
+                .response()
+                .block(Duration.ofSeconds(10))
+                .status()
+                .code();
+    }
+
+    private HttpObjectStore store(String failureDomain) {
+        String url = "http://127.0.0.1:" + mServer.port();
+        return new HttpObjectStore(HttpClient.create(), url, failureDomain, mJson, ANSWER, mTime);
+    }
+
+    private static ObjectNode spec(int value) {
+        return JsonNodeFactory.instance.objectNode().put("value", value);
+    }
+
+    private static <T> T get(Mono<T> call) {
+        return call.block(Duration.ofSeconds(10));
+    }
+}
