--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/documentation/DocumentationTest.java
@@ -0,0 +1,34 @@
+package org.vanillaslip.internal.documentation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.vanillaslip.internal.logging.LogEvent;
+import org.vanillaslip.internal.logging.LogEventsTable;
+
+/** Guards against documentation that differs from the code; bin/generate-tables renews it. */
+class DocumentationTest {
+    private static final Path DOCUMENTS = Path.of("..", "docs");
+
+    @ParameterizedTest
+    @EnumSource
+    void tablesAreThoseOfTheCode(DocumentationTable table) throws IOException {
+        String text = Files.readString(table.file(DOCUMENTS));
+
+        assertThat(text).isEqualTo(table.renew(text));
+    }
+
+    @Test
+    void everyLogEventHasItsOwnNumber() {
+        assertThat(LogEventsTable.events())
+                .isNotEmpty()
+                .extracting(LogEvent::number)
+                .doesNotHaveDuplicates()
+                .allMatch(number -> number >= 100 && number < 600);
+    }
+}
