Add the lease and placement state machines of control shards

The lease holder needs pure state machines that decide and record placements before any order is sent. ShardMachine turns each event into the next state and actions; OrderResolution settles orders only from reports or fencing.

--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/lease/LeaseRank.java
@@ -0,0 +1,39 @@
+package org.vanillaslip.internal.lease;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.zip.CRC32C;
+
+/** Spreads the leases of shards over hosts by rendezvous hashing. */
+public final class LeaseRank {
+
+    private LeaseRank() {}
+
+    /** Returns how many of the other hosts are preferred over this host for the shard. */
+    public static int of(String shard, String host, Collection<String> hosts) {
+        long own = weight(shard, host);
+        return (int)
+                hosts.stream()
+                        .filter(other -> !other.equals(host))
+                        .filter(other -> precedes(shard, other, host, own))
+                        .count();
+    }
+
+    private static boolean precedes(String shard, String other, String host, long own) {
+        long weight = weight(shard, other);
+        return weight > own || weight == own && other.compareTo(host) < 0;
+    }
+
+    private static long weight(String shard, String host) {
+        CRC32C checksum = new CRC32C();
+        checksum.update((shard + '\n' + host).getBytes(StandardCharsets.UTF_8));
+        return mix(checksum.getValue());
+    }
+
+    // A checksum is linear, so names that differ in one place would rank alike on all shards.
+    private static long mix(long value) {
+        long mixed = (value ^ value >>> 33) * 0xff51afd7ed558ccdL;
+        mixed = (mixed ^ mixed >>> 33) * 0xc4ceb9fe1a85ec53L;
+        return (mixed ^ mixed >>> 33) >>> 1;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/lease/LeaseTimes.java
@@ -0,0 +1,34 @@
+package org.vanillaslip.internal.lease;
+
+import java.time.Duration;
+
+/**
+ * Durations of a lease.
+ *
+ * @param validity time that a holder counts from sending a successful write
+ * @param drift largest relative difference between the speeds of two hosts' monotonic clocks
+ * @param rankDelay additional wait per rank, so that the preferred host tries first
+ */
+public record LeaseTimes(Duration validity, double drift, Duration rankDelay) {
+
+    /** Values of the design: 10 s validity, clocks within 1%. */
+    public static final LeaseTimes STANDARD =
+            new LeaseTimes(Duration.ofSeconds(10), 0.01, Duration.ofSeconds(1));
+
+    /** Returns how long a holder may make decisions after sending a write. */
+    public long decidingNanos() {
+        return validity.toNanos() * 2 / 3;
+    }
+
+    /** Returns the age at which the holder renews, early enough for a second attempt. */
+    public long renewalNanos() {
+        return validity.toNanos() * 3 / 10;
+    }
+
+    /** Returns how long a candidate must see one version unchanged. */
+    public long takeoverNanos(LeaseRecord lease, int rank) {
+        long expiry = lease.released() ? 0 : lease.validityMillis() * 1_000_000L;
+        // Both clocks may err by the drift, in opposite directions.
+        return (long) Math.ceil(expiry * (1 + 2 * drift)) + rank * rankDelay.toNanos();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/lease/package-info.java
@@ -0,0 +1,5 @@
+/** Lease of a control shard, as pure functions of events and time. */
+@NullMarked
+package org.vanillaslip.internal.lease;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/AllowancePlan.java
@@ -0,0 +1,57 @@
+package org.vanillaslip.internal.placement;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.vanillaslip.Model;
+import org.vanillaslip.ModelName;
+
+/** Follows the replica budgets: shrinks allowances at once and grows them when confirmed. */
+final class AllowancePlan {
+
+    private final Draft mDraft;
+    private final ShardState mState;
+    private final ReplicaBudget mBudget;
+
+    AllowancePlan(Draft draft, ShardState state) {
+        mDraft = draft;
+        mState = state;
+        mBudget = new ReplicaBudget(draft.context().configuration());
+    }
+
+    /** Changes the allowances and returns whether one has to wait for other shards. */
+    boolean apply() {
+        Set<String> names = new HashSet<>(mDraft.record().allowances().keySet());
+        for (ModelName wanted : mState.demand().wantedUntil().keySet()) {
+            names.add(wanted.model());
+        }
+        boolean waiting = false;
+        for (String name : names) {
+            waiting |= apply(name);
+        }
+        return waiting;
+    }
+
+    private boolean apply(String name) {
+        int budget = mDraft.context().model(name).map(this::budget).orElse(0);
+        int allowance = mDraft.allowance(name);
+        if (budget <= allowance) {
+            // Replicas that are still loaded count until reports show them gone.
+            mDraft.allow(name, Math.max(budget, mDraft.record().replicas(name)));
+            return false;
+        }
+        boolean confirmed =
+                mDraft.context().model(name).filter(model -> confirmed(model)).isPresent();
+        if (confirmed) {
+            mDraft.allow(name, budget);
+        }
+        return !confirmed;
+    }
+
+    private int budget(Model model) {
+        return mBudget.of(model, mDraft.context().shard());
+    }
+
+    private boolean confirmed(Model model) {
+        return mBudget.confirmed(model, mDraft.context().shard(), mState.others());
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ArrivalHistory.java
@@ -0,0 +1,35 @@
+package org.vanillaslip.internal.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The last inter-arrival times of a model and its last arrival. */
+public record ArrivalHistory(long lastNanos, List<Duration> gaps) {
+
+    // Enough to tell bursts from pauses, small enough for 47,000 adapters.
+    private static final int LENGTH = 32;
+
+    /** Copies the list so that the record is immutable. */
+    public ArrivalHistory {
+        gaps = List.copyOf(gaps);
+    }
+
+    /** Returns a history with one arrival. */
+    public static ArrivalHistory startingAt(long nowNanos) {
+        return new ArrivalHistory(nowNanos, List.of());
+    }
+
+    /** Returns whether no inter-arrival time is known. */
+    public boolean isEmpty() {
+        return gaps.isEmpty();
+    }
+
+    /** Adds an arrival. */
+    public ArrivalHistory arrived(long nowNanos) {
+        List<Duration> next = new ArrayList<>(gaps);
+        next.add(Duration.ofNanos(Math.max(0, nowNanos - lastNanos)));
+        int from = Math.max(0, next.size() - LENGTH);
+        return new ArrivalHistory(nowNanos, next.subList(from, next.size()));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/NoticeKind.java
@@ -0,0 +1,16 @@
+package org.vanillaslip.internal.placement;
+
+/** Kinds of decisions and outcomes that are reported. */
+public enum NoticeKind {
+    LEASE_TAKEN,
+    LEASE_LOST,
+    LEASE_RELEASED,
+    LOAD_DECIDED,
+    UNLOAD_DECIDED,
+    LOAD_CANCELLED,
+    LOADED,
+    LOAD_NOT_EXECUTED,
+    UNLOAD_NOT_EXECUTED,
+    GONE,
+    ADOPTED
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/OrderAction.java
@@ -0,0 +1,9 @@
+package org.vanillaslip.internal.placement;
+
+/** What an order asks of a server. */
+public enum OrderAction {
+    LOAD,
+    UNLOAD,
+    /** Raises the highest term that a server has seen; sent as the unload of no model. */
+    FENCE
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/OrderPlan.java
@@ -0,0 +1,116 @@
+package org.vanillaslip.internal.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.vanillaslip.BackendServer;
+
+/** Chooses the orders to send for recorded decisions whose outcome is unknown. */
+final class OrderPlan {
+
+    private final ShardState mState;
+    private final ShardContext mContext;
+    private final long mNowNanos;
+
+    OrderPlan(ShardState state, ShardContext context, long nowNanos) {
+        mState = state;
+        mContext = context;
+        mNowNanos = nowNanos;
+    }
+
+    List<Order> due() {
+        List<Order> orders = new ArrayList<>();
+        for (Placement placement : mState.record().placements()) {
+            Optional<BackendServer> server = mContext.server(placement.server());
+            if (placement.unresolved() && server.isPresent() && settled(placement)) {
+                order(placement, server.get()).ifPresent(orders::add);
+            }
+        }
+        mContext.servers().forEach(server -> fence(server).ifPresent(orders::add));
+        return orders;
+    }
+
+    private Optional<Order> order(Placement placement, BackendServer server) {
+        // An older order on a server that checks terms is settled by a fence order instead: it may
+        // have been refused already, and sending it again would make it unresolved once more.
+        boolean fenced = server.checksFencing() && placement.term() < mState.lease().term();
+        Long sentAt = mState.orders().sentAt().getOrElse(placement.decision(), Long.MIN_VALUE);
+        if (fenced || !due(sentAt) || lost(placement) || !baseLoaded(placement)) {
+            return Optional.empty();
+        }
+        boolean load = placement.stage() == PlacementStage.LOAD_ORDERED;
+        String place =
+                new ServerChoice(mState, mContext, mNowNanos)
+                        .place(placement.model(), placement.server());
+        return Optional.of(
+                new Order(
+                        placement.decision(),
+                        mState.lease().term(),
+                        placement.server(),
+                        placement.incarnation(),
+                        load ? OrderAction.LOAD : OrderAction.UNLOAD,
+                        placement.model(),
+                        placement.version(),
+                        placement.adapter(),
+                        place));
+    }
+
+    private Optional<Order> fence(BackendServer server) {
+        boolean needed =
+                mState.record().placements().stream()
+                                .filter(p -> p.server().equals(server.name()) && p.unresolved())
+                                .anyMatch(p -> p.term() < mState.lease().term())
+                        || mState.record().offline().stream()
+                                .filter(l -> l.server().equals(server.name()) && !l.inForce())
+                                .anyMatch(l -> l.term() < mState.lease().term());
+        Long sentAt = mState.orders().fencedAt().getOrElse(server.name(), Long.MIN_VALUE);
+        return mState.reports()
+                .get(server.name())
+                .toJavaOptional()
+                .filter(report -> needed && server.checksFencing() && due(sentAt))
+                .filter(report -> report.highestTerm() < mState.lease().term())
+                .map(report -> fence(server, report));
+    }
+
+    private Order fence(BackendServer server, ServerReport report) {
+        return new Order(
+                0,
+                mState.lease().term(),
+                server.name(),
+                report.incarnation(),
+                OrderAction.FENCE,
+                "",
+                "",
+                "",
+                "");
+    }
+
+    // A decision that an open write would take back must not be carried out any more.
+    private boolean settled(Placement placement) {
+        return mState.writes()
+                .possible()
+                .forAll(write -> write.record().placements().contains(placement));
+    }
+
+    private boolean due(Long sentAt) {
+        return sentAt == Long.MIN_VALUE
+                || mNowNanos - sentAt >= mContext.settings().orderRetry().toNanos();
+    }
+
+    private boolean lost(Placement placement) {
+        return mState.reports()
+                .get(placement.server())
+                .exists(report -> !report.incarnation().equals(placement.incarnation()));
+    }
+
+    private boolean baseLoaded(Placement placement) {
+        return placement.adapter().isEmpty()
+                || mState.record().placements().stream()
+                        .anyMatch(
+                                p ->
+                                        p.server().equals(placement.server())
+                                                && p.isFor(
+                                                        placement.model(), placement.version(), "")
+                                                && p.stage() == PlacementStage.LOADED);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/OrderResolution.java
@@ -0,0 +1,78 @@
+package org.vanillaslip.internal.placement;
+
+import java.util.Optional;
+import java.util.function.LongUnaryOperator;
+
+/**
+ * Decides from a report what became of a recorded order. Without proof of an outcome the placement
+ * stays as recorded, because the order may still arrive.
+ */
+final class OrderResolution {
+
+    private final ServerReport mReport;
+    private final boolean mChecksFencing;
+    private final long mHolderTerm;
+    private final LongUnaryOperator mKnownSince;
+
+    /** Creates a resolution; {@code knownSince} returns when this host learned of a decision. */
+    OrderResolution(
+            ServerReport report,
+            boolean checksFencing,
+            long holderTerm,
+            LongUnaryOperator knownSince) {
+        mReport = report;
+        mChecksFencing = checksFencing;
+        mHolderTerm = holderTerm;
+        mKnownSince = knownSince;
+    }
+
+    /** Returns the placement after the report, or nothing when the server no longer has it. */
+    Optional<Placement> resolve(Placement placement) {
+        // A report that was asked for before the decision was known says nothing about it.
+        if (mReport.askedNanos() < mKnownSince.applyAsLong(placement.decision())) {
+            return Optional.of(placement);
+        }
+        if (!mReport.incarnation().equals(placement.incarnation())) {
+            return Optional.empty();
+        }
+        Optional<Resident> resident =
+                mReport.residents().stream().filter(placement::matches).findFirst();
+        switch (placement.stage()) {
+            case LOAD_ORDERED:
+                return resolveLoad(placement, resident);
+            case UNLOAD_ORDERED:
+                return resolveUnload(placement, resident);
+            default:
+                return resident.isPresent() ? Optional.of(placement) : Optional.empty();
+        }
+    }
+
+    private Optional<Placement> resolveLoad(Placement placement, Optional<Resident> resident) {
+        // The same model under another decision, such as an offline load, proves nothing about this
+        // order: it may still arrive after that model has been unloaded.
+        if (resident.isPresent() && resident.get().decision() == placement.decision()) {
+            boolean loaded = resident.get().loaded();
+            return Optional.of(loaded ? placement.in(PlacementStage.LOADED) : placement);
+        }
+        if (mReport.refused().contains(placement.decision()) || fenced(placement)) {
+            return Optional.empty();
+        }
+        return Optional.of(placement);
+    }
+
+    private Optional<Placement> resolveUnload(Placement placement, Optional<Resident> resident) {
+        if (resident.isEmpty()) {
+            return Optional.empty();
+        }
+        if (mReport.refused().contains(placement.decision()) || fenced(placement)) {
+            return Optional.of(placement.in(PlacementStage.LOADED));
+        }
+        return Optional.of(placement);
+    }
+
+    private boolean fenced(Placement placement) {
+        return mChecksFencing
+                && placement.term() < mHolderTerm
+                && mReport.highestTerm() >= mHolderTerm;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/OtherShards.java
@@ -0,0 +1,46 @@
+package org.vanillaslip.internal.placement;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import org.vanillaslip.Model;
+
+/**
+ * What a holder knows about the other shards and about the budgets that it waits to use.
+ *
+ * @param records records by shard as last listed
+ * @param budgetVersions configuration version at which this host first saw a model's replicas
+ * @param budgets the replicas seen at that version
+ * @param listedNanos when the records were last asked for
+ */
+public record OtherShards(
+        Map<String, ShardRecord> records,
+        Map<String, Long> budgetVersions,
+        Map<String, java.util.Map<String, Integer>> budgets,
+        long listedNanos) {
+
+    /** Returns the state of a host that has not listed the shards. */
+    static OtherShards unknown() {
+        return new OtherShards(
+                HashMap.empty(), HashMap.empty(), HashMap.empty(), Long.MIN_VALUE / 2);
+    }
+
+    /** Notes the configuration version at which the replicas of the model changed. */
+    OtherShards budgetSeen(Model model, long configurationVersion) {
+        if (budgets.get(model.name()).contains(model.replicas())) {
+            return this;
+        }
+        return new OtherShards(
+                records,
+                budgetVersions.put(model.name(), configurationVersion),
+                budgets.put(model.name(), model.replicas()),
+                listedNanos);
+    }
+
+    OtherShards listed(Map<String, ShardRecord> newRecords) {
+        return new OtherShards(newRecords, budgetVersions, budgets, listedNanos);
+    }
+
+    OtherShards asked(long nowNanos) {
+        return new OtherShards(records, budgetVersions, budgets, nowNanos);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/PendingWrite.java
@@ -0,0 +1,19 @@
+package org.vanillaslip.internal.placement;
+
+import java.util.List;
+
+/**
+ * A write whose answer has not come.
+ *
+ * @param expectedVersion version that the write replaces; 0 creates the object
+ * @param sentNanos when the write was sent; the lease counts from then
+ * @param notices what to report once the write has taken effect
+ */
+public record PendingWrite(
+        long expectedVersion, ShardRecord record, long sentNanos, List<Notice> notices) {
+
+    /** Returns the nonce that identifies this write. */
+    public String nonce() {
+        return record.lease().nonce();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/PlacementPlan.java
@@ -0,0 +1,58 @@
+package org.vanillaslip.internal.placement;
+
+import org.vanillaslip.ModelName;
+
+/** Works out the next record from the stored one, the reports and the demand. */
+final class PlacementPlan {
+
+    private final Draft mDraft;
+    private final boolean mWaiting;
+
+    PlacementPlan(ShardState state, ShardContext context, long nowNanos) {
+        mDraft = new Draft(context, state.record());
+        ReportPlan.apply(mDraft, state);
+        // A holder with an older configuration than its predecessor would undo its decisions.
+        boolean current =
+                context.configuration().version() >= state.record().configurationVersion();
+        if (current) {
+            cancelUnwanted(state);
+            UnloadPlan unloads = new UnloadPlan(mDraft, state, nowNanos);
+            unloads.apply();
+            mWaiting = new AllowancePlan(mDraft, state).apply();
+            ServerChoice choice = new ServerChoice(state, context, nowNanos);
+            new LoadPlan(mDraft, state, choice, unloads).apply();
+            new OfflinePlan(mDraft, state).apply();
+        } else {
+            mWaiting = false;
+        }
+    }
+
+    Draft draft() {
+        return mDraft;
+    }
+
+    /** Returns whether an allowance has to wait for the records of other shards. */
+    boolean waitsForOthers() {
+        return mWaiting;
+    }
+
+    // Only a decision of this holder that it never sent is known not to be under way.
+    private void cancelUnwanted(ShardState state) {
+        for (Placement placement : mDraft.placements()) {
+            ModelName name = UnloadPlan.name(placement);
+            boolean wanted =
+                    state.demand()
+                            .wantedUntil()
+                            .keySet()
+                            .exists(n -> n.equals(name) || n.base().equals(name));
+            if (placement.stage() == PlacementStage.LOAD_ORDERED
+                    && placement.term() == state.lease().term()
+                    && state.orders().knownSince().containsKey(placement.decision())
+                    && !state.orders().sentAt().containsKey(placement.decision())
+                    && !wanted) {
+                mDraft.replace(placement, java.util.Optional.empty());
+                mDraft.note(NoticeKind.LOAD_CANCELLED, placement, "nobody waits any more");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ReadObject.java
@@ -0,0 +1,4 @@
+package org.vanillaslip.internal.placement;
+
+/** Read the shard object. */
+public record ReadObject() implements ShardAction {}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ReportPlan.java
@@ -0,0 +1,89 @@
+package org.vanillaslip.internal.placement;
+
+import java.util.Optional;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.Model;
+
+/** Brings a record up to date with the servers' reports. */
+final class ReportPlan {
+
+    private ReportPlan() {}
+
+    static void apply(Draft draft, ShardState state) {
+        for (Placement placement : draft.placements()) {
+            Optional<BackendServer> server = draft.context().server(placement.server());
+            if (server.isEmpty()) {
+                draft.replace(placement, Optional.empty());
+                draft.note(NoticeKind.GONE, placement, "server removed from configuration");
+            } else {
+                state.reports()
+                        .get(placement.server())
+                        .forEach(report -> resolve(draft, state, placement, report, server.get()));
+            }
+        }
+        state.reports().values().forEach(report -> adopt(draft, state, report));
+    }
+
+    private static void resolve(
+            Draft draft,
+            ShardState state,
+            Placement placement,
+            ServerReport report,
+            BackendServer server) {
+        Optional<Placement> next =
+                new OrderResolution(
+                                report,
+                                server.checksFencing(),
+                                state.lease().term(),
+                                state.orders()::knownSinceNanos)
+                        .resolve(placement);
+        if (!next.equals(Optional.of(placement))) {
+            draft.replace(placement, next);
+            draft.note(kind(placement, next), placement, "reported by server");
+        }
+    }
+
+    private static NoticeKind kind(Placement placement, Optional<Placement> next) {
+        if (placement.stage() == PlacementStage.LOAD_ORDERED) {
+            return next.isPresent() ? NoticeKind.LOADED : NoticeKind.LOAD_NOT_EXECUTED;
+        }
+        return next.isPresent() ? NoticeKind.UNLOAD_NOT_EXECUTED : NoticeKind.GONE;
+    }
+
+    // Models that were loaded from the offline placement set while partitioned are added before
+    // anything else is decided.
+    private static void adopt(Draft draft, ShardState state, ServerReport report) {
+        // A report from before the last write may show a model whose end is already recorded.
+        if (report.askedNanos() < state.lease().seenSinceNanos()
+                || draft.context().server(report.server()).isEmpty()) {
+            return;
+        }
+        for (Resident resident : report.residents()) {
+            boolean recorded =
+                    draft.find(p -> p.server().equals(report.server()) && p.matches(resident))
+                            .isPresent();
+            if (!recorded) {
+                draft.context()
+                        .model(resident.model())
+                        .ifPresent(model -> adopt(draft, report, resident, model));
+            }
+        }
+    }
+
+    private static void adopt(Draft draft, ServerReport report, Resident resident, Model model) {
+        boolean base = resident.adapter().isEmpty();
+        Placement placement =
+                new Placement(
+                        resident.decision(),
+                        draft.record().lease().term(),
+                        report.server(),
+                        report.incarnation(),
+                        resident.model(),
+                        resident.version(),
+                        resident.adapter(),
+                        base ? model.memoryBytes() : model.adapterMemoryBytes(),
+                        resident.loaded() ? PlacementStage.LOADED : PlacementStage.LOAD_ORDERED);
+        draft.add(placement);
+        draft.note(NoticeKind.ADOPTED, placement, "resident but not recorded");
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ShardMachine.java
@@ -0,0 +1,159 @@
+package org.vanillaslip.internal.placement;
+
+import io.vavr.collection.HashMap;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.internal.lease.LeaseState;
+
+/**
+ * The lease and the placement of one control shard on one host: event by event, from a state to the
+ * next state and the actions to take. Decisions are written before their orders are sent, and
+ * outcomes are taken from reports only.
+ */
+public final class ShardMachine {
+
+    // A call that the platform refused is made again at an age that still leaves renewals time.
+    private static final Duration RETRY = Duration.ofMillis(500);
+
+    private final ShardProgress mProgress;
+
+    /** Creates a machine; the generator makes write nonces. */
+    public ShardMachine(RandomGenerator random) {
+        mProgress = new ShardProgress(random);
+    }
+
+    /** Lets time pass. */
+    public ShardStep tick(ShardState state, ShardContext context, long nowNanos) {
+        return advance(state, context, nowNanos);
+    }
+
+    /** Takes the answer to a read; an object that does not exist has version 0. */
+    public ShardStep read(
+            ShardState state, ShardContext context, long version, ShardRecord record, long now) {
+        ShardState next = state.withWrites(state.writes().seen(version));
+        Option<PendingWrite> own = state.writes().find(record.lease().nonce());
+        if (own.isDefined()) {
+            return committed(next, context, own.get(), version, now);
+        }
+        return observed(next, context, version, record, now);
+    }
+
+    /** Takes a record that another host sent. Older ones than the last seen are ignored. */
+    public ShardStep digest(
+            ShardState state, ShardContext context, long version, ShardRecord record, long now) {
+        if (version <= state.lease().version() || !state.writes().possible().isEmpty()) {
+            return ShardStep.of(state);
+        }
+        return observed(state, context, version, record, now);
+    }
+
+    /** Takes a call to the platform that changed nothing, to be made again later. */
+    public ShardStep refused(ShardState state, ShardContext context, long nowNanos) {
+        Writes writes = state.writes().notDone(nowNanos + RETRY.toNanos());
+        return advance(state.withWrites(writes), context, nowNanos);
+    }
+
+    /** Takes the answer to the open write. */
+    public ShardStep written(
+            ShardState state, ShardContext context, String nonce, long version, long nowNanos) {
+        Option<PendingWrite> write = state.writes().find(nonce);
+        if (write.isEmpty()) {
+            return ShardStep.of(state);
+        }
+        ShardState next = state.withWrites(state.writes().answered(version));
+        return committed(next, context, write.get(), version, nowNanos);
+    }
+
+    /** Takes a conflict: the object has another version and has to be read again. */
+    public ShardStep conflicted(ShardState state, ShardContext context, long nowNanos) {
+        ShardState next = state.withWrites(state.writes().notDone(nowNanos).openRead());
+        return new ShardStep(next, List.of(new ReadObject()));
+    }
+
+    /** Takes a lost answer: the write may have taken effect, and the object is read again. */
+    public ShardStep lost(ShardState state, ShardContext context, long nowNanos) {
+        ShardState next = state.withWrites(state.writes().answerLost().openRead());
+        return new ShardStep(next, List.of(new ReadObject()));
+    }
+
+    /** Takes a status report; reports that were asked for earlier than the last are ignored. */
+    public ShardStep reported(
+            ShardState state, ShardContext context, ServerReport report, long nowNanos) {
+        boolean older =
+                state.reports()
+                        .get(report.server())
+                        .exists(last -> last.askedNanos() > report.askedNanos());
+        return older ? ShardStep.of(state) : advance(state.withReport(report), context, nowNanos);
+    }
+
+    /** Takes a request that waits for a model until the given time. */
+    public ShardStep wanted(
+            ShardState state, ShardContext context, ModelName model, long untilNanos, long now) {
+        Demand demand = state.demand().wanted(model, untilNanos);
+        return advance(state.withDemand(demand), context, now);
+    }
+
+    /** Counts arrivals for the keep-alive decision. */
+    public ShardState arrived(ShardState state, ModelName model, long nowNanos) {
+        return state.withDemand(state.demand().arrived(model, nowNanos));
+    }
+
+    /** Takes the records of all shards. */
+    public ShardStep listed(
+            ShardState state, ShardContext context, Map<String, ShardRecord> records, long now) {
+        OtherShards others = state.others().listed(HashMap.ofAll(records));
+        return advance(state.withOthers(others), context, now);
+    }
+
+    /** Takes a host's confirmation that it acts on the given object version or a newer one. */
+    public ShardState confirmed(ShardState state, String host, long version) {
+        return state.withConfirmed(host, version);
+    }
+
+    /** Starts the release of the lease for a planned stop. */
+    public ShardStep stop(ShardState state, ShardContext context, long nowNanos) {
+        return advance(state.stopped(), context, nowNanos);
+    }
+
+    private ShardStep observed(
+            ShardState state, ShardContext context, long version, ShardRecord record, long now) {
+        LeaseState lease = state.lease().observed(version, record.lease(), context.host(), now);
+        ShardState next =
+                state.withLease(lease)
+                        .withRecord(record)
+                        .withOrders(state.orders().learned(record.placements(), now));
+        List<ShardAction> actions = new ArrayList<>();
+        if (state.lease().holding() && !lease.holding()) {
+            String reason = "held by " + record.lease().holder();
+            actions.add(new Report(Notice.ofLease(NoticeKind.LEASE_LOST, context, reason)));
+        }
+        return new ShardStep(next, actions).then(advance(next, context, now));
+    }
+
+    private ShardStep committed(
+            ShardState state, ShardContext context, PendingWrite write, long version, long now) {
+        ShardRecord record = write.record();
+        boolean newTerm = record.lease().term() != state.lease().term();
+        OrderLog orders = newTerm ? OrderLog.empty() : state.orders();
+        ShardState next =
+                state.withLease(
+                                state.lease()
+                                        .written(version, record.lease(), write.sentNanos(), now))
+                        .withRecord(record)
+                        .withWrites(state.writes().answered(version))
+                        .withOrders(orders.learned(record.placements(), now));
+        List<ShardAction> actions = new ArrayList<>();
+        write.notices().forEach(notice -> actions.add(new Report(notice)));
+        actions.add(new PublishRecord(version, record));
+        return new ShardStep(next, actions).then(advance(next, context, now));
+    }
+
+    private ShardStep advance(ShardState state, ShardContext context, long now) {
+        return mProgress.advance(state, context, now);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ShardProgress.java
@@ -0,0 +1,149 @@
+package org.vanillaslip.internal.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.internal.lease.LeaseRecord;
+import org.vanillaslip.internal.lease.LeaseState;
+import org.vanillaslip.internal.lease.LeaseTimes;
+
+/** What a host does next for a shard, whatever the last event was. */
+final class ShardProgress {
+
+    // Listing is a call to the platform for all shards, so it is not made for every waiting model.
+    private static final Duration LIST_INTERVAL = Duration.ofSeconds(1);
+
+    private final RandomGenerator mRandom;
+
+    ShardProgress(RandomGenerator random) {
+        mRandom = random;
+    }
+
+    ShardStep advance(ShardState state, ShardContext context, long now) {
+        LeaseState lease = state.lease().expire(context.settings().lease(), now);
+        ShardState next =
+                state.withLease(lease)
+                        .withDemand(demand(state, now))
+                        .withOthers(others(state, context));
+        List<ShardAction> actions = new ArrayList<>();
+        if (state.lease().holding() && !lease.holding()) {
+            Notice notice = Notice.ofLease(NoticeKind.LEASE_LOST, context, "validity passed");
+            actions.add(new Report(notice));
+        }
+        ShardStep step = new ShardStep(next, actions);
+        step = step.then(call(step.state(), context, now));
+        return lease.holding() ? step.then(orders(step.state(), context, now)) : step;
+    }
+
+    private static Demand demand(ShardState state, long now) {
+        Demand demand = state.demand().expire(now);
+        for (Placement placement : state.record().placements()) {
+            if (placement.stage() == PlacementStage.LOADED) {
+                ModelName name = UnloadPlan.name(placement);
+                demand = demand.seeded(name, now);
+                if (usable(state, placement)) {
+                    demand = demand.satisfied(name);
+                }
+            }
+        }
+        return demand;
+    }
+
+    private static boolean usable(ShardState state, Placement placement) {
+        return state.reports()
+                .get(placement.server())
+                .exists(report -> report.incarnation().equals(placement.incarnation()));
+    }
+
+    private static OtherShards others(ShardState state, ShardContext context) {
+        OtherShards others = state.others();
+        for (ModelName name : state.demand().wantedUntil().keySet()) {
+            OtherShards known = others;
+            others =
+                    context.model(name.model())
+                            .map(m -> known.budgetSeen(m, context.configuration().version()))
+                            .orElse(known);
+        }
+        return others;
+    }
+
+    private ShardStep call(ShardState state, ShardContext context, long now) {
+        LeaseTimes times = context.settings().lease();
+        if (!state.writes().idleAt(now)) {
+            return ShardStep.of(state);
+        } else if (state.lease().version() < 0) {
+            ShardState reading = state.withWrites(state.writes().openRead());
+            return new ShardStep(reading, List.of(new ReadObject()));
+        } else if (!state.lease().holding()) {
+            boolean take =
+                    !state.stopping()
+                            && state.lease()
+                                    .mayTake(times, state.record().lease(), context.rank(), now);
+            return take ? take(state, context, now) : ShardStep.of(state);
+        } else if (state.stopping()) {
+            return release(state, context, now);
+        } else if (state.lease().mayDecide(times, now)) {
+            return decide(state, context, now);
+        }
+        return write(state, state.record(), context.host(), List.of(), context, now);
+    }
+
+    private ShardStep take(ShardState state, ShardContext context, long now) {
+        long term = state.record().lease().term() + 1;
+        Notice notice = Notice.ofLease(NoticeKind.LEASE_TAKEN, context, "term " + term);
+        ShardRecord next = state.record().withLease(new LeaseRecord(context.host(), term, "", 0));
+        return write(state, next, context.host(), List.of(notice), context, now);
+    }
+
+    private ShardStep release(ShardState state, ShardContext context, long now) {
+        Notice notice = Notice.ofLease(NoticeKind.LEASE_RELEASED, context, "planned stop");
+        return write(state, state.record(), "", List.of(notice), context, now);
+    }
+
+    private ShardStep decide(ShardState state, ShardContext context, long now) {
+        PlacementPlan plan = new PlacementPlan(state, context, now);
+        Duration sinceList = Duration.ofNanos(now - state.others().listedNanos());
+        boolean list = plan.waitsForOthers() && sinceList.compareTo(LIST_INTERVAL) >= 0;
+        ShardState next = list ? state.withOthers(state.others().asked(now)) : state;
+        List<ShardAction> actions = list ? List.of(new ListShards()) : List.of();
+        boolean due = state.lease().renewalDue(context.settings().lease(), now);
+        ShardStep step = new ShardStep(next, actions);
+        if (!plan.draft().changed() && !due) {
+            return step;
+        }
+        Draft draft = plan.draft();
+        return step.then(
+                write(next, draft.record(), context.host(), draft.notices(), context, now));
+    }
+
+    private ShardStep write(
+            ShardState state,
+            ShardRecord record,
+            String holder,
+            List<Notice> notices,
+            ShardContext context,
+            long now) {
+        LeaseRecord lease =
+                new LeaseRecord(
+                        holder,
+                        record.lease().term(),
+                        Long.toHexString(mRandom.nextLong()),
+                        context.settings().lease().validity().toMillis());
+        long version = state.lease().version();
+        PendingWrite write = new PendingWrite(version, record.withLease(lease), now, notices);
+        ShardState next = state.withWrites(state.writes().sending(write));
+        return new ShardStep(next, List.of(new WriteObject(version, write.record())));
+    }
+
+    private static ShardStep orders(ShardState state, ShardContext context, long now) {
+        OrderLog log = state.orders();
+        List<ShardAction> actions = new ArrayList<>();
+        for (Order order : new OrderPlan(state, context, now).due()) {
+            log = log.sent(order, now);
+            actions.add(new SendOrder(order));
+        }
+        return new ShardStep(state.withOrders(log), actions);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ShardStep.java
@@ -0,0 +1,25 @@
+package org.vanillaslip.internal.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The result of an event: the next state and what to do. */
+public record ShardStep(ShardState state, List<ShardAction> actions) {
+
+    /** Copies the list so that the record is immutable. */
+    public ShardStep {
+        actions = List.copyOf(actions);
+    }
+
+    /** Returns a step without actions. */
+    static ShardStep of(ShardState state) {
+        return new ShardStep(state, List.of());
+    }
+
+    /** Returns this step with more actions before those of another step, and its state. */
+    ShardStep then(ShardStep next) {
+        List<ShardAction> all = new ArrayList<>(actions);
+        all.addAll(next.actions());
+        return new ShardStep(next.state(), all);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/UnloadPlan.java
@@ -0,0 +1,171 @@
+package org.vanillaslip.internal.placement;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.Model;
+import org.vanillaslip.ModelName;
+
+/** Decides which loaded models and adapters have to go. */
+final class UnloadPlan {
+
+    private final Draft mDraft;
+    private final ShardState mState;
+    private final long mNowNanos;
+
+    UnloadPlan(Draft draft, ShardState state, long nowNanos) {
+        mDraft = draft;
+        mState = state;
+        mNowNanos = nowNanos;
+    }
+
+    void apply() {
+        for (Placement placement : mDraft.placements()) {
+            if (placement.stage() == PlacementStage.LOADED) {
+                reason(placement).ifPresent(reason -> unload(placement, reason));
+            }
+        }
+    }
+
+    /** Unloads the longest idle models of a server until the bytes will become free. */
+    boolean makeRoom(BackendServer server, long bytes, long freeBytes, ModelName wanted) {
+        long leaving = freeBytes + sum(PlacementStage.UNLOAD_ORDERED, server);
+        if (leaving >= bytes) {
+            return true;
+        }
+        List<Placement> idle =
+                mDraft.placements().stream()
+                        .filter(p -> p.server().equals(server.name()))
+                        .filter(p -> p.stage() == PlacementStage.LOADED)
+                        .filter(p -> !p.model().equals(wanted.model()) && !isWanted(p))
+                        .filter(p -> idleFor(p).compareTo(EVICTION_IDLE) >= 0)
+                        .sorted(Comparator.comparing(this::idleFor).reversed())
+                        .toList();
+        if (leaving + idle.stream().mapToLong(Placement::memoryBytes).sum() < bytes) {
+            return false;
+        }
+        for (Placement placement : idle) {
+            if (leaving < bytes && unload(placement, "room for " + wanted)) {
+                leaving += placement.memoryBytes();
+            }
+        }
+        return leaving >= bytes;
+    }
+
+    // A model that was used within the last second probably serves a burst.
+    private static final Duration EVICTION_IDLE = Duration.ofSeconds(1);
+
+    private Optional<String> reason(Placement placement) {
+        Optional<Model> model = mDraft.context().model(placement.model());
+        Optional<BackendServer> server = mDraft.context().server(placement.server());
+        if (model.isEmpty() || server.isEmpty()) {
+            return Optional.of("model removed from configuration");
+        } else if (mDraft.context().configuration().isDrained(server.get())) {
+            return Optional.of("server drained");
+        } else if (outdated(placement, model.get())) {
+            return Optional.of("outdated version");
+        } else if (overBudget(placement, model.get())) {
+            return Optional.of("over replica budget");
+        }
+        return idleReason(placement, server.get());
+    }
+
+    private boolean outdated(Placement placement, Model model) {
+        boolean current = placement.version().equals(model.version());
+        boolean replaced =
+                mDraft.find(
+                                p ->
+                                        p.stage() == PlacementStage.LOADED
+                                                && p.isFor(model.name(), model.version(), ""))
+                        .isPresent();
+        boolean blocked = mDraft.record().replicas(model.name()) >= budget(model);
+        return !current && (replaced || blocked);
+    }
+
+    private boolean overBudget(Placement placement, Model model) {
+        long leaving =
+                mDraft.placements().stream()
+                        .filter(p -> p.adapter().isEmpty() && p.model().equals(model.name()))
+                        .filter(p -> p.stage() == PlacementStage.UNLOAD_ORDERED)
+                        .count();
+        return placement.adapter().isEmpty()
+                && mDraft.record().replicas(model.name()) - leaving > budget(model);
+    }
+
+    private int budget(Model model) {
+        return new ReplicaBudget(mDraft.context().configuration())
+                .of(model, mDraft.context().shard());
+    }
+
+    private Optional<String> idleReason(Placement placement, BackendServer server) {
+        if (isWanted(placement)) {
+            return Optional.empty();
+        }
+        return mState.demand()
+                .arrivals()
+                .get(name(placement))
+                .toJavaOptional()
+                .map(
+                        h ->
+                                mDraft.context()
+                                        .settings()
+                                        .keepAlive()
+                                        .keepAlive(h, server.accelerators()))
+                .filter(keepAlive -> idleFor(placement).compareTo(keepAlive) > 0)
+                .map(keepAlive -> "idle for more than " + keepAlive);
+    }
+
+    /** Unloads the placement, or only its adapters while it has any. */
+    private boolean unload(Placement placement, String reason) {
+        List<Placement> adapters =
+                placement.adapter().isEmpty()
+                        ? mDraft.placements().stream()
+                                .filter(p -> !p.adapter().isEmpty())
+                                .filter(p -> p.server().equals(placement.server()))
+                                .filter(p -> p.model().equals(placement.model()))
+                                .toList()
+                        : List.of();
+        adapters.stream()
+                .filter(p -> p.stage() == PlacementStage.LOADED)
+                .forEach(p -> mDraft.unload(p, reason));
+        if (adapters.isEmpty() && mDraft.placements().contains(placement)) {
+            mDraft.unload(placement, reason);
+            return true;
+        }
+        return false;
+    }
+
+    private boolean isWanted(Placement placement) {
+        return mState.demand()
+                .wantedUntil()
+                .keySet()
+                .exists(
+                        name ->
+                                name.model().equals(placement.model())
+                                        && (placement.adapter().isEmpty()
+                                                || name.equals(name(placement))));
+    }
+
+    private Duration idleFor(Placement placement) {
+        return mState.demand()
+                .arrivals()
+                .get(name(placement))
+                .map(history -> Duration.ofNanos(mNowNanos - history.lastNanos()))
+                .getOrElse(Duration.ZERO);
+    }
+
+    private long sum(PlacementStage stage, BackendServer server) {
+        return mDraft.placements().stream()
+                .filter(p -> p.server().equals(server.name()) && p.stage() == stage)
+                .mapToLong(Placement::memoryBytes)
+                .sum();
+    }
+
+    static ModelName name(Placement placement) {
+        return new ModelName(
+                placement.model(),
+                Optional.of(placement.adapter()).filter(adapter -> !adapter.isEmpty()));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/package-info.java
@@ -0,0 +1,5 @@
+/** Recorded placement decisions of a control shard, as pure functions of events and time. */
+@NullMarked
+package org.vanillaslip.internal.placement;
+
+import org.jspecify.annotations.NullMarked;
