Add a stand-in model engine with switchable faults

Placement and forwarding are tested against real HTTP. The engine follows the backend server protocol, refuses orders that would overcommit memory and lists them in its status.

--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/engine/CompletionStream.java
@@ -0,0 +1,76 @@
+package org.vanillaslip.internal.standins.engine;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.time.Duration;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Makes the server-sent events of one completion. */
+final class CompletionStream {
+
+    private static final Duration KEEP_ALIVE = Duration.ofSeconds(2);
+
+    private final ObjectMapper mJson;
+    private final Duration mTokenInterval;
+
+    CompletionStream(ObjectMapper json, Duration tokenInterval) {
+        mJson = json;
+        mTokenInterval = tokenInterval;
+    }
+
+    /** Returns the events from the given offset on, cut short by the faults. */
+    Flux<String> events(
+            String requestId, CompletionRequest request, int from, EngineFaults faults) {
+        int count = Math.max(0, request.maxTokens() - from);
+        Flux<String> tokens =
+                interval(count)
+                        .map(index -> token(requestId, request, from + (int) index.longValue()));
+        if (faults.breakAfterTokens() > 0) {
+            return tokens.take(faults.breakAfterTokens())
+                    .concatWith(Flux.error(new IOException("stream broken by fault")));
+        } else if (faults.silentAfterTokens() > 0) {
+            return tokens.take(faults.silentAfterTokens()).concatWith(Flux.never());
+        }
+        Flux<String> answer =
+                tokens.concatWith(Mono.fromSupplier(() -> finish(requestId, request)))
+                        .concatWithValues("data: [DONE]\n\n");
+        return withKeepAlive(answer);
+    }
+
+    private Flux<Long> interval(int count) {
+        if (count == 0) {
+            return Flux.empty();
+        } else if (mTokenInterval.isZero()) {
+            return Flux.range(0, count).map(Integer::longValue);
+        }
+        return Flux.interval(mTokenInterval).onBackpressureBuffer().take(count);
+    }
+
+    private static Flux<String> withKeepAlive(Flux<String> answer) {
+        return answer.publish(
+                shared ->
+                        Flux.merge(
+                                shared,
+                                Flux.interval(KEEP_ALIVE)
+                                        .map(tick -> ": keep-alive\n\n")
+                                        .onBackpressureDrop()
+                                        .takeUntilOther(shared.ignoreElements())));
+    }
+
+    private String token(String requestId, CompletionRequest request, int offset) {
+        ObjectNode event = mJson.createObjectNode();
+        event.put("request_id", requestId).put("offset", offset);
+        return "data: " + event.put("token", request.token(offset)) + "\n\n";
+    }
+
+    private String finish(String requestId, CompletionRequest request) {
+        ObjectNode event = mJson.createObjectNode();
+        event.put("request_id", requestId).put("finish_reason", "stop");
+        event.putObject("usage")
+                .put("prompt_tokens", request.promptTokens())
+                .put("completion_tokens", request.maxTokens());
+        return "data: " + event + "\n\n";
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/engine/EngineCall.java
@@ -0,0 +1,16 @@
+package org.vanillaslip.internal.standins.engine;
+
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Handles one kind of call under the faults in force. */
+@FunctionalInterface
+interface EngineCall {
+
+    Mono<Void> handle(
+            HttpServerRequest request,
+            HttpServerResponse response,
+            String body,
+            EngineFaults faults);
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/engine/EngineReply.java
@@ -0,0 +1,38 @@
+package org.vanillaslip.internal.standins.engine;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Reads and writes the JSON of the engine protocol. */
+final class EngineReply {
+
+    private EngineReply() {}
+
+    static Mono<Void> json(
+            ObjectMapper json, HttpServerResponse response, int status, Object value) {
+        try {
+            return response.status(status)
+                    .header("Content-Type", "application/json")
+                    .sendString(Mono.just(json.writeValueAsString(value)))
+                    .then();
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("Cannot write " + value.getClass(), e);
+        }
+    }
+
+    static <T> T parse(ObjectMapper json, String body, Class<T> type) {
+        try {
+            return json.readValue(body, type);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("The body is no " + type.getSimpleName(), e);
+        }
+    }
+
+    /** Closes the connection without an answer. */
+    static Mono<Void> drop(HttpServerResponse response) {
+        response.withConnection(connection -> connection.channel().close());
+        return Mono.never();
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/engine/EngineSettings.java
@@ -0,0 +1,60 @@
+package org.vanillaslip.internal.standins.engine;
+
+import java.time.Duration;
+import java.util.Map;
+
+/**
+ * Properties of a stand-in engine.
+ *
+ * @param memoryBytes memory for models and adapters
+ * @param fencing whether orders with an old term are refused
+ * @param token time between two tokens
+ * @param statusLag age of the load figures in the status
+ * @param capacity most requests at the same time; more are answered with 429
+ * @param modelBytes memory of a model that {@code memoryByModel} does not name
+ * @param memoryByModel memory by {@code model} or {@code model:adapter}
+ */
+public record EngineSettings(
+        String name,
+        int port,
+        long memoryBytes,
+        boolean fencing,
+        Duration token,
+        Duration statusLag,
+        int capacity,
+        long modelBytes,
+        long adapterBytes,
+        Map<String, Long> memoryByModel,
+        EngineLoadTimes loadTimes) {
+
+    /** Copies the map so that the record is immutable. */
+    public EngineSettings {
+        memoryByModel = Map.copyOf(memoryByModel);
+    }
+
+    /** Returns settings for tests: a free port and short times. */
+    public static EngineSettings forTests(String name) {
+        return new EngineSettings(
+                name,
+                0,
+                1000,
+                true,
+                Duration.ofMillis(1),
+                Duration.ZERO,
+                64,
+                100,
+                10,
+                Map.of(),
+                new EngineLoadTimes(
+                        Duration.ofMillis(1),
+                        Duration.ofMillis(2),
+                        Duration.ofMillis(5),
+                        Duration.ofMillis(1)));
+    }
+
+    /** Returns the memory that a model or adapter takes. */
+    public long bytes(String model, String adapter) {
+        String key = adapter.isEmpty() ? model : model + ":" + adapter;
+        return memoryByModel.getOrDefault(key, adapter.isEmpty() ? modelBytes : adapterBytes);
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/engine/EngineViolations.java
@@ -0,0 +1,37 @@
+package org.vanillaslip.internal.standins.engine;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Orders that show a fault in the caller's decisions; kept over restarts. */
+final class EngineViolations {
+
+    private final List<String> mEntries = new CopyOnWriteArrayList<>();
+
+    void overcommitted(EngineOrder order, long bytes) {
+        mEntries.add(
+                "memory overcommitted: decision "
+                        + order.decision()
+                        + " for "
+                        + order.model()
+                        + " needs "
+                        + bytes
+                        + " bytes in all");
+    }
+
+    void executedTwice(EngineOrder order, ResidentModel present) {
+        if (present.mDecision != order.decision()) {
+            mEntries.add(
+                    "loaded twice: "
+                            + order.model()
+                            + " by decisions "
+                            + present.mDecision
+                            + " and "
+                            + order.decision());
+        }
+    }
+
+    List<String> entries() {
+        return List.copyOf(mEntries);
+    }
+}
