--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/BorrowedPart.java
@@ -0,0 +1,82 @@
+package org.vanillaslip.internal.quota;
+
+/**
+ * Tokens of one grant at the borrower. Each token is free, spent, returned, or lent on; those lent
+ * on are counted by their own grant.
+ */
+final class BorrowedPart {
+
+    private final long mId;
+    private final String mGranter;
+    private final long mExpiresAt;
+    private long mFree;
+    private long mSpent;
+    private long mReturned;
+    private long mReportedSpent;
+    private long mReportedReturned;
+    private int mSequence;
+
+    BorrowedPart(String granter, Grant grant, long expiresAt) {
+        mId = grant.id();
+        mGranter = granter;
+        mExpiresAt = expiresAt;
+        mFree = grant.amount();
+    }
+
+    long id() {
+        return mId;
+    }
+
+    String granter() {
+        return mGranter;
+    }
+
+    long expiresAt() {
+        return mExpiresAt;
+    }
+
+    long free() {
+        return mFree;
+    }
+
+    /** Takes up to the given amount out of the free tokens. */
+    long take(long amount) {
+        long taken = Math.min(amount, mFree);
+        mFree -= taken;
+        return taken;
+    }
+
+    void putBack(long amount) {
+        mFree += amount;
+    }
+
+    void markSpent(long amount) {
+        mSpent += amount;
+    }
+
+    /** Gives up to the given amount of free tokens back to the granter. */
+    long giveBack(long amount) {
+        long returned = take(amount);
+        mReturned += returned;
+        return returned;
+    }
+
+    /** Moves tokens from spent back to free, but only those not yet reported as spent. */
+    long refund(long amount) {
+        long undone = Math.min(amount, mSpent - mReportedSpent);
+        mSpent -= undone;
+        mFree += undone;
+        return undone;
+    }
+
+    boolean hasNews() {
+        return mSpent > mReportedSpent || mReturned > mReportedReturned;
+    }
+
+    GrantUse report() {
+        mReportedSpent = mSpent;
+        mReportedReturned = mReturned;
+        mSequence++;
+        return new GrantUse(mId, mSpent, mReturned, mSequence);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/QuotaAccount.java
@@ -0,0 +1,231 @@
+package org.vanillaslip.internal.quota;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+/** Everything that one host holds of one limit: its own bucket, borrowed and lent tokens, debt. */
+public final class QuotaAccount {
+
+    private final QuotaTimes mTimes;
+    private final LongSupplier mGrantIds;
+    private final QuotaBucket mBucket;
+    private final QuotaPool mPool = new QuotaPool();
+    private final Map<Long, GivenGrant> mGiven = new HashMap<>();
+    private final DemandEstimate mDemand = new DemandEstimate();
+    private long mDebt;
+    private long mSpent;
+
+    /**
+     * Creates an account with nothing in it.
+     *
+     * @param refillFromNanos see {@link QuotaBucket}
+     * @param grantIds ids that are unique over all incarnations of this host, never 0
+     */
+    public QuotaAccount(QuotaTimes times, long refillFromNanos, LongSupplier grantIds) {
+        mTimes = times;
+        mGrantIds = grantIds;
+        mBucket = new QuotaBucket(refillFromNanos);
+    }
+
+    /** Sets this host's part of the limit. */
+    public void resize(double ratePerSecond, long capacity, long nowNanos) {
+        expire(nowNanos);
+        mBucket.resize(ratePerSecond, capacity, nowNanos);
+    }
+
+    /** Returns whether lent tokens fit into the current part of the limit. */
+    public boolean fitsCapacity(long nowNanos) {
+        expire(nowNanos);
+        return mBucket.fitsCapacity();
+    }
+
+    /** Returns the tokens that can be used now, after debt. */
+    public long available(long nowNanos) {
+        expire(nowNanos);
+        payDebt(nowNanos);
+        return mPool.available(nowNanos) + mBucket.level(nowNanos);
+    }
+
+    /** Returns tokens that were used beyond an estimate and are not paid yet. */
+    public long debt() {
+        return mDebt;
+    }
+
+    /** Returns all tokens that were taken for use here, refunds not deducted. */
+    public long spent() {
+        return mSpent;
+    }
+
+    /** Takes the whole amount, borrowed tokens first, or nothing. */
+    public Optional<Charge> charge(long amount, long nowNanos) {
+        if (available(nowNanos) < amount || mDebt > 0) {
+            return Optional.empty();
+        }
+        mDemand.add(amount, nowNanos);
+        return Optional.of(new Charge(amount, spend(amount, nowNanos)));
+    }
+
+    /** Notes demand that could not be met, so that the reserve follows it. */
+    public void noteUnmet(long amount, long nowNanos) {
+        mDemand.add(amount, nowNanos);
+    }
+
+    /**
+     * Corrects a charge: unused tokens are refunded as far as the window rule allows, an overrun
+     * becomes a debt. Returns the refunded amount.
+     */
+    public long settle(Charge charge, long used, long nowNanos) {
+        expire(nowNanos);
+        long unused = charge.amount() - used;
+        long refunded = 0;
+        for (Slice slice : charge.slices()) {
+            long refund = Math.min(unused, slice.amount());
+            if (refund <= 0) {
+                break;
+            }
+            unused -= refund;
+            if (slice.partId() == 0) {
+                refunded += mBucket.refund(refund, slice.mark(), nowNanos);
+            } else {
+                refunded += mPool.refund(slice.partId(), refund, nowNanos);
+            }
+        }
+        mDebt += Math.max(0, used - charge.amount());
+        payDebt(nowNanos);
+        return refunded;
+    }
+
+    /** Returns how many tokens to ask for, so that the amount can be used and a reserve remains. */
+    public long shortage(long amount, long nowNanos) {
+        long wanted = amount + mDebt + reserve(nowNanos);
+        return Math.max(0, wanted - available(nowNanos));
+    }
+
+    /** Returns the reserve that recent use asks for. */
+    public long reserve(long nowNanos) {
+        return Math.min(mDemand.reserve(nowNanos), Long.MAX_VALUE / 4);
+    }
+
+    /** Grants up to the amount to another host, own tokens first; an empty grant has amount 0. */
+    public Grant grant(long amount, long nowNanos) {
+        expire(nowNanos);
+        payDebt(nowNanos);
+        List<Slice> slices = new ArrayList<>();
+        long validity = mTimes.validityNanos();
+        long own = Math.min(amount, mBucket.level(nowNanos));
+        if (own > 0) {
+            mBucket.lend(own, nowNanos);
+            slices.add(new Slice(0, own, 0));
+        }
+        long given = own;
+        // A grant lives as long as its shortest source; nearly expired parts would waste the rest.
+        long usefulUntil = nowNanos + mTimes.validityNanos() / 4;
+        for (Slice slice : mPool.take(amount - own, usefulUntil, nowNanos)) {
+            slices.add(slice);
+            given += slice.amount();
+            long remaining = mPool.expiryOf(slice.partId(), nowNanos) - nowNanos;
+            validity = Math.min(validity, QuotaTimes.withoutDrift(remaining));
+        }
+        Grant grant = new Grant(mGrantIds.getAsLong(), given, validity);
+        if (given > 0) {
+            long expiresAt = nowNanos + QuotaTimes.withDrift(validity);
+            mGiven.put(grant.id(), new GivenGrant(expiresAt, slices));
+        }
+        return grant;
+    }
+
+    /** Adds a grant of another host. */
+    public void accept(String granter, Grant grant, long requestSentAt, long nowNanos) {
+        mPool.accept(granter, grant, requestSentAt, nowNanos);
+        payDebt(nowNanos);
+    }
+
+    /** Applies a borrower's report; reports of expired grants and repeated reports do nothing. */
+    public void apply(GrantUse use, long nowNanos) {
+        expire(nowNanos);
+        GivenGrant given = mGiven.get(use.grantId());
+        if (given == null || !given.isNew(use)) {
+            return;
+        }
+        closeAll(given.resolveSpent(use), nowNanos);
+        for (Slice slice : given.resolveReturned(use)) {
+            if (slice.partId() == 0) {
+                mBucket.takeBack(slice.amount(), nowNanos);
+            } else {
+                mPool.putBack(slice.partId(), slice.amount(), nowNanos);
+            }
+        }
+        if (given.isResolved()) {
+            mGiven.remove(use.grantId());
+        }
+    }
+
+    /** Gives borrowed tokens beyond the reserve back; the next reports carry them. */
+    public void returnUnneeded(long nowNanos) {
+        mPool.returnAbove(reserve(nowNanos), nowNanos);
+    }
+
+    /** Gives all borrowed tokens back, because this host stops. */
+    public void returnAll(long nowNanos) {
+        mPool.returnAbove(0, nowNanos);
+    }
+
+    /** Returns the hosts that wait for a report. */
+    public List<String> granters(long nowNanos) {
+        return mPool.granters(nowNanos);
+    }
+
+    /** Returns new reports for the granter. */
+    public List<GrantUse> reports(String granter, long nowNanos) {
+        return mPool.reports(granter, nowNanos);
+    }
+
+    private void payDebt(long nowNanos) {
+        long paid = Math.min(mDebt, mPool.available(nowNanos) + mBucket.level(nowNanos));
+        if (paid > 0) {
+            spend(paid, nowNanos);
+            mDebt -= paid;
+        }
+    }
+
+    private List<Slice> spend(long amount, long nowNanos) {
+        List<Slice> slices = new ArrayList<>(mPool.take(amount, nowNanos, nowNanos));
+        mSpent += amount;
+        long borrowed = 0;
+        for (Slice slice : slices) {
+            mPool.markSpent(slice.partId(), slice.amount(), nowNanos);
+            borrowed += slice.amount();
+        }
+        long own = amount - borrowed;
+        if (own > 0) {
+            slices.add(new Slice(0, own, mBucket.spend(own, nowNanos)));
+        }
+        return slices;
+    }
+
+    private void closeAll(List<Slice> slices, long nowNanos) {
+        for (Slice slice : slices) {
+            if (slice.partId() == 0) {
+                mBucket.close(slice.amount(), nowNanos);
+            } else {
+                mPool.markSpent(slice.partId(), slice.amount(), nowNanos);
+            }
+        }
+    }
+
+    private void expire(long nowNanos) {
+        mGiven.values()
+                .removeIf(
+                        given -> {
+                            boolean expired = given.hasExpired(nowNanos);
+                            if (expired) {
+                                closeAll(given.resolveAll(), nowNanos);
+                            }
+                            return expired;
+                        });
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/QuotaCoordinator.java
@@ -0,0 +1,76 @@
+package org.vanillaslip.internal.quota;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Chooses the owners that a coordinator pulls from. It estimates what each owner holds, so that few
+ * owners are asked and an exhausted workspace causes no messages.
+ */
+public final class QuotaCoordinator {
+
+    /** An owner that did not answer is asked again after this time. */
+    private static final long BLOCKED_NANOS = 500_000_000L;
+
+    /** Owners that hold less than this part of their capacity are not worth a message. */
+    private static final int SMALLEST_PART = 50;
+
+    private final Map<String, OwnerEstimate> mOwners = new HashMap<>();
+
+    /**
+     * Returns the pulls that together cover the amount, from the fullest owners first, or none when
+     * the owners are not believed to hold the required part.
+     *
+     * @param required smallest sum that is of use
+     */
+    public List<Pull> plan(
+            long required, long amount, Collection<OwnerShare> owners, long nowNanos) {
+        List<Pull> candidates = new ArrayList<>();
+        for (OwnerShare owner : owners) {
+            long level = estimate(owner, nowNanos).level(owner, nowNanos);
+            if (level > owner.capacity() / SMALLEST_PART) {
+                candidates.add(new Pull(owner.host(), level));
+            }
+        }
+        candidates.sort(Comparator.comparingLong(Pull::amount).reversed());
+        List<Pull> pulls = new ArrayList<>();
+        long missing = amount;
+        for (Pull candidate : candidates) {
+            if (missing <= 0) {
+                break;
+            }
+            long asked = Math.min(missing, candidate.amount());
+            pulls.add(new Pull(candidate.owner(), asked));
+            missing -= asked;
+        }
+        return amount - missing < required ? List.of() : pulls;
+    }
+
+    /** Returns the tokens that the owners are believed to hold. */
+    public long believed(Collection<OwnerShare> owners, long nowNanos) {
+        return owners.stream()
+                .mapToLong(owner -> estimate(owner, nowNanos).level(owner, nowNanos))
+                .sum();
+    }
+
+    /** Corrects the estimate by an owner's grant; less than asked means the owner is empty. */
+    public void noteGrant(OwnerShare owner, long asked, long granted, long nowNanos) {
+        OwnerEstimate estimate = estimate(owner, nowNanos);
+        long left = estimate.level(owner, nowNanos) - granted;
+        estimate.set(granted < asked ? 0 : Math.max(0, left), nowNanos);
+    }
+
+    /** Leaves an owner that did not answer out for a while. */
+    public void noteFailure(OwnerShare owner, long nowNanos) {
+        estimate(owner, nowNanos).block(nowNanos + BLOCKED_NANOS);
+    }
+
+    private OwnerEstimate estimate(OwnerShare owner, long nowNanos) {
+        return mOwners.computeIfAbsent(
+                owner.host(), host -> new OwnerEstimate(owner.capacity(), nowNanos));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ShareTable.java
@@ -0,0 +1,32 @@
+package org.vanillaslip.internal.quota;
+
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Which host owns which fraction of every limit in one failure domain.
+ *
+ * @param generation grows with each change
+ * @param domainParts fraction of the domain, which is never given to another domain
+ */
+public record ShareTable(
+        long generation, String failureDomain, long domainParts, Map<String, Share> shares) {
+
+    /** All domains together own this many parts. */
+    public static final long WHOLE = 1_000_000_000L;
+
+    /** Copies the map so that the record is immutable. */
+    public ShareTable {
+        shares = Map.copyOf(shares);
+    }
+
+    /** Returns a table in which no host owns anything. */
+    public static ShareTable empty(String failureDomain, long domainParts) {
+        return new ShareTable(0, failureDomain, domainParts, Map.of());
+    }
+
+    /** Returns the parts that the host may use. */
+    public long partsOf(String host) {
+        return Optional.ofNullable(shares.get(host)).map(Share::parts).orElse(0L);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Limits counted over all hosts. Amounts are in micro-tokens (millionths of a quota token), so that
+ * shares of small limits stay exact.
+ */
+@NullMarked
+package org.vanillaslip.internal.quota;
+
+import org.jspecify.annotations.NullMarked;
--- a/messages/src/main/java/org/vanillaslip/messages/Envelope.java
+++ b/messages/src/main/java/org/vanillaslip/messages/Envelope.java
@@ -70,6 +70,7 @@
     PLACEMENT_DIGEST(17),
     SLOT_REQUEST(18),
     SLOT_GRANT(19),
+    SHARE_CONFIRMATION(24),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -97,6 +98,7 @@
         case 17: return PLACEMENT_DIGEST;
         case 18: return SLOT_REQUEST;
         case 19: return SLOT_GRANT;
+        case 24: return SHARE_CONFIRMATION;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -534,6 +536,37 @@
     return org.vanillaslip.messages.SlotGrant.getDefaultInstance();
   }
 
+  public static final int SHARE_CONFIRMATION_FIELD_NUMBER = 24;
+  /**
+   * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+   * @return Whether the shareConfirmation field is set.
+   */
+  @java.lang.Override
+  public boolean hasShareConfirmation() {
+    return bodyCase_ == 24;
+  }
+  /**
+   * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+   * @return The shareConfirmation.
+   */
+  @java.lang.Override
+  public org.vanillaslip.messages.ShareConfirmation getShareConfirmation() {
+    if (bodyCase_ == 24) {
+       return (org.vanillaslip.messages.ShareConfirmation) body_;
+    }
+    return org.vanillaslip.messages.ShareConfirmation.getDefaultInstance();
+  }
+  /**
+   * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+   */
+  @java.lang.Override
+  public org.vanillaslip.messages.ShareConfirmationOrBuilder getShareConfirmationOrBuilder() {
+    if (bodyCase_ == 24) {
+       return (org.vanillaslip.messages.ShareConfirmation) body_;
+    }
+    return org.vanillaslip.messages.ShareConfirmation.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -590,6 +623,9 @@
     if (bodyCase_ == 19) {
       output.writeMessage(19, (org.vanillaslip.messages.SlotGrant) body_);
     }
+    if (bodyCase_ == 24) {
+      output.writeMessage(24, (org.vanillaslip.messages.ShareConfirmation) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -653,6 +689,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(19, (org.vanillaslip.messages.SlotGrant) body_);
     }
+    if (bodyCase_ == 24) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(24, (org.vanillaslip.messages.ShareConfirmation) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -718,6 +758,10 @@
         if (!getSlotGrant()
             .equals(other.getSlotGrant())) return false;
         break;
+      case 24:
+        if (!getShareConfirmation()
+            .equals(other.getShareConfirmation())) return false;
+        break;
       case 0:
       default:
     }
@@ -783,6 +827,10 @@
         hash = (37 * hash) + SLOT_GRANT_FIELD_NUMBER;
         hash = (53 * hash) + getSlotGrant().hashCode();
         break;
+      case 24:
+        hash = (37 * hash) + SHARE_CONFIRMATION_FIELD_NUMBER;
+        hash = (53 * hash) + getShareConfirmation().hashCode();
+        break;
       case 0:
       default:
     }
@@ -955,6 +1003,9 @@
       if (slotGrantBuilder_ != null) {
         slotGrantBuilder_.clear();
       }
+      if (shareConfirmationBuilder_ != null) {
+        shareConfirmationBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1048,6 +1099,10 @@
           slotGrantBuilder_ != null) {
         result.body_ = slotGrantBuilder_.build();
       }
+      if (bodyCase_ == 24 &&
+          shareConfirmationBuilder_ != null) {
+        result.body_ = shareConfirmationBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1119,6 +1174,10 @@
           mergeSlotGrant(other.getSlotGrant());
           break;
         }
+        case SHARE_CONFIRMATION: {
+          mergeShareConfirmation(other.getShareConfirmation());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1239,6 +1298,13 @@
               bodyCase_ = 19;
               break;
             } // case 154
+            case 194: {
+              input.readMessage(
+                  internalGetShareConfirmationFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 24;
+              break;
+            } // case 194
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2931,6 +2997,148 @@
       return slotGrantBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.vanillaslip.messages.ShareConfirmation, org.vanillaslip.messages.ShareConfirmation.Builder, org.vanillaslip.messages.ShareConfirmationOrBuilder> shareConfirmationBuilder_;
+    /**
+     * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+     * @return Whether the shareConfirmation field is set.
+     */
+    @java.lang.Override
+    public boolean hasShareConfirmation() {
+      return bodyCase_ == 24;
+    }
+    /**
+     * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+     * @return The shareConfirmation.
+     */
+    @java.lang.Override
+    public org.vanillaslip.messages.ShareConfirmation getShareConfirmation() {
+      if (shareConfirmationBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          return (org.vanillaslip.messages.ShareConfirmation) body_;
+        }
+        return org.vanillaslip.messages.ShareConfirmation.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 24) {
+          return shareConfirmationBuilder_.getMessage();
+        }
+        return org.vanillaslip.messages.ShareConfirmation.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+     */
+    public Builder setShareConfirmation(org.vanillaslip.messages.ShareConfirmation value) {
+      if (shareConfirmationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        shareConfirmationBuilder_.setMessage(value);
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+     */
+    public Builder setShareConfirmation(
+        org.vanillaslip.messages.ShareConfirmation.Builder builderForValue) {
+      if (shareConfirmationBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        shareConfirmationBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+     */
+    public Builder mergeShareConfirmation(org.vanillaslip.messages.ShareConfirmation value) {
+      if (shareConfirmationBuilder_ == null) {
+        if (bodyCase_ == 24 &&
+            body_ != org.vanillaslip.messages.ShareConfirmation.getDefaultInstance()) {
+          body_ = org.vanillaslip.messages.ShareConfirmation.newBuilder((org.vanillaslip.messages.ShareConfirmation) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 24) {
+          shareConfirmationBuilder_.mergeFrom(value);
+        } else {
+          shareConfirmationBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+     */
+    public Builder clearShareConfirmation() {
+      if (shareConfirmationBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        shareConfirmationBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+     */
+    public org.vanillaslip.messages.ShareConfirmation.Builder getShareConfirmationBuilder() {
+      return internalGetShareConfirmationFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+     */
+    @java.lang.Override
+    public org.vanillaslip.messages.ShareConfirmationOrBuilder getShareConfirmationOrBuilder() {
+      if ((bodyCase_ == 24) && (shareConfirmationBuilder_ != null)) {
+        return shareConfirmationBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 24) {
+          return (org.vanillaslip.messages.ShareConfirmation) body_;
+        }
+        return org.vanillaslip.messages.ShareConfirmation.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.vanillaslip.messages.ShareConfirmation, org.vanillaslip.messages.ShareConfirmation.Builder, org.vanillaslip.messages.ShareConfirmationOrBuilder> 
+        internalGetShareConfirmationFieldBuilder() {
+      if (shareConfirmationBuilder_ == null) {
+        if (!(bodyCase_ == 24)) {
+          body_ = org.vanillaslip.messages.ShareConfirmation.getDefaultInstance();
+        }
+        shareConfirmationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.vanillaslip.messages.ShareConfirmation, org.vanillaslip.messages.ShareConfirmation.Builder, org.vanillaslip.messages.ShareConfirmationOrBuilder>(
+                (org.vanillaslip.messages.ShareConfirmation) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 24;
+      onChanged();
+      return shareConfirmationBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.vanillaslip.messages.Envelope)
   }
 
--- a/messages/src/main/java/org/vanillaslip/messages/EnvelopeOrBuilder.java
+++ b/messages/src/main/java/org/vanillaslip/messages/EnvelopeOrBuilder.java
@@ -208,5 +208,20 @@
    */
   org.vanillaslip.messages.SlotGrantOrBuilder getSlotGrantOrBuilder();
 
+  /**
+   * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+   * @return Whether the shareConfirmation field is set.
+   */
+  boolean hasShareConfirmation();
+  /**
+   * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+   * @return The shareConfirmation.
+   */
+  org.vanillaslip.messages.ShareConfirmation getShareConfirmation();
+  /**
+   * <code>.org.vanillaslip.messages.ShareConfirmation share_confirmation = 24;</code>
+   */
+  org.vanillaslip.messages.ShareConfirmationOrBuilder getShareConfirmationOrBuilder();
+
   org.vanillaslip.messages.Envelope.BodyCase getBodyCase();
 }
--- a/messages/src/main/java/org/vanillaslip/messages/EnvelopeOuterClass.java
+++ b/messages/src/main/java/org/vanillaslip/messages/EnvelopeOuterClass.java
@@ -91,6 +91,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_vanillaslip_messages_SlotGrant_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_vanillaslip_messages_ShareConfirmation_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_vanillaslip_messages_ShareConfirmation_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -101,7 +106,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\'org/vanillaslip/messages/envelope.prot" +
-      "o\022\030org.vanillaslip.messages\"\210\006\n\010Envelope" +
+      "o\022\030org.vanillaslip.messages\"\323\006\n\010Envelope" +
       "\022\022\n\nrequest_id\030\001 \001(\004\022\016\n\006sender\030\002 \001(\t\022\032\n\022" +
       "sender_incarnation\030\003 \001(\t\022\r\n\005reply\030\004 \001(\010\022" +
       "8\n\theartbeat\030\n \001(\0132#.org.vanillaslip.mes" +
@@ -120,34 +125,38 @@
       "nillaslip.messages.PlacementDigestH\000\022=\n\014" +
       "slot_request\030\022 \001(\0132%.org.vanillaslip.mes" +
       "sages.SlotRequestH\000\0229\n\nslot_grant\030\023 \001(\0132" +
-      "#.org.vanillaslip.messages.SlotGrantH\000B\006" +
-      "\n\004body\";\n\tHeartbeat\022\017\n\007leaving\030\001 \001(\010\022\035\n\025" +
-      "configuration_version\030\002 \001(\004\"v\n\014QuotaRequ" +
-      "est\022\r\n\005limit\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\022\017\n\007co" +
-      "llect\030\003 \001(\010\0226\n\007reports\030\004 \003(\0132%.org.vanil" +
-      "laslip.messages.GrantReport\"`\n\013GrantRepo" +
-      "rt\022\020\n\010grant_id\030\001 \001(\004\022\024\n\014spent_tokens\030\002 \001" +
-      "(\004\022\027\n\017returned_tokens\030\003 \001(\004\022\020\n\010sequence\030" +
-      "\004 \001(\r\"c\n\nQuotaGrant\022\020\n\010grant_id\030\001 \001(\004\022\016\n" +
-      "\006tokens\030\002 \001(\004\022\027\n\017validity_millis\030\003 \001(\r\022\032" +
-      "\n\022retry_after_millis\030\004 \001(\r\"&\n\023Configurat" +
-      "ionDigest\022\017\n\007version\030\001 \001(\004\"T\n\022Configurat" +
-      "ionItems\022>\n\007objects\030\001 \003(\0132-.org.vanillas" +
-      "lip.messages.ConfigurationObject\"G\n\023Conf" +
-      "igurationObject\022\014\n\004name\030\001 \001(\t\022\017\n\007version" +
-      "\030\002 \001(\004\022\021\n\tspec_json\030\003 \001(\014\"Z\n\021ActivationR" +
-      "equest\022\r\n\005model\030\001 \001(\t\022\017\n\007adapter\030\002 \001(\t\022\023" +
-      "\n\013wait_millis\030\003 \001(\r\022\020\n\010arrivals\030\004 \001(\r\"f\n" +
-      "\017ActivationReply\022\020\n\010accepted\030\001 \001(\010\022\023\n\013re" +
-      "sult_code\030\002 \001(\r\022\016\n\006detail\030\003 \001(\t\022\034\n\024expec" +
-      "ted_wait_millis\030\004 \001(\r\"F\n\017PlacementDigest" +
-      "\022\r\n\005shard\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\023\n\013reco" +
-      "rd_json\030\003 \001(\014\"j\n\013SlotRequest\022\016\n\006server\030\001" +
-      " \001(\t\022\032\n\022server_incarnation\030\002 \001(\t\022\017\n\007acqu" +
-      "ire\030\003 \001(\r\022\r\n\005renew\030\004 \003(\004\022\017\n\007release\030\005 \003(" +
-      "\004\"6\n\tSlotGrant\022\020\n\010slot_ids\030\001 \003(\004\022\027\n\017vali" +
-      "dity_millis\030\002 \001(\rB\034\n\030org.vanillaslip.mes" +
-      "sagesP\001b\006proto3"
+      "#.org.vanillaslip.messages.SlotGrantH\000\022I" +
+      "\n\022share_confirmation\030\030 \001(\0132+.org.vanilla" +
+      "slip.messages.ShareConfirmationH\000B\006\n\004bod" +
+      "y\";\n\tHeartbeat\022\017\n\007leaving\030\001 \001(\010\022\035\n\025confi" +
+      "guration_version\030\002 \001(\004\"\216\001\n\014QuotaRequest\022" +
+      "\r\n\005limit\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\022\017\n\007collec" +
+      "t\030\003 \001(\010\0226\n\007reports\030\004 \003(\0132%.org.vanillasl" +
+      "ip.messages.GrantReport\022\026\n\016reserve_token" +
+      "s\030\005 \001(\004\"`\n\013GrantReport\022\020\n\010grant_id\030\001 \001(\004" +
+      "\022\024\n\014spent_tokens\030\002 \001(\004\022\027\n\017returned_token" +
+      "s\030\003 \001(\004\022\020\n\010sequence\030\004 \001(\r\"c\n\nQuotaGrant\022" +
+      "\020\n\010grant_id\030\001 \001(\004\022\016\n\006tokens\030\002 \001(\004\022\027\n\017val" +
+      "idity_millis\030\003 \001(\r\022\032\n\022retry_after_millis" +
+      "\030\004 \001(\r\"&\n\023ConfigurationDigest\022\017\n\007version" +
+      "\030\001 \001(\004\"T\n\022ConfigurationItems\022>\n\007objects\030" +
+      "\001 \003(\0132-.org.vanillaslip.messages.Configu" +
+      "rationObject\"G\n\023ConfigurationObject\022\014\n\004n" +
+      "ame\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\021\n\tspec_json\030" +
+      "\003 \001(\014\"Z\n\021ActivationRequest\022\r\n\005model\030\001 \001(" +
+      "\t\022\017\n\007adapter\030\002 \001(\t\022\023\n\013wait_millis\030\003 \001(\r\022" +
+      "\020\n\010arrivals\030\004 \001(\r\"f\n\017ActivationReply\022\020\n\010" +
+      "accepted\030\001 \001(\010\022\023\n\013result_code\030\002 \001(\r\022\016\n\006d" +
+      "etail\030\003 \001(\t\022\034\n\024expected_wait_millis\030\004 \001(" +
+      "\r\"F\n\017PlacementDigest\022\r\n\005shard\030\001 \001(\t\022\017\n\007v" +
+      "ersion\030\002 \001(\004\022\023\n\013record_json\030\003 \001(\014\"j\n\013Slo" +
+      "tRequest\022\016\n\006server\030\001 \001(\t\022\032\n\022server_incar" +
+      "nation\030\002 \001(\t\022\017\n\007acquire\030\003 \001(\r\022\r\n\005renew\030\004" +
+      " \003(\004\022\017\n\007release\030\005 \003(\004\"6\n\tSlotGrant\022\020\n\010sl" +
+      "ot_ids\030\001 \003(\004\022\027\n\017validity_millis\030\002 \001(\r\"?\n" +
+      "\021ShareConfirmation\022\026\n\016failure_domain\030\001 \001" +
+      "(\t\022\022\n\ngeneration\030\002 \001(\004B\034\n\030org.vanillasli" +
+      "p.messagesP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -158,7 +167,7 @@
     internal_static_org_vanillaslip_messages_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_vanillaslip_messages_Envelope_descriptor,
-        new java.lang.String[] { "RequestId", "Sender", "SenderIncarnation", "Reply", "Heartbeat", "QuotaRequest", "QuotaGrant", "ConfigurationDigest", "ConfigurationItems", "ActivationRequest", "ActivationReply", "PlacementDigest", "SlotRequest", "SlotGrant", "Body", });
+        new java.lang.String[] { "RequestId", "Sender", "SenderIncarnation", "Reply", "Heartbeat", "QuotaRequest", "QuotaGrant", "ConfigurationDigest", "ConfigurationItems", "ActivationRequest", "ActivationReply", "PlacementDigest", "SlotRequest", "SlotGrant", "ShareConfirmation", "Body", });
     internal_static_org_vanillaslip_messages_Heartbeat_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_org_vanillaslip_messages_Heartbeat_fieldAccessorTable = new
@@ -170,7 +179,7 @@
     internal_static_org_vanillaslip_messages_QuotaRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_vanillaslip_messages_QuotaRequest_descriptor,
-        new java.lang.String[] { "Limit", "Tokens", "Collect", "Reports", });
+        new java.lang.String[] { "Limit", "Tokens", "Collect", "Reports", "ReserveTokens", });
     internal_static_org_vanillaslip_messages_GrantReport_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_org_vanillaslip_messages_GrantReport_fieldAccessorTable = new
@@ -231,6 +240,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_vanillaslip_messages_SlotGrant_descriptor,
         new java.lang.String[] { "SlotIds", "ValidityMillis", });
+    internal_static_org_vanillaslip_messages_ShareConfirmation_descriptor =
+      getDescriptor().getMessageType(13);
+    internal_static_org_vanillaslip_messages_ShareConfirmation_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_vanillaslip_messages_ShareConfirmation_descriptor,
+        new java.lang.String[] { "FailureDomain", "Generation", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/messages/src/main/java/org/vanillaslip/messages/GrantReport.java
+++ b/messages/src/main/java/org/vanillaslip/messages/GrantReport.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * Use of an earlier grant. A report is applied once per sequence number.
+ * Use of an earlier grant: totals since the grant. A report is applied once per sequence number, and a lost report is
+ * made good by the next one.
  * </pre>
  *
  * Protobuf type {@code org.vanillaslip.messages.GrantReport}
@@ -291,7 +292,8 @@
   }
   /**
    * <pre>
-   * Use of an earlier grant. A report is applied once per sequence number.
+   * Use of an earlier grant: totals since the grant. A report is applied once per sequence number, and a lost report is
+   * made good by the next one.
    * </pre>
    *
    * Protobuf type {@code org.vanillaslip.messages.GrantReport}
--- a/messages/src/main/java/org/vanillaslip/messages/QuotaRequest.java
+++ b/messages/src/main/java/org/vanillaslip/messages/QuotaRequest.java
@@ -6,6 +6,10 @@
 package org.vanillaslip.messages;
 
 /**
+ * <pre>
+ * Amounts of quota messages are in micro-tokens, so that shares of small limits stay exact.
+ * </pre>
+ *
  * Protobuf type {@code org.vanillaslip.messages.QuotaRequest}
  */
 @com.google.protobuf.Generated
@@ -156,6 +160,21 @@
     return reports_.get(index);
   }
 
+  public static final int RESERVE_TOKENS_FIELD_NUMBER = 5;
+  private long reserveTokens_ = 0L;
+  /**
+   * <pre>
+   * Tokens wanted ahead of demand, granted only on top of the needed tokens.
+   * </pre>
+   *
+   * <code>uint64 reserve_tokens = 5;</code>
+   * @return The reserveTokens.
+   */
+  @java.lang.Override
+  public long getReserveTokens() {
+    return reserveTokens_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -182,6 +201,9 @@
     for (int i = 0; i < reports_.size(); i++) {
       output.writeMessage(4, reports_.get(i));
     }
+    if (reserveTokens_ != 0L) {
+      output.writeUInt64(5, reserveTokens_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -211,6 +233,10 @@
           }
           size += 1 * count;
         }
+    if (reserveTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, reserveTokens_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -234,6 +260,8 @@
         != other.getCollect()) return false;
     if (!getReportsList()
         .equals(other.getReportsList())) return false;
+    if (getReserveTokens()
+        != other.getReserveTokens()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -257,6 +285,9 @@
       hash = (37 * hash) + REPORTS_FIELD_NUMBER;
       hash = (53 * hash) + getReportsList().hashCode();
     }
+    hash = (37 * hash) + RESERVE_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReserveTokens());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -355,6 +386,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * Amounts of quota messages are in micro-tokens, so that shares of small limits stay exact.
+   * </pre>
+   *
    * Protobuf type {@code org.vanillaslip.messages.QuotaRequest}
    */
   public static final class Builder extends
@@ -398,6 +433,7 @@
         reportsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      reserveTokens_ = 0L;
       return this;
     }
 
@@ -453,6 +489,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.collect_ = collect_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.reserveTokens_ = reserveTokens_;
+      }
     }
 
     @java.lang.Override
@@ -504,6 +543,9 @@
           }
         }
       }
+      if (other.getReserveTokens() != 0L) {
+        setReserveTokens(other.getReserveTokens());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -558,6 +600,11 @@
               }
               break;
             } // case 34
+            case 40: {
+              reserveTokens_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -963,6 +1010,50 @@
       return reportsBuilder_;
     }
 
+    private long reserveTokens_ ;
+    /**
+     * <pre>
+     * Tokens wanted ahead of demand, granted only on top of the needed tokens.
+     * </pre>
+     *
+     * <code>uint64 reserve_tokens = 5;</code>
+     * @return The reserveTokens.
+     */
+    @java.lang.Override
+    public long getReserveTokens() {
+      return reserveTokens_;
+    }
+    /**
+     * <pre>
+     * Tokens wanted ahead of demand, granted only on top of the needed tokens.
+     * </pre>
+     *
+     * <code>uint64 reserve_tokens = 5;</code>
+     * @param value The reserveTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReserveTokens(long value) {
+
+      reserveTokens_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens wanted ahead of demand, granted only on top of the needed tokens.
+     * </pre>
+     *
+     * <code>uint64 reserve_tokens = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReserveTokens() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      reserveTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.vanillaslip.messages.QuotaRequest)
   }
 
--- a/messages/src/main/java/org/vanillaslip/messages/QuotaRequestOrBuilder.java
+++ b/messages/src/main/java/org/vanillaslip/messages/QuotaRequestOrBuilder.java
@@ -61,4 +61,14 @@
    */
   org.vanillaslip.messages.GrantReportOrBuilder getReportsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Tokens wanted ahead of demand, granted only on top of the needed tokens.
+   * </pre>
+   *
+   * <code>uint64 reserve_tokens = 5;</code>
+   * @return The reserveTokens.
+   */
+  long getReserveTokens();
 }
