--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/BackendClient.java
@@ -0,0 +1,33 @@
+package org.vanillaslip.internal.backend.forward;
+
+import java.time.Duration;
+import org.vanillaslip.BackendServer;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Creates HTTP clients for backend servers. Every request gets a fresh connection: a pooled one may
+ * have gone silent, and the client would repeat a request on a pooled connection that was closed.
+ */
+final class BackendClient {
+
+    /** Backend servers are at most a few milliseconds away. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private BackendClient() {}
+
+    static HttpClient create(BackendServer server, Runnable onSent) {
+        return HttpClient.create(ConnectionProvider.newConnection())
+                .disableRetry(true)
+                .followRedirect(false)
+                .option(
+                        io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        CONNECT_TIMEOUT_MILLIS)
+                .baseUrl("http://" + server.address())
+                .doOnRequest((request, connection) -> onSent.run());
+    }
+
+    static HttpClient create(BackendServer server, Runnable onSent, Duration timeout) {
+        return create(server, onSent).responseTimeout(timeout);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/EngineEvent.java
@@ -0,0 +1,21 @@
+package org.vanillaslip.internal.backend.forward;
+
+/**
+ * One checked event of a completion.
+ *
+ * @param token text of the token, empty at the end
+ * @param finishReason empty until the end of the complete answer
+ */
+public record EngineEvent(
+        String token, String finishReason, long promptTokens, long completionTokens) {
+
+    /** Creates a token event. */
+    public static EngineEvent token(String token) {
+        return new EngineEvent(token, "", 0, 0);
+    }
+
+    /** Returns whether this event ends the answer. */
+    public boolean last() {
+        return !finishReason.isEmpty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/ModelForwarder.java
@@ -0,0 +1,34 @@
+package org.vanillaslip.internal.backend.forward;
+
+import java.time.Duration;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.MonotonicClock;
+import reactor.core.publisher.Flux;
+import reactor.core.scheduler.Scheduler;
+
+/** Streams completions of model engines and resumes broken streams at their offset. */
+public final class ModelForwarder {
+
+    /** Engines send a comment every 2 s, so this is five of them missed (design 5.5). */
+    private static final Duration SILENCE = Duration.ofSeconds(10);
+
+    private final Scheduler mTimers;
+    private final SilenceBound mSilenceBound;
+
+    /** Creates a forwarder whose timers run on the given scheduler. */
+    public ModelForwarder(Scheduler timers, MonotonicClock clock) {
+        mTimers = timers;
+        mSilenceBound = new SilenceBound(timers, clock, SILENCE);
+    }
+
+    /**
+     * Streams the completion. Ends normally only after the last event of the complete answer, else
+     * with {@link ForwardException}. Cancelling cancels the request at the engine.
+     *
+     * @param onSent runs before the first byte may be written
+     */
+    public Flux<EngineEvent> stream(BackendServer server, ModelCall call, Runnable onSent) {
+        return Flux.defer(
+                () -> new ModelStream(server, call, onSent, mSilenceBound, mTimers).events());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/ModelStream.java
@@ -0,0 +1,183 @@
+package org.vanillaslip.internal.backend.forward;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.buffer.Unpooled;
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.internal.stream.AssemblyResult;
+import org.vanillaslip.internal.stream.StreamAssembly;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.Connection;
+import reactor.netty.http.client.HttpClientResponse;
+
+/** One completion over all connections that carry parts of it. */
+final class ModelStream {
+
+    /** Resumptions in a row without a new token after which the stream is given up. */
+    private static final int MOST_RESUMPTIONS = 3;
+
+    private static final Duration RESUME_DELAY = Duration.ofMillis(50);
+    private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
+
+    private final BackendServer mServer;
+    private final ModelCall mCall;
+    private final Runnable mOnSent;
+    private final SilenceBound mSilenceBound;
+    private final Scheduler mTimers;
+    private final StreamAssembly mAssembly;
+    private volatile @Nullable String mIncarnation;
+    private volatile boolean mSent;
+    private int mResumptions;
+
+    ModelStream(
+            BackendServer server,
+            ModelCall call,
+            Runnable onSent,
+            SilenceBound silenceBound,
+            Scheduler timers) {
+        mServer = server;
+        mCall = call;
+        mOnSent = onSent;
+        mSilenceBound = silenceBound;
+        mTimers = timers;
+        mAssembly = new StreamAssembly(call.requestId());
+    }
+
+    Flux<EngineEvent> events() {
+        return connectAndRead().doOnCancel(this::cancelAtEngine);
+    }
+
+    private Flux<EngineEvent> connectAndRead() {
+        LineSplitter splitter = new LineSplitter();
+        Flux<byte[]> parts =
+                BackendClient.create(mServer, this::markSent)
+                        .headers(
+                                headers -> {
+                                    headers.set("X-Request-Id", mCall.requestId());
+                                    headers.set("X-Resume-Offset", mAssembly.nextOffset());
+                                    headers.set("Content-Type", "application/json");
+                                })
+                        .post()
+                        .uri("/v1/completions")
+                        .send(
+                                Mono.fromSupplier(
+                                        () ->
+                                                Unpooled.wrappedBuffer(
+                                                        EngineMessages.completion(mCall))))
+                        .responseConnection(this::receive);
+        return mSilenceBound
+                .apply(parts)
+                .concatMapIterable(splitter::split, 1)
+                .concatMap(this::judge, 1)
+                .takeUntil(EngineEvent::last)
+                .concatWith(Flux.defer(this::checkComplete))
+                .onErrorResume(this::resumeOrFail);
+    }
+
+    private void markSent() {
+        mSent = true;
+        mOnSent.run();
+    }
+
+    private Flux<byte[]> receive(HttpClientResponse response, Connection connection) {
+        if (response.status().code() != 200) {
+            return Flux.error(
+                    failure(ForwardFailureKind.REJECTED, "status " + response.status().code()));
+        }
+        if (!mCall.requestId().equals(response.responseHeaders().get("X-Request-Id"))) {
+            return Flux.error(failure(ForwardFailureKind.MISMATCHED, "request id of the answer"));
+        }
+        String incarnation = response.responseHeaders().get("X-Incarnation", "");
+        String before = mIncarnation;
+        if (before != null && !before.equals(incarnation)) {
+            return Flux.error(failure(ForwardFailureKind.REJECTED, "server became cold again"));
+        }
+        mIncarnation = incarnation;
+        return connection.inbound().receive().asByteArray();
+    }
+
+    private Flux<EngineEvent> judge(String line) {
+        return EngineMessages.event(line).map(this::judge).orElseGet(Flux::empty);
+    }
+
+    private Flux<EngineEvent> judge(JsonNode event) {
+        boolean last = event.hasNonNull("finish_reason");
+        String requestId = event.path("request_id").asText();
+        long completionTokens = event.path("usage").path("completion_tokens").asLong(-1);
+        AssemblyResult result =
+                last
+                        ? mAssembly.finish(requestId, completionTokens)
+                        : mAssembly.token(requestId, event.path("offset").asLong(-1));
+        return switch (result) {
+            case PASS -> {
+                mResumptions = 0;
+                yield Flux.just(EngineEvent.token(event.path("token").asText()));
+            }
+            case COMPLETE ->
+                    Flux.just(
+                            new EngineEvent(
+                                    "",
+                                    event.path("finish_reason").asText(),
+                                    event.path("usage").path("prompt_tokens").asLong(),
+                                    completionTokens));
+            case DUPLICATE -> Flux.empty();
+            case GAP -> Flux.error(failure(ForwardFailureKind.BROKEN, "tokens are missing"));
+            case MISMATCH ->
+                    Flux.error(failure(ForwardFailureKind.MISMATCHED, "event of another request"));
+        };
+    }
+
+    private Flux<EngineEvent> checkComplete() {
+        return mAssembly.complete()
+                ? Flux.empty()
+                : Flux.error(failure(ForwardFailureKind.BROKEN, "the stream ended early"));
+    }
+
+    private Flux<EngineEvent> resumeOrFail(Throwable error) {
+        ForwardException failure = asFailure(error);
+        if (!resumable(failure) || ++mResumptions > MOST_RESUMPTIONS) {
+            if (mSent) {
+                cancelAtEngine();
+            }
+            return Flux.error(failure);
+        }
+        return Mono.delay(RESUME_DELAY, mTimers).thenMany(Flux.defer(this::connectAndRead));
+    }
+
+    /** Before the engine has answered, a second request could run a second time. */
+    private boolean resumable(ForwardException failure) {
+        boolean known = mIncarnation != null;
+        return switch (failure.kind()) {
+            case BROKEN, MISMATCHED -> known || mCall.repeatable();
+            case NOT_SENT -> known;
+            case REJECTED, TOO_LARGE -> false;
+        };
+    }
+
+    private ForwardException asFailure(Throwable error) {
+        if (error instanceof ForwardException failure) {
+            return failure(failure.kind(), String.valueOf(failure.getMessage()));
+        }
+        return failure(
+                mSent ? ForwardFailureKind.BROKEN : ForwardFailureKind.NOT_SENT,
+                error.getClass().getSimpleName());
+    }
+
+    private ForwardException failure(ForwardFailureKind kind, String message) {
+        return new ForwardException(kind, mAssembly.nextOffset() > 0, message);
+    }
+
+    private void cancelAtEngine() {
+        if (mSent && !mAssembly.complete()) {
+            BackendClient.create(mServer, () -> {}, CANCEL_TIMEOUT)
+                    .delete()
+                    .uri("/v1/requests/" + mCall.requestId())
+                    .response()
+                    .onErrorComplete()
+                    .subscribe();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/ServiceForwarder.java
@@ -0,0 +1,92 @@
+package org.vanillaslip.internal.backend.forward;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.vanillaslip.BackendServer;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.http.client.HttpClientResponse;
+
+/** Sends calls to plain services, each exactly once on a fresh connection. */
+public final class ServiceForwarder {
+
+    private final Scheduler mTimers;
+    private final int mLargestAnswer;
+
+    /** Creates a forwarder that refuses answers above the given number of bytes. */
+    public ServiceForwarder(Scheduler timers, int largestAnswer) {
+        mTimers = timers;
+        mLargestAnswer = largestAnswer;
+    }
+
+    /**
+     * Sends the call and returns the complete response, or ends with {@link ForwardException}.
+     *
+     * @param onSent runs before the first byte may be written
+     */
+    public Mono<ServiceResponse> call(
+            BackendServer server, ServiceCall call, Duration timeout, Runnable onSent) {
+        return Mono.defer(
+                () -> {
+                    AtomicBoolean sent = new AtomicBoolean();
+                    Runnable markSent =
+                            () -> {
+                                sent.set(true);
+                                onSent.run();
+                            };
+                    return send(server, call, markSent)
+                            .timeout(timeout, mTimers)
+                            .onErrorMap(error -> failure(error, sent.get()));
+                });
+    }
+
+    private Mono<ServiceResponse> send(BackendServer server, ServiceCall call, Runnable onSent) {
+        String uri = call.query().isEmpty() ? call.path() : call.path() + "?" + call.query();
+        return BackendClient.create(server, onSent)
+                .headers(
+                        headers -> {
+                            call.headers().forEach(headers::set);
+                            headers.set("X-Request-Id", call.requestId());
+                            headers.set("Content-Length", call.body().length);
+                        })
+                .request(HttpMethod.valueOf(call.method()))
+                .uri(uri)
+                .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(call.body())))
+                .responseConnection(
+                        (response, connection) ->
+                                answer(
+                                        call,
+                                        response,
+                                        connection.inbound().receive().asByteArray()))
+                .next();
+    }
+
+    private Mono<ServiceResponse> answer(
+            ServiceCall call, HttpClientResponse response, Flux<byte[]> parts) {
+        String answered = response.responseHeaders().get("X-Request-Id");
+        if (!call.requestId().equals(answered)) {
+            return Mono.error(
+                    new ForwardException(
+                            ForwardFailureKind.MISMATCHED, false, "answer of another request"));
+        }
+        String type = response.responseHeaders().get("Content-Type", "application/octet-stream");
+        return BoundedBody.collect(
+                        parts,
+                        mLargestAnswer,
+                        () ->
+                                new ForwardException(
+                                        ForwardFailureKind.TOO_LARGE, false, "answer too large"))
+                .map(body -> new ServiceResponse(response.status().code(), type, body));
+    }
+
+    private static Throwable failure(Throwable error, boolean sent) {
+        if (error instanceof ForwardException) {
+            return error;
+        }
+        ForwardFailureKind kind = sent ? ForwardFailureKind.BROKEN : ForwardFailureKind.NOT_SENT;
+        return new ForwardException(kind, false, error.getClass().getSimpleName());
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/admission/KeyCheck.java
@@ -0,0 +1,63 @@
+package org.vanillaslip.internal.admission;
+
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.Configuration;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.Route;
+
+/** Finds the key in the request headers and maps it to a workspace. */
+public final class KeyCheck {
+
+    private static final String BEARER = "bearer ";
+
+    private KeyCheck() {}
+
+    /** Returns the key from Authorization or X-Api-Key; header names are lower case. */
+    public static Optional<String> presentedKey(Map<String, String> headers) {
+        String authorization = headers.getOrDefault("authorization", "").trim();
+        if (authorization.regionMatches(true, 0, BEARER, 0, BEARER.length())) {
+            return nonBlank(authorization.substring(BEARER.length()));
+        }
+        return nonBlank(headers.getOrDefault("x-api-key", ""));
+    }
+
+    /** Returns the caller, or why the key gives no access to the route. */
+    public static Either<Refusal, Caller> check(
+            Configuration configuration, Route route, Optional<String> key) {
+        if (route.open()) {
+            return Either.right(new Caller(Optional.empty(), Optional.empty()));
+        }
+        if (key.isEmpty()) {
+            return Either.left(Refusal.of(ResultCode.MISSING_KEY, route.name()));
+        }
+        String digest = KeyDigest.of(key.get());
+        return configuration
+                .workspaceOfKey(digest)
+                .<Either<Refusal, Caller>>map(
+                        entry ->
+                                Either.right(
+                                        new Caller(
+                                                Optional.of(entry.workspace()),
+                                                Optional.of(digest))))
+                .orElseGet(() -> Either.left(Refusal.of(ResultCode.UNKNOWN_KEY, route.name())));
+    }
+
+    /** Returns whether the configuration still gives the caller access. */
+    public static boolean stillValid(Configuration configuration, Caller caller) {
+        return caller.keyDigest()
+                .map(
+                        digest ->
+                                configuration
+                                        .workspaceOfKey(digest)
+                                        .map(entry -> entry.workspace())
+                                        .equals(caller.workspace()))
+                .orElse(true);
+    }
+
+    private static Optional<String> nonBlank(String text) {
+        return Optional.of(text.trim()).filter(trimmed -> !trimmed.isEmpty());
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/attempt/Attempt.java
@@ -0,0 +1,115 @@
+package org.vanillaslip.internal.attempt;
+
+import java.time.Duration;
+import java.util.function.Predicate;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+
+/**
+ * Decides the steps of one non-repeatable call with an idempotency key. RUN is returned at most
+ * once, and only after the record with this attempt's nonce is known to be stored.
+ */
+public final class Attempt {
+
+    /** Bounds the calls of one request to a platform that loses answers. */
+    private static final int MOST_CALLS = 6;
+
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final AttemptRecord mOwn;
+    private final Predicate<String> mRunningHere;
+    private final Predicate<String> mAbandonedHere;
+    private int mCalls;
+    private boolean mChangeUncertain;
+    private boolean mDecided;
+
+    /**
+     * Creates an attempt.
+     *
+     * @param own the record to create, without outcome
+     * @param runningHere whether a nonce is of an attempt that runs on this host
+     * @param abandonedHere whether this host gave up the attempt of a nonce before it sent anything
+     */
+    public Attempt(
+            AttemptRecord own, Predicate<String> runningHere, Predicate<String> abandonedHere) {
+        mOwn = own;
+        mRunningHere = runningHere;
+        mAbandonedHere = abandonedHere;
+    }
+
+    /** Returns the first step. */
+    public AttemptStep start() {
+        return platformCall(AttemptAction.CREATE);
+    }
+
+    /** The create or take-over succeeded. */
+    public AttemptStep onStored() {
+        return run();
+    }
+
+    /** A create, read or take-over failed. */
+    public AttemptStep onFailure(AttemptAction failed, AttemptFailure failure) {
+        if (failed != AttemptAction.READ && failure == AttemptFailure.ANSWER_LOST) {
+            mChangeUncertain = true;
+        }
+        return switch (failure) {
+            case CONFLICT -> platformCall(AttemptAction.READ);
+            case ANSWER_LOST -> platformCall(AttemptAction.READ);
+            case MISSING -> platformCall(AttemptAction.CREATE);
+            case UNREACHABLE -> unreachable(failed);
+        };
+    }
+
+    /** The record was read. */
+    public AttemptStep onRead(AttemptRecord stored) {
+        if (stored.nonce().equals(mOwn.nonce())) {
+            return run();
+        }
+        if (!stored.fingerprint().equals(mOwn.fingerprint())) {
+            return refuse(ResultCode.IDEMPOTENCY_KEY_REUSED);
+        }
+        if (stored.outcome().isPresent()) {
+            mDecided = true;
+            return AttemptStep.replay(stored.outcome().get());
+        }
+        if (mAbandonedHere.test(stored.nonce())) {
+            return platformCall(AttemptAction.TAKE_OVER);
+        }
+        return refuse(
+                mRunningHere.test(stored.nonce())
+                        ? ResultCode.ATTEMPT_IN_PROGRESS
+                        : ResultCode.OUTCOME_UNKNOWN);
+    }
+
+    /** Returns whether the record may be stored although the call was refused. */
+    public boolean changeUncertain() {
+        return mChangeUncertain;
+    }
+
+    private AttemptStep unreachable(AttemptAction failed) {
+        // A read is worth repeating once the own record may exist: refusing would strand it.
+        return failed == AttemptAction.READ && mChangeUncertain
+                ? platformCall(AttemptAction.READ)
+                : refuse(ResultCode.PLATFORM_UNAVAILABLE);
+    }
+
+    private AttemptStep platformCall(AttemptAction action) {
+        if (++mCalls > MOST_CALLS) {
+            return refuse(ResultCode.PLATFORM_UNAVAILABLE);
+        }
+        return AttemptStep.of(action);
+    }
+
+    private AttemptStep run() {
+        if (mDecided) {
+            throw new IllegalStateException("the attempt was decided before");
+        }
+        mDecided = true;
+        return AttemptStep.of(AttemptAction.RUN);
+    }
+
+    private AttemptStep refuse(ResultCode code) {
+        mDecided = true;
+        return AttemptStep.refuse(Refusal.retryable(code, "Idempotency-Key", RETRY_AFTER));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/attempt/AttemptKey.java
@@ -0,0 +1,35 @@
+package org.vanillaslip.internal.attempt;
+
+import io.vavr.control.Either;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.Workspace;
+import org.vanillaslip.internal.admission.KeyDigest;
+
+/** Names and fingerprints of attempts. */
+public final class AttemptKey {
+
+    private static final int LONGEST = 255;
+
+    private AttemptKey() {}
+
+    /** Checks the value of an Idempotency-Key header. */
+    public static Either<Refusal, String> check(String value) {
+        boolean printable = value.chars().allMatch(letter -> letter > ' ' && letter < 127);
+        if (value.isEmpty() || value.length() > LONGEST || !printable) {
+            return Either.left(
+                    Refusal.of(ResultCode.INVALID_IDEMPOTENCY_KEY, "length " + value.length()));
+        }
+        return Either.right(value);
+    }
+
+    /** Returns the object name; a digest, so that any key gives a valid name. */
+    public static String objectName(Workspace workspace, String idempotencyKey) {
+        return KeyDigest.of(workspace.name() + "\n" + idempotencyKey);
+    }
+
+    /** Returns the digest of everything that is forwarded. */
+    public static String fingerprint(String method, String path, String query, byte[] body) {
+        return KeyDigest.of(String.join("\n", method, path, query, KeyDigest.of(body)));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/attempt/AttemptRecord.java
@@ -0,0 +1,18 @@
+package org.vanillaslip.internal.attempt;
+
+import java.util.Optional;
+
+/**
+ * The stored record of one non-repeatable call.
+ *
+ * @param nonce identifies the attempt that created the record
+ * @param fingerprint digest of the request, which detects a reused key
+ * @param outcome empty until the response was recorded
+ */
+public record AttemptRecord(String nonce, String fingerprint, Optional<AttemptOutcome> outcome) {
+
+    /** Returns this record with the outcome. */
+    public AttemptRecord withOutcome(AttemptOutcome recorded) {
+        return new AttemptRecord(nonce, fingerprint, Optional.of(recorded));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/FairQueue.java
@@ -0,0 +1,177 @@
+package org.vanillaslip.internal.queue;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Predicate;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.Workspace;
+
+/** All waiting requests of a host, in one fair queue per target and with common bounds. */
+public final class FairQueue {
+
+    private static final Duration FULL_RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final QueueLimits mLimits;
+    private final Map<String, TargetQueue> mTargets = new HashMap<>();
+    private final Map<String, WaitingRequest> mRequests = new LinkedHashMap<>();
+    private final Map<Workspace, Usage> mUsage = new HashMap<>();
+    private long mBytes;
+
+    /** Creates an empty queue. */
+    public FairQueue(QueueLimits limits) {
+        mLimits = limits;
+    }
+
+    /** Adds a request, or refuses it at once when it can't be served before its deadline. */
+    public Either<Refusal, WaitingRequest> offer(
+            WaitingRequest request, Duration estimatedWait, long nowNanos) {
+        Optional<Refusal> late = unreachable(request, estimatedWait, nowNanos);
+        if (late.isPresent()) {
+            return Either.left(late.get());
+        }
+        Usage usage = mUsage.getOrDefault(workspace(request), Usage.NONE);
+        if (mRequests.size() >= mLimits.requests()
+                || mBytes + request.bytes() > mLimits.bytes()
+                || usage.requests() >= mLimits.requestsPerWorkspace()
+                || usage.bytes() + request.bytes() > mLimits.bytesPerWorkspace()) {
+            Duration retryAfter = max(estimatedWait, FULL_RETRY_AFTER);
+            return Either.left(
+                    Refusal.retryable(ResultCode.QUEUE_FULL, request.target(), retryAfter));
+        }
+        mRequests.put(request.id(), request);
+        mBytes += request.bytes();
+        mUsage.put(workspace(request), usage.plus(1, request.bytes()));
+        mTargets.computeIfAbsent(request.target(), name -> new TargetQueue()).add(request);
+        return Either.right(request);
+    }
+
+    /** Returns the refusal of a request whose wait ends after its deadline. */
+    public static Optional<Refusal> unreachable(
+            WaitingRequest request, Duration estimatedWait, long nowNanos) {
+        long left = request.deadlineNanos() - nowNanos;
+        if (left > 0 && estimatedWait.toNanos() < left) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                Refusal.retryable(
+                        ResultCode.DEADLINE_UNREACHABLE,
+                        request.target(),
+                        max(estimatedWait, Duration.ofMillis(100))));
+    }
+
+    /** Returns the request that the target serves next, without removing it. */
+    public Optional<WaitingRequest> peek(String target) {
+        return Optional.ofNullable(mTargets.get(target)).flatMap(TargetQueue::peek);
+    }
+
+    /** Removes a request that begins to run and charges its workspace. */
+    public void serve(WaitingRequest request) {
+        TargetQueue queue = mTargets.get(request.target());
+        if (queue != null && forget(request)) {
+            queue.serve(request);
+            dropIfEmpty(request.target(), queue);
+        }
+    }
+
+    /** Removes a request that won't run, for example when its caller left. */
+    public boolean remove(String id) {
+        WaitingRequest request = mRequests.get(id);
+        if (request == null || !forget(request)) {
+            return false;
+        }
+        TargetQueue queue = mTargets.get(request.target());
+        if (queue != null) {
+            queue.remove(request);
+            dropIfEmpty(request.target(), queue);
+        }
+        return true;
+    }
+
+    /** Removes and returns all requests that match. */
+    public List<WaitingRequest> removeIf(Predicate<WaitingRequest> condition) {
+        List<WaitingRequest> removed = mRequests.values().stream().filter(condition).toList();
+        removed.forEach(request -> remove(request.id()));
+        return removed;
+    }
+
+    /** Removes and returns all requests whose deadline has passed. */
+    public List<WaitingRequest> expire(long nowNanos) {
+        return removeIf(request -> request.deadlineNanos() - nowNanos <= 0);
+    }
+
+    /** Returns the earliest deadline of a waiting request. */
+    public OptionalLong earliestDeadline() {
+        return mRequests.values().stream()
+                .min(Comparator.comparingLong(WaitingRequest::deadlineNanos))
+                .map(request -> OptionalLong.of(request.deadlineNanos()))
+                .orElseGet(OptionalLong::empty);
+    }
+
+    /** Corrects the fair share of a workspace after a request. */
+    public void correct(WaitingRequest served, long usedTokens) {
+        TargetQueue queue = mTargets.get(served.target());
+        if (queue != null) {
+            queue.correct(workspace(served), usedTokens - served.tokens());
+        }
+    }
+
+    /** Returns how many waiting requests are served before a new one of the workspace. */
+    public int ahead(String target, Workspace workspace) {
+        TargetQueue queue = mTargets.get(target);
+        return queue == null ? 0 : queue.ahead(workspace);
+    }
+
+    /** Returns the number of waiting requests. */
+    public int size() {
+        return mRequests.size();
+    }
+
+    /** Returns the targets that requests wait for. */
+    public List<String> waitingTargets() {
+        return mRequests.values().stream().map(WaitingRequest::target).distinct().toList();
+    }
+
+    private void dropIfEmpty(String target, TargetQueue queue) {
+        if (queue.isEmpty()) {
+            mTargets.remove(target);
+        }
+    }
+
+    private boolean forget(WaitingRequest request) {
+        if (mRequests.remove(request.id()) == null) {
+            return false;
+        }
+        mBytes -= request.bytes();
+        mUsage.computeIfPresent(
+                workspace(request),
+                (workspace, usage) -> {
+                    Usage rest = usage.plus(-1, -request.bytes());
+                    return rest.requests() == 0 ? null : rest;
+                });
+        return true;
+    }
+
+    private static Workspace workspace(WaitingRequest request) {
+        return request.caller().accountedWorkspace();
+    }
+
+    private static Duration max(Duration one, Duration other) {
+        return one.compareTo(other) >= 0 ? one : other;
+    }
+
+    private record Usage(int requests, long bytes) {
+        static final Usage NONE = new Usage(0, 0);
+
+        Usage plus(int moreRequests, long moreBytes) {
+            return new Usage(requests + moreRequests, bytes + moreBytes);
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/TargetQueue.java
@@ -0,0 +1,83 @@
+package org.vanillaslip.internal.queue;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.Workspace;
+
+/** Start-time fair queueing between workspaces for one target. */
+final class TargetQueue {
+
+    private final Map<Workspace, WorkspaceLine> mLines = new HashMap<>();
+    private long mVirtualTime;
+
+    void add(WaitingRequest request) {
+        WorkspaceLine line =
+                mLines.computeIfAbsent(
+                        request.caller().accountedWorkspace(),
+                        workspace -> new WorkspaceLine(mVirtualTime));
+        if (line.requests().isEmpty()) {
+            line.raiseTo(mVirtualTime);
+        }
+        line.requests().add(request);
+    }
+
+    /** Returns the next request without removing it. */
+    Optional<WaitingRequest> peek() {
+        return mLines.values().stream()
+                .filter(line -> !line.requests().isEmpty())
+                .min(
+                        Comparator.comparingLong(WorkspaceLine::startTag)
+                                .thenComparing(
+                                        line -> line.requests().first(), WorkspaceLine.ORDER))
+                .map(line -> line.requests().first());
+    }
+
+    /** Charges the workspace for a request that leaves the queue to run. */
+    void serve(WaitingRequest request) {
+        WorkspaceLine line = mLines.get(request.caller().accountedWorkspace());
+        if (line != null) {
+            mVirtualTime = Math.max(mVirtualTime, line.startTag());
+            line.charge(request.tokens());
+            remove(request);
+        }
+    }
+
+    void remove(WaitingRequest request) {
+        WorkspaceLine line = mLines.get(request.caller().accountedWorkspace());
+        if (line != null) {
+            line.requests().remove(request);
+        }
+        // Without waiting requests the busy period ends, and all workspaces start equal again.
+        if (mLines.values().stream().allMatch(idle -> idle.requests().isEmpty())) {
+            mLines.clear();
+        }
+    }
+
+    /** Corrects the charge of a workspace to the tokens that it really used. */
+    void correct(Workspace workspace, long difference) {
+        WorkspaceLine line = mLines.get(workspace);
+        if (line != null) {
+            line.charge(difference);
+        }
+    }
+
+    /** Returns how many requests are served before a new one of the workspace, by fair shares. */
+    int ahead(Workspace workspace) {
+        WorkspaceLine own = mLines.get(workspace);
+        int position = own == null ? 0 : own.requests().size();
+        return mLines.entrySet().stream()
+                .mapToInt(
+                        entry ->
+                                entry.getKey().equals(workspace)
+                                        ? position
+                                        : Math.min(
+                                                entry.getValue().requests().size(), position + 1))
+                .sum();
+    }
+
+    boolean isEmpty() {
+        return mLines.isEmpty();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/WaitEstimate.java
@@ -0,0 +1,26 @@
+package org.vanillaslip.internal.queue;
+
+import java.time.Duration;
+
+/** Estimates the wait for one target from the time that recent requests held a backend server. */
+public final class WaitEstimate {
+
+    /** Weight of the newest request; about the last eight requests matter. */
+    private static final double NEWEST_WEIGHT = 0.125;
+
+    private double mHoldNanos;
+
+    /** Records how long a request held its place on a backend server. */
+    public void recordHold(long nanos) {
+        mHoldNanos = mHoldNanos == 0 ? nanos : mHoldNanos + NEWEST_WEIGHT * (nanos - mHoldNanos);
+    }
+
+    /** Returns the wait behind the given requests with the given places, all of them taken. */
+    public Duration behind(int requestsAhead, int freePlaces, int allPlaces) {
+        if (requestsAhead < freePlaces || allPlaces <= 0) {
+            return Duration.ZERO;
+        }
+        double rounds = (requestsAhead - freePlaces + 1.0) / allPlaces;
+        return Duration.ofNanos((long) (rounds * mHoldNanos));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/WorkspaceLine.java
@@ -0,0 +1,36 @@
+package org.vanillaslip.internal.queue;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+
+/** The waiting requests of one workspace for one target, by class and deadline. */
+final class WorkspaceLine {
+
+    static final Comparator<WaitingRequest> ORDER =
+            Comparator.comparing(WaitingRequest::requestClass)
+                    .thenComparingLong(WaitingRequest::deadlineNanos)
+                    .thenComparing(WaitingRequest::id);
+
+    private final TreeSet<WaitingRequest> mRequests = new TreeSet<>(ORDER);
+    private long mStartTag;
+
+    WorkspaceLine(long startTag) {
+        mStartTag = startTag;
+    }
+
+    TreeSet<WaitingRequest> requests() {
+        return mRequests;
+    }
+
+    long startTag() {
+        return mStartTag;
+    }
+
+    void raiseTo(long virtualTime) {
+        mStartTag = Math.max(mStartTag, virtualTime);
+    }
+
+    void charge(long tokens) {
+        mStartTag = Math.max(0, mStartTag + tokens);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/package-info.java
@@ -0,0 +1,5 @@
+/** Waiting requests: fairness, bounds and deadlines. */
+@NullMarked
+package org.vanillaslip.internal.queue;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/stream/package-info.java
@@ -0,0 +1,5 @@
+/** Assembly of answers that arrive in parts. */
+@NullMarked
+package org.vanillaslip.internal.stream;
+
+import org.jspecify.annotations.NullMarked;
