--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/GatewayDependencies.java
@@ -0,0 +1,25 @@
+package org.vanillaslip.internal.gateway;
+
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.vanillaslip.internal.control.ConfigurationView;
+import org.vanillaslip.internal.control.PlacementView;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+
+/**
+ * What the gateway needs from the rest of the host.
+ *
+ * @param identifiers supplies request ids and attempt nonces that are unique over all hosts
+ */
+public record GatewayDependencies(
+        ConfigurationView configuration,
+        PlacementView placement,
+        QuotaGate quota,
+        SlotGate slots,
+        ObjectStore store,
+        DecisionLoop loop,
+        RandomGenerator random,
+        Supplier<String> identifiers,
+        EventLog log) {}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/InFlight.java
@@ -0,0 +1,64 @@
+package org.vanillaslip.internal.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.Configuration;
+import org.vanillaslip.internal.control.PlacementView;
+import org.vanillaslip.internal.control.Replica;
+import org.vanillaslip.internal.control.ServerLoad;
+import org.vanillaslip.internal.routing.Candidate;
+
+/** Requests of this host by backend server, and the candidates that follow from them. */
+final class InFlight {
+
+    private final PlacementView mPlacement;
+    private final Supplier<Optional<Configuration>> mConfiguration;
+    private final Map<String, Integer> mCounts = new HashMap<>();
+
+    InFlight(PlacementView placement, Supplier<Optional<Configuration>> configuration) {
+        mPlacement = placement;
+        mConfiguration = configuration;
+    }
+
+    void add(String server, int difference) {
+        mCounts.merge(server, difference, Integer::sum);
+        mCounts.remove(server, 0);
+    }
+
+    List<Candidate> candidates(List<Replica> replicas, Set<String> tried) {
+        return replicas.stream().map(replica -> candidate(replica, tried)).toList();
+    }
+
+    private Candidate candidate(Replica replica, Set<String> tried) {
+        BackendServer server = replica.server();
+        Optional<ServerLoad> load = mPlacement.load(server.name());
+        boolean coldAgain =
+                load.map(report -> !report.incarnation().equals(replica.incarnation()))
+                        .orElse(false);
+        return new Candidate(
+                server,
+                replica.incarnation(),
+                coldAgain || unavailable(server) || tried.contains(server.name()),
+                mCounts.getOrDefault(server.name(), 0),
+                load.map(report -> report.running() + report.waiting()).orElse(0),
+                load.map(ServerLoad::uptime));
+    }
+
+    /** The current configuration counts, because a replica names the server as it was. */
+    private boolean unavailable(BackendServer server) {
+        return mConfiguration
+                .get()
+                .map(
+                        configuration -> {
+                            BackendServer current =
+                                    configuration.backendServers().get(server.name());
+                            return current == null || configuration.isDrained(current);
+                        })
+                .orElse(true);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/RefusalWriter.java
@@ -0,0 +1,46 @@
+package org.vanillaslip.internal.gateway;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+
+/** Writes refusals as JSON. */
+final class RefusalWriter {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private RefusalWriter() {}
+
+    static WholeReply reply(Refusal refusal, String requestId) {
+        return new WholeReply(
+                refusal.code().httpStatus(),
+                "application/json",
+                json(refusal, requestId).getBytes(StandardCharsets.UTF_8),
+                refusal.retryAfter()
+                        .map(time -> Map.of("Retry-After", Long.toString(wholeSeconds(time))))
+                        .orElseGet(Map::of));
+    }
+
+    static String json(Refusal refusal, String requestId) {
+        ResultCode code = refusal.code();
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("code", code.number());
+        body.put("name", code.name());
+        body.put("not_run", code.notRun());
+        body.put("message", code.cause());
+        body.put("detail", refusal.detail());
+        body.put("remedy", code.remedy());
+        refusal.retryAfter().ifPresent(time -> body.put("retry_after_millis", time.toMillis()));
+        body.put("request_id", requestId);
+        return body.toString();
+    }
+
+    /** The header has whole seconds; rounding down would invite callers too early. */
+    private static long wholeSeconds(Duration time) {
+        return Math.max(1, time.plusMillis(999).toSeconds());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/ReplyWriter.java
@@ -0,0 +1,89 @@
+package org.vanillaslip.internal.gateway;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.reactivestreams.Publisher;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.internal.backend.forward.EngineEvent;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Writes answers to callers. */
+final class ReplyWriter {
+
+    private static final String REQUEST_ID = "X-Request-Id";
+
+    private ReplyWriter() {}
+
+    static Mono<Void> write(HttpServerResponse response, WholeReply reply, String requestId) {
+        response.status(reply.status())
+                .header(REQUEST_ID, requestId)
+                .header("Content-Type", reply.contentType())
+                .header("Content-Length", Integer.toString(reply.body().length));
+        reply.headers().forEach(response::header);
+        return response.sendByteArray(Mono.just(reply.body())).then();
+    }
+
+    /**
+     * Writes a completion as server-sent events. The status is sent with the first event; an error
+     * after that becomes an error event, and only a complete answer ends with [DONE].
+     */
+    static Mono<Void> stream(
+            HttpServerResponse response,
+            Flux<EngineEvent> events,
+            String requestId,
+            Function<Throwable, Refusal> refusals) {
+        return events.switchOnFirst(
+                        (first, all) ->
+                                first.hasValue()
+                                        ? send(response, all, requestId, refusals)
+                                        : all.then())
+                .then();
+    }
+
+    private static Publisher<Void> send(
+            HttpServerResponse response,
+            Flux<EngineEvent> events,
+            String requestId,
+            Function<Throwable, Refusal> refusals) {
+        AtomicLong offset = new AtomicLong();
+        Flux<String> lines =
+                events.map(event -> event(event, requestId, offset))
+                        .onErrorResume(
+                                error ->
+                                        Mono.just(
+                                                "event: error\ndata: "
+                                                        + RefusalWriter.json(
+                                                                refusals.apply(error), requestId)
+                                                        + "\n\n"));
+        response.header(REQUEST_ID, requestId)
+                .header("Content-Type", "text/event-stream")
+                .header("Cache-Control", "no-cache");
+        return response.send(lines.map(ReplyWriter::buffer), buffer -> true).then();
+    }
+
+    private static String event(EngineEvent event, String requestId, AtomicLong offset) {
+        ObjectNode data = JsonNodeFactory.instance.objectNode();
+        data.put("request_id", requestId);
+        if (!event.last()) {
+            data.put("offset", offset.getAndIncrement());
+            data.put("token", event.token());
+            return "data: " + data + "\n\n";
+        }
+        data.put("finish_reason", event.finishReason());
+        data.putObject("usage")
+                .put("prompt_tokens", event.promptTokens())
+                .put("completion_tokens", event.completionTokens());
+        return "data: " + data + "\n\ndata: [DONE]\n\n";
+    }
+
+    private static ByteBuf buffer(String text) {
+        return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/RequestEvent.java
@@ -0,0 +1,45 @@
+package org.vanillaslip.internal.gateway;
+
+import java.lang.System.Logger.Level;
+import org.vanillaslip.internal.logging.LogEvent;
+
+/** Log events of the request path. */
+public enum RequestEvent implements LogEvent {
+    GATEWAY_STARTED(500, Level.INFO, "The gateway accepts requests."),
+    SERVER_CHOSEN(501, Level.INFO, "A backend server was chosen for a request."),
+    REQUEST_REFUSED(502, Level.INFO, "A request was refused."),
+    REQUEST_COMPLETED(503, Level.INFO, "A request got its complete answer."),
+    REQUEST_RETRIED(504, Level.INFO, "A request is sent to a backend server again."),
+    CALLER_LEFT(505, Level.INFO, "The caller closed the connection before the answer ended."),
+    OUTCOME_NOT_RECORDED(
+            506, Level.WARNING, "The outcome of a non-repeatable call could not be recorded."),
+    STOP_BEGAN(507, Level.INFO, "The planned stop began; readiness is false."),
+    STOP_REFUSES(508, Level.INFO, "The planned stop refuses new requests."),
+    STOP_ENDED(509, Level.INFO, "The planned stop of the gateway ended."),
+    INTERNAL_FAULT(510, Level.ERROR, "A request failed by an internal error.");
+
+    private final int mNumber;
+    private final Level mLevel;
+    private final String mText;
+
+    RequestEvent(int number, Level level, String text) {
+        mNumber = number;
+        mLevel = level;
+        mText = text;
+    }
+
+    @Override
+    public int number() {
+        return mNumber;
+    }
+
+    @Override
+    public Level level() {
+        return mLevel;
+    }
+
+    @Override
+    public String text() {
+        return mText;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/RequestReader.java
@@ -0,0 +1,141 @@
+package org.vanillaslip.internal.gateway;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.Configuration;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.Route;
+import org.vanillaslip.internal.admission.Caller;
+import org.vanillaslip.internal.admission.CredentialFilter;
+import org.vanillaslip.internal.admission.DeadlineHeader;
+import org.vanillaslip.internal.admission.KeyCheck;
+import org.vanillaslip.internal.backend.forward.BoundedBody;
+import org.vanillaslip.internal.control.ConfigurationView;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+
+/** Turns HTTP requests into authenticated requests. */
+final class RequestReader {
+
+    private static final Duration NOT_READY_RETRY = Duration.ofSeconds(1);
+
+    private final ConfigurationView mConfiguration;
+    private final GatewaySettings mSettings;
+    private final DecisionLoop mLoop;
+
+    RequestReader(ConfigurationView configuration, GatewaySettings settings, DecisionLoop loop) {
+        mConfiguration = configuration;
+        mSettings = settings;
+        mLoop = loop;
+    }
+
+    /** Reads the request; refusals end the result with {@link RefusedException}. */
+    Mono<CallerRequest> read(HttpServerRequest http, String id, RequestTrace trace) {
+        Configuration configuration =
+                mConfiguration
+                        .current()
+                        .orElseThrow(
+                                () ->
+                                        new RefusedException(
+                                                Refusal.retryable(
+                                                        ResultCode.NOT_READY,
+                                                        mSettings.hostName(),
+                                                        NOT_READY_RETRY)));
+        Map<String, String> headers = headers(http);
+        String uri = http.uri();
+        int mark = uri.indexOf('?');
+        String path = mark < 0 ? uri : uri.substring(0, mark);
+        Route route = configuration.routes().get(path);
+        if (route == null) {
+            throw new RefusedException(Refusal.of(ResultCode.UNKNOWN_ROUTE, "path"));
+        }
+        Optional<String> key = KeyCheck.presentedKey(headers);
+        Caller caller = orRefuse(KeyCheck.check(configuration, route, key));
+        checkAge(route);
+        Duration deadline =
+                orRefuse(
+                        DeadlineHeader.parse(
+                                Optional.ofNullable(headers.get(DeadlineHeader.NAME)),
+                                route.deadline()));
+        checkBodyHeaders(headers);
+        CredentialFilter filter = new CredentialFilter(key);
+        long deadlineNanos = mLoop.clock().nowNanos() + deadline.toNanos();
+        return body(http)
+                .timeout(deadline, mLoop.scheduler())
+                .map(
+                        body ->
+                                new CallerRequest(
+                                        id,
+                                        http.method().name(),
+                                        mark < 0 ? "" : uri.substring(mark + 1),
+                                        headers,
+                                        BodyFilter.filter(
+                                                body,
+                                                headers.getOrDefault("content-type", ""),
+                                                filter),
+                                        configuration,
+                                        route,
+                                        caller,
+                                        filter,
+                                        deadlineNanos,
+                                        trace));
+    }
+
+    private void checkAge(Route route) {
+        Duration most = mSettings.maximumConfigurationAge();
+        if (!route.open() && !most.isZero() && mConfiguration.age().compareTo(most) > 0) {
+            throw new RefusedException(
+                    Refusal.retryable(
+                            ResultCode.CONFIGURATION_TOO_OLD,
+                            mSettings.hostName(),
+                            NOT_READY_RETRY));
+        }
+    }
+
+    private void checkBodyHeaders(Map<String, String> headers) {
+        // A key inside a compressed body could not be found.
+        if (!headers.getOrDefault("content-encoding", "identity").equals("identity")) {
+            throw new RefusedException(
+                    Refusal.of(ResultCode.MALFORMED_BODY, "content-encoding is not supported"));
+        }
+        String length = headers.getOrDefault("content-length", "0");
+        if (length.length() > 9 || Long.parseLong(length) > mSettings.largestBody()) {
+            throw tooLarge();
+        }
+    }
+
+    private Mono<byte[]> body(HttpServerRequest http) {
+        return BoundedBody.collect(
+                http.receive().asByteArray(), mSettings.largestBody(), this::tooLarge);
+    }
+
+    private RefusedException tooLarge() {
+        return new RefusedException(
+                Refusal.of(
+                        ResultCode.BODY_TOO_LARGE,
+                        "at most " + mSettings.largestBody() + " bytes"));
+    }
+
+    /** Several headers of one name are joined, as HTTP allows. */
+    private static Map<String, String> headers(HttpServerRequest http) {
+        Map<String, String> headers = new HashMap<>();
+        http.requestHeaders()
+                .forEach(
+                        header ->
+                                headers.merge(
+                                        header.getKey().toLowerCase(Locale.ROOT),
+                                        header.getValue(),
+                                        (one, other) -> one + ", " + other));
+        return headers;
+    }
+
+    static <T> T orRefuse(Either<Refusal, T> result) {
+        return result.getOrElseThrow(refusal -> new RefusedException(refusal));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/StopSequence.java
@@ -0,0 +1,91 @@
+package org.vanillaslip.internal.gateway;
+
+import java.time.Duration;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.logging.LogField;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Planned stop: readiness false, a delay, refusals, then a bounded wait for running work. */
+final class StopSequence {
+
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
+
+    /** Time for the last refusals to be written after the bound has passed. */
+    private static final Duration LAST_ANSWERS = Duration.ofMillis(200);
+
+    private final GatewaySettings mSettings;
+    private final DecisionLoop mLoop;
+    private final Dispatcher mDispatcher;
+    private final RunningRequests mRunning;
+    private final AttemptRunner mAttempts;
+    private final EventLog mLog;
+    private volatile boolean mBegun;
+    private volatile boolean mRefusing;
+
+    StopSequence(
+            GatewaySettings settings,
+            DecisionLoop loop,
+            Dispatcher dispatcher,
+            RunningRequests running,
+            AttemptRunner attempts,
+            EventLog log) {
+        mSettings = settings;
+        mLoop = loop;
+        mDispatcher = dispatcher;
+        mRunning = running;
+        mAttempts = attempts;
+        mLog = log;
+    }
+
+    boolean begun() {
+        return mBegun;
+    }
+
+    boolean refusing() {
+        return mRefusing;
+    }
+
+    /** Completes when no work is left or the time is over. */
+    Mono<Void> run() {
+        return Mono.defer(
+                () -> {
+                    mBegun = true;
+                    mLog.log(RequestEvent.STOP_BEGAN);
+                    Duration bound = mSettings.shutdownTimeout().minus(mSettings.shutdownDelay());
+                    return Mono.delay(mSettings.shutdownDelay(), mLoop.scheduler())
+                            .then(Mono.defer(() -> finishWork(bound)))
+                            .doOnTerminate(this::logEnd);
+                });
+    }
+
+    private Mono<Void> finishWork(Duration bound) {
+        mRefusing = true;
+        mLog.log(RequestEvent.STOP_REFUSES);
+        Mono<Void> idle =
+                Flux.interval(Duration.ZERO, CHECK_INTERVAL, mLoop.scheduler())
+                        .filter(tick -> mRunning.size() == 0 && mAttempts.unfinished() == 0)
+                        .next()
+                        .then();
+        return idle.timeout(
+                bound.isNegative() ? Duration.ZERO : bound,
+                Mono.defer(this::giveUp),
+                mLoop.scheduler());
+    }
+
+    private Mono<Void> giveUp() {
+        Refusal stopping =
+                Refusal.retryable(
+                        ResultCode.HOST_STOPPING, mSettings.hostName(), Duration.ofSeconds(1));
+        mDispatcher.refuseAll(ticket -> true, stopping);
+        mRunning.abortAll(stopping);
+        return Mono.delay(LAST_ANSWERS, mLoop.scheduler()).then();
+    }
+
+    private void logEnd() {
+        mLog.log(RequestEvent.STOP_ENDED, LogField.field("unfinished", mRunning.size()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Ticket.java
@@ -0,0 +1,47 @@
+package org.vanillaslip.internal.gateway;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.vanillaslip.Configuration;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.internal.control.Replica;
+import org.vanillaslip.internal.queue.WaitingRequest;
+import reactor.core.publisher.Sinks;
+
+/** A request on its way to a backend server. All fields change on the decision loop only. */
+final class Ticket {
+
+    final WaitingRequest mRequest;
+    final Target mTarget;
+    final OptionalLong mPrefixHash;
+    final Set<String> mTriedServers;
+    final Function<Configuration, Optional<Refusal>> mRecheck;
+    final Sinks.One<Replica> mGranted = Sinks.one();
+    @Nullable Replica mReplica;
+    @Nullable Slot mSlot;
+    long mGrantedNanos;
+    boolean mClosed;
+    boolean mActivating;
+    long mExpectedNanos;
+
+    Ticket(
+            WaitingRequest request,
+            Target target,
+            OptionalLong prefixHash,
+            Set<String> triedServers,
+            Function<Configuration, Optional<Refusal>> recheck) {
+        mRequest = request;
+        mTarget = target;
+        mPrefixHash = prefixHash;
+        mTriedServers = Set.copyOf(triedServers);
+        mRecheck = recheck;
+        mExpectedNanos = Long.MIN_VALUE;
+    }
+
+    boolean waiting() {
+        return mReplica == null && !mClosed;
+    }
+}
