--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/ResidentBody.java
@@ -0,0 +1,16 @@
+package org.vanillaslip.internal.backend;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import org.jspecify.annotations.Nullable;
+import org.vanillaslip.internal.placement.Resident;
+
+/** JSON of a resident model or adapter. */
+@JsonIgnoreProperties(ignoreUnknown = true)
+record ResidentBody(
+        String model, String version, @Nullable String adapter, String state, long decision) {
+
+    Resident resident() {
+        String name = adapter == null ? "" : adapter;
+        return new Resident(model, version, name, "loaded".equals(state), decision);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/StatusPoller.java
@@ -0,0 +1,45 @@
+package org.vanillaslip.internal.backend;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+
+/**
+ * Reads the status of servers at most once at a time per server. Reports are therefore delivered in
+ * the order in which they were asked for.
+ */
+public final class StatusPoller {
+
+    private final DecisionLoop mLoop;
+    private final EngineClient mClient;
+    private final Consumer<EngineStatus> mListener;
+    private final Map<String, Long> mAskedNanos = new HashMap<>();
+    private final Set<String> mOpen = new HashSet<>();
+
+    /** Creates a poller; the listener is called on the decision loop. */
+    public StatusPoller(DecisionLoop loop, EngineClient client, Consumer<EngineStatus> listener) {
+        mLoop = loop;
+        mClient = client;
+        mListener = listener;
+    }
+
+    /** Reads the status unless that was done within the interval or is under way. */
+    public void pollIfDue(BackendServer server, Duration interval) {
+        long now = mLoop.clock().nowNanos();
+        Long last = mAskedNanos.get(server.name());
+        if (mOpen.contains(server.name()) || last != null && now - last < interval.toNanos()) {
+            return;
+        }
+        mAskedNanos.put(server.name(), now);
+        mOpen.add(server.name());
+        mClient.status(server, now)
+                .publishOn(mLoop.scheduler())
+                .doFinally(signal -> mLoop.scheduler().schedule(() -> mOpen.remove(server.name())))
+                .subscribe(status -> status.ifPresent(mListener));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/Activations.java
@@ -0,0 +1,58 @@
+package org.vanillaslip.internal.control.placement;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.internal.peer.PeerLinks;
+import org.vanillaslip.messages.Envelope;
+import reactor.core.publisher.Mono;
+
+/** Asks lease holders on other hosts for activations; one open request per model. */
+final class Activations {
+
+    // The holder answers from memory; a longer silence means that it cannot be reached.
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final PeerLinks mPeers;
+    private final Map<ModelName, Mono<Either<Refusal, Duration>>> mOpen = new HashMap<>();
+
+    Activations(PeerLinks peers) {
+        mPeers = peers;
+    }
+
+    /** Asks the holder; callers that come before the answer share it. */
+    Mono<Either<Refusal, Duration>> ask(String holder, ModelName model, Duration wait) {
+        Mono<Either<Refusal, Duration>> open = mOpen.get(model);
+        if (open != null) {
+            return open;
+        }
+        Envelope.Builder request = ActivationMessages.request(model, wait, 0);
+        Mono<Either<Refusal, Duration>> answer =
+                mPeers.request(holder, request, TIMEOUT)
+                        .map(
+                                reply ->
+                                        reply.isRight()
+                                                ? ActivationMessages.answer(reply.get())
+                                                : unreachable(model))
+                        .doFinally(signal -> mOpen.remove(model))
+                        .cache();
+        mOpen.put(model, answer);
+        return answer;
+    }
+
+    /** Sends arrivals without asking for an activation. */
+    void sendArrivals(String holder, ModelName model, int arrivals) {
+        mPeers.send(holder, ActivationMessages.request(model, Duration.ZERO, arrivals));
+    }
+
+    /** Returns the refusal of a model whose lease holder cannot be reached. */
+    static Either<Refusal, Duration> unreachable(ModelName model) {
+        String detail = "model " + model + ": no holder of its control shard can be reached";
+        return Either.left(Refusal.retryable(ResultCode.NO_BACKEND_SERVER, detail, RETRY_AFTER));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/LoadTable.java
@@ -0,0 +1,71 @@
+package org.vanillaslip.internal.control.placement;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.internal.control.ServerLoad;
+
+/** The last known load of every server, from own reports and from digests. */
+final class LoadTable {
+
+    private final Map<String, ServerLoad> mLoads = new HashMap<>();
+    private final Map<String, Long> mSinceNanos = new HashMap<>();
+
+    /** Notes a report unless a newer one is known. */
+    void put(String server, ServerLoad load, long sinceNanos) {
+        if (sinceNanos >= mSinceNanos.getOrDefault(server, Long.MIN_VALUE)) {
+            mLoads.put(server, load);
+            mSinceNanos.put(server, sinceNanos);
+        }
+    }
+
+    void put(ServerSummary summary, long nowNanos) {
+        long since = nowNanos - Duration.ofMillis(summary.ageMillis()).toNanos();
+        Duration uptime = Duration.ofMillis(summary.uptimeMillis());
+        put(
+                summary.server(),
+                new ServerLoad(summary.incarnation(), uptime, summary.running(), summary.waiting()),
+                since);
+    }
+
+    /** Returns the load with the age of the report added to the uptime. */
+    Optional<ServerLoad> load(String server, long nowNanos) {
+        return Optional.ofNullable(mLoads.get(server))
+                .map(
+                        load ->
+                                new ServerLoad(
+                                        load.incarnation(),
+                                        load.uptime().plusNanos(age(server, nowNanos)),
+                                        load.running(),
+                                        load.waiting()));
+    }
+
+    Optional<String> incarnation(String server) {
+        return Optional.ofNullable(mLoads.get(server)).map(ServerLoad::incarnation);
+    }
+
+    List<ServerSummary> summaries(List<String> servers, long nowNanos) {
+        return servers.stream()
+                .flatMap(
+                        server ->
+                                Optional.ofNullable(mLoads.get(server)).stream()
+                                        .map(load -> summary(server, load, nowNanos)))
+                .toList();
+    }
+
+    private ServerSummary summary(String server, ServerLoad load, long nowNanos) {
+        return new ServerSummary(
+                server,
+                load.incarnation(),
+                load.uptime().toMillis(),
+                load.running(),
+                load.waiting(),
+                Duration.ofNanos(age(server, nowNanos)).toMillis());
+    }
+
+    private long age(String server, long nowNanos) {
+        return Math.max(0, nowNanos - mSinceNanos.getOrDefault(server, nowNanos));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementLog.java
@@ -0,0 +1,38 @@
+package org.vanillaslip.internal.control.placement;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.placement.Notice;
+import org.vanillaslip.internal.placement.Order;
+
+/** Writes one line per placement decision. */
+final class PlacementLog {
+
+    private final EventLog mLog;
+
+    PlacementLog(EventLog log) {
+        mLog = log;
+    }
+
+    void notice(Notice notice) {
+        mLog.log(
+                PlacementEvent.of(notice.kind()),
+                field("model", notice.model()),
+                field("server", notice.server()),
+                field("reason", notice.reason()));
+    }
+
+    void offline(Order order) {
+        mLog.log(
+                PlacementEvent.OFFLINE_LOAD,
+                field("model", order.model()),
+                field("server", order.server()),
+                field("reason", "neither platform nor lease holder can be reached"));
+    }
+
+    void unreadable(String shard, long version) {
+        mLog.log(
+                PlacementEvent.RECORD_UNREADABLE, field("shard", shard), field("version", version));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PollPlan.java
@@ -0,0 +1,29 @@
+package org.vanillaslip.internal.control.placement;
+
+import java.time.Duration;
+import org.vanillaslip.internal.placement.ShardRecord;
+
+/** How often servers are asked for their status. */
+final class PollPlan {
+
+    /** An adapter loads in 5 to 15 ms, so a longer interval would dominate its cold start. */
+    static final Duration TICK = Duration.ofMillis(20);
+
+    static final Duration STEADY = Duration.ofSeconds(1);
+
+    /** Interval of hosts that do not hold the lease and hear from no holder. */
+    static final Duration FALLBACK = Duration.ofSeconds(2);
+
+    /** Most arrivals of one message that enter the history; it keeps the last 32. */
+    static final int MOST_ARRIVALS = 32;
+
+    private PollPlan() {}
+
+    /** Returns a short interval while an order on the server has no known outcome. */
+    static Duration interval(ShardRecord record, String server) {
+        boolean unresolved =
+                record.placements().stream()
+                        .anyMatch(p -> p.server().equals(server) && p.unresolved());
+        return unresolved ? TICK : STEADY;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/RecordJson.java
@@ -0,0 +1,46 @@
+package org.vanillaslip.internal.control.placement;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.util.Optional;
+import org.vanillaslip.internal.placement.ShardRecord;
+
+/** JSON of shard records, in the object store and in digests. */
+final class RecordJson {
+
+    private final ObjectMapper mJson =
+            JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+
+    ObjectNode write(ShardRecord record) {
+        return mJson.valueToTree(record);
+    }
+
+    Optional<ShardRecord> read(ObjectNode spec) {
+        try {
+            return Optional.of(mJson.treeToValue(spec, ShardRecord.class));
+        } catch (JsonProcessingException e) {
+            return Optional.empty();
+        }
+    }
+
+    ByteString write(DigestBody digest) {
+        try {
+            return ByteString.copyFrom(mJson.writeValueAsBytes(digest));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("Cannot write a placement digest", e);
+        }
+    }
+
+    Optional<DigestBody> readDigest(ByteString bytes) {
+        try {
+            return Optional.of(mJson.readValue(bytes.newInput(), DigestBody.class));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardContexts.java
@@ -0,0 +1,96 @@
+package org.vanillaslip.internal.control.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.Configuration;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.Host;
+import org.vanillaslip.internal.control.ConfigurationView;
+import org.vanillaslip.internal.control.HostView;
+import org.vanillaslip.internal.lease.LeaseRank;
+import org.vanillaslip.internal.placement.PlacementSettings;
+import org.vanillaslip.internal.placement.ShardContext;
+
+/** Makes the context of shard decisions from the views of this host. */
+final class ShardContexts {
+
+    private final String mHost;
+    private final FailureDomain mDomain;
+    private final PlacementSettings mSettings;
+    private final ConfigurationView mConfiguration;
+    private final HostView mHosts;
+
+    ShardContexts(
+            String host,
+            FailureDomain domain,
+            PlacementSettings settings,
+            ConfigurationView configuration,
+            HostView hosts) {
+        mHost = host;
+        mDomain = domain;
+        mSettings = settings;
+        mConfiguration = configuration;
+        mHosts = hosts;
+    }
+
+    Optional<Configuration> configuration() {
+        return mConfiguration.current();
+    }
+
+    FailureDomain domain() {
+        return mDomain;
+    }
+
+    String host() {
+        return mHost;
+    }
+
+    /** Returns the names of the shards of this failure domain. */
+    Set<String> shards() {
+        return configuration().map(c -> c.backendServers().values().stream()).stream()
+                .flatMap(servers -> servers)
+                .filter(server -> server.failureDomain().equals(mDomain))
+                .map(BackendServer::controlShard)
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns the other hosts of this failure domain. */
+    List<String> peers() {
+        return mHosts.hosts().stream()
+                .filter(host -> host.failureDomain().equals(mDomain))
+                .map(Host::name)
+                .filter(name -> !name.equals(mHost))
+                .toList();
+    }
+
+    /** Returns the context of the shard, or nothing before there is a configuration. */
+    Optional<ShardContext> of(String shard) {
+        return configuration().map(configuration -> of(shard, configuration));
+    }
+
+    private ShardContext of(String shard, Configuration configuration) {
+        Set<String> domainHosts =
+                mHosts.hosts().stream()
+                        .filter(host -> host.failureDomain().equals(mDomain))
+                        .map(Host::name)
+                        .collect(Collectors.toSet());
+        // Leaving and drained hosts come last, so that a shard does not move twice.
+        List<String> staying =
+                mHosts.hosts().stream()
+                        .filter(host -> host.failureDomain().equals(mDomain))
+                        .filter(host -> !host.leaving() && !isDrained(configuration, host.name()))
+                        .map(Host::name)
+                        .toList();
+        int rank = LeaseRank.of(shard, mHost, staying);
+        int penalty = staying.contains(mHost) ? 0 : staying.size();
+        return new ShardContext(
+                mHost, shard, mDomain, rank + penalty, domainHosts, configuration, mSettings);
+    }
+
+    private static boolean isDrained(Configuration configuration, String host) {
+        return configuration.hosts().containsKey(host) && configuration.hosts().get(host).drained();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardListener.java
@@ -0,0 +1,21 @@
+package org.vanillaslip.internal.control.placement;
+
+import org.vanillaslip.internal.placement.Notice;
+import org.vanillaslip.internal.placement.Order;
+import org.vanillaslip.internal.placement.ShardRecord;
+
+/** Carries out what a shard's state machine asks for besides calls to the platform. */
+interface ShardListener {
+
+    /** Sends an order to its server. */
+    void send(Order order);
+
+    /** Tells the other hosts of the failure domain about the stored record. */
+    void publish(String shard, long version, ShardRecord record);
+
+    /** Logs a decision or outcome. */
+    void report(Notice notice);
+
+    /** Logs that a stored record cannot be read. */
+    void unreadable(String shard, long version);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardTable.java
@@ -0,0 +1,68 @@
+package org.vanillaslip.internal.control.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.Model;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.internal.placement.ShardSelection;
+
+/** The control shards of this failure domain as run by this host. */
+final class ShardTable {
+
+    private final ShardContexts mContexts;
+    private final Function<String, ShardRuntime> mFactory;
+    private final Map<String, ShardRuntime> mShards = new HashMap<>();
+
+    /** Creates an empty table; the factory makes the runtime of a shard that is new. */
+    ShardTable(ShardContexts contexts, Function<String, ShardRuntime> factory) {
+        mContexts = contexts;
+        mFactory = factory;
+    }
+
+    ShardRuntime get(String shard) {
+        return mShards.computeIfAbsent(shard, mFactory);
+    }
+
+    Optional<ShardRuntime> find(String shard) {
+        return Optional.ofNullable(mShards.get(shard));
+    }
+
+    void forEach(BiConsumer<String, ShardRuntime> action) {
+        mShards.forEach(action);
+    }
+
+    boolean holdsNone() {
+        return mShards.values().stream().noneMatch(ShardRuntime::holds);
+    }
+
+    /** Returns the name of the shard that loads the model in this failure domain. */
+    Optional<String> shardOf(ModelName name) {
+        return mContexts
+                .configuration()
+                .flatMap(
+                        configuration ->
+                                model(name)
+                                        .flatMap(
+                                                model ->
+                                                        ShardSelection.of(
+                                                                configuration,
+                                                                mContexts.domain(),
+                                                                model)));
+    }
+
+    Optional<Model> model(ModelName name) {
+        return mContexts
+                .configuration()
+                .flatMap(c -> Optional.ofNullable(c.models().get(name.model())));
+    }
+
+    Optional<BackendServer> server(String name) {
+        return mContexts
+                .configuration()
+                .flatMap(c -> Optional.ofNullable(c.backendServers().get(name)));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/package-info.java
@@ -0,0 +1,5 @@
+/** Runs the decisions about control shards and knows what is loaded. */
+@NullMarked
+package org.vanillaslip.internal.control.placement;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ActivationEstimate.java
@@ -0,0 +1,77 @@
+package org.vanillaslip.internal.placement;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.Model;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+
+/** Estimates how long a caller waits until a model can be used. */
+public final class ActivationEstimate {
+
+    // Time of an adapter load while at most 32 are in flight.
+    private static final Duration ADAPTER_LOAD = Duration.ofMillis(15);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
+
+    private ActivationEstimate() {}
+
+    /** Returns the expected wait, or why the shard cannot load the model now. */
+    public static Either<Refusal, Duration> of(
+            ShardState state, ShardContext context, ModelName name, long nowNanos) {
+        Optional<Model> model = context.model(name.model());
+        if (model.isEmpty()) {
+            return Either.left(Refusal.of(ResultCode.UNKNOWN_MODEL, name.toString()));
+        }
+        Duration adapter = name.adapter().isPresent() ? ADAPTER_LOAD : Duration.ZERO;
+        ServerChoice choice = new ServerChoice(state, context, nowNanos);
+        Optional<Placement> placed =
+                state.record().placements().stream()
+                        .filter(p -> p.isFor(name.model(), model.get().version(), ""))
+                        .filter(p -> p.stage() != PlacementStage.UNLOAD_ORDERED)
+                        .findFirst();
+        if (placed.isPresent()) {
+            boolean loaded = placed.get().stage() == PlacementStage.LOADED;
+            Duration base =
+                    loaded
+                            ? Duration.ZERO
+                            : load(choice, model.get(), placed.get(), context, state);
+            return Either.right(base.plus(adapter));
+        }
+        return unplaced(state, context, model.get(), choice).map(adapter::plus);
+    }
+
+    private static Duration load(
+            ServerChoice choice,
+            Model model,
+            Placement placed,
+            ShardContext context,
+            ShardState state) {
+        return context.server(placed.server())
+                .map(server -> choice.estimate(model, server, state.record()))
+                .orElse(model.loadTimes().fromRemote());
+    }
+
+    private static Either<Refusal, Duration> unplaced(
+            ShardState state, ShardContext context, Model model, ServerChoice choice) {
+        int budget = new ReplicaBudget(context.configuration()).of(model, context.shard());
+        if (budget == 0) {
+            return refusal(model, "no replica is decided for this failure domain");
+        }
+        List<BackendServer> servers =
+                choice.candidates(model, state.record()).stream()
+                        .filter(server -> server.memoryBytes() >= model.memoryBytes())
+                        .toList();
+        return servers.isEmpty()
+                ? refusal(model, "no server reports room for it")
+                : Either.right(choice.estimate(model, servers.get(0), state.record()));
+    }
+
+    private static Either<Refusal, Duration> refusal(Model model, String reason) {
+        String detail = "model " + model.name() + ": " + reason;
+        return Either.left(Refusal.retryable(ResultCode.NO_BACKEND_SERVER, detail, RETRY_AFTER));
+    }
+}
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/OfflineLoad.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/OfflineLoad.java
@@ -29,4 +29,10 @@
     public OfflineLoad retired(long objectVersion) {
         return new OfflineLoad(decision, term, server, model, version, memoryBytes, objectVersion);
     }
+
+    /** Returns this load taken over by the holder of a newer term. */
+    public OfflineLoad takenOver(long newTerm) {
+        return new OfflineLoad(
+                decision, newTerm, server, model, version, memoryBytes, retiredVersion);
+    }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/OfflinePlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/OfflinePlan.java
@@ -20,7 +20,9 @@
         List<OfflineLoad> kept = new ArrayList<>();
         for (OfflineLoad load : mDraft.offline()) {
             if (load.inForce()) {
-                kept.add(stillUseful(load) ? load : load.retired(mState.lease().version() + 1));
+                // With the current term a load stays usable after a fence order of this holder.
+                OfflineLoad current = load.takenOver(mState.lease().term());
+                kept.add(stillUseful(load) ? current : load.retired(mState.lease().version() + 1));
             } else if (!released(load)) {
                 kept.add(load);
             }
