Add links between hosts and the services for quotas and slots

NettyPeerLinks carries framed messages over one connection per pair; PeerExchange matches replies and drops duplicates over any transport.

--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/EnvelopeCodec.java
@@ -0,0 +1,68 @@
+package org.vanillaslip.internal.peer;
+
+import com.google.protobuf.CodedOutputStream;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.ByteBufOutputStream;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageCodec;
+import io.netty.handler.codec.CorruptedFrameException;
+import java.io.IOException;
+import java.util.List;
+import org.vanillaslip.messages.Envelope;
+
+/** Frames messages by a varint length. */
+final class EnvelopeCodec extends ByteToMessageCodec<Envelope> {
+
+    /** Platform objects are at most 1 MB and one message may carry several. */
+    private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
+
+    private static final int MAX_VARINT_BYTES = 5;
+
+    @Override
+    protected void encode(ChannelHandlerContext context, Envelope message, ByteBuf out)
+            throws IOException {
+        int size = message.getSerializedSize();
+        out.ensureWritable(CodedOutputStream.computeUInt32SizeNoTag(size) + size);
+        try (ByteBufOutputStream stream = new ByteBufOutputStream(out)) {
+            message.writeDelimitedTo(stream);
+        }
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+            throws IOException {
+        int start = in.readerIndex();
+        int length = readLength(in);
+        if (length < 0 || in.readableBytes() < length) {
+            in.readerIndex(start);
+            return;
+        }
+        try (ByteBufInputStream stream = new ByteBufInputStream(in.readSlice(length))) {
+            out.add(Envelope.parseFrom(stream));
+        }
+    }
+
+    /** Returns the length, or -1 when its bytes are not complete yet. */
+    private static int readLength(ByteBuf in) {
+        long length = 0;
+        for (int i = 0; i < MAX_VARINT_BYTES; i++) {
+            if (!in.isReadable()) {
+                return -1;
+            }
+            byte part = in.readByte();
+            length |= (long) (part & 0x7f) << (7 * i);
+            if (part >= 0) {
+                return checked(length);
+            }
+        }
+        throw new CorruptedFrameException("The frame length is not a 32-bit varint.");
+    }
+
+    private static int checked(long length) {
+        if (length > MAX_FRAME_BYTES) {
+            throw new CorruptedFrameException("A frame of " + length + " bytes is too long.");
+        }
+        return (int) length;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
@@ -0,0 +1,288 @@
+package org.vanillaslip.internal.peer;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.vanillaslip.Host;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.messages.Envelope;
+import org.vanillaslip.messages.Heartbeat;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+
+/**
+ * Peer links over TCP. Of two hosts the one with the smaller name connects, so that there is one
+ * connection per pair; bootstrap addresses are tried until a link to them exists.
+ */
+public final class NettyPeerLinks implements PeerLinks {
+
+    /** Bounds the memory for messages that a slow host has not taken yet. */
+    private static final int MAX_QUEUED_BYTES = 4 * 1024 * 1024;
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 2000;
+
+    private final String mHost;
+    private final DecisionLoop mLoop;
+    private final EventLoopGroup mGroup;
+    private final InetSocketAddress mBindAddress;
+    private final Supplier<List<Host>> mHosts;
+    private final List<InetSocketAddress> mBootstrap;
+    private final Supplier<Heartbeat> mHeartbeat;
+    private final PeerTimes mTimes;
+    private final EventLog mLog;
+    private final PeerExchange mExchange;
+    private final Map<String, PeerLink> mLinks = new HashMap<>();
+    private final Set<PeerLink> mOpen = new HashSet<>();
+    private final Set<InetSocketAddress> mDialling = new HashSet<>();
+    private volatile Optional<Channel> mServer = Optional.empty();
+    private volatile Optional<Disposable> mTick = Optional.empty();
+
+    /**
+     * Creates links that are not started yet.
+     *
+     * @param incarnation changes with each start of this process
+     * @param firstRequestId a random number
+     * @param hosts the platform's list as last read
+     * @param bootstrap addresses to try while the list is unknown
+     * @param heartbeat content of the next heartbeat
+     */
+    public NettyPeerLinks(
+            String host,
+            String incarnation,
+            long firstRequestId,
+            DecisionLoop loop,
+            EventLoopGroup group,
+            InetSocketAddress bindAddress,
+            Supplier<List<Host>> hosts,
+            List<InetSocketAddress> bootstrap,
+            Supplier<Heartbeat> heartbeat,
+            PeerTimes times,
+            EventLog log) {
+        mHost = host;
+        mLoop = loop;
+        mGroup = group;
+        mBindAddress = bindAddress;
+        mHosts = hosts;
+        mBootstrap = List.copyOf(bootstrap);
+        mHeartbeat = heartbeat;
+        mTimes = times;
+        mLog = log;
+        mExchange =
+                new PeerExchange(
+                        host, incarnation, loop, this::write, firstRequestId, times.silence());
+    }
+
+    /** Listens and connects; completes with the address in use. */
+    public Mono<InetSocketAddress> start() {
+        return Mono.create(
+                sink ->
+                        new ServerBootstrap()
+                                .group(mGroup)
+                                .channel(NioServerSocketChannel.class)
+                                .childOption(ChannelOption.TCP_NODELAY, true)
+                                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                                .childHandler(initializer(Optional.empty()))
+                                .bind(mBindAddress)
+                                .addListener(
+                                        (io.netty.channel.ChannelFuture bound) -> {
+                                            if (bound.isSuccess()) {
+                                                sink.success(started(bound.channel()));
+                                            } else {
+                                                sink.error(bound.cause());
+                                            }
+                                        }));
+    }
+
+    /** Closes all connections. */
+    public void stop() {
+        mTick.ifPresent(Disposable::dispose);
+        mServer.ifPresent(Channel::close);
+        mLoop.scheduler().schedule(() -> mOpen.forEach(link -> link.channel().close()));
+    }
+
+    @Override
+    public Mono<Either<PeerFailure, Envelope>> request(
+            String host, Envelope.Builder request, Duration timeout) {
+        return mExchange.request(host, request, timeout);
+    }
+
+    @Override
+    public void send(String host, Envelope.Builder message) {
+        mExchange.send(host, message);
+    }
+
+    @Override
+    public void handle(Envelope.BodyCase bodyCase, PeerHandler handler) {
+        mExchange.handle(bodyCase, handler);
+    }
+
+    @Override
+    public Set<String> liveHosts() {
+        return mExchange.liveHosts();
+    }
+
+    private InetSocketAddress started(Channel server) {
+        mServer = Optional.of(server);
+        InetSocketAddress address = (InetSocketAddress) server.localAddress();
+        long period = mTimes.heartbeat().toNanos();
+        mTick =
+                Optional.of(
+                        mLoop.scheduler()
+                                .schedulePeriodically(this::tick, 0, period, TimeUnit.NANOSECONDS));
+        mLog.log(PeerEvent.LISTENING, field("address", address));
+        return address;
+    }
+
+    private ChannelInitializer<Channel> initializer(Optional<InetSocketAddress> dialled) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                PeerLink link = new PeerLink(channel, dialled, mLoop.clock().nowNanos());
+                channel.pipeline().addLast(new EnvelopeCodec());
+                channel.pipeline().addLast(new PeerLinkHandler(link, NettyPeerLinks.this, mLoop));
+            }
+        };
+    }
+
+    private static WriteBufferWaterMark waterMark() {
+        return new WriteBufferWaterMark(MAX_QUEUED_BYTES / 2, MAX_QUEUED_BYTES);
+    }
+
+    private void tick() {
+        long now = mLoop.clock().nowNanos();
+        for (PeerLink link : List.copyOf(mOpen)) {
+            if (link.silence(now) > mTimes.silence().toNanos()) {
+                mLog.log(PeerEvent.LINK_SILENT, field("host", link.peer().orElse("")));
+                link.channel().close();
+                closed(link);
+            } else {
+                sendHeartbeat(link);
+            }
+        }
+        mExchange.refreshLive();
+        dialMissing();
+    }
+
+    private void dialMissing() {
+        for (Host host : mHosts.get()) {
+            if (mHost.compareTo(host.name()) < 0 && !mLinks.containsKey(host.name())) {
+                PeerAddress.parse(host.peerAddress()).ifPresent(this::dial);
+            }
+        }
+        for (InetSocketAddress address : mBootstrap) {
+            if (mOpen.stream().noneMatch(link -> link.dialled().equals(Optional.of(address)))
+                    && mLinks.isEmpty()) {
+                dial(address);
+            }
+        }
+    }
+
+    private void dial(InetSocketAddress address) {
+        if (!mDialling.add(address)) {
+            return;
+        }
+        new Bootstrap()
+                .group(mGroup)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .handler(initializer(Optional.of(address)))
+                .connect(address)
+                .addListener(
+                        connected -> {
+                            if (!connected.isSuccess()) {
+                                mLog.log(PeerEvent.LINK_FAILED, field("address", address));
+                            }
+                            mLoop.scheduler().schedule(() -> mDialling.remove(address));
+                        });
+    }
+
+    /** Notes a new connection and says who this host is. */
+    void opened(PeerLink link) {
+        mOpen.add(link);
+        sendHeartbeat(link);
+    }
+
+    /** Forgets a connection. */
+    void closed(PeerLink link) {
+        mOpen.remove(link);
+        link.peer()
+                .filter(peer -> mLinks.remove(peer, link))
+                .ifPresent(peer -> mLog.log(PeerEvent.LINK_DOWN, field("host", peer)));
+    }
+
+    /** Handles a message that arrived on the connection. */
+    void received(PeerLink link, Envelope message) {
+        link.heard(mLoop.clock().nowNanos());
+        if (link.peer().isEmpty() && !identified(link, message.getSender())) {
+            return;
+        }
+        if (link.peer().equals(Optional.of(message.getSender()))) {
+            mExchange.receive(message);
+        }
+    }
+
+    private boolean identified(PeerLink link, String peer) {
+        PeerLink other = mLinks.get(peer);
+        if (peer.equals(mHost) || (other != null && !replaces(link, other, peer))) {
+            link.channel().close();
+            return false;
+        }
+        link.identify(peer);
+        mLinks.put(peer, link);
+        if (other != null) {
+            other.channel().close();
+        }
+        mLog.log(PeerEvent.LINK_UP, field("host", peer));
+        return true;
+    }
+
+    /**
+     * Both hosts have to keep the same connection: the one that the host with the smaller name
+     * opened, and the newer one of two such connections, since the older may be half open.
+     */
+    private boolean replaces(PeerLink link, PeerLink other, String peer) {
+        boolean dialsHere = mHost.compareTo(peer) < 0;
+        boolean preferred = link.dialled().isPresent() == dialsHere;
+        boolean otherPreferred = other.dialled().isPresent() == dialsHere;
+        return preferred || !otherPreferred;
+    }
+
+    private void sendHeartbeat(PeerLink link) {
+        if (link.channel().isWritable()) {
+            link.channel()
+                    .writeAndFlush(
+                            mExchange.signed(Envelope.newBuilder().setHeartbeat(mHeartbeat.get())));
+        }
+    }
+
+    private boolean write(String host, Envelope message) {
+        PeerLink link = mLinks.get(host);
+        if (link == null || !link.channel().isWritable()) {
+            return false;
+        }
+        link.channel().writeAndFlush(message);
+        return true;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerEvent.java
@@ -0,0 +1,38 @@
+package org.vanillaslip.internal.peer;
+
+import org.vanillaslip.internal.logging.LogEvent;
+
+/** Log events of peer links. */
+public enum PeerEvent implements LogEvent {
+    LISTENING(480, System.Logger.Level.INFO, "Listening for other hosts."),
+    LINK_UP(481, System.Logger.Level.INFO, "A link to another host is up."),
+    LINK_DOWN(482, System.Logger.Level.INFO, "A link to another host is down."),
+    LINK_SILENT(
+            483, System.Logger.Level.WARNING, "A link was silent for too long and was dropped."),
+    LINK_FAILED(484, System.Logger.Level.DEBUG, "A link to another host could not be opened.");
+
+    private final int mNumber;
+    private final System.Logger.Level mLevel;
+    private final String mText;
+
+    PeerEvent(int number, System.Logger.Level level, String text) {
+        mNumber = number;
+        mLevel = level;
+        mText = text;
+    }
+
+    @Override
+    public int number() {
+        return mNumber;
+    }
+
+    @Override
+    public System.Logger.Level level() {
+        return mLevel;
+    }
+
+    @Override
+    public String text() {
+        return mText;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerExchange.java
@@ -0,0 +1,179 @@
+package org.vanillaslip.internal.peer;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.messages.Envelope;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/**
+ * Matches replies to requests, calls handlers, drops duplicates and tracks which hosts are live. It
+ * runs on the decision loop over any transport.
+ */
+public final class PeerExchange implements PeerLinks {
+
+    private final String mHost;
+    private final String mIncarnation;
+    private final DecisionLoop mLoop;
+    private final PeerTransport mTransport;
+    private final long mSilenceNanos;
+    private final Map<Envelope.BodyCase, PeerHandler> mHandlers =
+            new EnumMap<>(Envelope.BodyCase.class);
+    private final Map<Long, PendingRequest> mPending = new HashMap<>();
+    private final Map<String, SeenRequests> mSeen = new HashMap<>();
+    private final Map<String, Long> mHeardAt = new HashMap<>();
+    private final Map<String, String> mIncarnations = new HashMap<>();
+    private volatile Set<String> mLive = Set.of();
+    private long mRequestId;
+
+    /**
+     * Creates an exchange.
+     *
+     * @param incarnation changes with each start of this process
+     * @param firstRequestId random, so that a reply to an earlier incarnation matches no request
+     * @param silence a host from which nothing arrived for this time is not live
+     */
+    public PeerExchange(
+            String host,
+            String incarnation,
+            DecisionLoop loop,
+            PeerTransport transport,
+            long firstRequestId,
+            Duration silence) {
+        mHost = host;
+        mIncarnation = incarnation;
+        mLoop = loop;
+        mTransport = transport;
+        mRequestId = firstRequestId;
+        mSilenceNanos = silence.toNanos();
+    }
+
+    @Override
+    public Mono<Either<PeerFailure, Envelope>> request(
+            String host, Envelope.Builder request, Duration timeout) {
+        return Mono.<Either<PeerFailure, Envelope>>create(
+                sink -> runOnLoop(() -> open(host, request.clone(), timeout, sink)));
+    }
+
+    @Override
+    public void send(String host, Envelope.Builder message) {
+        Envelope envelope = signed(message.clone().setRequestId(0).setReply(false));
+        runOnLoop(() -> mTransport.send(host, envelope));
+    }
+
+    @Override
+    public void handle(Envelope.BodyCase bodyCase, PeerHandler handler) {
+        runOnLoop(() -> mHandlers.put(bodyCase, handler));
+    }
+
+    @Override
+    public Set<String> liveHosts() {
+        return mLive;
+    }
+
+    /** Handles a message that arrived; called on the decision loop. */
+    public void receive(Envelope message) {
+        if (message.getSender().equals(mHost)) {
+            return;
+        }
+        mHeardAt.put(message.getSender(), mLoop.clock().nowNanos());
+        mIncarnations.put(message.getSender(), message.getSenderIncarnation());
+        refreshLive();
+        if (message.getReply()) {
+            close(message);
+        } else if (message.getRequestId() == 0 || isFirst(message)) {
+            dispatch(message);
+        }
+    }
+
+    /** Drops hosts that have been silent for too long; called on the decision loop. */
+    public void refreshLive() {
+        long now = mLoop.clock().nowNanos();
+        mHeardAt.values().removeIf(heardAt -> now - heardAt > mSilenceNanos);
+        mSeen.keySet().retainAll(mHeardAt.keySet());
+        mIncarnations.keySet().retainAll(mHeardAt.keySet());
+        if (!mLive.equals(mHeardAt.keySet())) {
+            mLive = mHeardAt.keySet().stream().collect(Collectors.toUnmodifiableSet());
+        }
+    }
+
+    private void open(
+            String host,
+            Envelope.Builder request,
+            Duration timeout,
+            MonoSink<Either<PeerFailure, Envelope>> sink) {
+        long requestId = ++mRequestId;
+        String incarnation = mIncarnations.getOrDefault(host, "");
+        mPending.put(requestId, new PendingRequest(host, incarnation, sink));
+        if (!mTransport.send(host, signed(request.setRequestId(requestId).setReply(false)))) {
+            fail(requestId, PeerFailure.UNREACHABLE);
+            return;
+        }
+        mLoop.scheduler()
+                .schedule(
+                        () -> fail(requestId, PeerFailure.TIMEOUT),
+                        timeout.toNanos(),
+                        TimeUnit.NANOSECONDS);
+    }
+
+    private void fail(long requestId, PeerFailure failure) {
+        PendingRequest pending = mPending.remove(requestId);
+        if (pending != null) {
+            pending.sink().success(Either.left(failure));
+        }
+    }
+
+    private void close(Envelope reply) {
+        PendingRequest pending = mPending.get(reply.getRequestId());
+        if (pending != null && pending.isAnsweredBy(reply)) {
+            mPending.remove(reply.getRequestId());
+            pending.sink().success(Either.right(reply));
+        }
+    }
+
+    private void dispatch(Envelope request) {
+        PeerHandler handler = mHandlers.get(request.getBodyCase());
+        if (handler == null) {
+            return;
+        }
+        handler.handle(request)
+                .subscribe(
+                        reply -> runOnLoop(() -> reply(request, reply)),
+                        // The sender's timeout covers a handler that failed.
+                        failure -> {});
+    }
+
+    private void reply(Envelope request, Envelope.Builder reply) {
+        if (request.getRequestId() != 0) {
+            mTransport.send(
+                    request.getSender(),
+                    signed(reply.setRequestId(request.getRequestId()).setReply(true)));
+        }
+    }
+
+    private boolean isFirst(Envelope request) {
+        String incarnation = request.getSenderIncarnation();
+        SeenRequests seen = mSeen.get(request.getSender());
+        if (seen == null || !seen.isOf(incarnation)) {
+            seen = new SeenRequests(incarnation);
+            mSeen.put(request.getSender(), seen);
+        }
+        return seen.isFirst(request.getRequestId());
+    }
+
+    /** Returns the message with the name and incarnation of this host. */
+    Envelope signed(Envelope.Builder message) {
+        return message.setSender(mHost).setSenderIncarnation(mIncarnation).build();
+    }
+
+    private void runOnLoop(Runnable task) {
+        mLoop.scheduler().schedule(task);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerLinkHandler.java
@@ -0,0 +1,40 @@
+package org.vanillaslip.internal.peer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.messages.Envelope;
+
+/** Passes what happens on a connection to the decision loop. */
+final class PeerLinkHandler extends SimpleChannelInboundHandler<Envelope> {
+
+    private final PeerLink mLink;
+    private final NettyPeerLinks mLinks;
+    private final DecisionLoop mLoop;
+
+    PeerLinkHandler(PeerLink link, NettyPeerLinks links, DecisionLoop loop) {
+        mLink = link;
+        mLinks = links;
+        mLoop = loop;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mLoop.scheduler().schedule(() -> mLinks.opened(mLink));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mLoop.scheduler().schedule(() -> mLinks.closed(mLink));
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope message) {
+        mLoop.scheduler().schedule(() -> mLinks.received(mLink, message));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaExchange.java
@@ -0,0 +1,166 @@
+package org.vanillaslip.internal.quota;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.vanillaslip.MonotonicClock;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.logging.LogField;
+import org.vanillaslip.internal.peer.PeerFailure;
+import org.vanillaslip.internal.peer.PeerLinks;
+import org.vanillaslip.messages.Envelope;
+import org.vanillaslip.messages.QuotaGrant;
+import org.vanillaslip.messages.QuotaRequest;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Moves tokens between hosts: asks the coordinator, pulls from owners, answers both. */
+final class QuotaExchange {
+
+    /** An owner one domain away answers within a few milliseconds. */
+    private static final Duration PULL_TIMEOUT = Duration.ofMillis(150);
+
+    /** A coordinator needs one pull before it answers. */
+    private static final Duration ASK_TIMEOUT = Duration.ofMillis(400);
+
+    private final String mHost;
+    private final MonotonicClock mClock;
+    private final PeerLinks mLinks;
+    private final EventLog mLog;
+
+    QuotaExchange(String host, MonotonicClock clock, PeerLinks links, EventLog log) {
+        mHost = host;
+        mClock = clock;
+        mLinks = links;
+        mLog = log;
+    }
+
+    /** Borrows tokens; true when at least the needed amount came. */
+    Mono<Boolean> borrow(QuotaLimit limit, long needed, long reserve) {
+        Optional<String> coordinator = coordinator(limit);
+        if (coordinator.isEmpty()) {
+            return collect(limit, needed, reserve, "");
+        }
+        String host = coordinator.get();
+        long sentAt = mClock.nowNanos();
+        return mLinks.request(host, request(limit, host, needed, reserve, true), ASK_TIMEOUT)
+                .flatMap(
+                        reply ->
+                                reply.isRight()
+                                        ? Mono.just(
+                                                accept(limit, host, reply.get(), needed, sentAt))
+                                        : collectInstead(limit, host, needed, reserve));
+    }
+
+    /** Answers a request of another host. */
+    Mono<Envelope.Builder> answer(QuotaLimit limit, String borrower, QuotaRequest request) {
+        long now = mClock.nowNanos();
+        QuotaMessages.uses(request).forEach(use -> limit.account().apply(use, now));
+        long wanted = request.getTokens() + request.getReserveTokens();
+        if (wanted == 0) {
+            return Mono.empty();
+        }
+        Mono<Boolean> collected = Mono.just(true);
+        long missing = wanted - limit.account().available(now);
+        if (request.getCollect() && missing > 0) {
+            long needed = request.getTokens() - limit.account().available(now);
+            collected = collect(limit, needed, missing - Math.max(0, needed), borrower);
+        }
+        return collected.map(enough -> grant(limit, request, wanted));
+    }
+
+    /** Tells granters what was spent and returned since the last report. */
+    void report(QuotaLimit limit) {
+        for (String granter : limit.account().granters(mClock.nowNanos())) {
+            mLinks.send(granter, request(limit, granter, 0, 0, false));
+        }
+    }
+
+    private Envelope.Builder grant(QuotaLimit limit, QuotaRequest request, long wanted) {
+        long now = mClock.nowNanos();
+        Grant grant = limit.account().grant(wanted, now);
+        long missing = Math.max(0, request.getTokens() - grant.amount());
+        return QuotaMessages.grant(grant, millis(limit.refillNanos(missing)));
+    }
+
+    private Mono<Boolean> collectInstead(
+            QuotaLimit limit, String coordinator, long needed, long reserve) {
+        mLog.log(
+                QuotaEvent.COORDINATOR_UNREACHABLE,
+                LogField.field("limit", limit.name()),
+                LogField.field("host", coordinator));
+        return collect(limit, needed, reserve, coordinator);
+    }
+
+    /** Pulls from owners into this host's account; true when the needed amount came. */
+    private Mono<Boolean> collect(QuotaLimit limit, long needed, long reserve, String except) {
+        long now = mClock.nowNanos();
+        List<String> hosts = new ArrayList<>(mLinks.liveHosts());
+        hosts.remove(except);
+        Collection<OwnerShare> owners = limit.owners(hosts);
+        long amount = Math.max(0, needed) + reserve;
+        return Flux.fromIterable(limit.coordinator().plan(1, amount, owners, now))
+                .flatMap(pull -> pull(limit, pull, owner(owners, pull)))
+                .reduce(0L, Long::sum)
+                .map(pulled -> pulled >= needed);
+    }
+
+    private Mono<Long> pull(QuotaLimit limit, Pull pull, OwnerShare owner) {
+        long sentAt = mClock.nowNanos();
+        Envelope.Builder request = request(limit, pull.owner(), pull.amount(), 0, false);
+        return mLinks.request(pull.owner(), request, PULL_TIMEOUT)
+                .map(reply -> pulled(limit, pull, owner, sentAt, reply));
+    }
+
+    private long pulled(
+            QuotaLimit limit,
+            Pull pull,
+            OwnerShare owner,
+            long sentAt,
+            Either<PeerFailure, Envelope> reply) {
+        long now = mClock.nowNanos();
+        if (reply.isLeft()) {
+            limit.coordinator().noteFailure(owner, now);
+            return 0;
+        }
+        Grant grant = QuotaMessages.grant(reply.get().getQuotaGrant());
+        limit.coordinator().noteGrant(owner, pull.amount(), grant.amount(), now);
+        limit.account().accept(pull.owner(), grant, sentAt, now);
+        return grant.amount();
+    }
+
+    private boolean accept(
+            QuotaLimit limit, String granter, Envelope reply, long needed, long sentAt) {
+        QuotaGrant message = reply.getQuotaGrant();
+        limit.account().accept(granter, QuotaMessages.grant(message), sentAt, mClock.nowNanos());
+        return message.getTokens() >= needed;
+    }
+
+    private Optional<String> coordinator(QuotaLimit limit) {
+        Set<String> live = mLinks.liveHosts();
+        List<String> hosts = new ArrayList<>(live);
+        hosts.add(mHost);
+        return Rendezvous.choose(limit.name(), hosts).filter(host -> !host.equals(mHost));
+    }
+
+    private Envelope.Builder request(
+            QuotaLimit limit, String host, long tokens, long reserve, boolean collect) {
+        List<GrantUse> uses = limit.account().reports(host, mClock.nowNanos());
+        return QuotaMessages.request(limit.name(), tokens, reserve, collect, uses);
+    }
+
+    private static OwnerShare owner(Collection<OwnerShare> owners, Pull pull) {
+        return owners.stream()
+                .filter(share -> share.host().equals(pull.owner()))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static long millis(long nanos) {
+        return (nanos + 999_999) / 1_000_000;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaMessages.java
@@ -0,0 +1,64 @@
+package org.vanillaslip.internal.quota;
+
+import java.util.List;
+import org.vanillaslip.messages.Envelope;
+import org.vanillaslip.messages.GrantReport;
+import org.vanillaslip.messages.QuotaGrant;
+import org.vanillaslip.messages.QuotaRequest;
+
+/** Conversion between state machines and messages. */
+final class QuotaMessages {
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private QuotaMessages() {}
+
+    static Envelope.Builder request(
+            String limit, long tokens, long reserve, boolean collect, List<GrantUse> uses) {
+        QuotaRequest.Builder request =
+                QuotaRequest.newBuilder()
+                        .setLimit(limit)
+                        .setTokens(tokens)
+                        .setReserveTokens(reserve)
+                        .setCollect(collect);
+        for (GrantUse use : uses) {
+            request.addReports(
+                    GrantReport.newBuilder()
+                            .setGrantId(use.grantId())
+                            .setSpentTokens(use.spent())
+                            .setReturnedTokens(use.returned())
+                            .setSequence(use.sequence()));
+        }
+        return Envelope.newBuilder().setQuotaRequest(request);
+    }
+
+    static List<GrantUse> uses(QuotaRequest request) {
+        return request.getReportsList().stream()
+                .map(
+                        report ->
+                                new GrantUse(
+                                        report.getGrantId(),
+                                        report.getSpentTokens(),
+                                        report.getReturnedTokens(),
+                                        report.getSequence()))
+                .toList();
+    }
+
+    /** Rounds the validity down to whole milliseconds, which only shortens the borrower's right. */
+    static Envelope.Builder grant(Grant grant, long retryAfterMillis) {
+        return Envelope.newBuilder()
+                .setQuotaGrant(
+                        QuotaGrant.newBuilder()
+                                .setGrantId(grant.id())
+                                .setTokens(grant.amount())
+                                .setValidityMillis((int) (grant.validityNanos() / NANOS_PER_MILLI))
+                                .setRetryAfterMillis((int) Math.min(retryAfterMillis, 60_000)));
+    }
+
+    static Grant grant(QuotaGrant message) {
+        return new Grant(
+                message.getGrantId(),
+                message.getTokens(),
+                Integer.toUnsignedLong(message.getValidityMillis()) * NANOS_PER_MILLI);
+    }
+}
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ConcurrencyLedger.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ConcurrencyLedger.java
@@ -14,13 +14,22 @@
  */
 public final class ConcurrencyLedger {
 
+    /**
+     * Load reports are at most this old, so a request that started earlier and still runs is part
+     * of the reported number. Must be shorter than the validity of slots.
+     */
+    public static final long REPORT_LAG_NANOS = 3_000_000_000L;
+
     private final SlowStart mSlowStart;
     private final long mStartedAt;
     private final long mValidityNanos;
     private final LongSupplier mSlotIds;
-    private final int mPredecessorSlots;
     private final long mPredecessorUntil;
-    private final Map<Long, Long> mExpiries = new HashMap<>();
+    private final Map<Long, GivenSlot> mSlots = new HashMap<>();
+    private int mPredecessorSlots;
+
+    /** Slots that expired without a release; their requests may still run. */
+    private int mOrphans;
 
     /**
      * Creates a ledger for a server incarnation.
@@ -40,41 +49,46 @@
         mStartedAt = startedAt;
         mValidityNanos = validityNanos;
         mSlotIds = slotIds;
-        boolean predecessor = startedAt < ownedSince;
         mPredecessorUntil = ownedSince + QuotaTimes.withDrift(validityNanos);
         mPredecessorSlots =
-                predecessor ? ConcurrencyLimit.at(slowStart, ownedSince - startedAt) : 0;
+                startedAt < ownedSince ? ConcurrencyLimit.at(slowStart, ownedSince - startedAt) : 0;
     }
 
     /**
      * Grants up to the wanted number of slots and returns their ids.
      *
-     * @param running requests that the server last reported as running; those beyond the granted
-     *     slots belong to borrowers whose slots expired while the request ran on
+     * @param running requests that the server last reported
      */
     public List<Long> acquire(int wanted, int running, long nowNanos) {
-        int free = limit(nowNanos) - Math.max(inUse(nowNanos), running);
+        int free = limit(nowNanos) - inUse(running, nowNanos);
         List<Long> granted = new ArrayList<>();
         for (int i = 0; i < Math.min(wanted, free); i++) {
             long id = mSlotIds.getAsLong();
-            mExpiries.put(id, expiry(nowNanos));
+            mSlots.put(id, new GivenSlot(nowNanos, expiry(nowNanos)));
             granted.add(id);
         }
         return granted;
     }
 
     /**
-     * Extends slots that are in use and returns the renewed ids. An unknown id is a slot of the
-     * previous owner whose request still runs, so it is taken over.
+     * Extends slots that are in use. An unknown id is a slot that expired here, or of the previous
+     * owner, and its request still runs, so it is taken over.
      */
-    public List<Long> renew(Collection<Long> slotIds, long nowNanos) {
-        slotIds.forEach(id -> mExpiries.put(id, expiry(nowNanos)));
-        return List.copyOf(slotIds);
+    public void renew(Collection<Long> slotIds, long nowNanos) {
+        expire(nowNanos);
+        for (long id : slotIds) {
+            GivenSlot known = mSlots.get(id);
+            if (known == null && mOrphans > 0) {
+                mOrphans--;
+            }
+            long grantedAt = known == null ? nowNanos - REPORT_LAG_NANOS : known.grantedAt();
+            mSlots.put(id, new GivenSlot(grantedAt, expiry(nowNanos)));
+        }
     }
 
     /** Frees slots; unknown ids do nothing. */
     public void release(Collection<Long> slotIds) {
-        slotIds.forEach(mExpiries::remove);
+        slotIds.forEach(mSlots::remove);
     }
 
     /** Returns the limit at the given time. */
@@ -83,9 +97,25 @@
     }
 
     /** Returns the slots that may be in use, those of a previous owner included. */
-    public int inUse(long nowNanos) {
-        mExpiries.values().removeIf(expiresAt -> expiresAt <= nowNanos);
-        return mExpiries.size() + (nowNanos < mPredecessorUntil ? mPredecessorSlots : 0);
+    public int inUse(int running, long nowNanos) {
+        expire(nowNanos);
+        if (nowNanos < mPredecessorUntil) {
+            return Math.max(running, mSlots.size() + mPredecessorSlots + mOrphans);
+        }
+        mOrphans += mPredecessorSlots;
+        mPredecessorSlots = 0;
+        long reported =
+                mSlots.values().stream()
+                        .filter(slot -> nowNanos - slot.grantedAt() >= REPORT_LAG_NANOS)
+                        .count();
+        mOrphans = (int) Math.max(0, Math.min(mOrphans, running - reported));
+        return Math.max(running, mSlots.size() + mOrphans);
+    }
+
+    private void expire(long nowNanos) {
+        int before = mSlots.size();
+        mSlots.values().removeIf(slot -> slot.expiresAt() <= nowNanos);
+        mOrphans += before - mSlots.size();
     }
 
     private long expiry(long nowNanos) {
