Follow configuration and hosts on the platform and compare versions with peers

Cause: a host has to stay up to date through gaps, outages and restarts. Change: CollectionFollower lists, watches, resumes and lists again every 10 minutes; ConfigurationWatcher and HostListWatcher keep the state; ConfigurationExchange asks one peer of the failure domain each second. Faults never repeat values that may be keys.

--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
@@ -0,0 +1,160 @@
+package org.vanillaslip.internal.control.configuration;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.platform.Backoff;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformException;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+
+/**
+ * Lists a collection once, watches it, resumes after gaps, and lists it again from time to time.
+ */
+final class CollectionFollower {
+
+    /** Bounds what an event that was missed without notice can cost. */
+    static final Duration LIST_INTERVAL = Duration.ofMinutes(10);
+
+    private static final Duration FIRST_DELAY = Duration.ofMillis(200);
+
+    /** Leaves half of the 11 s in which a change has to be in force for the change itself. */
+    private static final Duration LONGEST_DELAY = Duration.ofSeconds(5);
+
+    private final ObjectStore mStore;
+    private final String mCollection;
+    private final DecisionLoop mLoop;
+    private final RandomGenerator mRandom;
+    private final EventLog mLog;
+    private final CollectionListener mListener;
+    private final Backoff mBackoff;
+    private final Disposable.Swap mCall = Disposables.swap();
+    private final Disposable.Swap mRetry = Disposables.swap();
+    private final Disposable.Swap mNextList = Disposables.swap();
+    private final Disposable.Swap mNextListCall = Disposables.swap();
+    private final Disposable.Composite mAll =
+            Disposables.composite(mCall, mRetry, mNextList, mNextListCall);
+    private long mPosition;
+
+    CollectionFollower(
+            ObjectStore store,
+            String collection,
+            DecisionLoop loop,
+            RandomGenerator random,
+            EventLog log,
+            CollectionListener listener) {
+        mStore = store;
+        mCollection = collection;
+        mLoop = loop;
+        mRandom = random;
+        mLog = log;
+        mListener = listener;
+        mBackoff = new Backoff(FIRST_DELAY, LONGEST_DELAY, random);
+    }
+
+    /** Starts on the decision loop and returns the handle that stops it. */
+    Disposable start() {
+        mLoop.scheduler().schedule(this::listThenWatch);
+        return mAll;
+    }
+
+    private void listThenWatch() {
+        mCall.update(list(this::startWatching, () -> retry(this::listThenWatch)));
+    }
+
+    private void startWatching(ObjectList list) {
+        take(list);
+        scheduleNextList();
+        watch();
+    }
+
+    private void watch() {
+        mCall.update(
+                mStore.watch(mCollection, mPosition)
+                        .publishOn(mLoop.scheduler())
+                        .subscribe(this::take, this::onWatchFailed, this::onWatchCompleted));
+    }
+
+    private void take(ObjectList list) {
+        mPosition = Math.max(mPosition, list.version());
+        mListener.listed(list);
+    }
+
+    private void take(WatchEvent event) {
+        mBackoff.reset();
+        mListener.changed(event);
+        mPosition = Math.max(mPosition, event.object().version());
+    }
+
+    private void onWatchFailed(Throwable cause) {
+        if (cause instanceof PlatformException failure
+                && failure.failure() == PlatformFailure.GONE) {
+            mLog.log(
+                    ConfigurationEvent.WATCH_POSITION_GONE,
+                    field("collection", mCollection),
+                    field("position", mPosition));
+            // The delay spreads the lists of hosts that lost their positions together.
+            retry(this::listThenWatch);
+            return;
+        }
+        mLog.log(
+                ConfigurationEvent.WATCH_ENDED,
+                field("collection", mCollection),
+                field("position", mPosition),
+                field("cause", String.valueOf(cause.getMessage())));
+        retry(this::watch);
+    }
+
+    private void onWatchCompleted() {
+        retry(this::watch);
+    }
+
+    private void scheduleNextList() {
+        long interval = LIST_INTERVAL.toMillis();
+        // From 90 to 110 percent, so that hosts started together do not list together for ever.
+        long delay = interval * 9 / 10 + mRandom.nextLong(interval / 5 + 1);
+        mNextList.update(schedule(this::listAgain, Duration.ofMillis(delay)));
+    }
+
+    private void listAgain() {
+        scheduleNextList();
+        mNextListCall.update(list(this::take, () -> {}));
+    }
+
+    private Disposable list(Consumer<ObjectList> onList, Runnable onFailure) {
+        return mStore.list(mCollection)
+                .defaultIfEmpty(Either.left(PlatformFailure.UNAVAILABLE))
+                .onErrorReturn(Either.left(PlatformFailure.UNAVAILABLE))
+                .publishOn(mLoop.scheduler())
+                .subscribe(
+                        result ->
+                                result.peek(onList)
+                                        .peekLeft(failure -> onListFailed(failure, onFailure)));
+    }
+
+    private void onListFailed(PlatformFailure failure, Runnable onFailure) {
+        mLog.log(
+                ConfigurationEvent.LIST_FAILED,
+                field("collection", mCollection),
+                field("failure", failure));
+        onFailure.run();
+    }
+
+    private void retry(Runnable action) {
+        mRetry.update(schedule(action, mBackoff.next()));
+    }
+
+    private Disposable schedule(Runnable action, Duration delay) {
+        return mLoop.scheduler().schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationEvent.java
@@ -0,0 +1,46 @@
+package org.vanillaslip.internal.control.configuration;
+
+import static java.lang.System.Logger.Level.DEBUG;
+import static java.lang.System.Logger.Level.INFO;
+import static java.lang.System.Logger.Level.WARNING;
+
+import org.vanillaslip.internal.logging.LogEvent;
+
+/** Log events of the configuration; numbers 200 to 299. */
+public enum ConfigurationEvent implements LogEvent {
+    SNAPSHOT_IN_FORCE(200, INFO, "A new configuration snapshot is in force."),
+    SNAPSHOT_REFUSED(201, WARNING, "The newest items are faulty; the last good snapshot stays."),
+    LIST_FAILED(202, WARNING, "A collection could not be listed."),
+    WATCH_ENDED(203, INFO, "A watch ended and will be opened again from its position."),
+    WATCH_POSITION_GONE(204, INFO, "The watch position is too old; the collection is listed."),
+    ITEMS_FROM_PEER(205, INFO, "Newer configuration items came from a peer."),
+    PEER_ITEM_UNREADABLE(206, WARNING, "A configuration item from a peer cannot be read."),
+    PEER_NOT_REACHED(207, DEBUG, "A peer did not answer the comparison of versions."),
+    HOSTS_CHANGED(208, INFO, "The list of hosts changed."),
+    HOST_UNREADABLE(209, WARNING, "An entry of the host list cannot be read and is left out.");
+
+    private final int mNumber;
+    private final System.Logger.Level mLevel;
+    private final String mText;
+
+    ConfigurationEvent(int number, System.Logger.Level level, String text) {
+        mNumber = number;
+        mLevel = level;
+        mText = text;
+    }
+
+    @Override
+    public int number() {
+        return mNumber;
+    }
+
+    @Override
+    public System.Logger.Level level() {
+        return mLevel;
+    }
+
+    @Override
+    public String text() {
+        return mText;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationExchange.java
@@ -0,0 +1,149 @@
+package org.vanillaslip.internal.control.configuration;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.Host;
+import org.vanillaslip.VersionedItem;
+import org.vanillaslip.internal.configuration.Fault;
+import org.vanillaslip.internal.control.HostView;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.peer.PeerFailure;
+import org.vanillaslip.internal.peer.PeerLinks;
+import org.vanillaslip.internal.platform.ConfigurationCodec;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.messages.ConfigurationDigest;
+import org.vanillaslip.messages.ConfigurationObject;
+import org.vanillaslip.messages.Envelope;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+
+/**
+ * Compares versions with one random peer of the failure domain each second and takes its newer
+ * items. One peer a second keeps the cost independent of the number of hosts, and an item still
+ * reaches all of them in a number of rounds that grows with its logarithm.
+ */
+public final class ConfigurationExchange {
+
+    private static final Duration INTERVAL = Duration.ofSeconds(1);
+
+    private final ConfigurationWatcher mWatcher;
+    private final PeerItems mItems;
+    private final HostView mHosts;
+    private final PeerLinks mLinks;
+    private final FailureDomain mFailureDomain;
+    private final DecisionLoop mLoop;
+    private final RandomGenerator mRandom;
+    private final EventLog mLog;
+    private boolean mAsking;
+
+    /** Creates an exchange for a host of the given failure domain. */
+    public ConfigurationExchange(
+            ConfigurationWatcher watcher,
+            ConfigurationCodec codec,
+            HostView hosts,
+            PeerLinks links,
+            FailureDomain failureDomain,
+            DecisionLoop loop,
+            RandomGenerator random,
+            EventLog log) {
+        mWatcher = watcher;
+        mItems = new PeerItems(codec);
+        mHosts = hosts;
+        mLinks = links;
+        mFailureDomain = failureDomain;
+        mLoop = loop;
+        mRandom = random;
+        mLog = log;
+    }
+
+    /** Answers peers and starts to ask them; the returned handle stops the asking. */
+    public Disposable start() {
+        mLinks.handle(Envelope.BodyCase.CONFIGURATION_DIGEST, this::answer);
+        long interval = INTERVAL.toMillis();
+        return mLoop.scheduler()
+                .schedulePeriodically(
+                        this::askOnePeer,
+                        mRandom.nextLong(interval),
+                        interval,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private Mono<Envelope.Builder> answer(Envelope request) {
+        long version = request.getConfigurationDigest().getVersion();
+        return Mono.just(
+                Envelope.newBuilder()
+                        .setConfigurationItems(mItems.encode(mWatcher.newerThan(version))));
+    }
+
+    private void askOnePeer() {
+        List<String> peers = peers();
+        if (mAsking || peers.isEmpty()) {
+            return;
+        }
+        mAsking = true;
+        String peer = peers.get(mRandom.nextInt(peers.size()));
+        Envelope.Builder digest =
+                Envelope.newBuilder()
+                        .setConfigurationDigest(
+                                ConfigurationDigest.newBuilder().setVersion(mWatcher.version()));
+        mLinks.request(peer, digest, INTERVAL)
+                .onErrorReturn(Either.left(PeerFailure.UNREACHABLE))
+                .doFinally(signal -> mAsking = false)
+                .subscribe(
+                        result ->
+                                result.peek(reply -> take(peer, reply))
+                                        .peekLeft(failure -> onFailure(peer, failure)));
+    }
+
+    /** Without a host list, as after a restart during an outage, every linked host may help. */
+    private List<String> peers() {
+        Set<String> live = mLinks.liveHosts();
+        List<Host> hosts = mHosts.hosts();
+        Set<String> ofDomain =
+                hosts.stream()
+                        .filter(host -> host.failureDomain().equals(mFailureDomain))
+                        .map(Host::name)
+                        .collect(Collectors.toSet());
+        return live.stream()
+                .filter(name -> hosts.isEmpty() || ofDomain.contains(name))
+                .sorted()
+                .toList();
+    }
+
+    private void take(String peer, Envelope reply) {
+        List<VersionedItem> items = new ArrayList<>();
+        for (ConfigurationObject object : reply.getConfigurationItems().getObjectsList()) {
+            mItems.decode(object).peek(items::add).peekLeft(faults -> onUnreadable(peer, faults));
+        }
+        if (!items.isEmpty()) {
+            mLog.log(
+                    ConfigurationEvent.ITEMS_FROM_PEER,
+                    field("peer", peer),
+                    field("items", items.size()));
+            mWatcher.takeFromPeer(items);
+        }
+    }
+
+    private void onUnreadable(String peer, List<Fault> faults) {
+        mLog.log(
+                ConfigurationEvent.PEER_ITEM_UNREADABLE,
+                field("peer", peer),
+                field("faults", faults));
+    }
+
+    private void onFailure(String peer, PeerFailure failure) {
+        mLog.log(
+                ConfigurationEvent.PEER_NOT_REACHED,
+                field("peer", peer),
+                field("failure", failure));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationWatcher.java
@@ -0,0 +1,169 @@
+package org.vanillaslip.internal.control.configuration;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.vanillaslip.Configuration;
+import org.vanillaslip.VersionedItem;
+import org.vanillaslip.internal.configuration.ConfigurationState;
+import org.vanillaslip.internal.configuration.Fault;
+import org.vanillaslip.internal.configuration.UnreadableItem;
+import org.vanillaslip.internal.control.ConfigurationView;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.platform.ConfigurationCodec;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformCollections;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.platform.WatchEventType;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Sinks;
+
+/** The configuration of this host, followed on the platform. */
+public final class ConfigurationWatcher implements ConfigurationView {
+
+    private static final Duration UNKNOWN_AGE = Duration.ofNanos(Long.MAX_VALUE);
+
+    private final ConfigurationCodec mCodec;
+    private final DecisionLoop mLoop;
+    private final EventLog mLog;
+    private final CollectionFollower mFollower;
+    private final Sinks.Many<Configuration> mChanges = Sinks.many().multicast().directBestEffort();
+    private volatile ConfigurationState mState = ConfigurationState.empty();
+    private volatile Optional<Long> mConfirmedNanos = Optional.empty();
+
+    /** Creates a watcher that knows nothing until it is started. */
+    public ConfigurationWatcher(
+            ObjectStore store,
+            ConfigurationCodec codec,
+            DecisionLoop loop,
+            RandomGenerator random,
+            EventLog log) {
+        mCodec = codec;
+        mLoop = loop;
+        mLog = log;
+        mFollower =
+                new CollectionFollower(
+                        store,
+                        PlatformCollections.CONFIGURATION,
+                        loop,
+                        random,
+                        log,
+                        new PlatformListener());
+    }
+
+    /** Starts to follow the platform; the returned handle stops it. */
+    public Disposable start() {
+        return mFollower.start();
+    }
+
+    @Override
+    public Optional<Configuration> current() {
+        return mState.current();
+    }
+
+    @Override
+    public Flux<Configuration> changes() {
+        // A slow subscriber gets the newest snapshot and never delays the others.
+        return mChanges.asFlux().onBackpressureLatest();
+    }
+
+    /**
+     * Returns the time since the platform last confirmed the snapshot; the longest duration when it
+     * never did.
+     */
+    @Override
+    public Duration age() {
+        return mConfirmedNanos
+                .map(confirmed -> Duration.ofNanos(mLoop.clock().nowNanos() - confirmed))
+                .orElse(UNKNOWN_AGE);
+    }
+
+    /** Returns why the newest items are not in force; empty when they are. */
+    public List<Fault> faults() {
+        return mState.faults();
+    }
+
+    /** Returns the highest version among the known items. */
+    public long version() {
+        return mState.version();
+    }
+
+    /** Returns the items with a higher version than the given one, oldest first. */
+    List<VersionedItem> newerThan(long version) {
+        return mState.newerThan(version);
+    }
+
+    /** Takes items from a peer; must be called on the decision loop. */
+    void takeFromPeer(Collection<VersionedItem> items) {
+        replaceState(mState.merge(items));
+    }
+
+    private void replaceState(ConfigurationState state) {
+        ConfigurationState before = mState;
+        mState = state;
+        if (!state.faults().isEmpty() && !state.faults().equals(before.faults())) {
+            mLog.log(ConfigurationEvent.SNAPSHOT_REFUSED, field("faults", state.faults()));
+        }
+        if (!state.current().equals(before.current())) {
+            state.current().ifPresent(this::announce);
+        }
+    }
+
+    private void announce(Configuration configuration) {
+        mLog.log(ConfigurationEvent.SNAPSHOT_IN_FORCE, field("version", configuration.version()));
+        mChanges.tryEmitNext(configuration);
+    }
+
+    private ConfigurationState merged(List<StoredObject> objects) {
+        List<VersionedItem> items = new ArrayList<>();
+        List<UnreadableItem> unreadable = new ArrayList<>();
+        for (StoredObject object : objects) {
+            mCodec.decode(object)
+                    .peek(items::add)
+                    .peekLeft(faults -> unreadable.add(unreadable(object, faults)));
+        }
+        return mState.merge(items, unreadable);
+    }
+
+    private static UnreadableItem unreadable(StoredObject object, List<Fault> faults) {
+        return new UnreadableItem(object.name(), object.version(), faults);
+    }
+
+    private void confirm() {
+        mConfirmedNanos = Optional.of(mLoop.clock().nowNanos());
+    }
+
+    /** Takes what the platform sends. */
+    private final class PlatformListener implements CollectionListener {
+
+        @Override
+        public void listed(ObjectList list) {
+            Set<String> names =
+                    list.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
+            confirm();
+            replaceState(merged(list.objects()).removeUnlisted(names, list.version()));
+        }
+
+        @Override
+        public void changed(WatchEvent event) {
+            StoredObject object = event.object();
+            confirm();
+            if (event.type() == WatchEventType.DELETED) {
+                replaceState(mState.remove(object.name(), object.version()));
+            } else if (event.type() != WatchEventType.BOOKMARK) {
+                replaceState(merged(List.of(object)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/HostListWatcher.java
@@ -0,0 +1,114 @@
+package org.vanillaslip.internal.control.configuration;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.vanillaslip.Host;
+import org.vanillaslip.internal.control.HostView;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.platform.HostCodec;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformCollections;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.platform.WatchEventType;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Sinks;
+
+/** The platform's host list, followed on the platform. */
+public final class HostListWatcher implements HostView {
+
+    private final HostCodec mCodec;
+    private final EventLog mLog;
+    private final CollectionFollower mFollower;
+    private final Sinks.Many<List<Host>> mChanges = Sinks.many().multicast().directBestEffort();
+    private volatile HostListState mState = HostListState.empty();
+    private volatile List<Host> mHosts = List.of();
+
+    /** Creates a watcher whose list is empty until it is started. */
+    public HostListWatcher(
+            ObjectStore store,
+            HostCodec codec,
+            DecisionLoop loop,
+            RandomGenerator random,
+            EventLog log) {
+        mCodec = codec;
+        mLog = log;
+        mFollower =
+                new CollectionFollower(
+                        store,
+                        PlatformCollections.HOSTS,
+                        loop,
+                        random,
+                        log,
+                        new PlatformListener());
+    }
+
+    /** Starts to follow the platform; the returned handle stops it. */
+    public Disposable start() {
+        return mFollower.start();
+    }
+
+    @Override
+    public List<Host> hosts() {
+        return mHosts;
+    }
+
+    @Override
+    public Flux<List<Host>> changes() {
+        return mChanges.asFlux().onBackpressureLatest();
+    }
+
+    private void replaceState(HostListState state) {
+        mState = state;
+        List<Host> hosts = state.hosts();
+        if (!hosts.equals(mHosts)) {
+            mHosts = hosts;
+            mLog.log(ConfigurationEvent.HOSTS_CHANGED, field("hosts", hosts.size()));
+            mChanges.tryEmitNext(hosts);
+        }
+    }
+
+    private HostListState.Entry entry(StoredObject object) {
+        Optional<Host> host =
+                mCodec.decode(object)
+                        .peekLeft(
+                                faults ->
+                                        mLog.log(
+                                                ConfigurationEvent.HOST_UNREADABLE,
+                                                field("host", object.name()),
+                                                field("faults", faults)))
+                        .toJavaOptional();
+        return new HostListState.Entry(object.version(), host);
+    }
+
+    /** Takes what the platform sends. */
+    private final class PlatformListener implements CollectionListener {
+
+        @Override
+        public void listed(ObjectList list) {
+            Map<String, HostListState.Entry> entries = new HashMap<>();
+            list.objects().forEach(object -> entries.put(object.name(), entry(object)));
+            replaceState(mState.withList(entries, list.version()));
+        }
+
+        @Override
+        public void changed(WatchEvent event) {
+            StoredObject object = event.object();
+            if (event.type() == WatchEventType.DELETED) {
+                HostListState.Entry removal =
+                        new HostListState.Entry(object.version(), Optional.empty());
+                replaceState(mState.with(object.name(), removal));
+            } else if (event.type() != WatchEventType.BOOKMARK) {
+                replaceState(mState.with(object.name(), entry(object)));
+            }
+        }
+    }
+}
--- a/decisions/src/main/java/org/vanillaslip/internal/configuration/ConfigurationState.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/configuration/ConfigurationState.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.HashMap;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -19,6 +20,7 @@
 public final class ConfigurationState {
 
     private static final ConfigurationValidator VALIDATOR = new ConfigurationValidator();
+    private static final Withdrawals WITHDRAWALS = new Withdrawals();
 
     private final HashMap<String, VersionedItem> mItems;
     private final HashMap<String, UnreadableItem> mUnreadable;
@@ -96,7 +98,20 @@
         return rebuilt(items, unreadable);
     }
 
-    /** Returns the last good snapshot. */
+    /** Records that an object was deleted on the platform at the given version. */
+    public ConfigurationState remove(String objectName, long version) {
+        Option<ItemName> name = mItems.get(objectName).map(VersionedItem::name);
+        if (name.isDefined()) {
+            return merge(List.of(removal(name.get(), version)));
+        }
+        HashMap<String, UnreadableItem> unreadable = mUnreadable.remove(objectName);
+        return unreadable.size() == mUnreadable.size() ? this : rebuilt(mItems, unreadable);
+    }
+
+    /**
+     * Returns the last good snapshot, without keys that newer items revoke and with the drains that
+     * newer items ask for.
+     */
     public Optional<Configuration> current() {
         return mCurrent;
     }
@@ -127,7 +142,10 @@
         List<Fault> faults = new ArrayList<>();
         unreadable.values().forEach(item -> faults.addAll(item.faults()));
         result.peekLeft(faults::addAll);
-        Optional<Configuration> current = faults.isEmpty() ? result.toJavaOptional() : mCurrent;
+        Optional<Configuration> current =
+                faults.isEmpty()
+                        ? result.toJavaOptional()
+                        : mCurrent.map(snapshot -> WITHDRAWALS.apply(snapshot, items));
         return new ConfigurationState(items, unreadable, current, List.copyOf(faults));
     }
 
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/FieldReader.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/FieldReader.java
@@ -83,13 +83,13 @@
         JsonNode value = value(field);
         Set<String> result = new HashSet<>();
         if (!value.isArray()) {
-            return fault(field, value, "a list of texts", result);
+            return textsFault(field, value, result);
         }
         for (JsonNode element : value) {
             if (element.isTextual()) {
                 result.add(element.textValue());
             } else {
-                fault(field, element, "a list of texts", "");
+                textsFault(field, element, result);
             }
         }
         return result;
@@ -121,7 +121,9 @@
                         field -> {
                             if (!mRead.contains(field)) {
                                 List<String> known = mRead.stream().sorted().toList();
-                                fault(field, mNode.path(field), "only the fields " + known, "");
+                                // The value is left out: it may be a key in the wrong place.
+                                String allowed = "only the fields " + known;
+                                mFaults.add(new Fault(mItem, mPath + field, "(present)", allowed));
                             }
                         });
     }
@@ -132,6 +134,13 @@
         return instead;
     }
 
+    /** Names the type only, since the texts may be keys entered in place of their digests. */
+    private Set<String> textsFault(String field, JsonNode value, Set<String> instead) {
+        String found = "(" + value.getNodeType().name().toLowerCase(Locale.ROOT) + ")";
+        mFaults.add(new Fault(mItem, mPath + field, found, "a list of texts"));
+        return instead;
+    }
+
     private JsonNode value(String field) {
         mRead.add(field);
         return mNode.path(field);
