Add the operators' tool

Cause: operators control the system only by changing lists and by drains. Change: 'vanillaslip' lists, shows and applies items with the versions it read, adds and withdraws keys, drains and restores, shows the status and validates files. Lists that leave out key_digests or drained keep what is stored, so applying a list undoes neither a withdrawn key nor a drain.

--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/ChangeWriter.java
@@ -0,0 +1,53 @@
+package org.vanillaslip.internal.commandline;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.ConfigurationItem;
+import org.vanillaslip.ItemName;
+import org.vanillaslip.internal.configuration.ConfigurationValidator;
+
+/** Checks wanted items as a whole and writes those that differ. */
+final class ChangeWriter {
+    private final ConfigurationAccess mAccess;
+    private final ChangePlan mPlan = new ChangePlan(new ConfigurationValidator());
+
+    ChangeWriter(ConfigurationAccess access) {
+        mAccess = access;
+    }
+
+    /** Writes until the first failure, which names what was written before. */
+    Either<CommandFailure, CommandResult> write(
+            StoredConfiguration stored, Map<ItemName, Optional<ConfigurationItem>> wanted) {
+        return mPlan.changes(stored, wanted)
+                .mapLeft(Failures::invalid)
+                .flatMap(changes -> writeAll(changes, wanted.size() - changes.size()));
+    }
+
+    private Either<CommandFailure, CommandResult> writeAll(
+            List<ConfigurationChange> changes, int unchanged) {
+        List<String> lines = new ArrayList<>();
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        ArrayNode written = json.putArray("changes");
+        for (ConfigurationChange change : changes) {
+            Either<CommandFailure, Long> version = mAccess.write(change);
+            if (version.isLeft()) {
+                return Either.left(Failures.after(version.getLeft(), lines));
+            }
+            String name = change.name().objectName();
+            lines.add(name + " " + change.verb() + ", version " + version.get());
+            written.addObject()
+                    .put("item", name)
+                    .put("change", change.verb())
+                    .put("version", version.get());
+        }
+        lines.add(changes.size() + " written, " + unchanged + " unchanged");
+        json.put("unchanged", unchanged);
+        return Either.right(new CommandResult(List.copyOf(lines), json));
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandContext.java
@@ -0,0 +1,15 @@
+package org.vanillaslip.internal.commandline;
+
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.vanillaslip.internal.platform.ObjectStore;
+
+/**
+ * What commands need from outside.
+ *
+ * @param stores connects to the platform at {@code ip:port}
+ * @param statusReader reads the status of a host
+ * @param keys creates a new key that cannot be guessed
+ */
+record CommandContext(
+        Function<String, ObjectStore> stores, StatusReader statusReader, Supplier<String> keys) {}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandLineMain.java
@@ -0,0 +1,46 @@
+package org.vanillaslip.internal.commandline;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.security.SecureRandom;
+import java.time.Duration;
+import org.slf4j.LoggerFactory;
+import org.vanillaslip.internal.platform.HttpObjectStore;
+import org.vanillaslip.internal.platform.ObjectJson;
+import org.vanillaslip.internal.platform.ObjectStore;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.http.client.HttpClient;
+
+/** Main class of {@code vanillaslip}. */
+public final class CommandLineMain {
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+
+    private CommandLineMain() {}
+
+    /** Runs one command and ends the process with its exit code. */
+    public static void main(String[] arguments) {
+        // Log lines of libraries would mix with the output, which scripts parse.
+        if (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) instanceof Logger root) {
+            root.setLevel(Level.OFF);
+        }
+        SecureRandom random = new SecureRandom();
+        CommandContext context =
+                new CommandContext(
+                        CommandLineMain::store,
+                        new HttpStatusReader(HttpClient.create(), new ObjectMapper()),
+                        () -> Keys.create(random));
+        int exitCode = new CommandLine(context, System.out, System.err).run(arguments);
+        System.exit(exitCode);
+    }
+
+    private static ObjectStore store(String address) {
+        return new HttpObjectStore(
+                HttpClient.create(),
+                "http://" + address,
+                "operators",
+                new ObjectJson(new ObjectMapper()),
+                ANSWER_TIMEOUT,
+                Schedulers.parallel());
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/Commands.java
@@ -0,0 +1,52 @@
+package org.vanillaslip.internal.commandline;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.builder.CliBuilder;
+import com.github.rvesse.airline.model.CommandGroupMetadata;
+import com.github.rvesse.airline.model.CommandMetadata;
+import com.github.rvesse.airline.model.GlobalMetadata;
+import java.util.List;
+
+/** The commands of the tool and their groups. */
+final class Commands {
+    private Commands() {}
+
+    static Cli<OperatorCommand> cli() {
+        CliBuilder<OperatorCommand> builder = Cli.builder("vanillaslip");
+        builder.withDescription("Changes and shows the operators' lists and drains")
+                .withCommands(List.of(Drain.class, Restore.class, Status.class, Validate.class));
+        builder.withGroup("plans")
+                .withDescription("Plans that workspaces hold")
+                .withCommands(List.of(ListPlans.class, ShowPlan.class, ApplyPlans.class));
+        builder.withGroup("workspaces")
+                .withDescription("Workspaces and their plans")
+                .withCommands(
+                        List.of(ListWorkspaces.class, ShowWorkspace.class, ApplyWorkspaces.class));
+        builder.withGroup("items")
+                .withDescription("Configuration items of any kind")
+                .withCommands(List.of(ApplyItems.class));
+        builder.withGroup("keys")
+                .withDescription("Keys of workspaces")
+                .withCommands(List.of(ListKeys.class, AddKey.class, WithdrawKey.class));
+        return builder.build();
+    }
+
+    /** Returns the group and command, or only one of them, that the leading words name. */
+    static List<String> namedBy(GlobalMetadata<OperatorCommand> metadata, List<String> words) {
+        if (words.isEmpty()) {
+            return List.of();
+        }
+        String first = words.get(0);
+        for (CommandGroupMetadata group : metadata.getCommandGroups()) {
+            if (group.getName().equals(first)) {
+                boolean command = words.size() > 1 && has(group.getCommands(), words.get(1));
+                return command ? List.of(first, words.get(1)) : List.of(first);
+            }
+        }
+        return has(metadata.getDefaultGroupCommands(), first) ? List.of(first) : List.of();
+    }
+
+    private static boolean has(List<CommandMetadata> commands, String name) {
+        return commands.stream().anyMatch(command -> command.getName().equals(name));
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/DrainCommand.java
@@ -0,0 +1,102 @@
+package org.vanillaslip.internal.commandline;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.ConfigurationItem;
+import org.vanillaslip.FailureDomainEntry;
+import org.vanillaslip.HostEntry;
+import org.vanillaslip.ItemKind;
+import org.vanillaslip.ItemName;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.PlatformCollections;
+
+/** Takes a failure domain, host or backend server out of service, or returns it. */
+abstract class DrainCommand extends OperatorCommand {
+    private static final Map<String, ItemKind> KINDS =
+            Map.of(
+                    "domain", ItemKind.FAILURE_DOMAIN,
+                    "host", ItemKind.HOST,
+                    "server", ItemKind.BACKEND_SERVER);
+
+    @Arguments(
+            title = {"KIND", "NAME"},
+            description = "domain, host or server, and its name")
+    @Required
+    List<String> mArguments = new ArrayList<>();
+
+    abstract boolean drained();
+
+    @Override
+    Either<CommandFailure, CommandResult> run(CommandContext context) {
+        ItemKind kind = mArguments.size() == 2 ? KINDS.get(mArguments.get(0)) : null;
+        if (kind == null) {
+            return Either.left(Failures.usage("Give domain, host or server, and a name."));
+        }
+        ItemName name = new ItemName(kind, mArguments.get(1));
+        return access(context).flatMap(access -> write(access, name));
+    }
+
+    private Either<CommandFailure, CommandResult> write(ConfigurationAccess access, ItemName name) {
+        return access.load()
+                .flatMap(
+                        stored ->
+                                changed(access, stored, name)
+                                        .flatMap(item -> write(access, stored, item)));
+    }
+
+    private static Either<CommandFailure, CommandResult> write(
+            ConfigurationAccess access, StoredConfiguration stored, ConfigurationItem item) {
+        return new ChangeWriter(access).write(stored, Map.of(ItemName.of(item), Optional.of(item)));
+    }
+
+    private Either<CommandFailure, ConfigurationItem> changed(
+            ConfigurationAccess access, StoredConfiguration stored, ItemName name) {
+        Optional<ConfigurationItem> item = stored.item(name);
+        if (item.isPresent()) {
+            return Either.right(withDrained(item.get()));
+        }
+        return name.kind() == ItemKind.HOST
+                ? listedHost(access, name)
+                : Either.left(Failures.unknown(name.objectName()));
+    }
+
+    /** A host without a configuration item has to be on the platform's list. */
+    private Either<CommandFailure, ConfigurationItem> listedHost(
+            ConfigurationAccess access, ItemName name) {
+        return access.list(PlatformCollections.HOSTS)
+                .filterOrElse(
+                        hosts -> isListed(hosts, name.name()),
+                        hosts -> Failures.unknown(name.objectName()))
+                .map(hosts -> new HostEntry(name.name(), drained()));
+    }
+
+    private static boolean isListed(ObjectList hosts, String name) {
+        return hosts.objects().stream().anyMatch(host -> host.name().equals(name));
+    }
+
+    private ConfigurationItem withDrained(ConfigurationItem item) {
+        if (item instanceof BackendServer server) {
+            return new BackendServer(
+                    server.name(),
+                    server.failureDomain(),
+                    server.address(),
+                    server.kind(),
+                    server.pool(),
+                    server.controlShard(),
+                    server.memoryBytes(),
+                    server.accelerators(),
+                    server.checksFencing(),
+                    drained(),
+                    server.slowStart());
+        }
+        return item instanceof FailureDomainEntry
+                ? new FailureDomainEntry(item.name(), drained())
+                : new HostEntry(item.name(), drained());
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/ExitCode.java
@@ -0,0 +1,20 @@
+package org.vanillaslip.internal.commandline;
+
+/** Exit codes of the tool; {@code docs/RESULT-CODES.md} explains them. */
+enum ExitCode {
+    OK(0),
+    INVALID(2),
+    CONFLICT(3),
+    UNAVAILABLE(4),
+    OUTCOME_UNKNOWN(5);
+
+    private final int mNumber;
+
+    ExitCode(int number) {
+        mNumber = number;
+    }
+
+    int number() {
+        return mNumber;
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/Failures.java
@@ -0,0 +1,112 @@
+package org.vanillaslip.internal.commandline;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.vanillaslip.ItemName;
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.internal.configuration.Fault;
+import org.vanillaslip.internal.platform.PlatformFailure;
+
+/** The error texts of the tool: what happened, why, and what to do. */
+final class Failures {
+    private Failures() {}
+
+    static CommandFailure usage(String message) {
+        return new CommandFailure(
+                ExitCode.INVALID,
+                Optional.empty(),
+                message + " 'vanillaslip --help' explains the commands.",
+                List.of());
+    }
+
+    static CommandFailure unreadableFile(String file) {
+        return new CommandFailure(
+                ExitCode.INVALID,
+                Optional.empty(),
+                "The file '" + file + "' cannot be read. Check its path and permissions.",
+                List.of());
+    }
+
+    static CommandFailure invalid(List<Fault> faults) {
+        return coded(
+                ExitCode.INVALID,
+                ResultCode.INVALID_CONFIGURATION,
+                faults.stream().map(Failures::describe).toList());
+    }
+
+    static CommandFailure unknown(String name) {
+        return coded(ExitCode.INVALID, ResultCode.UNKNOWN_ITEM, List.of(name + " does not exist."));
+    }
+
+    static CommandFailure unknownKey(String workspace) {
+        return coded(
+                ExitCode.INVALID,
+                ResultCode.UNKNOWN_ITEM,
+                List.of("Workspace '" + workspace + "' has no key with this digest."));
+    }
+
+    static CommandFailure conflict(ItemName name, long readVersion, String currentVersion) {
+        return coded(
+                ExitCode.CONFLICT,
+                ResultCode.VERSION_CONFLICT,
+                List.of(
+                        name.objectName()
+                                + ": version "
+                                + readVersion
+                                + " was read, version "
+                                + currentVersion
+                                + " is stored now."));
+    }
+
+    static CommandFailure unavailable(PlatformFailure failure) {
+        return new CommandFailure(
+                ExitCode.UNAVAILABLE,
+                Optional.empty(),
+                "The platform did not accept the call ("
+                        + failure
+                        + "). Check the address and try again.",
+                List.of());
+    }
+
+    static CommandFailure outcomeUnknown(ItemName name, long readVersion) {
+        return new CommandFailure(
+                ExitCode.OUTCOME_UNKNOWN,
+                Optional.empty(),
+                "The platform's answer was lost; the change may have taken effect."
+                        + " Look at the item before you repeat the command.",
+                List.of(name.objectName() + ": version " + readVersion + " was read before."));
+    }
+
+    static CommandFailure hostUnavailable(String address) {
+        return new CommandFailure(
+                ExitCode.UNAVAILABLE,
+                Optional.empty(),
+                "The host at '" + address + "' did not answer. Check that the daemon runs there.",
+                List.of());
+    }
+
+    /** Adds what was done before the failure. */
+    static CommandFailure after(CommandFailure failure, List<String> done) {
+        List<String> details = new ArrayList<>(failure.details());
+        done.forEach(change -> details.add("Written before: " + change));
+        return new CommandFailure(
+                failure.exitCode(), failure.code(), failure.message(), List.copyOf(details));
+    }
+
+    private static CommandFailure coded(ExitCode exit, ResultCode code, List<String> details) {
+        return new CommandFailure(
+                exit, Optional.of(code), code.cause() + " " + code.remedy(), details);
+    }
+
+    private static String describe(Fault fault) {
+        String field = fault.field().replaceFirst("^item\\.", "");
+        return fault.item()
+                + ": "
+                + FieldNames.toSnakeCase(field)
+                + " = '"
+                + fault.value()
+                + "': allowed is "
+                + fault.allowed();
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/InputFile.java
@@ -0,0 +1,44 @@
+package org.vanillaslip.internal.commandline;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.ConfigurationItem;
+import org.vanillaslip.ItemName;
+import org.vanillaslip.internal.configuration.Fault;
+import org.vanillaslip.internal.platform.ConfigurationCodec;
+
+/** Reads the items of a list file. */
+final class InputFile {
+    private InputFile() {}
+
+    static Either<CommandFailure, ListFile> read(String file) {
+        try {
+            return ListFileReader.read(Files.readString(Path.of(file))).mapLeft(Failures::invalid);
+        } catch (IOException | InvalidPathException exception) {
+            return Either.left(Failures.unreadableFile(file));
+        }
+    }
+
+    /** Returns the items of the file, or the faults of all of them. */
+    static Either<CommandFailure, Map<ItemName, Optional<ConfigurationItem>>> items(
+            ListFile file, StoredConfiguration stored) {
+        ListItems listItems = new ListItems(new ConfigurationCodec());
+        Map<ItemName, Optional<ConfigurationItem>> items = new LinkedHashMap<>();
+        List<Fault> faults = new ArrayList<>();
+        for (ListEntry entry : file.entries()) {
+            listItems
+                    .item(entry, stored.item(entry.name()))
+                    .peek(item -> items.put(entry.name(), Optional.of(item)))
+                    .peekLeft(faults::addAll);
+        }
+        return faults.isEmpty() ? Either.right(items) : Either.left(Failures.invalid(faults));
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/ListFile.java
@@ -0,0 +1,20 @@
+package org.vanillaslip.internal.commandline;
+
+import java.util.List;
+import java.util.Set;
+import org.vanillaslip.ItemKind;
+
+/**
+ * The operators' lists as read from a file.
+ *
+ * @param sections kinds whose list is present, even if it is empty
+ */
+record ListFile(Set<ItemKind> sections, List<ListEntry> entries) {
+
+    /** Returns the part that concerns the given kinds. */
+    ListFile only(Set<ItemKind> kinds) {
+        return new ListFile(
+                Set.copyOf(sections.stream().filter(kinds::contains).toList()),
+                entries.stream().filter(entry -> kinds.contains(entry.name().kind())).toList());
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/ListSections.java
@@ -0,0 +1,33 @@
+package org.vanillaslip.internal.commandline;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.vanillaslip.ItemKind;
+
+/** Names of the lists in a list file. */
+final class ListSections {
+    private ListSections() {}
+
+    static String nameOf(ItemKind kind) {
+        return switch (kind) {
+            case PLAN -> "plans";
+            case WORKSPACE -> "workspaces";
+            case ROUTE -> "routes";
+            case MODEL -> "models";
+            case BACKEND_SERVER -> "backend_servers";
+            case FAILURE_DOMAIN -> "failure_domains";
+            case HOST -> "hosts";
+        };
+    }
+
+    static Optional<ItemKind> kindOf(String section) {
+        return Arrays.stream(ItemKind.values())
+                .filter(kind -> nameOf(kind).equals(section))
+                .findFirst();
+    }
+
+    static List<String> all() {
+        return Arrays.stream(ItemKind.values()).map(ListSections::nameOf).toList();
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/OperatorCommand.java
@@ -0,0 +1,50 @@
+package org.vanillaslip.internal.commandline;
+
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.AllowedRawValues;
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.vanillaslip.internal.platform.ConfigurationCodec;
+
+/** A command with the options that all commands have. */
+abstract class OperatorCommand {
+    @Option(
+            name = {"--platform"},
+            title = "ADDRESS",
+            description = "ip:port of the platform's object API")
+    @Nullable String mPlatform;
+
+    @Option(
+            name = {"--output"},
+            title = "FORMAT",
+            description = "text or json; text is the default")
+    @AllowedRawValues(allowedValues = {"text", "json"})
+    String mOutput = "text";
+
+    @Option(
+            name = {"-h", "--help"},
+            description = "Explains the command")
+    boolean mHelp;
+
+    /** Runs the command. */
+    abstract Either<CommandFailure, CommandResult> run(CommandContext context);
+
+    boolean printsJson() {
+        return mOutput.equals("json");
+    }
+
+    /** Connects to the platform that the options name. */
+    Either<CommandFailure, ConfigurationAccess> access(CommandContext context) {
+        if (mPlatform == null) {
+            return Either.left(Failures.usage("The option --platform ADDRESS is missing."));
+        }
+        return Either.right(
+                new ConfigurationAccess(
+                        context.stores().apply(mPlatform), new ConfigurationCodec()));
+    }
+
+    /** Reads the stored configuration of the platform that the options name. */
+    Either<CommandFailure, StoredConfiguration> stored(CommandContext context) {
+        return access(context).flatMap(ConfigurationAccess::load);
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/Status.java
@@ -0,0 +1,96 @@
+package org.vanillaslip.internal.commandline;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.vanillaslip.ItemKind;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.PlatformCollections;
+import org.vanillaslip.internal.platform.StoredObject;
+
+/** {@code vanillaslip status}. */
+@Command(
+        name = "status",
+        description = "Shows hosts, control shards and configuration, or the status of one host")
+public final class Status extends OperatorCommand {
+    @Option(
+            name = {"--host"},
+            title = "ADDRESS",
+            description = "ip:port of the gateway of a host")
+    @Nullable String mHost;
+
+    @Override
+    Either<CommandFailure, CommandResult> run(CommandContext context) {
+        return mHost == null
+                ? access(context).flatMap(Status::ofPlatform)
+                : ofHost(context.statusReader(), mHost);
+    }
+
+    private static Either<CommandFailure, CommandResult> ofHost(
+            StatusReader reader, String address) {
+        Optional<JsonNode> status = reader.read(address);
+        return status.isEmpty()
+                ? Either.left(Failures.hostUnavailable(address))
+                : Either.right(
+                        new CommandResult(List.of(status.get().toPrettyString()), status.get()));
+    }
+
+    private static Either<CommandFailure, CommandResult> ofPlatform(ConfigurationAccess access) {
+        return access.load().flatMap(stored -> ofPlatform(access, stored));
+    }
+
+    private static Either<CommandFailure, CommandResult> ofPlatform(
+            ConfigurationAccess access, StoredConfiguration stored) {
+        return access.list(PlatformCollections.HOSTS)
+                .flatMap(
+                        hosts ->
+                                access.list(PlatformCollections.CONTROL_SHARDS)
+                                        .map(shards -> result(stored, hosts, shards)));
+    }
+
+    private static CommandResult result(
+            StoredConfiguration stored, ObjectList hosts, ObjectList shards) {
+        List<String> lines = new ArrayList<>();
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        addConfiguration(stored, lines, json.putObject("configuration"));
+        addObjects("host", hosts, lines, json.putObject("hosts"));
+        addObjects("control shard", shards, lines, json.putObject("control_shards"));
+        return new CommandResult(List.copyOf(lines), json);
+    }
+
+    private static void addConfiguration(
+            StoredConfiguration stored, List<String> lines, ObjectNode json) {
+        for (ItemKind kind : ItemKind.values()) {
+            int count = stored.ofKind(kind).size();
+            lines.add(ListSections.nameOf(kind) + ": " + count);
+            json.put(ListSections.nameOf(kind), count);
+        }
+        stored.unreadable().values().forEach(item -> lines.add("unreadable: " + item.objectName()));
+        json.put("unreadable", stored.unreadable().size());
+    }
+
+    private static void addObjects(
+            String label, ObjectList objects, List<String> lines, ObjectNode json) {
+        for (StoredObject object : objects.objects()) {
+            ObjectNode summary = summary(object.spec());
+            lines.add(label + " " + object.name() + ": " + summary);
+            json.set(object.name(), summary);
+        }
+    }
+
+    /** Nested parts, such as the placement record of a shard, can be large and are left out. */
+    private static ObjectNode summary(ObjectNode spec) {
+        ObjectNode summary = JsonNodeFactory.instance.objectNode();
+        spec.properties().stream()
+                .filter(field -> field.getValue().isValueNode())
+                .forEach(field -> summary.set(field.getKey(), field.getValue()));
+        return FieldNames.toSnakeCase(summary);
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/StoredConfiguration.java
@@ -0,0 +1,41 @@
+package org.vanillaslip.internal.commandline;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.ConfigurationItem;
+import org.vanillaslip.ItemKind;
+import org.vanillaslip.ItemName;
+import org.vanillaslip.VersionedItem;
+import org.vanillaslip.internal.configuration.UnreadableItem;
+
+/** All items on the platform with the versions that were read, removals included. */
+record StoredConfiguration(
+        Map<ItemName, VersionedItem> items, Map<String, UnreadableItem> unreadable) {
+
+    /** Returns an empty configuration. */
+    static StoredConfiguration empty() {
+        return new StoredConfiguration(Map.of(), Map.of());
+    }
+
+    Optional<ConfigurationItem> item(ItemName name) {
+        return Optional.ofNullable(items.get(name)).flatMap(VersionedItem::item);
+    }
+
+    /** Returns the version that was read, 0 when the item was never stored. */
+    long version(ItemName name) {
+        UnreadableItem other = unreadable.get(name.objectName());
+        VersionedItem item = items.get(name);
+        return item != null ? item.version() : other == null ? 0 : other.version();
+    }
+
+    /** Returns the present items of the kind in the order of their names. */
+    List<ConfigurationItem> ofKind(ItemKind kind) {
+        return items.values().stream()
+                .filter(item -> item.name().kind() == kind)
+                .flatMap(item -> item.item().stream())
+                .sorted(Comparator.comparing(ConfigurationItem::name))
+                .toList();
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/WithdrawKey.java
@@ -0,0 +1,28 @@
+package org.vanillaslip.internal.commandline;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+
+/** {@code vanillaslip keys withdraw}. */
+@Command(name = "withdraw", description = "Withdraws a key, given itself or by its digest")
+public final class WithdrawKey extends KeyCommand {
+    @Arguments(
+            title = {"WORKSPACE", "DIGEST-OR-KEY"},
+            description = "Workspace that holds the key, and the key or its digest")
+    @Required
+    List<String> mArguments = new ArrayList<>();
+
+    @Override
+    Either<CommandFailure, CommandResult> run(CommandContext context) {
+        if (mArguments.size() != 2) {
+            return Either.left(Failures.usage("Give a workspace and a key or its digest."));
+        }
+        String given = mArguments.get(1);
+        String digest = Keys.isDigest(given) ? given : Keys.digest(given);
+        return write(context, mArguments.get(0), digest, false);
+    }
+}
