--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/AttemptRunner.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/AttemptRunner.java
@@ -150,9 +150,13 @@
 
         private Mono<WholeReply> execute() {
             mRunning.add(mOwn.nonce());
-            return mSend.flatMap(this::record)
-                    .onErrorResume(error -> withdraw().then(Mono.error(error)))
-                    .doFinally(signal -> mRunning.remove(mOwn.nonce()));
+            return mSend.onErrorResume(error -> withdraw().then(Mono.error(error)))
+                    .doOnError(error -> ended())
+                    .flatMap(this::record);
+        }
+
+        private void ended() {
+            mRunning.remove(mOwn.nonce());
         }
 
         private Mono<WholeReply> record(ServiceResponse response) {
@@ -162,7 +166,7 @@
                             response.contentType(),
                             Base64.getEncoder().encodeToString(response.body()));
             return mRecorder
-                    .record(mName, mVersion, mOwn.withOutcome(outcome))
+                    .record(mName, mVersion, mOwn.withOutcome(outcome), this::ended)
                     .thenReturn(replay(outcome));
         }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/OutcomeRecorder.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/OutcomeRecorder.java
@@ -33,13 +33,17 @@
     }
 
     /** Completes when the outcome is recorded, or after a bound while recording goes on. */
-    Mono<Void> record(String name, long version, AttemptRecord record) {
+    Mono<Void> record(String name, long version, AttemptRecord record, Runnable onEnd) {
         return Mono.defer(
                 () -> {
                     mPending.incrementAndGet();
                     Mono<Void> recording =
                             attempt(name, version, record, 1)
-                                    .doFinally(signal -> mPending.decrementAndGet())
+                                    .doFinally(
+                                            signal -> {
+                                                mPending.decrementAndGet();
+                                                onEnd.run();
+                                            })
                                     .cache();
                     recording.subscribe();
                     return recording.timeout(CALLER_WAIT, Mono.empty(), mLoop.scheduler());
--- a/decisions/src/main/java/org/vanillaslip/internal/attempt/Attempt.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/attempt/Attempt.java
@@ -21,6 +21,7 @@
     private final Predicate<String> mAbandonedHere;
     private int mCalls;
     private boolean mChangeUncertain;
+    private boolean mExists;
     private boolean mDecided;
 
     /**
@@ -53,9 +54,15 @@
             mChangeUncertain = true;
         }
         return switch (failure) {
-            case CONFLICT -> platformCall(AttemptAction.READ);
+            case CONFLICT -> {
+                mExists = true;
+                yield platformCall(AttemptAction.READ);
+            }
             case ANSWER_LOST -> platformCall(AttemptAction.READ);
-            case MISSING -> platformCall(AttemptAction.CREATE);
+            case MISSING -> {
+                mExists = false;
+                yield platformCall(AttemptAction.CREATE);
+            }
             case UNREACHABLE -> unreachable(failed);
         };
     }
@@ -90,12 +97,12 @@
         // A read is worth repeating once the own record may exist: refusing would strand it.
         return failed == AttemptAction.READ && mChangeUncertain
                 ? platformCall(AttemptAction.READ)
-                : refuse(ResultCode.PLATFORM_UNAVAILABLE);
+                : refuseUnread();
     }
 
     private AttemptStep platformCall(AttemptAction action) {
         if (++mCalls > MOST_CALLS) {
-            return refuse(ResultCode.PLATFORM_UNAVAILABLE);
+            return refuseUnread();
         }
         return AttemptStep.of(action);
     }
@@ -108,6 +115,14 @@
         return AttemptStep.of(AttemptAction.RUN);
     }
 
+    /** A record that exists but can't be read may be of an earlier attempt that did run. */
+    private AttemptStep refuseUnread() {
+        return refuse(
+                mExists
+                        ? ResultCode.OUTCOME_UNKNOWN
+                        : ResultCode.PLATFORM_UNAVAILABLE);
+    }
+
     private AttemptStep refuse(ResultCode code) {
         mDecided = true;
         return AttemptStep.refuse(Refusal.retryable(code, "Idempotency-Key", RETRY_AFTER));
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/service/FaultSwitch.java
@@ -0,0 +1,29 @@
+package org.vanillaslip.internal.standins.service;
+
+import java.time.Duration;
+
+/** The fault in force and how many calls it still hits. */
+final class FaultSwitch {
+
+    private ServiceFault mFault = ServiceFault.NONE;
+    private int mTimes;
+    private Duration mDelay = Duration.ZERO;
+
+    synchronized void set(ServiceFault fault, int times, Duration delay) {
+        mFault = fault;
+        mTimes = times;
+        mDelay = delay;
+    }
+
+    synchronized ServiceFault take() {
+        if (mTimes <= 0) {
+            return ServiceFault.NONE;
+        }
+        mTimes--;
+        return mFault;
+    }
+
+    synchronized Duration delay() {
+        return mDelay;
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/service/ServiceRecords.java
@@ -0,0 +1,43 @@
+package org.vanillaslip.internal.standins.service;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** What the stand-in received and executed. */
+public final class ServiceRecords {
+
+    private final ObjectMapper mMapper = new ObjectMapper();
+    private final Map<String, Integer> mExecutions = new ConcurrentHashMap<>();
+    private final List<ReceivedCall> mCalls = new CopyOnWriteArrayList<>();
+
+    void received(ReceivedCall call) {
+        mCalls.add(call);
+    }
+
+    /** Counts an execution by the booking reference of the body and returns the new count. */
+    int executed(String body) {
+        return mExecutions.merge(reference(body), 1, Integer::sum);
+    }
+
+    /** Returns the number of executions by booking reference. */
+    public Map<String, Integer> executions() {
+        return Map.copyOf(mExecutions);
+    }
+
+    /** Returns all calls in the order of arrival. */
+    public List<ReceivedCall> calls() {
+        return List.copyOf(mCalls);
+    }
+
+    private String reference(String body) {
+        try {
+            return mMapper.readTree(body).path("booking_reference").asText("none");
+        } catch (IOException unreadable) {
+            return "none";
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/service/ServiceServer.java
@@ -0,0 +1,169 @@
+package org.vanillaslip.internal.standins.service;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** HTTP server of the stand-in. */
+public final class ServiceServer {
+
+    private static final Set<String> COUNTED =
+            Set.of("/press-slots", "/sheet-cuts", "/deposits", "/seat-holds");
+    private static final Set<String> IDEMPOTENT = Set.of("/stock", "/groups");
+    private static final String REQUEST_ID = "X-Request-Id";
+
+    private final ObjectMapper mMapper = new ObjectMapper();
+    private final String mName;
+    private final String mIncarnation = UUID.randomUUID().toString();
+    private final long mStartNanos = System.nanoTime();
+    private final ServiceRecords mRecords = new ServiceRecords();
+    private final FaultSwitch mFaults = new FaultSwitch();
+    private final AtomicInteger mRunning = new AtomicInteger();
+    private @Nullable DisposableServer mServer;
+
+    /** Creates a server with the name that its answers carry. */
+    public ServiceServer(String name) {
+        mName = name;
+    }
+
+    /** Listens on the port, or on a free one for 0, and returns the port. */
+    public int start(int port) {
+        DisposableServer server =
+                HttpServer.create().host("127.0.0.1").port(port).handle(this::handle).bindNow();
+        mServer = server;
+        return server.port();
+    }
+
+    /** Stops listening and closes all connections. */
+    public void stop() {
+        if (mServer != null) {
+            mServer.disposeNow();
+        }
+    }
+
+    /** Waits until the server is stopped. */
+    public void awaitStop() {
+        if (mServer != null) {
+            mServer.onDispose().block();
+        }
+    }
+
+    /** Returns what was received and executed. */
+    public ServiceRecords records() {
+        return mRecords;
+    }
+
+    /** Switches a fault on for the given number of calls. */
+    public void fault(ServiceFault fault, int times, Duration delay) {
+        mFaults.set(fault, times, delay);
+    }
+
+    private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        return request.receive()
+                .aggregate()
+                .asString()
+                .defaultIfEmpty("")
+                .flatMap(body -> answer(request, response, body));
+    }
+
+    private Mono<Void> answer(HttpServerRequest request, HttpServerResponse response, String body) {
+        String path = request.uri().split("\\?", 2)[0];
+        return switch (path) {
+            case "/status" -> json(response, status());
+            case "/records" -> json(response, mMapper.valueToTree(mRecords.calls()));
+            case "/executions" -> json(response, mMapper.valueToTree(mRecords.executions()));
+            case "/faults" -> switchFault(response, body);
+            default ->
+                    COUNTED.contains(path) || IDEMPOTENT.contains(path)
+                            ? call(request, response, path, body)
+                            : response.sendNotFound();
+        };
+    }
+
+    private Mono<Void> call(
+            HttpServerRequest request, HttpServerResponse response, String path, String body) {
+        mRecords.received(
+                new ReceivedCall(request.method().name(), request.uri(), headers(request), body));
+        ServiceFault fault = mFaults.take();
+        if (fault == ServiceFault.CLOSE_BEFORE) {
+            return close(response);
+        }
+        int executions = COUNTED.contains(path) ? mRecords.executed(body) : 0;
+        ObjectNode answer = mMapper.createObjectNode();
+        answer.put("server", mName).put("path", path).put("executions", executions);
+        String requestId = request.requestHeaders().get(REQUEST_ID, "");
+        return switch (fault) {
+            case CLOSE_AFTER -> close(response);
+            case SILENT -> Mono.never();
+            case MISMATCHED -> json(response.header(REQUEST_ID, "another-request"), answer);
+            case LATE ->
+                    Mono.delay(mFaults.delay())
+                            .then(json(response.header(REQUEST_ID, requestId), answer));
+            case CLOSE_BEFORE, NONE ->
+                    running(json(response.header(REQUEST_ID, requestId), answer));
+        };
+    }
+
+    private Mono<Void> running(Mono<Void> work) {
+        mRunning.incrementAndGet();
+        return work.doFinally(signal -> mRunning.decrementAndGet());
+    }
+
+    private static Mono<Void> close(HttpServerResponse response) {
+        response.withConnection(connection -> connection.channel().close());
+        return Mono.never();
+    }
+
+    private Mono<Void> switchFault(HttpServerResponse response, String body) {
+        try {
+            JsonNode order = mMapper.readTree(body);
+            fault(
+                    ServiceFault.parse(order.path("fault").asText("none")),
+                    order.path("times").asInt(1),
+                    Duration.ofMillis(order.path("delay_millis").asLong(1_000)));
+            return json(response, order);
+        } catch (IOException | IllegalArgumentException malformed) {
+            return response.status(400).send();
+        }
+    }
+
+    private ObjectNode status() {
+        ObjectNode status = mMapper.createObjectNode();
+        status.put("incarnation", mIncarnation);
+        status.put("uptime_millis", (System.nanoTime() - mStartNanos) / 1_000_000);
+        status.put("running", mRunning.get());
+        return status;
+    }
+
+    private static Mono<Void> json(HttpServerResponse response, JsonNode body) {
+        return response.header("Content-Type", "application/json")
+                .sendString(Mono.just(body.toString()))
+                .then();
+    }
+
+    private static Map<String, String> headers(HttpServerRequest request) {
+        Map<String, String> headers = new HashMap<>();
+        request.requestHeaders()
+                .forEach(
+                        header ->
+                                headers.merge(
+                                        header.getKey().toLowerCase(Locale.ROOT),
+                                        header.getValue(),
+                                        (one, other) -> one + ", " + other));
+        return headers;
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/service/ServiceStandIn.java
@@ -0,0 +1,32 @@
+package org.vanillaslip.internal.standins.service;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+
+/** Runs a stand-in of a plain service as a process. */
+@Command(name = "service-stand-in", description = "Runs a stand-in of a plain service.")
+public final class ServiceStandIn {
+
+    @Option(name = "--port", description = "Port to listen on; 0 takes a free one.")
+    private int mPort;
+
+    @Option(name = "--name", description = "Name that answers carry.")
+    private String mName = "service";
+
+    /** Starts the server and prints the port on the first line of standard output. */
+    public static void main(String[] arguments) {
+        ServiceStandIn command;
+        try {
+            command = SingleCommand.singleCommand(ServiceStandIn.class).parse(arguments);
+        } catch (ParseException unusable) {
+            System.err.println(unusable.getMessage());
+            System.exit(2);
+            return;
+        }
+        ServiceServer server = new ServiceServer(command.mName);
+        System.out.println("port " + server.start(command.mPort));
+        server.awaitStop();
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/service/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of a plain service. */
+@NullMarked
+package org.vanillaslip.internal.standins.service;
+
+import org.jspecify.annotations.NullMarked;
