Test that the configuration in force never reverts

Cause: configuration-in-force has to hold under outage, lost answers, gaps, silent watches, older copies, restarts and racing operators.

--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/configuration/ConfigurationInForceTest.java
@@ -0,0 +1,207 @@
+package org.vanillaslip.internal.control.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.vanillaslip.internal.control.configuration.TestPlatform.plan;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.vanillaslip.ItemKind;
+import org.vanillaslip.ItemName;
+import org.vanillaslip.internal.control.configuration.TestPlatform.TestHost;
+import org.vanillaslip.internal.platform.ObjectJson;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.standins.platform.CallKind;
+import org.vanillaslip.messages.ConfigurationItems;
+import org.vanillaslip.messages.ConfigurationObject;
+import org.vanillaslip.messages.Envelope;
+import reactor.core.publisher.Mono;
+
+/** configuration-in-force: an accepted configuration is in force within seconds, never reverts. */
+class ConfigurationInForceTest {
+
+    private static final Duration IN_FORCE = Duration.ofSeconds(11);
+    private static final Duration MOMENT = Duration.ofMillis(1);
+
+    private final TestPlatform mPlatform = new TestPlatform();
+
+    @Test
+    void configurationInForceAtOnceWhileNothingFails() {
+        TestHost host = startedHost();
+        mPlatform.write(mPlatform.read("p").version(), plan("p", 20));
+        mPlatform.pass(MOMENT);
+        assertThat(host.rate("p")).isEqualTo(20);
+    }
+
+    @Test
+    void configurationInForceUnderAnOutage() {
+        TestHost host = startedHost();
+        mPlatform.mFaults.setOutage(true);
+        mPlatform.pass(Duration.ofHours(1));
+        assertThat(host.rate("p")).isEqualTo(10);
+        assertThat(host.watcher().age()).isBetween(Duration.ofMinutes(59), Duration.ofMinutes(61));
+        // Two collections with one attempt per 2.5 s on average.
+        assertThat(mPlatform.mCounts.of(CallKind.WATCH)).isLessThan(4000);
+
+        mPlatform.mFaults.setOutage(false);
+        mPlatform.write(mPlatform.read("p").version(), plan("p", 20));
+        mPlatform.pass(IN_FORCE);
+        assertThat(host.rate("p")).isEqualTo(20);
+        assertThat(host.watcher().age()).isLessThan(Duration.ofSeconds(6));
+    }
+
+    @Test
+    void configurationInForceAfterALostAnswer() {
+        TestHost host = startedHost();
+        long version = mPlatform.read("p").version();
+        mPlatform.mFaults.setLostWriteAnswers(1);
+        assertThat(mPlatform.write(version, plan("p", 20)).getLeft())
+                .isEqualTo(PlatformFailure.OUTCOME_UNKNOWN);
+        mPlatform.pass(MOMENT);
+        assertThat(host.rate("p")).isEqualTo(20);
+        assertThat(mPlatform.write(version, plan("p", 15)).getLeft())
+                .isEqualTo(PlatformFailure.CONFLICT);
+        mPlatform.pass(IN_FORCE);
+        assertThat(host.rate("p")).isEqualTo(20);
+    }
+
+    @Test
+    void configurationInForceAfterAGapThatTheHistoryCovers() {
+        TestHost host = startedHost();
+        long lists = mPlatform.mCounts.of(CallKind.LIST);
+        mPlatform.mStorage.breakWatches();
+        mPlatform.write(mPlatform.read("p").version(), plan("p", 20));
+        mPlatform.pass(IN_FORCE);
+        assertThat(host.rate("p")).isEqualTo(20);
+        assertThat(mPlatform.mCounts.of(CallKind.LIST)).isEqualTo(lists);
+    }
+
+    @Test
+    void configurationInForceAfterAGapThatTheHistoryHasForgotten() {
+        TestHost host = startedHost();
+        mPlatform.write(0, plan("q", 1));
+        mPlatform.pass(MOMENT);
+        mPlatform.mStorage.breakWatches();
+        mPlatform.write(mPlatform.read("p").version(), plan("p", 20));
+        mPlatform.mStorage.delete("configuration", "plan.q", 0);
+        mPlatform.mStorage.forgetHistory();
+        mPlatform.pass(IN_FORCE);
+        assertThat(host.rate("p")).isEqualTo(20);
+        assertThat(host.plans()).containsOnlyKeys("p");
+    }
+
+    @Test
+    void configurationInForceDespiteASilentWatch() {
+        TestHost host = startedHost();
+        mPlatform.mFaults.setSilentWatches(true);
+        mPlatform.write(mPlatform.read("p").version(), plan("p", 20));
+        mPlatform.pass(Duration.ofSeconds(5));
+        mPlatform.mFaults.setSilentWatches(false);
+        assertThat(host.rate("p")).isEqualTo(10);
+        // 15 s until the watch is dropped, plus the first back-off.
+        mPlatform.pass(Duration.ofSeconds(11));
+        assertThat(host.rate("p")).isEqualTo(20);
+    }
+
+    @Test
+    void configurationInForceAfterAnEventThatWasLostWithoutNotice() {
+        AtomicBoolean lossy = new AtomicBoolean();
+        ObjectStore store = new LossyWatchStore(mPlatform.store("a"), lossy);
+        mPlatform.write(0, plan("p", 10));
+        TestHost host = mPlatform.start("a", store);
+        mPlatform.pass(MOMENT);
+        lossy.set(true);
+        mPlatform.write(mPlatform.read("p").version(), plan("p", 20));
+        mPlatform.pass(Duration.ofMinutes(8));
+        assertThat(host.rate("p")).isEqualTo(10);
+        mPlatform.pass(Duration.ofMinutes(3));
+        assertThat(host.rate("p")).isEqualTo(20);
+    }
+
+    @Test
+    void configurationInForceDespiteAnOlderCopyFromAPeer() {
+        TestHost host = startedHost();
+        StoredObject old = mPlatform.read("p");
+        mPlatform.mNetwork.handle("stale", request -> Mono.just(reply(old)));
+        mPlatform.write(old.version(), plan("p", 20));
+        mPlatform.pass(IN_FORCE);
+        assertThat(host.rate("p")).isEqualTo(20);
+
+        ItemName name = new ItemName(ItemKind.PLAN, "p");
+        mPlatform.write(mPlatform.read("p").version(), name, Optional.empty());
+        mPlatform.pass(IN_FORCE);
+        assertThat(host.plans()).isEmpty();
+    }
+
+    @Test
+    void configurationInForceOnAHostThatOnlyReachesItsPeers() {
+        mPlatform.mFaults.setRefusedFailureDomains(Set.of("b"));
+        mPlatform.announce("a");
+        mPlatform.announce("b");
+        TestHost reaching = startedHost();
+        TestHost cutOff = mPlatform.start("b");
+        mPlatform.write(mPlatform.read("p").version(), plan("p", 20));
+        mPlatform.pass(Duration.ofSeconds(3));
+        assertThat(cutOff.rate("p")).isEqualTo(20);
+        assertThat(cutOff.watcher().version()).isEqualTo(reaching.watcher().version());
+    }
+
+    @Test
+    void configurationInForceAfterARestartDuringAnOutage() {
+        TestHost other = startedHost();
+        TestHost restarted = mPlatform.start("b");
+        mPlatform.pass(IN_FORCE);
+        mPlatform.mFaults.setOutage(true);
+        restarted.running().dispose();
+        mPlatform.mNetwork.cutOff("b");
+
+        TestHost alone = mPlatform.start("b");
+        mPlatform.pass(Duration.ofMinutes(1));
+        assertThat(alone.watcher().current()).isEmpty();
+
+        mPlatform.mNetwork.join("b");
+        mPlatform.pass(Duration.ofSeconds(3));
+        assertThat(alone.watcher().current()).isEqualTo(other.watcher().current());
+        // Nobody knows how old the peer's copy was, so it must not count as fresh.
+        assertThat(alone.watcher().age()).isGreaterThan(Duration.ofDays(365));
+    }
+
+    @Test
+    void configurationInForceWhenTwoOperatorsRace() {
+        TestHost first = startedHost();
+        TestHost second = mPlatform.start("b");
+        long version = mPlatform.read("p").version();
+        assertThat(mPlatform.write(version, plan("p", 20)).isRight()).isTrue();
+        assertThat(mPlatform.write(version, plan("p", 30)).getLeft())
+                .isEqualTo(PlatformFailure.CONFLICT);
+        mPlatform.pass(IN_FORCE);
+        assertThat(first.rate("p")).isEqualTo(20);
+        assertThat(second.rate("p")).isEqualTo(20);
+    }
+
+    private TestHost startedHost() {
+        mPlatform.write(0, plan("p", 10));
+        TestHost host = mPlatform.start("a");
+        mPlatform.pass(MOMENT);
+        assertThat(host.rate("p")).isEqualTo(10);
+        return host;
+    }
+
+    private static Envelope.Builder reply(StoredObject object) {
+        byte[] spec = new ObjectJson(new ObjectMapper()).write(object.spec());
+        return Envelope.newBuilder()
+                .setConfigurationItems(
+                        ConfigurationItems.newBuilder()
+                                .addObjects(
+                                        ConfigurationObject.newBuilder()
+                                                .setName(object.name())
+                                                .setVersion(object.version())
+                                                .setSpecJson(ByteString.copyFrom(spec))));
+    }
+}
--- a/decisions/src/test/java/org/vanillaslip/internal/configuration/ConfigurationStateTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/configuration/ConfigurationStateTest.java
@@ -11,7 +11,10 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.vanillaslip.Configuration;
 import org.vanillaslip.ConfigurationItem;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.FailureDomainEntry;
 import org.vanillaslip.ItemKind;
 import org.vanillaslip.ItemName;
 import org.vanillaslip.Plan;
@@ -57,6 +60,49 @@
         assertThat(corrected.current().orElseThrow().version()).isEqualTo(3);
     }
 
+    @Test
+    void revokedKeysAndDrainsTakeEffectDespiteAFaultElsewhere() {
+        String kept = "a".repeat(64);
+        String revoked = "b".repeat(64);
+        ConfigurationState good =
+                ConfigurationState.empty()
+                        .merge(
+                                List.of(
+                                        at(1, plan("p", 10)),
+                                        at(2, new FailureDomainEntry("north", false)),
+                                        at(
+                                                3,
+                                                new WorkspaceEntry(
+                                                        "w", "p", Set.of(kept, revoked)))));
+
+        ConfigurationState faulty =
+                good.merge(
+                        List.of(
+                                at(4, plan("p", -1)),
+                                at(5, new FailureDomainEntry("north", true)),
+                                at(6, new WorkspaceEntry("w", "p", Set.of(kept, "c".repeat(64))))));
+
+        Configuration inForce = faulty.current().orElseThrow();
+        assertThat(inForce.workspacesByKeyDigest()).containsOnlyKeys(kept);
+        assertThat(inForce.workspaces().get("w").keyDigests()).containsExactly(kept);
+        assertThat(inForce.isDrained(new FailureDomain("north"))).isTrue();
+        assertThat(inForce.plans().get("p").tokensPerSecond()).isEqualTo(10);
+    }
+
+    @Test
+    void anUnreadableVersionKeepsTheSnapshotUntilANewerOneArrives() {
+        ConfigurationState good = ConfigurationState.empty().merge(List.of(at(1, plan("p", 10))));
+        Fault fault = new Fault("plan.p", "kind", "x", "plan");
+
+        ConfigurationState faulty =
+                good.merge(List.of(), List.of(new UnreadableItem("plan.p", 3, List.of(fault))));
+
+        assertThat(faulty.faults()).containsExactly(fault);
+        assertThat(faulty.merge(List.of(at(2, plan("p", 20)))).current()).isEqualTo(good.current());
+        assertThat(faulty.merge(List.of(at(4, plan("p", 40)))).faults()).isEmpty();
+        assertThat(faulty.remove("plan.p", 4).current().orElseThrow().plans()).isEmpty();
+    }
+
     @Test
     void treatsAnObjectMissingFromANewerListAsRemoved() {
         ConfigurationState state =
--- a/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/PlatformHttpServer.java
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/PlatformHttpServer.java
@@ -15,6 +15,7 @@
 import org.vanillaslip.internal.platform.StoredObject;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -149,8 +150,7 @@
     }
 
     private static Mono<Void> drop(HttpServerResponse response) {
-        return Mono.fromRunnable(
-                () -> response.withConnection(connection -> connection.channel().close()));
+        return Mono.fromRunnable(() -> response.withConnection(Connection::dispose));
     }
 
     private ObjectNode counts() {
