Show drained items in the status

Cause: an operator on call needs to see what is out of service at one glance. Change: 'vanillaslip status' lists drained failure domains, hosts and servers. Result: bin/test passes.

--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/Status.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/Status.java
@@ -1,6 +1,7 @@
 package org.vanillaslip.internal.commandline;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.github.rvesse.airline.annotations.Command;
@@ -72,6 +73,9 @@
             lines.add(ListSections.nameOf(kind) + ": " + count);
             json.put(ListSections.nameOf(kind), count);
         }
+        ArrayNode drained = json.putArray("drained");
+        stored.drained().forEach(drained::add);
+        stored.drained().forEach(name -> lines.add("drained: " + name));
         stored.unreadable().values().forEach(item -> lines.add("unreadable: " + item.objectName()));
         json.put("unreadable", stored.unreadable().size());
     }
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/StoredConfiguration.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/StoredConfiguration.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.vanillaslip.BackendServer;
 import org.vanillaslip.ConfigurationItem;
+import org.vanillaslip.FailureDomainEntry;
+import org.vanillaslip.HostEntry;
 import org.vanillaslip.ItemKind;
 import org.vanillaslip.ItemName;
 import org.vanillaslip.VersionedItem;
@@ -38,4 +41,20 @@
                 .sorted(Comparator.comparing(ConfigurationItem::name))
                 .toList();
     }
+
+    /** Returns the object names of the drained items in order. */
+    List<String> drained() {
+        return items.values().stream()
+                .flatMap(item -> item.item().stream())
+                .filter(StoredConfiguration::isDrained)
+                .map(item -> ItemName.of(item).objectName())
+                .sorted()
+                .toList();
+    }
+
+    private static boolean isDrained(ConfigurationItem item) {
+        return item instanceof FailureDomainEntry failureDomain && failureDomain.drained()
+                || item instanceof HostEntry host && host.drained()
+                || item instanceof BackendServer server && server.drained();
+    }
 }
--- a/command-line/src/test/java/org/vanillaslip/internal/commandline/CommandLineTest.java
+++ b/command-line/src/test/java/org/vanillaslip/internal/commandline/CommandLineTest.java
@@ -103,8 +103,9 @@
         assertThat(mOperator.run("workspaces", "show", "nobody")).isEqualTo(2);
         assertThat(mOperator.run("workspaces", "list")).isZero();
         assertThat(mOperator.mOutput).contains("taller-rios plan=counter keys=1 version=");
+        mOperator.run("drain", "host", "b2");
         assertThat(mOperator.run("status")).isZero();
-        assertThat(mOperator.mOutput).contains("backend_servers: 4");
+        assertThat(mOperator.mOutput).contains("backend_servers: 4", "drained: host.b2");
         assertThat(mOperator.run("status", "--host", "127.0.0.1:1")).isZero();
         assertThat(mOperator.run("status", "--host", "127.0.0.1:2")).isEqualTo(4);
     }
