--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/StoredConfiguration.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/StoredConfiguration.java
@@ -53,8 +53,8 @@
     }
 
     private static boolean isDrained(ConfigurationItem item) {
-        return item instanceof FailureDomainEntry failureDomain && failureDomain.drained()
-                || item instanceof HostEntry host && host.drained()
-                || item instanceof BackendServer server && server.drained();
+        return (item instanceof FailureDomainEntry failureDomain && failureDomain.drained())
+                || (item instanceof HostEntry host && host.drained())
+                || (item instanceof BackendServer server && server.drained());
     }
 }
