--- a/daemon/src/test/java/org/vanillaslip/internal/logging/SystemEventLogTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/logging/SystemEventLogTest.java
@@ -51,9 +51,9 @@
     void keepsBracesAndReplacesLineBreaksInValues() {
         EventLog log = logOn(LogFormat.PLAIN, System.Logger.Level.INFO);
 
-        log.log(LifecycleEvent.STARTING, field("path", "/{0}/{}\nforged event=1"));
+        log.log(LifecycleEvent.STARTING, field("path", "/{0}/{}\nforged \\\" event=1"));
 
-        assertThat(text()).hasLineCount(1).contains("path=/{0}/{}?forged");
+        assertThat(text()).hasLineCount(1).contains("path=\"/{0}/{}?forged \\\\\\\" event=1\"");
     }
 
     @Test
