--- a/daemon/src/main/java/org/vanillaslip/internal/backend/forward/SilenceBound.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/SilenceBound.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.vanillaslip.MonotonicClock;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
 /**
@@ -37,11 +39,20 @@
                                                 active.set(mClock.nowNanos());
                                             })
                                     .doOnRequest(more -> request(owed, active, more));
-                    return watched.takeUntilOther(
+                    AtomicBoolean silent = new AtomicBoolean();
+                    Mono<Long> bound =
                             Flux.interval(CHECK_INTERVAL, mTimers)
                                     .filter(tick -> silent(owed.get(), active.get()))
                                     .next()
-                                    .flatMap(tick -> reactor.core.publisher.Mono.error(silence())));
+                                    .doOnNext(tick -> silent.set(true));
+                    // An error of the other publisher would leave the source running.
+                    return watched.takeUntilOther(bound)
+                            .concatWith(
+                                    Mono.defer(
+                                            () ->
+                                                    silent.get()
+                                                            ? Mono.error(silence())
+                                                            : Mono.empty()));
                 });
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Dispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Dispatcher.java
@@ -46,6 +46,7 @@
     private final Map<String, Set<String>> mSlotless = new HashMap<>();
     private final Set<String> mAcquiring = new HashSet<>();
     private final Disposable mTicks;
+    private volatile int mWaitingCount;
 
     Dispatcher(
             DecisionLoop loop,
@@ -111,9 +112,9 @@
                 .forEach(ticket -> refuse(ticket, refusal));
     }
 
-    /** Returns the number of waiting requests; call on the decision loop. */
+    /** Returns the number of waiting requests. */
     int waiting() {
-        return mWaiting.size();
+        return mWaitingCount;
     }
 
     void dispose() {
@@ -132,6 +133,7 @@
             return;
         }
         mWaiting.put(ticket.mRequest.id(), ticket);
+        mWaitingCount = mWaiting.size();
         pump(ticket.mTarget.name());
         activateIfNeeded(ticket);
     }
@@ -217,6 +219,7 @@
     private void grant(Ticket ticket, Replica replica, Slot slot, Choice choice) {
         mQueue.serve(ticket.mRequest);
         mWaiting.remove(ticket.mRequest.id());
+        mWaitingCount = mWaiting.size();
         mInFlight.add(replica.server().name(), 1);
         ticket.mReplica = replica;
         ticket.mSlot = slot;
@@ -242,6 +245,7 @@
         }
         ticket.mClosed = true;
         mWaiting.remove(ticket.mRequest.id());
+        mWaitingCount = mWaiting.size();
         Replica replica = ticket.mReplica;
         if (replica == null) {
             mQueue.remove(ticket.mRequest.id());
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Forwarding.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Forwarding.java
@@ -115,16 +115,18 @@
                 job.target(),
                 job.prefixHash(),
                 tried,
-                configuration -> recheck(request, configuration));
+                configuration -> recheck(job, configuration));
     }
 
-    private static Optional<Refusal> recheck(CallerRequest request, Configuration configuration) {
+    private static Optional<Refusal> recheck(Job<?> job, Configuration configuration) {
+        CallerRequest request = job.request();
         if (!KeyCheck.stillValid(configuration, request.caller())) {
             return Optional.of(Refusal.of(ResultCode.UNKNOWN_KEY, "key"));
         }
-        return configuration.routes().containsKey(request.route().name())
-                ? Optional.empty()
-                : Optional.of(Refusal.of(ResultCode.UNKNOWN_ROUTE, request.route().name()));
+        if (!configuration.routes().containsKey(request.route().name())) {
+            return Optional.of(Refusal.of(ResultCode.UNKNOWN_ROUTE, request.route().name()));
+        }
+        return job.target().recheck().apply(configuration);
     }
 
     private record Job<T>(
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Gateway.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Gateway.java
@@ -80,7 +80,7 @@
                         attempts,
                         mLoop);
         mStop = new StopSequence(settings, mLoop, mDispatcher, mRunning, attempts, needs.log());
-        mPages = new StatusPages(settings, needs.configuration(), mStop, mRunning);
+        mPages = new StatusPages(settings, needs.configuration(), mStop, mRunning, mDispatcher);
     }
 
     /** Begins to listen. */
@@ -209,8 +209,7 @@
 
     private <T> Flux<T> tracked(CallerRequest request, Flux<T> work) {
         return mRunning.track(
-                request.id(),
-                request.caller(),
+                request,
                 () -> {
                     // The key may have been revoked between its check and this registration.
                     boolean valid =
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/ModelFlow.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/ModelFlow.java
@@ -81,7 +81,7 @@
                     return mForwarding
                             .run(
                                     request,
-                                    target(call.model()),
+                                    target(request, call.model()),
                                     estimate,
                                     OptionalLong.of(prefixHash(call)),
                                     replica ->
@@ -100,11 +100,15 @@
                 });
     }
 
-    private Target target(ModelName model) {
+    private Target target(CallerRequest request, ModelName model) {
         return new Target(
                 "model " + model,
                 () -> mPlacement.replicas(model),
-                wait -> mPlacement.activate(model, wait));
+                wait -> mPlacement.activate(model, wait),
+                configuration ->
+                        PlanCheck.check(configuration, request.route(), request.caller(), model)
+                                .swap()
+                                .toJavaOptional());
     }
 
     private static long prefixHash(ModelCall call) {
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/PlainFlow.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/PlainFlow.java
@@ -120,7 +120,11 @@
     }
 
     private Target target(Route route) {
-        return new Target("pool " + route.pool(), () -> replicas(route), wait -> absent(route));
+        return new Target(
+                "pool " + route.pool(),
+                () -> replicas(route),
+                wait -> absent(route),
+                configuration -> Optional.empty());
     }
 
     private Mono<Either<Refusal, Duration>> absent(Route route) {
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/RunningRequests.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/RunningRequests.java
@@ -2,13 +2,15 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Publisher;
 import org.vanillaslip.Configuration;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
-import org.vanillaslip.internal.admission.Caller;
 import org.vanillaslip.internal.admission.KeyCheck;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -20,42 +22,52 @@
     private final Map<String, Entry> mEntries = new ConcurrentHashMap<>();
 
     /** Counts the work until it ends and ends it early with a refusal when told so. */
-    <T> Flux<T> track(String requestId, Caller caller, Supplier<Publisher<T>> work) {
+    <T> Flux<T> track(CallerRequest request, Supplier<Publisher<T>> work) {
         return Flux.defer(
                 () -> {
-                    Entry entry = new Entry(caller, Sinks.one());
-                    mEntries.put(requestId, entry);
-                    Mono<Refusal> abort =
-                            entry.abort()
-                                    .asMono()
-                                    .flatMap(refusal -> Mono.error(new RefusedException(refusal)));
+                    Entry entry = new Entry(request, Sinks.one());
+                    mEntries.put(request.id(), entry);
+                    AtomicReference<Refusal> aborted = new AtomicReference<>();
+                    Mono<Refusal> abort = entry.abort().asMono().doOnNext(aborted::set);
+                    // An error of the other publisher would leave the work running.
                     return Flux.from(work.get())
                             .takeUntilOther(abort)
-                            .doFinally(signal -> mEntries.remove(requestId, entry));
+                            .concatWith(Mono.defer(() -> ended(aborted.get())))
+                            .doFinally(signal -> mEntries.remove(request.id(), entry));
                 });
     }
 
     /** Ends the requests whose key is no longer valid. */
     void onConfiguration(Configuration configuration) {
         abortIf(
-                caller -> !KeyCheck.stillValid(configuration, caller),
-                Refusal.of(ResultCode.KEY_WITHDRAWN, "key"));
+                request -> !KeyCheck.stillValid(configuration, request.caller()),
+                request ->
+                        Refusal.of(
+                                request.trace().closeAsNotRun()
+                                        ? ResultCode.UNKNOWN_KEY
+                                        : ResultCode.KEY_WITHDRAWN,
+                                "key"));
     }
 
     /** Ends all requests, at the end of the time for a planned stop. */
     void abortAll(Refusal refusal) {
-        abortIf(caller -> true, refusal);
+        abortIf(request -> true, request -> refusal);
     }
 
     int size() {
         return mEntries.size();
     }
 
-    private void abortIf(Function<Caller, Boolean> condition, Refusal refusal) {
+    private static <T> Mono<T> ended(@Nullable Refusal refusal) {
+        return refusal == null ? Mono.empty() : Mono.error(new RefusedException(refusal));
+    }
+
+    private void abortIf(
+            Predicate<CallerRequest> condition, Function<CallerRequest, Refusal> refusal) {
         mEntries.values().stream()
-                .filter(entry -> condition.apply(entry.caller()))
-                .forEach(entry -> entry.abort().tryEmitValue(refusal));
+                .filter(entry -> condition.test(entry.request()))
+                .forEach(entry -> entry.abort().tryEmitValue(refusal.apply(entry.request())));
     }
 
-    private record Entry(Caller caller, Sinks.One<Refusal> abort) {}
+    private record Entry(CallerRequest request, Sinks.One<Refusal> abort) {}
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/StatusPages.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/StatusPages.java
@@ -16,16 +16,19 @@
     private final ConfigurationView mConfiguration;
     private final StopSequence mStop;
     private final RunningRequests mRunning;
+    private final Dispatcher mDispatcher;
 
     StatusPages(
             GatewaySettings settings,
             ConfigurationView configuration,
             StopSequence stop,
-            RunningRequests running) {
+            RunningRequests running,
+            Dispatcher dispatcher) {
         mSettings = settings;
         mConfiguration = configuration;
         mStop = stop;
         mRunning = running;
+        mDispatcher = dispatcher;
     }
 
     /** Returns the page of the path, or empty when the path is no page. */
@@ -59,6 +62,7 @@
         status.put("ready", ready());
         status.put("stopping", mStop.begun());
         status.put("running", mRunning.size());
+        status.put("waiting", mDispatcher.waiting());
         mConfiguration
                 .current()
                 .ifPresent(
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Target.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Target.java
@@ -3,8 +3,10 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.vanillaslip.Configuration;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.internal.control.Replica;
 import reactor.core.publisher.Mono;
@@ -15,8 +17,10 @@
  * @param name name of the queue
  * @param replicas the replicas known now
  * @param activate asks for a replica and returns the expected wait, or why there will be none
+ * @param recheck why a new configuration no longer permits the request, if so
  */
 record Target(
         String name,
         Supplier<List<Replica>> replicas,
-        Function<Duration, Mono<Either<Refusal, Duration>>> activate) {}
+        Function<Duration, Mono<Either<Refusal, Duration>>> activate,
+        Function<Configuration, Optional<Refusal>> recheck) {}
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -60,6 +61,7 @@
     final ServiceServer mService = new ServiceServer("orders");
     final List<String> mLog = new CopyOnWriteArrayList<>();
     final List<Long> mSettled = new CopyOnWriteArrayList<>();
+    final AtomicInteger mStarted = new AtomicInteger();
     final AtomicInteger mSlotsHeld = new AtomicInteger();
     final Map<String, BackendServer> mServers = new HashMap<>();
     volatile boolean mSlotsRefused;
@@ -181,6 +183,26 @@
         mTime.schedule(() -> mReplicaChanges.tryEmitNext(ModelName.parse("edge")));
     }
 
+    Configuration withoutModels() {
+        Configuration now = mConfiguration;
+        return new Configuration(
+                2,
+                now.plans(),
+                now.workspaces(),
+                now.routes(),
+                Map.of(),
+                now.backendServers(),
+                now.failureDomains(),
+                now.hosts(),
+                now.workspacesByKeyDigest());
+    }
+
+    /** Returns the number of waiting requests as the status page names it. */
+    int waiting() {
+        String status = await(get("/status"), Duration.ZERO).body();
+        return Integer.parseInt(status.replaceAll(".*\"waiting\":(\\d+).*", "$1"));
+    }
+
     Mono<Void> stop() {
         return mGateway.stop();
     }
@@ -208,7 +230,14 @@
         if (headers.length > 0) {
             request.headers(headers);
         }
-        return mClient.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+        return mClient.sendAsync(request.build(), counted());
+    }
+
+    private HttpResponse.BodyHandler<String> counted() {
+        return head -> {
+            mStarted.incrementAndGet();
+            return HttpResponse.BodySubscribers.ofString(StandardCharsets.UTF_8);
+        };
     }
 
     CompletableFuture<HttpResponse<String>> get(String path) {
--- a/decisions/src/main/java/org/vanillaslip/internal/attempt/Attempt.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/attempt/Attempt.java
@@ -117,10 +117,7 @@
 
     /** A record that exists but can't be read may be of an earlier attempt that did run. */
     private AttemptStep refuseUnread() {
-        return refuse(
-                mExists
-                        ? ResultCode.OUTCOME_UNKNOWN
-                        : ResultCode.PLATFORM_UNAVAILABLE);
+        return refuse(mExists ? ResultCode.OUTCOME_UNKNOWN : ResultCode.PLATFORM_UNAVAILABLE);
     }
 
     private AttemptStep refuse(ResultCode code) {
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/queue/FairQueueTest.java
@@ -0,0 +1,117 @@
+package org.vanillaslip.internal.queue;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.vanillaslip.RequestClass;
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.Workspace;
+import org.vanillaslip.internal.admission.Caller;
+
+/** Guards against starved workspaces, unbounded queues and late refusals. */
+@DisplayName("served-or-refused-in-time")
+class FairQueueTest {
+
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private final FairQueue mQueue = new FairQueue(new QueueLimits(200, 2_000, 100, 1_000));
+    private int mNumber;
+
+    @Property(seed = "20")
+    void workspacesWithBacklogGetEqualTokens(
+            @ForAll @Size(40) int @IntRange(min = 1, max = 50) [] costs) {
+        FairQueue queue = new FairQueue(new QueueLimits(200, 2_000, 100, 1_000));
+        for (int cost : costs) {
+            queue.offer(request("a", cost, 10), Duration.ZERO, 0);
+            queue.offer(request("b", 10, 10), Duration.ZERO, 0);
+        }
+        Map<String, Long> served = new HashMap<>();
+        for (int turn = 0; turn < 20; turn++) {
+            WaitingRequest next = queue.peek("model").orElseThrow();
+            queue.serve(next);
+            served.merge(next.caller().accountedWorkspace().name(), next.tokens(), Long::sum);
+        }
+        // Start-time fair queueing differs by at most the largest request of each workspace.
+        assertThat(Math.abs(served.getOrDefault("a", 0L) - served.getOrDefault("b", 0L)))
+                .isLessThanOrEqualTo(60);
+    }
+
+    @Test
+    void classAndDeadlineDecideWithinAWorkspace() {
+        WaitingRequest batch = add("a", RequestClass.BATCH, 1);
+        WaitingRequest late = add("a", RequestClass.INTERACTIVE, 9);
+        WaitingRequest soon = add("a", RequestClass.INTERACTIVE, 2);
+        for (WaitingRequest expected : new WaitingRequest[] {soon, late, batch}) {
+            assertThat(mQueue.peek("model")).contains(expected);
+            mQueue.serve(expected);
+        }
+        assertThat(mQueue.peek("model")).isEmpty();
+    }
+
+    @Test
+    void refusesARequestThatCannotMeetItsDeadline() {
+        var refused = mQueue.offer(request("a", 1, 5), Duration.ofSeconds(5), 0);
+        assertThat(refused.getLeft().code()).isEqualTo(ResultCode.DEADLINE_UNREACHABLE);
+        assertThat(refused.getLeft().retryAfter()).contains(Duration.ofSeconds(5));
+        assertThat(mQueue.size()).isZero();
+    }
+
+    @Test
+    void oneWorkspaceCannotFillTheQueue() {
+        for (int count = 0; count < 100; count++) {
+            add("a", RequestClass.BATCH, 9);
+        }
+        var refused = mQueue.offer(request("a", 1, 9), Duration.ZERO, 0);
+        assertThat(refused.getLeft().code()).isEqualTo(ResultCode.QUEUE_FULL);
+        assertThat(mQueue.offer(request("b", 1, 9), Duration.ZERO, 0).isRight()).isTrue();
+        assertThat(mQueue.ahead("model", new Workspace("c"))).isEqualTo(2);
+    }
+
+    @Test
+    void expiredAndRemovedRequestsFreeTheirBounds() {
+        WaitingRequest left = add("a", RequestClass.BATCH, 9);
+        WaitingRequest expired = add("a", RequestClass.BATCH, 1);
+        assertThat(mQueue.earliestDeadline()).hasValue(SECOND);
+        assertThat(mQueue.expire(SECOND)).containsExactly(expired);
+        assertThat(mQueue.remove(left.id())).isTrue();
+        assertThat(mQueue.remove(left.id())).isFalse();
+        for (int count = 0; count < 100; count++) {
+            add("a", RequestClass.BATCH, 9);
+        }
+        assertThat(mQueue.size()).isEqualTo(100);
+    }
+
+    private WaitingRequest add(String workspace, RequestClass requestClass, long deadlineSeconds) {
+        WaitingRequest plain = request(workspace, 1, deadlineSeconds);
+        WaitingRequest request =
+                new WaitingRequest(
+                        plain.id(),
+                        plain.target(),
+                        plain.caller(),
+                        requestClass,
+                        plain.tokens(),
+                        plain.bytes(),
+                        plain.deadlineNanos());
+        return mQueue.offer(request, Duration.ZERO, 0).get();
+    }
+
+    private WaitingRequest request(String workspace, long tokens, long deadlineSeconds) {
+        return new WaitingRequest(
+                "id-" + mNumber++,
+                "model",
+                new Caller(Optional.of(new Workspace(workspace)), Optional.empty()),
+                RequestClass.WAITING,
+                tokens,
+                10,
+                deadlineSeconds * SECOND);
+    }
+}
