--- a/decisions/src/test/java/org/vanillaslip/internal/queue/FairQueueTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/queue/FairQueueTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import net.jqwik.api.ForAll;
@@ -28,7 +29,7 @@
 
     @Property(seed = "20")
     void workspacesWithBacklogGetEqualTokens(
-            @ForAll @Size(40) int @IntRange(min = 1, max = 50) [] costs) {
+            @ForAll @Size(40) List<@IntRange(min = 1, max = 50) Integer> costs) {
         FairQueue queue = new FairQueue(new QueueLimits(200, 2_000, 100, 1_000));
         for (int cost : costs) {
             queue.offer(request("a", cost, 10), Duration.ZERO, 0);
