--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -46,8 +46,7 @@
             ObjectJson json,
             Duration answerTimeout,
             Scheduler timer) {
-        // The client would repeat a write on another connection, although the first may have
-        // taken effect.
+        // Only the caller knows whether a call may be repeated.
         mClient =
                 client.baseUrl(baseUrl)
                         .disableRetry(true)
--- a/stand-ins/src/test/java/org/vanillaslip/internal/standins/platform/HttpObjectStoreTest.java
+++ b/stand-ins/src/test/java/org/vanillaslip/internal/standins/platform/HttpObjectStoreTest.java
@@ -10,12 +10,14 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.ChannelOption;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +30,7 @@
 import reactor.netty.ByteBufFlux;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.tcp.TcpServer;
 import reactor.test.StepVerifier;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
@@ -92,6 +95,31 @@
         assertThat(results.poll(10, TimeUnit.SECONDS)).isEqualTo(Either.left(OUTCOME_UNKNOWN));
     }
 
+    @Test
+    void aWriteIsNotRepeatedWhenItsConnectionIsReset() {
+        AtomicInteger requests = new AtomicInteger();
+        DisposableServer resetting =
+                TcpServer.create()
+                        .host("127.0.0.1")
+                        .port(0)
+                        // Closes with a reset, after which an HTTP client may try again by itself.
+                        .childOption(ChannelOption.SO_LINGER, 0)
+                        .handle(
+                                (in, out) ->
+                                        in.receive()
+                                                .take(1)
+                                                .doOnNext(b -> requests.incrementAndGet())
+                                                .then())
+                        .bindNow();
+        try {
+            assertThat(get(storeAt(resetting, "north").create("c", "a", spec(1))).getLeft())
+                    .isEqualTo(OUTCOME_UNKNOWN);
+            assertThat(requests).hasValue(1);
+        } finally {
+            resetting.disposeNow();
+        }
+    }
+
     @Test
     void aRefusedConnectionIsUnavailable() {
         mServer.disposeNow();
@@ -159,7 +187,11 @@
     }
 
     private HttpObjectStore store(String failureDomain) {
-        String url = "http://127.0.0.1:" + mServer.port();
+        return storeAt(mServer, failureDomain);
+    }
+
+    private HttpObjectStore storeAt(DisposableServer server, String failureDomain) {
+        String url = "http://127.0.0.1:" + server.port();
         return new HttpObjectStore(HttpClient.create(), url, failureDomain, mJson, ANSWER, mTime);
     }
 
