Test the shard state machines under each fault at each step

The harness drives two hosts, two servers and one store object one message at a time by a seeded schedule. It found that an offline load was released although a host had carried it out before the withdrawal was confirmed (outage and servers cold again, step 15, seed 2): the release now needs a report that was asked for after the confirmations.

--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
@@ -17,6 +17,7 @@
 import org.vanillaslip.Refusal;
 import org.vanillaslip.internal.backend.EngineClient;
 import org.vanillaslip.internal.backend.EngineStatus;
+import org.vanillaslip.internal.backend.OrderOutcome;
 import org.vanillaslip.internal.backend.StatusPoller;
 import org.vanillaslip.internal.control.ConfigurationView;
 import org.vanillaslip.internal.control.HostView;
@@ -162,9 +163,14 @@
                         server ->
                                 mEngines.send(server, order)
                                         .publishOn(mLoop.scheduler())
-                                        .subscribe(
-                                                outcome ->
-                                                        mPoller.pollIfDue(server, PollPlan.TICK)));
+                                        .subscribe(outcome -> answered(server, order, outcome)));
+    }
+
+    private void answered(BackendServer server, Order order, OrderOutcome outcome) {
+        if (outcome != OrderOutcome.UNKNOWN) {
+            mShards.get(server.controlShard()).answeredOffline(order);
+        }
+        mPoller.pollIfDue(server, PollPlan.TICK);
     }
 
     @Override
@@ -207,7 +213,8 @@
     }
 
     private void confirm(String sender, String name, ShardRuntime shard) {
-        if (shard.record().offline().stream().anyMatch(load -> !load.inForce())) {
+        boolean shrinking = shard.record().offline().stream().anyMatch(load -> !load.inForce());
+        if (shrinking && shard.offlineOrders().mayConfirm()) {
             mDigests.confirm(sender, name, shard.version());
         }
     }
@@ -235,6 +242,8 @@
         ShardRuntime shard = mShards.get(server.controlShard());
         if (shard.holds()) {
             mPoller.pollIfDue(server, PollPlan.interval(shard.record(), server.name()));
+        } else if (shard.offlineOrders().concerns(server.name())) {
+            mPoller.pollIfDue(server, PollPlan.STEADY);
         } else if (silentFor(server.controlShard(), DIGEST_SILENCE)) {
             mPoller.pollIfDue(server, PollPlan.FALLBACK);
         }
--- a/decisions/src/main/java/org/vanillaslip/internal/lease/LeaseTimes.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/lease/LeaseTimes.java
@@ -28,7 +28,7 @@
     /** Returns how long a candidate must see one version unchanged. */
     public long takeoverNanos(LeaseRecord lease, int rank) {
         long expiry = lease.released() ? 0 : lease.validityMillis() * 1_000_000L;
-        // Both clocks may err by the drift, in opposite directions.
-        return (long) Math.ceil(expiry * (1 + 2 * drift)) + rank * rankDelay.toNanos();
+        // The holder's clock may be slow by the drift while the candidate's is fast.
+        return (long) Math.ceil(expiry * (1 + drift) / (1 - drift)) + rank * rankDelay.toNanos();
     }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/ArrivalHistory.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ArrivalHistory.java
@@ -32,4 +32,9 @@
         int from = Math.max(0, next.size() - LENGTH);
         return new ArrivalHistory(nowNanos, next.subList(from, next.size()));
     }
+
+    /** Starts the idle time again without an arrival, such as at the end of a load. */
+    public ArrivalHistory used(long nowNanos) {
+        return new ArrivalHistory(nowNanos, gaps);
+    }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/Demand.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/Demand.java
@@ -23,11 +23,6 @@
         return new Demand(wantedUntil.put(model, untilNanos, Math::max), arrivals);
     }
 
-    /** Removes the demand for a model, because it is loaded or nobody waits any more. */
-    Demand satisfied(ModelName model) {
-        return new Demand(wantedUntil.remove(model), arrivals);
-    }
-
     /** Adds arrivals of the model; an adapter's arrival also counts for its base model. */
     Demand arrived(ModelName model, long nowNanos) {
         Demand next = arrivedAt(model, nowNanos);
@@ -39,6 +34,20 @@
         return arrivals.containsKey(model) ? this : arrivedAt(model, nowNanos);
     }
 
+    /** Ends the wait for a model that is loaded; its idle time starts now. */
+    Demand served(ModelName model, long nowNanos) {
+        if (!wantedUntil.containsKey(model)) {
+            return this;
+        }
+        return new Demand(
+                wantedUntil.remove(model),
+                arrivals.put(
+                        model,
+                        arrivals.get(model)
+                                .map(history -> history.used(nowNanos))
+                                .getOrElse(() -> ArrivalHistory.startingAt(nowNanos))));
+    }
+
     /** Returns this demand without requests whose wait has ended. */
     Demand expire(long nowNanos) {
         return new Demand(wantedUntil.filterValues(until -> until > nowNanos), arrivals);
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/OfflinePlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/OfflinePlan.java
@@ -61,20 +61,35 @@
                 .isPresent();
     }
 
+    // A load may have been carried out before its withdrawal was confirmed, so that only a later
+    // report shows whether its memory is free.
     private boolean released(OfflineLoad load) {
-        boolean confirmed =
-                mDraft.context().domainHosts().stream()
-                        .allMatch(
-                                host ->
-                                        host.equals(mDraft.context().host())
-                                                || mState.confirmed().getOrElse(host, 0L)
-                                                        >= load.retiredVersion());
-        boolean fenced =
-                mDraft.context().server(load.server()).map(s -> s.checksFencing()).orElse(true)
-                        && load.term() < mState.lease().term()
-                        && mState.reports()
-                                .get(load.server())
-                                .exists(r -> r.highestTerm() >= mState.lease().term());
-        return confirmed || fenced;
+        return mState.reports()
+                .get(load.server())
+                .exists(
+                        report ->
+                                (confirmed(load, report) || fenced(load, report))
+                                        && !resident(load, report));
+    }
+
+    private boolean confirmed(OfflineLoad load, ServerReport report) {
+        return mDraft.context().domainHosts().stream()
+                .filter(host -> !host.equals(mDraft.context().host()))
+                .allMatch(
+                        host ->
+                                mState.confirmed()
+                                        .get(host)
+                                        .exists(c -> c.precedes(report, load.retiredVersion())));
+    }
+
+    private boolean fenced(OfflineLoad load, ServerReport report) {
+        return mDraft.context().server(load.server()).filter(s -> s.checksFencing()).isPresent()
+                && load.term() < mState.lease().term()
+                && report.highestTerm() >= mState.lease().term();
+    }
+
+    private boolean resident(OfflineLoad load, ServerReport report) {
+        return report.residents().stream().anyMatch(r -> r.model().equals(load.model()))
+                && mDraft.find(load::coveredBy).isEmpty();
     }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/ShardMachine.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ShardMachine.java
@@ -111,8 +111,8 @@
     }
 
     /** Takes a host's confirmation that it acts on the given object version or a newer one. */
-    public ShardState confirmed(ShardState state, String host, long version) {
-        return state.withConfirmed(host, version);
+    public ShardState confirmed(ShardState state, String host, long version, long nowNanos) {
+        return state.withConfirmed(host, new Confirmation(version, nowNanos));
     }
 
     /** Starts the release of the lease for a planned stop. */
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/ShardProgress.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ShardProgress.java
@@ -44,7 +44,7 @@
                 ModelName name = UnloadPlan.name(placement);
                 demand = demand.seeded(name, now);
                 if (usable(state, placement)) {
-                    demand = demand.satisfied(name);
+                    demand = demand.served(name, now);
                 }
             }
         }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/ShardState.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ShardState.java
@@ -20,7 +20,7 @@
         OrderLog orders,
         Demand demand,
         OtherShards others,
-        Map<String, Long> confirmed,
+        Map<String, Confirmation> confirmed,
         boolean stopping) {
 
     /** Returns the state of a host that knows nothing yet. */
@@ -80,7 +80,7 @@
                 lease, record, writes, reports, orders, demand, value, confirmed, stopping);
     }
 
-    ShardState withConfirmed(String host, long version) {
+    ShardState withConfirmed(String host, Confirmation value) {
         return new ShardState(
                 lease,
                 record,
@@ -89,7 +89,7 @@
                 orders,
                 demand,
                 others,
-                confirmed.put(host, version, Math::max),
+                confirmed.put(host, value),
                 stopping);
     }
 
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/placement/FakeHost.java
@@ -0,0 +1,90 @@
+package org.vanillaslip.internal.placement;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
+import org.vanillaslip.Configuration;
+
+/** A host that runs the state machine; it can be killed, and frozen with actions prepared. */
+final class FakeHost {
+
+    final String mName;
+    final int mRank;
+    final Set<String> mPolling = new HashSet<>();
+    private final double mClockRate;
+    private final ShardMachine mMachine;
+    private final List<Runnable> mHeld = new ArrayList<>();
+    private final ShardSimulation mSimulation;
+    ShardState mState;
+    OfflineOrders mOfflineOrders = OfflineOrders.none();
+    Configuration mConfiguration = ShardFixture.configuration(1, false, false);
+    int mLife;
+    boolean mDead;
+    long mFrozenUntil;
+
+    FakeHost(String name, int rank, double clockRate, ShardSimulation simulation, long seed) {
+        mName = name;
+        mRank = rank;
+        mClockRate = clockRate;
+        mSimulation = simulation;
+        mMachine = new ShardMachine(new Random(seed));
+        mState = ShardState.initial(now());
+    }
+
+    long now() {
+        return (long) (mSimulation.nowNanos() * mClockRate);
+    }
+
+    ShardMachine machine() {
+        return mMachine;
+    }
+
+    boolean holds() {
+        return !mDead && mState.lease().holding();
+    }
+
+    void restart() {
+        mLife++;
+        mHeld.clear();
+        mPolling.clear();
+        mState = ShardState.initial(now());
+    }
+
+    /** Delivers an event in this life of the host, or holds it while the host is frozen. */
+    void deliver(int life, Function<ShardContext, ShardStep> event) {
+        if (mDead || life != mLife) {
+            return;
+        } else if (frozen()) {
+            mHeld.add(() -> deliver(life, event));
+            return;
+        }
+        ShardStep step =
+                event.apply(
+                        ShardFixture.context(
+                                mName, mRank, mSimulation.livingHosts(), mConfiguration));
+        mState = step.state();
+        for (ShardAction action : step.actions()) {
+            mSimulation.acting(this);
+            if (frozen()) {
+                mHeld.add(() -> mSimulation.execute(this, action));
+            } else {
+                mSimulation.execute(this, action);
+            }
+        }
+    }
+
+    boolean frozen() {
+        return mSimulation.nowNanos() < mFrozenUntil;
+    }
+
+    void thawIfDue() {
+        if (!frozen() && !mHeld.isEmpty()) {
+            List<Runnable> held = new ArrayList<>(mHeld);
+            mHeld.clear();
+            held.forEach(Runnable::run);
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/placement/FakeServer.java
@@ -0,0 +1,90 @@
+package org.vanillaslip.internal.placement;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** A model engine that executes every order it must not refuse, whatever memory it has. */
+final class FakeServer {
+
+    final String mName;
+    final boolean mFencing;
+    private final List<Resident> mResidents = new ArrayList<>();
+    private final Set<Long> mExecuted = new HashSet<>();
+    private final Set<Long> mRefused = new TreeSet<>();
+    private long mHighestTerm;
+    private int mStarts = 1;
+
+    FakeServer(String name, boolean fencing) {
+        mName = name;
+        mFencing = fencing;
+    }
+
+    void restart() {
+        mStarts++;
+        mResidents.clear();
+        mExecuted.clear();
+        mRefused.clear();
+        mHighestTerm = 0;
+    }
+
+    void execute(Order order) {
+        if (!order.incarnation().equals(incarnation())) {
+            return;
+        } else if (mFencing && order.term() < mHighestTerm) {
+            if (!mExecuted.contains(order.decision())) {
+                mRefused.add(order.decision());
+            }
+            return;
+        }
+        mHighestTerm = Math.max(mHighestTerm, order.term());
+        if (order.action() == OrderAction.FENCE
+                || mRefused.contains(order.decision())
+                || !mExecuted.add(order.decision())) {
+            return;
+        }
+        mResidents.removeIf(r -> matches(r, order));
+        if (order.action() == OrderAction.LOAD) {
+            mResidents.add(
+                    new Resident(
+                            order.model(),
+                            order.version(),
+                            order.adapter(),
+                            true,
+                            order.decision()));
+        }
+    }
+
+    private static boolean matches(Resident resident, Order order) {
+        return resident.model().equals(order.model())
+                && resident.version().equals(order.version())
+                && resident.adapter().equals(order.adapter());
+    }
+
+    ServerReport report(long askedNanos) {
+        return new ServerReport(
+                mName,
+                incarnation(),
+                mHighestTerm,
+                usedBytes(),
+                mResidents,
+                Map.of(),
+                mRefused,
+                askedNanos);
+    }
+
+    List<Resident> residents() {
+        return mResidents;
+    }
+
+    long usedBytes() {
+        return mResidents.stream().mapToLong(r -> ShardFixture.bytes(r.model())).sum();
+    }
+
+    String incarnation() {
+        return mName + "#" + mStarts;
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/placement/ShardDrainTest.java
@@ -0,0 +1,46 @@
+package org.vanillaslip.internal.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards drain-server and drain-failure-domain: no new load after a few seconds. */
+class ShardDrainTest {
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void drainServerStopsNewLoadsAndEmptiesTheServer(long seed) {
+        ShardSimulation simulation = drained(seed, true, false);
+        assertThat(simulation.mLoadOrders)
+                .as("drain-server with seed %d", seed)
+                .noneMatch(order -> order.server().equals("fenced"));
+        assertThat(simulation.mServers.get(0).residents()).isEmpty();
+        assertThat(simulation.mLoadOrders).as("the other server stays in use").isNotEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void drainFailureDomainStopsNewLoadsAndEmptiesAllServers(long seed) {
+        ShardSimulation simulation = drained(seed, false, true);
+        assertThat(simulation.mLoadOrders).as("drain-failure-domain with seed %d", seed).isEmpty();
+        assertThat(simulation.residents()).isEmpty();
+    }
+
+    private static ShardSimulation drained(long seed, boolean server, boolean domain) {
+        ShardSimulation simulation = new ShardSimulation(FaultKind.NONE, 0, seed);
+        simulation.run(5);
+        simulation.want("a");
+        simulation.want("c");
+        simulation.run(5);
+        assertThat(simulation.residents()).as("both models are loaded before").hasSize(2);
+        simulation.configure(ShardFixture.configuration(2, server, domain));
+        simulation.run(5);
+        simulation.mLoadOrders.clear();
+        for (String model : new String[] {"a", "b", "c"}) {
+            simulation.want(model);
+            simulation.run(9);
+        }
+        return simulation;
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/placement/ShardSimulation.java
@@ -0,0 +1,312 @@
+package org.vanillaslip.internal.placement;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.vanillaslip.Configuration;
+
+/**
+ * Two hosts, two servers and one store object. A seeded schedule delivers one message at a time in
+ * any order. Before the step with the given number, a fault is injected.
+ */
+final class ShardSimulation {
+
+    private static final long SECOND = 1_000_000_000L;
+
+    final FakeStore mStore = new FakeStore();
+    final List<FakeServer> mServers =
+            List.of(new FakeServer("fenced", true), new FakeServer("unfenced", false));
+    final List<FakeHost> mHosts;
+    private final Random mSchedule;
+    private final List<Runnable> mMessages = new ArrayList<>();
+    private final List<Runnable> mLate = new ArrayList<>();
+    private final List<String> mViolations = new ArrayList<>();
+    private final FaultKind mFault;
+    private final int mFaultStep;
+    private int mStep;
+    private long mNowNanos;
+    private long mHealNanos = Long.MAX_VALUE;
+    private int mLateOrders;
+    private final Set<String> mLoaded = new HashSet<>();
+    final List<Order> mLoadOrders = new ArrayList<>();
+    int mOrders;
+
+    ShardSimulation(FaultKind fault, int faultStep, long seed) {
+        mSchedule = new Random(seed);
+        mFault = fault;
+        mFaultStep = faultStep;
+        // The clocks differ by the full drift in opposite directions.
+        mHosts =
+                List.of(
+                        new FakeHost("h0", 0, 0.99, this, seed + 1),
+                        new FakeHost("h1", 1, 1.01, this, seed + 2));
+    }
+
+    long nowNanos() {
+        return mNowNanos;
+    }
+
+    List<String> violations() {
+        return mViolations;
+    }
+
+    void run(int seconds) {
+        long end = mNowNanos + seconds * SECOND;
+        while (mNowNanos < end) {
+            if (mMessages.isEmpty() || mSchedule.nextInt(4) == 0) {
+                pass((long) (mSchedule.nextDouble() * SECOND / 4));
+            } else {
+                mMessages.remove(mSchedule.nextInt(mMessages.size())).run();
+            }
+            check();
+        }
+    }
+
+    void configure(Configuration configuration) {
+        mHosts.forEach(host -> host.mConfiguration = configuration);
+    }
+
+    /** Lets every host ask for the model. */
+    void want(String model) {
+        mLoaded.remove(model);
+        for (FakeHost host : mHosts) {
+            host.deliver(
+                    host.mLife,
+                    c ->
+                            host.machine()
+                                    .wanted(
+                                            host.mState,
+                                            c,
+                                            ShardFixture.name(model),
+                                            host.now() + 20 * SECOND,
+                                            host.now()));
+        }
+    }
+
+    /** Returns whether the model has been on a server at any time since it was last wanted. */
+    boolean loadedSinceWanted(String model) {
+        return mLoaded.contains(model);
+    }
+
+    Set<String> livingHosts() {
+        return mHosts.stream()
+                .filter(host -> !host.mDead)
+                .map(host -> host.mName)
+                .collect(Collectors.toSet());
+    }
+
+    Stream<Resident> residents() {
+        return mServers.stream().flatMap(server -> server.residents().stream());
+    }
+
+    private void pass(long nanos) {
+        mNowNanos += nanos;
+        if (mNowNanos >= mHealNanos) {
+            mHealNanos = Long.MAX_VALUE;
+            mStore.heal();
+            mMessages.addAll(mLate);
+            mLate.clear();
+        }
+        for (FakeHost host : mHosts) {
+            host.thawIfDue();
+            host.deliver(host.mLife, c -> host.machine().tick(host.mState, c, host.now()));
+            mServers.forEach(server -> poll(host, server));
+            executeOffline(host);
+        }
+    }
+
+    private void poll(FakeHost host, FakeServer server) {
+        if (host.mDead || host.frozen() || !host.mPolling.add(server.mName)) {
+            return;
+        }
+        int life = host.mLife;
+        long asked = host.now();
+        mMessages.add(
+                () -> {
+                    ServerReport report = server.report(asked);
+                    mMessages.add(() -> reported(host, life, report));
+                });
+    }
+
+    private void reported(FakeHost host, int life, ServerReport report) {
+        if (life == host.mLife) {
+            host.mPolling.remove(report.server());
+        }
+        if (!host.frozen()) {
+            host.mOfflineOrders = host.mOfflineOrders.reported(report);
+        }
+        host.deliver(life, c -> host.machine().reported(host.mState, c, report, host.now()));
+    }
+
+    /** Called before each action of a host: a step of the protocol at which a fault may strike. */
+    void acting(FakeHost host) {
+        if (mStep++ == mFaultStep) {
+            mFault.inject(this, host);
+        }
+    }
+
+    void freeze(FakeHost host, int seconds) {
+        host.mFrozenUntil = mNowNanos + seconds * SECOND;
+    }
+
+    void healAfter(int seconds) {
+        mHealNanos = mNowNanos + seconds * SECOND;
+    }
+
+    void delayNextOrders(int count) {
+        mLateOrders = count;
+        healAfter(25);
+    }
+
+    void execute(FakeHost host, ShardAction action) {
+        int life = host.mLife;
+        if (host.mDead) {
+            return;
+        } else if (action instanceof ReadObject) {
+            mMessages.add(() -> read(host, life));
+        } else if (action instanceof WriteObject) {
+            WriteObject write = (WriteObject) action;
+            mMessages.add(() -> write(host, life, write));
+        } else if (action instanceof SendOrder) {
+            mOrders++;
+            Order order = ((SendOrder) action).order();
+            (mLateOrders-- > 0 ? mLate : mMessages).add(() -> execute(order));
+        } else if (action instanceof PublishRecord) {
+            PublishRecord publish = (PublishRecord) action;
+            mHosts.stream()
+                    .filter(other -> other != host)
+                    .forEach(other -> mMessages.add(() -> digest(host, other, publish)));
+        }
+    }
+
+    private void digest(FakeHost holder, FakeHost other, PublishRecord publish) {
+        other.deliver(
+                other.mLife,
+                c ->
+                        other.machine()
+                                .digest(
+                                        other.mState,
+                                        c,
+                                        publish.version(),
+                                        publish.record(),
+                                        other.now()));
+        if (!other.mDead && !other.frozen() && other.mOfflineOrders.mayConfirm()) {
+            long version = other.mState.lease().version();
+            mMessages.add(
+                    () ->
+                            holder.mState =
+                                    holder.machine()
+                                            .confirmed(
+                                                    holder.mState,
+                                                    other.mName,
+                                                    version,
+                                                    holder.now()));
+        }
+    }
+
+    /** Carries out the offline placement set when neither store nor holder can be reached. */
+    private void executeOffline(FakeHost host) {
+        boolean alone = !mStore.reachable(host.mName) && mHosts.stream().noneMatch(FakeHost::holds);
+        if (host.mDead || host.frozen() || !alone || mSchedule.nextInt(8) > 0) {
+            return;
+        }
+        for (OfflineLoad load : host.mState.record().offline()) {
+            mServers.stream()
+                    .filter(server -> load.inForce() && server.mName.equals(load.server()))
+                    .forEach(server -> sendOffline(host, order(load, server)));
+        }
+    }
+
+    private void sendOffline(FakeHost host, Order order) {
+        host.mOfflineOrders = host.mOfflineOrders.sent(order, host.now());
+        mMessages.add(
+                () -> {
+                    execute(order);
+                    mMessages.add(() -> host.mOfflineOrders = host.mOfflineOrders.answered(order));
+                });
+    }
+
+    private static Order order(OfflineLoad load, FakeServer server) {
+        return new Order(
+                load.decision(),
+                load.term(),
+                load.server(),
+                server.incarnation(),
+                OrderAction.LOAD,
+                load.model(),
+                load.version(),
+                "",
+                "");
+    }
+
+    private void execute(Order order) {
+        if (order.action() == OrderAction.LOAD) {
+            mLoadOrders.add(order);
+        }
+        mServers.stream()
+                .filter(server -> server.mName.equals(order.server()))
+                .forEach(server -> server.execute(order));
+    }
+
+    private void read(FakeHost host, int life) {
+        if (!mStore.reachable(host.mName)) {
+            answer(host, life, c -> host.machine().refused(host.mState, c, host.now()));
+            return;
+        }
+        long version = mStore.version();
+        ShardRecord record = mStore.record();
+        answer(host, life, c -> host.machine().read(host.mState, c, version, record, host.now()));
+    }
+
+    private void write(FakeHost host, int life, WriteObject write) {
+        if (!mStore.reachable(host.mName)) {
+            answer(host, life, c -> host.machine().refused(host.mState, c, host.now()));
+        } else if (mStore.mLoseRequests > 0) {
+            mStore.mLoseRequests--;
+            mLate.add(() -> mStore.write(write.expectedVersion(), write.record()));
+            healAfter(2);
+            answer(host, life, c -> host.machine().lost(host.mState, c, host.now()));
+        } else if (!mStore.write(write.expectedVersion(), write.record())) {
+            answer(host, life, c -> host.machine().conflicted(host.mState, c, host.now()));
+        } else if (mStore.mLoseAnswers > 0) {
+            mStore.mLoseAnswers--;
+            answer(host, life, c -> host.machine().lost(host.mState, c, host.now()));
+        } else {
+            long version = mStore.version();
+            String nonce = write.record().lease().nonce();
+            answer(
+                    host,
+                    life,
+                    c -> host.machine().written(host.mState, c, nonce, version, host.now()));
+        }
+    }
+
+    private void answer(
+            FakeHost host, int life, java.util.function.Function<ShardContext, ShardStep> event) {
+        mMessages.add(() -> host.deliver(life, event));
+    }
+
+    private void check() {
+        residents().forEach(resident -> mLoaded.add(resident.model()));
+        for (FakeServer server : mServers) {
+            if (server.usedBytes() > ShardFixture.MEMORY) {
+                violated("memory-not-overcommitted: " + server.mName + " " + server.residents());
+            }
+        }
+        for (String model : ShardFixture.MODELS.keySet()) {
+            if (residents().filter(r -> r.model().equals(model)).count() > 1) {
+                violated("replicas-as-decided: " + model + " loaded more than once");
+            }
+        }
+    }
+
+    private void violated(String text) {
+        if (mViolations.size() < 3) {
+            mViolations.add("after step " + mStep + ": " + text);
+        }
+    }
+}
