--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaHarness.java
@@ -0,0 +1,253 @@
+package org.vanillaslip.internal.quota;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/**
+ * Many hosts that share one limit, driven one event at a time in virtual time with loss,
+ * duplication, delay, reordering, partition, kill, restart, freeze, change of coordinator, and
+ * hosts that are reclaimed and replaced.
+ */
+final class QuotaHarness {
+
+    private static final int HOSTS = 6;
+    private static final long SECOND = 1_000_000_000L;
+    private static final double RATE = 100_000_000.0;
+    private static final long BURST = 300_000_000L;
+
+    private final SplittableRandom mRandom;
+    private final WindowCheck mCheck = new WindowCheck(RATE, BURST);
+    private final Map<String, SimulatedHost> mHosts = new TreeMap<>();
+    private final List<SimulatedMessage> mNetwork = new ArrayList<>();
+    private final Set<String> mCutOff = new HashSet<>();
+    private final Map<String, Long> mVanishedAt = new HashMap<>();
+    private final Map<String, Long> mConfirmed = new HashMap<>();
+    private final String mContext;
+    private ShareTable mTable = ShareTable.empty("a", ShareTable.WHOLE);
+    private long mNow;
+    private int mNames;
+
+    QuotaHarness(long seed) {
+        mRandom = new SplittableRandom(seed);
+        mContext = "seed " + seed;
+        for (int i = 0; i < HOSTS; i++) {
+            addHost();
+        }
+    }
+
+    /** Runs the given number of events and returns the micro-tokens spent. */
+    long run(int events) {
+        for (int i = 0; i < events; i++) {
+            mNow += mRandom.nextLong(SECOND / 20);
+            step();
+            deliverDue();
+            mCheck.verify(mContext + ", event " + i);
+        }
+        return mCheck.total();
+    }
+
+    private void step() {
+        SimulatedHost host = pick();
+        int kind = mRandom.nextInt(1000);
+        if (kind < 3) {
+            host.restart(mNow);
+        } else if (kind < 6) {
+            host.freeze(mNow + mRandom.nextLong(10 * SECOND));
+        } else if (kind < 9) {
+            toggleCut(host.name());
+        } else if (kind < 11) {
+            reclaim(host);
+        } else if (kind < 14) {
+            mNow += mRandom.nextLong(30 * SECOND);
+        } else if (!host.isFrozen(mNow)) {
+            act(host, kind);
+        }
+    }
+
+    private void act(SimulatedHost host, int kind) {
+        long clock = host.clock(mNow);
+        if (kind < 500) {
+            charge(host, 1 + mRandom.nextLong(BURST / 5));
+        } else if (kind < 700) {
+            settle(host);
+        } else if (kind < 800) {
+            watched(host, () -> host.account().returnUnneeded(clock));
+            host.account().granters(clock).forEach(granter -> ask(host, granter, 0, false));
+        } else if (kind < 900) {
+            readTable(host);
+        } else {
+            planShares();
+        }
+    }
+
+    private void charge(SimulatedHost host, long amount) {
+        long clock = host.clock(mNow);
+        watched(host, () -> host.account().available(clock));
+        host.account()
+                .charge(amount, clock)
+                .ifPresentOrElse(
+                        charge -> host.charges().put(charge, mCheck.spend(amount, mNow)),
+                        () -> {
+                            SimulatedHost coordinator = pick();
+                            if (coordinator == host) {
+                                pull(host, host.account().shortage(amount, clock));
+                            } else {
+                                ask(host, coordinator.name(), amount, true);
+                            }
+                        });
+    }
+
+    private void settle(SimulatedHost host) {
+        if (host.charges().isEmpty()) {
+            return;
+        }
+        Charge charge = host.charges().keySet().iterator().next();
+        int index = host.charges().remove(charge);
+        long used = mRandom.nextLong(charge.amount() * 5 / 4 + 1);
+        long[] refunded = new long[1];
+        watched(host, () -> refunded[0] = host.account().settle(charge, used, host.clock(mNow)));
+        mCheck.refund(index, refunded[0]);
+    }
+
+    /** Records what the action spends beside charges, which is the payment of debt. */
+    private void watched(SimulatedHost host, Runnable action) {
+        long before = host.account().spent();
+        action.run();
+        mCheck.spend(host.account().spent() - before, mNow);
+    }
+
+    private void ask(SimulatedHost host, String to, long tokens, boolean collect) {
+        long clock = host.clock(mNow);
+        long requestId = mRandom.nextLong();
+        host.sentAt().put(requestId, clock);
+        List<GrantUse> uses = host.account().reports(to, clock);
+        send(
+                new SimulatedMessage(
+                        host.name(),
+                        to,
+                        requestId,
+                        tokens,
+                        collect,
+                        uses,
+                        SimulatedMessage.NO_GRANT,
+                        0));
+    }
+
+    private void pull(SimulatedHost host, long tokens) {
+        for (int i = 0; i < 3; i++) {
+            SimulatedHost owner = pick();
+            if (owner != host) {
+                ask(host, owner.name(), tokens, false);
+            }
+        }
+    }
+
+    private void send(SimulatedMessage message) {
+        int copies = mRandom.nextInt(10) == 0 ? 2 : 1;
+        for (int i = 0; i < copies && mRandom.nextInt(10) > 0; i++) {
+            // A few messages arrive after the validity of what they carry.
+            long most = mRandom.nextInt(8) == 0 ? 6 * SECOND : SECOND / 100;
+            mNetwork.add(message.at(mNow + mRandom.nextLong(most)));
+        }
+    }
+
+    private void deliverDue() {
+        List<SimulatedMessage> due =
+                mNetwork.stream().filter(message -> message.deliverAt() <= mNow).toList();
+        mNetwork.removeAll(due);
+        for (SimulatedMessage message : due) {
+            SimulatedHost receiver = mHosts.get(message.to());
+            boolean cut = mCutOff.contains(message.from()) != mCutOff.contains(message.to());
+            if (receiver != null && receiver.isFrozen(mNow)) {
+                mNetwork.add(message.at(mNow + SECOND / 10));
+            } else if (receiver != null && !cut) {
+                watched(receiver, () -> receive(receiver, message));
+            }
+        }
+    }
+
+    private void receive(SimulatedHost host, SimulatedMessage message) {
+        long clock = host.clock(mNow);
+        if (!message.isReply()) {
+            message.uses().forEach(use -> host.account().apply(use, clock));
+            boolean enough = host.account().available(clock) >= message.tokens();
+            if (enough || !message.collect()) {
+                reply(host, message);
+            } else {
+                host.pending().add(message);
+                pull(host, message.tokens());
+            }
+            return;
+        }
+        Long sentAt = host.sentAt().remove(message.requestId());
+        if (sentAt != null) {
+            host.account().accept(message.from(), message.grant(), sentAt, clock);
+            host.pending().forEach(request -> reply(host, request));
+            host.pending().clear();
+        }
+    }
+
+    private void reply(SimulatedHost host, SimulatedMessage request) {
+        if (request.tokens() > 0) {
+            Grant grant = host.account().grant(request.tokens(), host.clock(mNow));
+            send(
+                    new SimulatedMessage(
+                            host.name(),
+                            request.from(),
+                            request.requestId(),
+                            0,
+                            false,
+                            List.of(),
+                            grant,
+                            0));
+        }
+    }
+
+    private void readTable(SimulatedHost host) {
+        boolean[] fits = new boolean[1];
+        watched(host, () -> fits[0] = host.read(mTable, RATE, BURST, mNow));
+        if (fits[0] && mRandom.nextBoolean()) {
+            mConfirmed.merge(host.name(), mTable.generation(), Math::max);
+        }
+    }
+
+    private void planShares() {
+        Set<String> vanished =
+                mVanishedAt.entrySet().stream()
+                        .filter(entry -> mNow - entry.getValue() >= 60 * SECOND)
+                        .map(Map.Entry::getKey)
+                        .collect(Collectors.toSet());
+        Set<String> staying = new TreeSet<>(mHosts.keySet());
+        mTable = ShareTablePlanner.next(mTable, staying, vanished, mConfirmed);
+    }
+
+    private void reclaim(SimulatedHost host) {
+        mHosts.remove(host.name());
+        mVanishedAt.put(host.name(), mNow);
+        addHost();
+    }
+
+    private void addHost() {
+        String name = "host-" + mNames++;
+        mHosts.put(name, new SimulatedHost(name, mRandom, mNow));
+    }
+
+    private void toggleCut(String host) {
+        if (!mCutOff.remove(host)) {
+            mCutOff.add(host);
+        }
+    }
+
+    private SimulatedHost pick() {
+        List<SimulatedHost> hosts = List.copyOf(mHosts.values());
+        return hosts.get(mRandom.nextInt(hosts.size()));
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/RateBoundTest.java
@@ -0,0 +1,17 @@
+package org.vanillaslip.internal.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against any way in which hosts together spend more than rate and burst allow. */
+class RateBoundTest {
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void noWindowHasMoreThanBurstAndRateUnderFaults(long seed) {
+        long spent = new QuotaHarness(seed).run(6000);
+        assertThat(spent).as("the harness must spend at all").isPositive();
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/SlowStartHarness.java
@@ -0,0 +1,109 @@
+package org.vanillaslip.internal.quota;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.vanillaslip.SlowStart;
+
+/**
+ * One starting server, borrowers that run requests on it, and an owner of its slots that changes,
+ * with lost and late messages and lagging load reports.
+ */
+final class SlowStartHarness {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final long VALIDITY = 6 * SECOND;
+    private static final SlowStart SLOW_START = new SlowStart(2, 20, Duration.ofSeconds(120));
+
+    private final SplittableRandom mRandom;
+    private final List<Long> mRunning = new ArrayList<>();
+    private final Set<Long> mUnrenewed = new HashSet<>();
+    private final Deque<long[]> mReports = new ArrayDeque<>();
+    private ConcurrencyLedger mLedger;
+    private long mNow;
+    private int mReported;
+    private int mStarted;
+
+    SlowStartHarness(long seed) {
+        mRandom = new SplittableRandom(seed);
+        mLedger = ledger(0);
+    }
+
+    /** Runs the given number of events and returns the number of requests that were started. */
+    int run(int events) {
+        for (int i = 0; i < events; i++) {
+            mNow += mRandom.nextLong(SECOND / 10);
+            report();
+            step();
+        }
+        return mStarted;
+    }
+
+    private void step() {
+        int kind = mRandom.nextInt(200);
+        if (kind < 100) {
+            start();
+        } else if (kind < 150) {
+            finish();
+        } else if (kind < 198) {
+            renew();
+        } else if (kind == 198) {
+            mLedger = ledger(mNow);
+        } else if (!mRunning.isEmpty()) {
+            // The borrower can't reach the owner from now on, but its request runs on.
+            mUnrenewed.add(mRunning.get(mRandom.nextInt(mRunning.size())));
+        }
+    }
+
+    private void start() {
+        for (long id : mLedger.acquire(1, mReported, mNow)) {
+            if (mRandom.nextInt(10) > 0) {
+                mRunning.add(id);
+                mStarted++;
+                verify();
+            }
+        }
+    }
+
+    private void verify() {
+        int limit = ConcurrencyLimit.at(SLOW_START, mNow);
+        if (mRunning.size() > limit) {
+            throw new AssertionError(
+                    "slow-start: %d requests run at %d ms, limit %d"
+                            .formatted(mRunning.size(), mNow / 1_000_000, limit));
+        }
+    }
+
+    private void finish() {
+        if (!mRunning.isEmpty()) {
+            long id = mRunning.remove(mRandom.nextInt(mRunning.size()));
+            if (!mUnrenewed.remove(id) && mRandom.nextInt(10) > 0) {
+                mLedger.release(List.of(id));
+            }
+        }
+    }
+
+    private void renew() {
+        List<Long> renewed = new ArrayList<>(mRunning);
+        renewed.removeAll(mUnrenewed);
+        mLedger.renew(renewed, mNow);
+    }
+
+    /** The owner sees the number of running requests as it was up to the report lag ago. */
+    private void report() {
+        mReports.add(new long[] {mNow, mRunning.size()});
+        long seen = mNow - mRandom.nextLong(ConcurrencyLedger.REPORT_LAG_NANOS - SECOND);
+        while (mReports.size() > 1 && mReports.peekFirst()[0] < seen) {
+            mReported = (int) mReports.removeFirst()[1];
+        }
+    }
+
+    private ConcurrencyLedger ledger(long ownedSince) {
+        return new ConcurrencyLedger(SLOW_START, 0, ownedSince, VALIDITY, mRandom::nextLong);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/WindowCheck.java
@@ -0,0 +1,57 @@
+package org.vanillaslip.internal.quota;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Checks every window at once: spending is within burst + rate x length in all windows exactly if a
+ * bucket that starts full never runs dry.
+ */
+final class WindowCheck {
+
+    private final List<long[]> mSpends = new ArrayList<>();
+    private final double mRatePerNano;
+    private final double mBurst;
+    private int mCheckedUpTo;
+    private double mLevel;
+    private long mCheckedAt;
+
+    WindowCheck(double ratePerSecond, long burst) {
+        mRatePerNano = ratePerSecond / 1e9;
+        mBurst = burst;
+        mLevel = burst;
+    }
+
+    /** Records spending and returns its index. */
+    int spend(long amount, long nowNanos) {
+        mSpends.add(new long[] {nowNanos, amount});
+        return mSpends.size() - 1;
+    }
+
+    /** Takes back a part of earlier spending that was not used; its windows are checked again. */
+    void refund(int index, long amount) {
+        mSpends.get(index)[1] -= amount;
+        mCheckedUpTo = 0;
+        mCheckedAt = 0;
+        mLevel = mBurst;
+    }
+
+    /** Fails when any window up to now had too much spending. */
+    void verify(String context) {
+        for (; mCheckedUpTo < mSpends.size(); mCheckedUpTo++) {
+            long[] spend = mSpends.get(mCheckedUpTo);
+            mLevel = Math.min(mBurst, mLevel + (spend[0] - mCheckedAt) * mRatePerNano) - spend[1];
+            mCheckedAt = spend[0];
+            // One token in a million covers the rounding of the reference bucket.
+            if (mLevel < -1) {
+                throw new AssertionError(
+                        "rate-bound: %s: over by %.0f micro-tokens at %d ms, spend %d"
+                                .formatted(context, -mLevel, spend[0] / 1_000_000, mCheckedUpTo));
+            }
+        }
+    }
+
+    long total() {
+        return mSpends.stream().mapToLong(spend -> spend[1]).sum();
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of limits counted over all hosts. */
+@NullMarked
+package org.vanillaslip.internal.quota;
+
+import org.jspecify.annotations.NullMarked;
