--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/peer/FakePeerNetwork.java
@@ -0,0 +1,117 @@
+package org.vanillaslip.internal.peer;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.messages.Envelope;
+import org.vanillaslip.messages.Heartbeat;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** Links between hosts of one process in virtual time, with faults by a seed. */
+public final class FakePeerNetwork {
+
+    private final VirtualTimeScheduler mScheduler = VirtualTimeScheduler.create();
+    private final DecisionLoop mLoop =
+            new DecisionLoop(mScheduler, () -> mScheduler.now(TimeUnit.NANOSECONDS));
+    private final Map<String, PeerExchange> mHosts = new HashMap<>();
+    private final Set<String> mCutOff = new HashSet<>();
+    private final SplittableRandom mRandom;
+    private long mDelayNanos = 1_000_000;
+    private long mJitterNanos;
+    private int mLossPercent;
+    private int mDuplicatePercent;
+    private long mMessages;
+
+    /** Creates a network without faults and with a delay of 1 ms. */
+    public FakePeerNetwork(long seed) {
+        mRandom = new SplittableRandom(seed);
+    }
+
+    /** Returns the loop that all hosts of this network share. */
+    public DecisionLoop loop() {
+        return mLoop;
+    }
+
+    /** Adds a host and returns its links. */
+    public PeerLinks join(String host) {
+        PeerExchange exchange =
+                new PeerExchange(
+                        host,
+                        "incarnation-" + mRandom.nextLong(),
+                        mLoop,
+                        (to, message) -> send(host, to, message),
+                        mRandom.nextLong() >>> 1,
+                        PeerTimes.DEFAULT.silence());
+        mHosts.put(host, exchange);
+        mScheduler.schedulePeriodically(
+                () -> {
+                    Envelope.Builder beat =
+                            Envelope.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance());
+                    mHosts.keySet().forEach(to -> exchange.send(to, beat));
+                    exchange.refreshLive();
+                },
+                0,
+                1,
+                TimeUnit.SECONDS);
+        return exchange;
+    }
+
+    /** Cuts the host off from all others, or connects it again. */
+    public void setCutOff(String host, boolean cutOff) {
+        if (cutOff) {
+            mCutOff.add(host);
+        } else {
+            mCutOff.remove(host);
+        }
+    }
+
+    /** Sets delay and jitter; jitter above 0 also reorders messages. */
+    public void setDelay(Duration delay, Duration jitter) {
+        mDelayNanos = delay.toNanos();
+        mJitterNanos = jitter.toNanos();
+    }
+
+    /** Sets the percentages of lost and duplicated messages. */
+    public void setLoss(int lossPercent, int duplicatePercent) {
+        mLossPercent = lossPercent;
+        mDuplicatePercent = duplicatePercent;
+    }
+
+    /** Lets virtual time pass. */
+    public void advance(Duration time) {
+        mScheduler.advanceTimeBy(time);
+    }
+
+    /** Returns the number of messages sent so far, heartbeats not counted. */
+    public long messages() {
+        return mMessages;
+    }
+
+    private boolean send(String from, String to, Envelope message) {
+        if (from.equals(to) || !mHosts.containsKey(to)) {
+            return false;
+        }
+        if (!message.hasHeartbeat()) {
+            mMessages++;
+        }
+        int copies = mRandom.nextInt(100) < mDuplicatePercent ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            if (mRandom.nextInt(100) >= mLossPercent) {
+                long delay = mDelayNanos + (mJitterNanos > 0 ? mRandom.nextLong(mJitterNanos) : 0);
+                mScheduler.schedule(() -> deliver(from, to, message), delay, TimeUnit.NANOSECONDS);
+            }
+        }
+        return true;
+    }
+
+    private void deliver(String from, String to, Envelope message) {
+        if (mCutOff.contains(from) == mCutOff.contains(to)) {
+            mHosts.get(to).receive(message);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/peer/PeerExchangeTest.java
@@ -0,0 +1,76 @@
+package org.vanillaslip.internal.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.vanillaslip.messages.ConfigurationDigest;
+import org.vanillaslip.messages.Envelope;
+import reactor.core.publisher.Mono;
+
+/** Guards against replies of other requests, repeated requests, and hosts wrongly held live. */
+class PeerExchangeTest {
+
+    private static final Duration SECOND = Duration.ofSeconds(1);
+
+    private final FakePeerNetwork mNetwork = new FakePeerNetwork(1);
+    private final PeerLinks mOne = mNetwork.join("one");
+    private final PeerLinks mTwo = mNetwork.join("two");
+    private final List<Either<PeerFailure, Envelope>> mReplies = new ArrayList<>();
+    private int mHandled;
+
+    @Test
+    void everyRequestGetsItsOwnReplyInSpiteOfDuplicatesAndReordering() {
+        mNetwork.setLoss(0, 50);
+        mNetwork.setDelay(Duration.ofMillis(1), Duration.ofMillis(50));
+        echo();
+        for (int i = 1; i <= 100; i++) {
+            int expected = i;
+            mOne.request("two", digest(i), SECOND)
+                    .subscribe(
+                            reply -> {
+                                mReplies.add(reply);
+                                assertThat(reply.get().getConfigurationDigest().getVersion())
+                                        .isEqualTo(expected);
+                            });
+        }
+        mNetwork.advance(SECOND);
+        assertThat(mReplies).hasSize(100);
+        assertThat(mHandled).isEqualTo(100);
+    }
+
+    @Test
+    void requestToACutOffHostTimesOutAndTheHostIsNotLive() {
+        echo();
+        mNetwork.advance(SECOND);
+        assertThat(mOne.liveHosts()).containsExactly("two");
+        mNetwork.setCutOff("two", true);
+        mOne.request("two", digest(1), SECOND).subscribe(mReplies::add);
+        mNetwork.advance(Duration.ofSeconds(5));
+        assertThat(mReplies).containsExactly(Either.left(PeerFailure.TIMEOUT));
+        assertThat(mOne.liveHosts()).isEmpty();
+        mNetwork.setCutOff("two", false);
+        mNetwork.advance(Duration.ofSeconds(2));
+        assertThat(mOne.liveHosts()).containsExactly("two");
+    }
+
+    private void echo() {
+        mTwo.handle(
+                Envelope.BodyCase.CONFIGURATION_DIGEST,
+                request -> {
+                    mHandled++;
+                    return Mono.just(
+                            Envelope.newBuilder()
+                                    .setConfigurationDigest(request.getConfigurationDigest()));
+                });
+        mNetwork.advance(Duration.ofMillis(10));
+    }
+
+    private static Envelope.Builder digest(long version) {
+        return Envelope.newBuilder()
+                .setConfigurationDigest(ConfigurationDigest.newBuilder().setVersion(version));
+    }
+}
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/SlowStartHarness.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/SlowStartHarness.java
@@ -82,6 +82,10 @@
     private void finish() {
         if (!mRunning.isEmpty()) {
             long id = mRunning.remove(mRandom.nextInt(mRunning.size()));
+            if (mUnrenewed.contains(id) && mRandom.nextInt(50) > 0) {
+                mRunning.add(id);
+                return;
+            }
             if (!mUnrenewed.remove(id) && mRandom.nextInt(10) > 0) {
                 mLedger.release(List.of(id));
             }
