Wire the daemon and add the demo over separate processes

Cause: the parts existed only on their own; nothing served a request from a caller to a backend server. Change: Daemon connects gateway, placement, quotas, configuration and links between hosts; bin/demo starts both example deployments (platform, two failure domains with two hosts each, engines, services) and checks the answers. Identifiers never come from the configured seed, because a restarted host would issue its earlier nonces again.

--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -0,0 +1,267 @@
+package org.vanillaslip.internal.runtime;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Ticker;
+import java.time.Duration;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.vanillaslip.internal.backend.EngineClient;
+import org.vanillaslip.internal.control.ConfigurationView;
+import org.vanillaslip.internal.control.HostView;
+import org.vanillaslip.internal.control.PlacementView;
+import org.vanillaslip.internal.control.configuration.ConfigurationExchange;
+import org.vanillaslip.internal.control.configuration.ConfigurationWatcher;
+import org.vanillaslip.internal.control.configuration.HostListWatcher;
+import org.vanillaslip.internal.control.placement.PlacementController;
+import org.vanillaslip.internal.gateway.Gateway;
+import org.vanillaslip.internal.gateway.GatewayDependencies;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.logging.LifecycleEvent;
+import org.vanillaslip.internal.peer.NettyPeerLinks;
+import org.vanillaslip.internal.peer.PeerLinks;
+import org.vanillaslip.internal.peer.PeerTimes;
+import org.vanillaslip.internal.platform.BudgetedObjectStore;
+import org.vanillaslip.internal.platform.CallBudget;
+import org.vanillaslip.internal.platform.ConfigurationCodec;
+import org.vanillaslip.internal.platform.HostCodec;
+import org.vanillaslip.internal.platform.HttpObjectStore;
+import org.vanillaslip.internal.platform.ObjectJson;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.quota.QuotaService;
+import org.vanillaslip.internal.quota.QuotaTimes;
+import org.vanillaslip.internal.quota.ShareTableController;
+import org.vanillaslip.internal.quota.SlotService;
+import org.vanillaslip.internal.settings.HostSettings;
+import org.vanillaslip.internal.settings.PlatformSettings;
+import org.vanillaslip.internal.settings.Settings;
+import org.vanillaslip.messages.Heartbeat;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.http.client.HttpClient;
+
+/** All parts of one host, created and connected once at the start. */
+public final class Daemon {
+
+    private static final int PEER_THREADS = 1;
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration ENGINE_TIMEOUT = Duration.ofSeconds(2);
+
+    /** Time for the leases and borrowed tokens to be handed back after the last request. */
+    private static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(4);
+
+    /** Share of the call budget that only watches and lease writes may use. */
+    private static final double RESERVED_CALLS = 0.25;
+
+    private final Settings mSettings;
+    private final EventLog mLog;
+    private final Scheduler mScheduler = Schedulers.newSingle("decisions");
+    private final EventLoopGroup mPeerGroup =
+            new MultiThreadIoEventLoopGroup(PEER_THREADS, NioIoHandler.newFactory());
+    private final Disposable.Composite mTasks = Disposables.composite();
+    private final HostListWatcher mHosts;
+    private final ConfigurationWatcher mConfiguration;
+    private final NettyPeerLinks mLinks;
+    private final ConfigurationExchange mExchange;
+    private final PlacementController mPlacement;
+    private final ShareTableController mShares;
+    private final QuotaService mQuota;
+    private final SlotService mSlots;
+    private final Gateway mGateway;
+    private volatile boolean mLeaving;
+
+    /** Creates the parts; nothing runs before {@link #start()}. */
+    public Daemon(Settings settings, EventLog log) {
+        mSettings = settings;
+        mLog = log;
+        DecisionLoop loop = new DecisionLoop(mScheduler, Ticker.systemTicker()::nanoTime);
+        RandomGenerator random = random(settings.host());
+        ObjectStore store = store(settings, loop);
+        HostContext context =
+                new HostContext(settings, loop, store, random, new Identifiers(), log);
+        ConfigurationCodec codec = new ConfigurationCodec();
+        mHosts = new HostListWatcher(store, new HostCodec(), loop, random, log);
+        mConfiguration = new ConfigurationWatcher(store, codec, loop, random, log);
+        mLinks = links(context);
+        mExchange =
+                new ConfigurationExchange(
+                        mConfiguration,
+                        codec,
+                        mHosts,
+                        mLinks,
+                        context.failureDomain(),
+                        loop,
+                        random,
+                        log);
+        mPlacement = placement(context, mConfiguration, mHosts, mLinks);
+        mShares = shares(context, mConfiguration, mHosts, mLinks, mPlacement);
+        mQuota = quota(context, mConfiguration, mLinks, mShares);
+        mSlots = slots(context, mConfiguration, mLinks, mPlacement);
+        mGateway = gateway(context, mConfiguration, mPlacement, mQuota, mSlots);
+    }
+
+    /** Starts all parts; fails when an address is not available. */
+    public void start() {
+        mGateway.start().block(START_TIMEOUT);
+        mLog.log(LifecycleEvent.LISTENING, field("address", mGateway.address()));
+        mTasks.add(mHosts.start());
+        mTasks.add(mConfiguration.start());
+        mTasks.add(mExchange.start());
+        mPlacement.start();
+        mShares.start(mQuota::fitsShare);
+        mQuota.start();
+        mSlots.start();
+        mLinks.start()
+                .doOnNext(address -> mLog.log(LifecycleEvent.LISTENING, field("address", address)))
+                .block(START_TIMEOUT);
+    }
+
+    /** Stops as planned: callers first, then leases and borrowed tokens, then connections. */
+    public void stop() {
+        mLeaving = true;
+        HostSettings host = mSettings.host();
+        mGateway.stop().block(host.shutdownTimeout().plus(RELEASE_TIMEOUT));
+        mQuota.stop();
+        mPlacement.stop().block(RELEASE_TIMEOUT);
+        mTasks.dispose();
+        mLinks.stop();
+        mPeerGroup.shutdownGracefully();
+        mScheduler.dispose();
+    }
+
+    private static RandomGenerator random(HostSettings host) {
+        long seed = host.randomSeed().orElseGet(() -> new Identifiers().nextNumber());
+        return RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+    }
+
+    private static ObjectStore store(Settings settings, DecisionLoop loop) {
+        PlatformSettings platform = settings.platform();
+        String address = platform.address().getHostString() + ":" + platform.address().getPort();
+        HttpObjectStore store =
+                new HttpObjectStore(
+                        HttpClient.create(),
+                        "http://" + address,
+                        settings.failureDomain().name(),
+                        new ObjectJson(new ObjectMapper()),
+                        platform.requestTimeout(),
+                        loop.scheduler());
+        double calls = platform.callsPerSecond();
+        return new BudgetedObjectStore(
+                store, new CallBudget(loop.clock(), calls, calls, calls * RESERVED_CALLS));
+    }
+
+    private NettyPeerLinks links(HostContext context) {
+        return new NettyPeerLinks(
+                context.name(),
+                context.identifiers().next(),
+                context.identifiers().nextNumber(),
+                context.loop(),
+                mPeerGroup,
+                mSettings.host().peerAddress(),
+                mHosts::hosts,
+                List.copyOf(mSettings.peers().bootstrap().values()),
+                this::heartbeat,
+                PeerTimes.DEFAULT,
+                mLog);
+    }
+
+    private static PlacementController placement(
+            HostContext context, ConfigurationView configuration, HostView hosts, PeerLinks links) {
+        return new PlacementController(
+                context.loop(),
+                context.name(),
+                context.failureDomain(),
+                PolicySettings.placement(context.settings()),
+                configuration,
+                hosts,
+                context.store(),
+                links,
+                new EngineClient(HttpClient.create(), ENGINE_TIMEOUT),
+                context.log(),
+                context.identifiers().generator());
+    }
+
+    private static ShareTableController shares(
+            HostContext context,
+            ConfigurationView configuration,
+            HostView hosts,
+            PeerLinks links,
+            PlacementView placement) {
+        return new ShareTableController(
+                context.name(),
+                context.failureDomain(),
+                context.loop(),
+                configuration,
+                hosts,
+                placement,
+                context.store(),
+                links,
+                context.random(),
+                context.log());
+    }
+
+    private static QuotaService quota(
+            HostContext context,
+            ConfigurationView configuration,
+            PeerLinks links,
+            ShareTableController shares) {
+        return new QuotaService(
+                context.name(),
+                context.loop(),
+                configuration,
+                links,
+                shares,
+                QuotaTimes.DEFAULT,
+                context.identifiers()::nextNumber,
+                context.log());
+    }
+
+    private static SlotService slots(
+            HostContext context,
+            ConfigurationView configuration,
+            PeerLinks links,
+            PlacementView placement) {
+        return new SlotService(
+                context.name(),
+                context.loop(),
+                configuration,
+                placement,
+                links,
+                context.identifiers()::nextNumber,
+                context.log());
+    }
+
+    private static Gateway gateway(
+            HostContext context,
+            ConfigurationView configuration,
+            PlacementView placement,
+            QuotaService quota,
+            SlotService slots) {
+        return new Gateway(
+                PolicySettings.gateway(context.settings()),
+                new GatewayDependencies(
+                        configuration,
+                        placement,
+                        quota,
+                        slots,
+                        context.store(),
+                        context.loop(),
+                        context.random(),
+                        context.identifiers()::next,
+                        context.log()));
+    }
+
+    private Heartbeat heartbeat() {
+        return Heartbeat.newBuilder()
+                .setLeaving(mLeaving)
+                .setConfigurationVersion(mConfiguration.version())
+                .build();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/HostContext.java
@@ -0,0 +1,31 @@
+package org.vanillaslip.internal.runtime;
+
+import java.util.random.RandomGenerator;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.settings.Settings;
+
+/**
+ * What all parts of a host share.
+ *
+ * @param random choices that tests may fix by a seed; never identifiers
+ */
+record HostContext(
+        Settings settings,
+        DecisionLoop loop,
+        ObjectStore store,
+        RandomGenerator random,
+        Identifiers identifiers,
+        EventLog log) {
+
+    /** Returns the name of this host. */
+    String name() {
+        return settings.host().name();
+    }
+
+    /** Returns the failure domain of this host. */
+    FailureDomain failureDomain() {
+        return settings.failureDomain();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/PolicySettings.java
@@ -0,0 +1,64 @@
+package org.vanillaslip.internal.runtime;
+
+import java.time.Duration;
+import org.vanillaslip.internal.gateway.GatewaySettings;
+import org.vanillaslip.internal.lease.LeaseTimes;
+import org.vanillaslip.internal.placement.KeepAlivePolicy;
+import org.vanillaslip.internal.placement.PlacementSettings;
+import org.vanillaslip.internal.placement.WeightStoreQueue;
+import org.vanillaslip.internal.queue.QueueLimits;
+import org.vanillaslip.internal.settings.Settings;
+
+/** Translates the settings file into the settings of the policies. */
+final class PolicySettings {
+
+    private static final int LARGEST_WHOLE_ANSWER_BYTES = 512 * 1024;
+
+    /** Idle time of one accelerator that is as bad as one cold start at equal weights. */
+    private static final Duration COLD_START_COST = Duration.ofMinutes(1);
+
+    private static final Duration KEEP_ALIVE_WITHOUT_HISTORY = Duration.ofMinutes(5);
+    private static final Duration ORDER_RETRY = Duration.ofSeconds(1);
+    private static final Duration REPORT_AGE = Duration.ofSeconds(3);
+    private static final int OFFLINE_LOADS = 2;
+
+    private PolicySettings() {}
+
+    static PlacementSettings placement(Settings settings) {
+        var placement = settings.placement();
+        return new PlacementSettings(
+                new LeaseTimes(
+                        placement.lease(),
+                        LeaseTimes.STANDARD.drift(),
+                        LeaseTimes.STANDARD.rankDelay()),
+                new WeightStoreQueue(
+                        placement.weightStoreLoadsPerSecond(),
+                        placement.weightStoreParallelLoads(),
+                        placement.adapterLoadsInFlight()),
+                new KeepAlivePolicy(
+                        placement.idleWeight(), COLD_START_COST, KEEP_ALIVE_WITHOUT_HISTORY),
+                ORDER_RETRY,
+                REPORT_AGE,
+                OFFLINE_LOADS);
+    }
+
+    static GatewaySettings gateway(Settings settings) {
+        var host = settings.host();
+        var admission = settings.admission();
+        return new GatewaySettings(
+                host.gatewayAddress().getHostString(),
+                host.gatewayAddress().getPort(),
+                host.name(),
+                host.failureDomain().name(),
+                admission.maxBodyBytes(),
+                LARGEST_WHOLE_ANSWER_BYTES,
+                new QueueLimits(
+                        admission.maxWaitingRequests(),
+                        admission.maxWaitingBytes(),
+                        admission.maxWaitingRequestsPerWorkspace(),
+                        admission.maxWaitingBytes() / 2),
+                admission.maxConfigurationAge().orElse(Duration.ZERO),
+                host.shutdownDelay(),
+                host.shutdownTimeout());
+    }
+}
--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/demo/DemoMain.java
@@ -0,0 +1,26 @@
+package org.vanillaslip.internal.proofs.demo;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.vanillaslip.internal.proofs.processes.Deployment;
+
+/** Runs the demo for every example deployment; exits with 1 when an answer is wrong. */
+public final class DemoMain {
+
+    private DemoMain() {}
+
+    /** Takes the directory of the example lists as its only argument. */
+    public static void main(String[] arguments) throws Exception {
+        Path examples = Path.of(arguments[0]);
+        Checks checks = new Checks(System.out);
+        for (DemoScript script : DemoScript.all()) {
+            Path directory = Files.createTempDirectory("vanillaslip-demo");
+            System.out.println("== " + script.lists() + ", logs in " + directory);
+            try (Deployment deployment =
+                    Deployment.start(examples.resolve(script.lists()), directory)) {
+                new DemoRun(deployment, script, checks, System.out).run();
+            }
+        }
+        System.exit(checks.close());
+    }
+}
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Deployment.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Deployment.java
@@ -142,7 +142,8 @@
     private void startAll(DeploymentLists lists) {
         createDirectory(mDirectory);
         startPlatform();
-        lists.backendServers().forEach(this::startBackendServer);
+        List<String> modelMemory = lists.modelMemoryArguments();
+        lists.backendServers().forEach(server -> startBackendServer(server, modelMemory));
         lists.failureDomains().forEach(this::prepareHosts);
         Path file = mDirectory.resolve("lists.json");
         lists.write(file);
@@ -163,15 +164,17 @@
                 () -> mCaller.get(mPlatformAddress, "/apis/vanillaslip.org/v1/hosts").status() > 0);
     }
 
-    private void startBackendServer(JsonNode server) {
+    private void startBackendServer(JsonNode server, List<String> modelMemory) {
         String name = server.path("name").asText();
         String address = server.path("address").asText();
-        boolean engine = server.path("kind").asText().equals(BackendKind.MODEL_ENGINE.name());
+        boolean engine =
+                server.path("kind").asText().equalsIgnoreCase(BackendKind.MODEL_ENGINE.name());
         List<String> arguments = new ArrayList<>();
         arguments.addAll(List.of("--port", address.substring(address.indexOf(':') + 1)));
         arguments.addAll(List.of("--name", name));
         if (engine) {
             arguments.addAll(List.of("--memory-bytes", server.path("memory_bytes").asText()));
+            arguments.addAll(modelMemory);
             if (server.path("checks_fencing").asBoolean()) {
                 arguments.add("--fencing");
             }
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/DeploymentLists.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/DeploymentLists.java
@@ -46,6 +46,16 @@
                 .toList();
     }
 
+    /** Returns the engine arguments that name the memory of each model. */
+    List<String> modelMemoryArguments() {
+        List<String> arguments = new ArrayList<>();
+        for (JsonNode model : elements("models")) {
+            arguments.add("--memory-of");
+            arguments.add(model.path("name").asText() + "=" + model.path("memory_bytes").asText());
+        }
+        return arguments;
+    }
+
     /** Writes the lists for the command-line tool. */
     void write(Path file) {
         try {
