--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/AtMostOnceTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/AtMostOnceTest.java
@@ -53,6 +53,8 @@
                 if (repeat.statusCode() == 200) {
                     break;
                 }
+                // As Retry-After says; a pending record goes on in virtual time only.
+                harness.mTime.advanceTimeBy(SECOND);
                 repeat = harness.await(harness.cut("B-1", "K-1"), SECOND);
             }
             if (first.statusCode() == 200) {
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/ServedOrRefusedInTimeTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/ServedOrRefusedInTimeTest.java
@@ -53,6 +53,8 @@
     void refusesBeforeTheDeadlineWhenTheLoadNeverEnds() {
         try (GatewayHarness harness = new GatewayHarness()) {
             harness.mModelLoaded = false;
+            // A promise that is always short, so that only the deadline ends the wait.
+            harness.mActivation = Either.right(Duration.ofMillis(1));
             var waiting = harness.quote(false, "X-Request-Deadline-Millis", "2000");
             harness.awaitTrue(() -> harness.waiting() == 1);
             harness.mTime.advanceTimeBy(Duration.ofMillis(1_999));
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/WholeAnswersTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/WholeAnswersTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DisplayName;
@@ -147,10 +148,25 @@
         }
     }
 
+    @Test
+    void doesNotSayNotRunWhenOnlyTheRetryCouldNotBeSent() {
+        try (GatewayHarness harness = new GatewayHarness()) {
+            harness.mEngine.mStatus = 429;
+            harness.addServer("engine-2", "127.0.0.1:11", BackendKind.MODEL_ENGINE);
+            harness.configure(harness.configuration(Set.of(GatewayHarness.KEY), false));
+            for (int prompt = 0; prompt < 8; prompt++) {
+                String body = "{\"model\":\"edge\",\"prompt\":\"" + prompt + "\"}";
+                HttpResponse<String> refused = harness.await(harness.post("/quotes", body), STEP);
+                assertThat(refused.body()).contains("BACKEND_FAILED", "\"not_run\":false");
+                harness.mTime.advanceTimeBy(Duration.ofSeconds(11));
+            }
+        }
+    }
+
     @Test
     void saysNotRunWhenTheEngineCannotBeReached() {
         try (GatewayHarness harness = new GatewayHarness()) {
-            harness.addServer("engine-1", "127.0.0.1:1", BackendKind.MODEL_ENGINE);
+            harness.addServer("engine-1", "127.0.0.1:11", BackendKind.MODEL_ENGINE);
             HttpResponse<String> refused = harness.await(harness.quote(false), STEP);
             assertThat(refused.body()).contains("NO_BACKEND_SERVER", "\"not_run\":true");
             assertThat(harness.mEngine.mRequests).isEmpty();
--- a/decisions/src/test/java/org/vanillaslip/internal/queue/FairQueueTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/queue/FairQueueTest.java
@@ -24,7 +24,7 @@
 
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-    private final FairQueue mQueue = new FairQueue(new QueueLimits(200, 2_000, 100, 1_000));
+    private final FairQueue mQueue = new FairQueue(new QueueLimits(200, 2_000, 100, 1_500));
     private int mNumber;
 
     @Property(seed = "20")
--- a/stand-ins/src/main/java/org/vanillaslip/internal/standins/service/ServiceStandIn.java
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/service/ServiceStandIn.java
@@ -15,7 +15,7 @@
     @Option(name = "--name", description = "Name that answers carry.")
     private String mName = "service";
 
-    /** Starts the server and prints the port on the first line of standard output. */
+    /** Starts the server and prints a line with the port on standard output. */
     public static void main(String[] arguments) {
         ServiceStandIn command;
         try {
