Test the bound of the planned stop on its own refusal

Cause: the test passed with the bound removed, because the stream was given up for silence before the bound. Change: the stop ends before the bound of silence and the answer has to name HOST_STOPPING; proof rows added.

--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
@@ -96,7 +96,7 @@
                         limits,
                         Duration.ZERO,
                         Duration.ofSeconds(5),
-                        Duration.ofSeconds(60));
+                        Duration.ofSeconds(9));
         mGateway =
                 new Gateway(
                         settings,
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/GracefulStopTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/GracefulStopTest.java
@@ -4,7 +4,6 @@
 
 import java.net.http.HttpResponse;
 import java.time.Duration;
-import java.util.Collections;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -51,17 +50,15 @@
     @Test
     void endsWithinTheBoundAndTellsTheCallers() {
         try (GatewayHarness harness = new GatewayHarness()) {
-            // Virtual time jumps past the bound of silence, so the stream may be resumed.
-            FakeEngine.Script endless =
-                    (id, offset) -> FakeEngine.tokens(id, offset, 1).concatWith(Flux.never());
-            harness.mEngine.mScripts.addAll(Collections.nCopies(10, endless));
+            harness.mEngine.mScripts.add(
+                    (id, offset) -> FakeEngine.tokens(id, 0, 1).concatWith(Flux.never()));
             var running = harness.quote(true);
             harness.awaitTrue(() -> harness.mStarted.get() == 1);
             AtomicBoolean stopped = new AtomicBoolean();
             harness.stop().doOnTerminate(() -> stopped.set(true)).subscribe();
-            harness.mTime.advanceTimeBy(Duration.ofSeconds(60));
+            harness.mTime.advanceTimeBy(Duration.ofSeconds(9));
             assertThat(harness.await(running, Duration.ZERO).body())
-                    .contains("event: error", "\"not_run\":false")
+                    .contains("event: error", "HOST_STOPPING", "\"not_run\":false")
                     .doesNotContain("[DONE]");
             harness.mTime.advanceTimeBy(Duration.ofSeconds(1));
             harness.awaitTrue(stopped::get);
