--- a/decisions/src/main/java/org/vanillaslip/internal/quota/QuotaAccount.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/QuotaAccount.java
@@ -40,7 +40,7 @@
     /** Returns whether lent tokens fit into the current part of the limit. */
     public boolean fitsCapacity(long nowNanos) {
         expire(nowNanos);
-        return mBucket.fitsCapacity();
+        return mBucket.fitsCapacity(nowNanos);
     }
 
     /** Returns the tokens that can be used now, after debt. */
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/QuotaBucket.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/QuotaBucket.java
@@ -8,6 +8,7 @@
 public final class QuotaBucket {
 
     private final HeadroomHistory mHistory = new HeadroomHistory();
+    private final long mStartsAt;
     private double mRatePerNano;
     private long mCapacity;
     private long mLevel;
@@ -21,6 +22,7 @@
      *     host have expired, because they are unknown here and may still be spent
      */
     public QuotaBucket(long refillFromNanos) {
+        mStartsAt = refillFromNanos;
         mRefilledAt = refillFromNanos;
     }
 
@@ -51,9 +53,12 @@
         return mCapacity;
     }
 
-    /** Returns whether lent tokens fit into the capacity, which a shrunk share has to wait for. */
-    public boolean fitsCapacity() {
-        return mOutstanding <= mCapacity;
+    /**
+     * Returns whether lent tokens fit into the capacity, which a shrunk share has to wait for;
+     * those of an earlier incarnation are unknown and must have expired.
+     */
+    public boolean fitsCapacity(long nowNanos) {
+        return nowNanos >= mStartsAt && mOutstanding <= mCapacity;
     }
 
     /** Takes tokens for use here and returns a mark for {@link #refund}. */
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaAccountTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaAccountTest.java
@@ -118,6 +118,21 @@
         assertThat(mOwner.reserve(60 * SECOND)).isZero();
     }
 
+    @Test
+    void shrunkShareFitsOnlyWhenLentTokensHaveExpired() {
+        mOwner.grant(60, 0);
+        mOwner.resize(5, 50, SECOND);
+        assertThat(mOwner.fitsCapacity(4 * SECOND)).isFalse();
+        assertThat(mOwner.fitsCapacity(5 * SECOND)).isTrue();
+    }
+
+    @Test
+    void restartedHostConfirmsNoShareWhileGrantsOfItsPredecessorMayBeInUse() {
+        QuotaAccount restarted = new QuotaAccount(TIMES, TIMES.predecessorNanos(), () -> ++mIds);
+        assertThat(restarted.fitsCapacity(4 * SECOND)).isFalse();
+        assertThat(restarted.fitsCapacity(5 * SECOND)).isTrue();
+    }
+
     @Test
     void unneededTokensGoBackToTheOwner() {
         mBorrower.accept("owner", mOwner.grant(60, 0), 0, 0);
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaPropertiesTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaPropertiesTest.java
@@ -52,6 +52,7 @@
             @ForAll @LongRange(min = 1, max = 100_000_000_000L) long remaining) {
         long validity = QuotaTimes.withoutDrift(remaining);
         assertThat(QuotaTimes.withDrift(validity)).isLessThanOrEqualTo(remaining);
+        assertThat(QuotaTimes.withDrift(remaining)).isGreaterThan(remaining + remaining / 100);
         assertThat(validity * 1.01).isCloseTo(remaining, Offset.offset(120.0));
     }
 
