--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
@@ -215,7 +215,11 @@
     private void confirm(String sender, String name, ShardRuntime shard) {
         boolean shrinking = shard.record().offline().stream().anyMatch(load -> !load.inForce());
         if (shrinking && shard.offlineOrders().mayConfirm()) {
-            mDigests.confirm(sender, name, shard.version());
+            if (sender.equals(mContexts.host())) {
+                shard.confirmed(sender, shard.version());
+            } else {
+                mDigests.confirm(sender, name, shard.version());
+            }
         }
     }
 
@@ -259,6 +263,7 @@
                 (name, shard) -> {
                     if (shard.holds()) {
                         mDigests.publish(name, shard.version(), shard.record(), now());
+                        confirm(mContexts.host(), name, shard);
                     }
                 });
         mActivations.exchange();
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/placement/PlacementControllerTest.java
@@ -0,0 +1,47 @@
+package org.vanillaslip.internal.control.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.internal.control.Replica;
+import reactor.core.publisher.Mono;
+
+/** Guards the wiring of the state machines with the store, the links and a real engine. */
+class PlacementControllerTest {
+
+    private static final Duration WAIT = Duration.ofSeconds(20);
+
+    private final ControllerFixture mFixture = new ControllerFixture();
+
+    @AfterEach
+    void close() {
+        mFixture.close();
+    }
+
+    @Test
+    void anActivationLoadsTheModelAndTheReplicaIsSeenByBothHosts() {
+        ModelName model = ModelName.parse("m");
+        mFixture.awaitHolder();
+        mFixture.onLoop(() -> mFixture.mSecond.activate(model, WAIT)).block(WAIT);
+        assertThat(mFixture.awaitReplica(mFixture.mFirst, model)).isNotNull();
+        Replica replica = mFixture.awaitReplica(mFixture.mSecond, model);
+        assertThat(replica.incarnation()).isEqualTo(mFixture.mEngine.incarnation());
+        assertThat(mFixture.mEngine.violations()).isEmpty();
+        assertThat(mFixture.mEvents).contains(300, 310, 320);
+    }
+
+    @Test
+    void aPlannedStopReleasesTheLeaseAndTheOtherHostTakesIt() {
+        mFixture.awaitHolder();
+        String before = mFixture.holder(mFixture.mFirst);
+        mFixture.controller(before).stop().block(WAIT);
+        String other = before.equals("h0") ? "h1" : "h0";
+        Mono.fromSupplier(() -> mFixture.holder(mFixture.controller(other)))
+                .repeat()
+                .takeUntil(other::equals)
+                .blockLast(WAIT);
+    }
+}
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/OfflinePlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/OfflinePlan.java
@@ -74,7 +74,6 @@
 
     private boolean confirmed(OfflineLoad load, ServerReport report) {
         return mDraft.context().domainHosts().stream()
-                .filter(host -> !host.equals(mDraft.context().host()))
                 .allMatch(
                         host ->
                                 mState.confirmed()
--- /dev/null
+++ b/stand-ins/src/test/java/org/vanillaslip/internal/standins/engine/EngineServerTest.java
@@ -0,0 +1,120 @@
+package org.vanillaslip.internal.standins.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/** Guards the protocol that tests of placement and forwarding rely on. */
+class EngineServerTest {
+
+    private static final Duration WAIT = Duration.ofSeconds(10);
+
+    private final EngineServer mServer =
+            EngineServer.start(EngineSettings.forTests("e"), System::nanoTime);
+    private final HttpClient mHttp = HttpClient.create().baseUrl("http://" + mServer.address());
+
+    @AfterEach
+    void close() {
+        mServer.close();
+    }
+
+    @Test
+    void streamsTheTokensOfALoadedModelFromTheOffset() {
+        load(1, 1, "m");
+        String whole = complete("r1", 0, 3);
+        assertThat(whole)
+                .contains("\"request_id\":\"r1\"", "\"offset\":0", "\"completion_tokens\":3");
+        assertThat(whole).endsWith("data: [DONE]\n\n");
+        assertThat(complete("r2", 2, 3)).contains("\"offset\":2").doesNotContain("\"offset\":1");
+    }
+
+    @Test
+    void refusesOldTermsOtherIncarnationsAndOvercommittedMemory() {
+        load(1, 5, "m");
+        assertThat(order(2, 4, mServer.incarnation(), "n")).contains("stale_term");
+        assertThat(order(3, 5, "other", "n")).contains("incarnation_mismatch");
+        for (int i = 0; i < 9; i++) {
+            load(10 + i, 5, "x" + i);
+        }
+        assertThat(order(30, 5, mServer.incarnation(), "y")).contains("out_of_memory");
+        assertThat(mServer.violations()).singleElement().asString().contains("overcommitted");
+    }
+
+    @Test
+    void aDecisionIsExecutedOnceAndASecondDecisionForTheSameModelIsNoted() {
+        load(1, 1, "m");
+        order(1, 1, mServer.incarnation(), "m");
+        assertThat(mServer.violations()).isEmpty();
+        order(2, 1, mServer.incarnation(), "m");
+        assertThat(mServer.violations()).singleElement().asString().contains("loaded twice");
+    }
+
+    @Test
+    void aRestartIsColdWithANewIncarnationAtTheSameAddress() {
+        load(1, 1, "m");
+        String before = mServer.incarnation();
+        mServer.restart();
+        assertThat(mServer.incarnation()).isNotEqualTo(before);
+        assertThat(get("/v1/status")).contains("\"resident\":[]", "\"m\":\"disk\"");
+        assertThat(post("/v1/completions", "{\"model\":\"m\"}", "r", 0)).contains("not loaded");
+    }
+
+    @Test
+    void faultsChangeAnswersAndReceivedValuesAreKept() {
+        load(1, 1, "m");
+        post("/faults", "{\"wrong_request_id\":true,\"times\":1}", "f", 0);
+        assertThat(complete("r1", 0, 1)).contains("other-r1");
+        assertThat(complete("r2", 0, 1)).doesNotContain("other-r2");
+        assertThat(mServer.received()).anyMatch(value -> value.contains("r1"));
+        post("/faults", "{\"break_after_tokens\":1}", "f", 0);
+        assertThat(complete("r3", 0, 5)).isEqualTo("broken");
+    }
+
+    private void load(long decision, long term, String model) {
+        assertThat(order(decision, term, mServer.incarnation(), model)).contains("decision");
+        Mono.fromSupplier(() -> get("/v1/status"))
+                .repeat()
+                .takeUntil(status -> !status.contains("\"loading\""))
+                .blockLast(WAIT);
+    }
+
+    private String order(long decision, long term, String incarnation, String model) {
+        String body =
+                String.format(
+                        "{\"decision\":%d,\"term\":%d,\"incarnation\":\"%s\",\"action\":\"load\","
+                                + "\"model\":\"%s\",\"version\":\"1\"}",
+                        decision, term, incarnation, model);
+        return post("/v1/orders", body, "o", 0);
+    }
+
+    private String complete(String id, int offset, int tokens) {
+        String body = "{\"model\":\"m\",\"prompt\":\"a b\",\"max_tokens\":" + tokens + "}";
+        return post("/v1/completions", body, id, offset);
+    }
+
+    private String post(String path, String body, String id, int offset) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        String answer =
+                mHttp.headers(h -> h.set("X-Request-Id", id).set("X-Resume-Offset", offset))
+                        .post()
+                        .uri(path)
+                        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(bytes)))
+                        .responseContent()
+                        .aggregate()
+                        .asString()
+                        .onErrorReturn("broken")
+                        .block(WAIT);
+        return answer == null ? "" : answer;
+    }
+
+    private String get(String path) {
+        return String.valueOf(
+                mHttp.get().uri(path).responseContent().aggregate().asString().block(WAIT));
+    }
+}
