--- a/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaAccountTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaAccountTest.java
@@ -88,6 +88,15 @@
         assertThat(mOwner.settle(charge, 0, 3 * SECOND)).isZero();
     }
 
+    @Test
+    void twoRefundsShareTheRoomThatWasFreeSinceTheirCharges() {
+        Charge first = mOwner.charge(20, 0).orElseThrow();
+        Charge second = mOwner.charge(20, 0).orElseThrow();
+        mOwner.charge(90, 3 * SECOND).orElseThrow();
+        assertThat(mOwner.settle(first, 0, 3 * SECOND)).isEqualTo(10);
+        assertThat(mOwner.settle(second, 0, 3 * SECOND)).isZero();
+    }
+
     @Test
     void refundIsGivenInFullWhenThereWasRoomEverSinceTheCharge() {
         Charge charge = mOwner.charge(20, 0).orElseThrow();
@@ -118,6 +127,21 @@
         assertThat(mOwner.reserve(60 * SECOND)).isZero();
     }
 
+    @Test
+    void shrunkShareFitsOnlyWhenLentTokensHaveExpired() {
+        mOwner.grant(60, 0);
+        mOwner.resize(5, 50, SECOND);
+        assertThat(mOwner.fitsCapacity(4 * SECOND)).isFalse();
+        assertThat(mOwner.fitsCapacity(5 * SECOND)).isTrue();
+    }
+
+    @Test
+    void restartedHostConfirmsNoShareWhileGrantsOfItsPredecessorMayBeInUse() {
+        QuotaAccount restarted = new QuotaAccount(TIMES, TIMES.predecessorNanos(), () -> ++mIds);
+        assertThat(restarted.fitsCapacity(4 * SECOND)).isFalse();
+        assertThat(restarted.fitsCapacity(5 * SECOND)).isTrue();
+    }
+
     @Test
     void unneededTokensGoBackToTheOwner() {
         mBorrower.accept("owner", mOwner.grant(60, 0), 0, 0);
