Let charges wait for tokens that are expected within their wait

A charge was refused as soon as the limit was exhausted, even when its tokens were due within milliseconds and its deadline was seconds away; a later, smaller charge could overtake an earlier one.

Charges now wait per limit and host in order of arrival, at most 256 of them. RefillEstimate expects when the tokens for all charges up to a place arrive, from the refill of the reachable hosts, the last request for tokens, and the backlog that the coordinator reports in retry_after_millis. A charge that is not expected within its wait is refused at once. The wait is an eighth, a quarter or half of the time to the deadline by class, at most 1.9 s. A caller that leaves takes its charge out of the line.

--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Charging.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Charging.java
@@ -3,14 +3,15 @@
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import org.vanillaslip.RequestClass;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import reactor.core.publisher.Flux;
 
 /** Charges requests to their workspace and settles the charge exactly once. */
 final class Charging {
 
-    /** Borrowing from another host takes milliseconds; longer waits mean there is nothing left. */
-    private static final Duration LONGEST_WAIT = Duration.ofSeconds(1);
+    /** Under half of a grant's validity, so gathered tokens are used or returned before expiry. */
+    private static final Duration LONGEST_WAIT = Duration.ofMillis(1900);
 
     private final QuotaGate mQuota;
     private final DecisionLoop mLoop;
@@ -25,9 +26,7 @@
         if (request.caller().workspace().isEmpty()) {
             return Flux.defer(() -> work.apply(new Usage()));
         }
-        Duration left = request.left(mLoop.clock().nowNanos());
-        Duration wait = left.compareTo(LONGEST_WAIT) < 0 ? left : LONGEST_WAIT;
-        return mQuota.charge(request.caller().accountedWorkspace(), estimate, wait)
+        return mQuota.charge(request.caller().accountedWorkspace(), estimate, wait(request))
                 .flatMapMany(
                         result ->
                                 result.fold(
@@ -35,6 +34,21 @@
                                         charge -> settled(request, charge, work)));
     }
 
+    /** Returns how long the charge may wait, which leaves most of the time for the request. */
+    private Duration wait(CallerRequest request) {
+        Duration left = request.left(mLoop.clock().nowNanos());
+        Duration part = left.dividedBy(divisor(request.route().requestClass()));
+        return part.compareTo(LONGEST_WAIT) < 0 ? part : LONGEST_WAIT;
+    }
+
+    private static int divisor(RequestClass requestClass) {
+        return switch (requestClass) {
+            case INTERACTIVE -> 8;
+            case WAITING -> 4;
+            case BATCH -> 2;
+        };
+    }
+
     private <T> Flux<T> settled(
             CallerRequest request, QuotaCharge charge, Function<Usage, Flux<T>> work) {
         Usage usage = new Usage();
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaExchange.java
@@ -43,7 +43,7 @@
     Mono<Boolean> borrow(QuotaLimit limit, long needed, long reserve) {
         Optional<String> coordinator = coordinator(limit);
         if (coordinator.isEmpty()) {
-            return collect(limit, needed, reserve, "");
+            return collectHere(limit, needed, reserve, "");
         }
         String host = coordinator.get();
         long sentAt = mClock.nowNanos();
@@ -70,7 +70,7 @@
             long needed = request.getTokens() - limit.account().available(now);
             collected = collect(limit, needed, missing - Math.max(0, needed), borrower);
         }
-        return collected.map(enough -> grant(limit, request, wanted));
+        return collected.map(enough -> grant(limit, borrower, request, wanted));
     }
 
     /** Tells granters what was spent and returned since the last report. */
@@ -80,11 +80,19 @@
         }
     }
 
-    private Envelope.Builder grant(QuotaLimit limit, QuotaRequest request, long wanted) {
+    private Envelope.Builder grant(
+            QuotaLimit limit, String borrower, QuotaRequest request, long wanted) {
         long now = mClock.nowNanos();
         Grant grant = limit.account().grant(wanted, now);
         long missing = Math.max(0, request.getTokens() - grant.amount());
-        return QuotaMessages.grant(grant, millis(limit.refillNanos(missing)));
+        if (request.getCollect()) {
+            limit.noteUnmet(borrower, missing, now);
+        }
+        long retryAfter =
+                missing == 0
+                        ? 0
+                        : limit.estimate().refillNanos(missing) + limit.backlogNanos(borrower, now);
+        return QuotaMessages.grant(grant, millis(retryAfter));
     }
 
     private Mono<Boolean> collectInstead(
@@ -93,7 +101,24 @@
                 QuotaEvent.COORDINATOR_UNREACHABLE,
                 LogField.field("limit", limit.name()),
                 LogField.field("host", coordinator));
-        return collect(limit, needed, reserve, coordinator);
+        return collectHere(limit, needed, reserve, coordinator);
+    }
+
+    private Mono<Boolean> collectHere(QuotaLimit limit, long needed, long reserve, String except) {
+        return collect(limit, needed, reserve, except)
+                .doOnNext(enough -> note(limit, enough, limit.backlogNanos(mHost, now())));
+    }
+
+    private void note(QuotaLimit limit, boolean enough, long backlogNanos) {
+        if (enough) {
+            limit.estimate().noteGranted();
+        } else {
+            limit.estimate().noteExhausted(backlogNanos, now());
+        }
+    }
+
+    private long now() {
+        return mClock.nowNanos();
     }
 
     /** Pulls from owners into this host's account; true when the needed amount came. */
@@ -106,7 +131,7 @@
         return Flux.fromIterable(limit.coordinator().plan(1, amount, owners, now))
                 .flatMap(pull -> pull(limit, pull, owner(owners, pull)))
                 .reduce(0L, Long::sum)
-                .map(pulled -> pulled >= needed);
+                .map(pulled -> pulled >= Math.max(1, needed));
     }
 
     private Mono<Long> pull(QuotaLimit limit, Pull pull, OwnerShare owner) {
@@ -137,7 +162,11 @@
             QuotaLimit limit, String granter, Envelope reply, long needed, long sentAt) {
         QuotaGrant message = reply.getQuotaGrant();
         limit.account().accept(granter, QuotaMessages.grant(message), sentAt, mClock.nowNanos());
-        return message.getTokens() >= needed;
+        boolean enough = message.getTokens() >= Math.max(1, needed);
+        long retryAfter = Duration.ofMillis(message.getRetryAfterMillis()).toNanos();
+        long refill = limit.estimate().refillNanos(needed - message.getTokens());
+        note(limit, enough, Math.max(0, retryAfter - refill));
+        return enough;
     }
 
     private Optional<String> coordinator(QuotaLimit limit) {
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaLimit.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaLimit.java
@@ -1,9 +1,7 @@
 package org.vanillaslip.internal.quota;
 
-import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.Collection;
-import java.util.Deque;
+import java.util.HashMap;
 import java.util.Map;
 
 /** One limit on this host: its account, the coordinator's view, and the charges that wait. */
@@ -12,22 +10,21 @@
     /** Micro-tokens per token. */
     static final long MICRO = 1_000_000;
 
-    /**
-     * Shortest time between two requests for an exhausted limit; bounds messages under overload.
-     */
-    private static final long MIN_RETRY_NANOS = 50_000_000;
+    /** A host whose charges waited this long ago asks again before, if they still wait. */
+    private static final long UNMET_NANOS = 500_000_000;
 
     private final String mName;
     private final String mHost;
     private final QuotaAccount mAccount;
     private final QuotaCoordinator mCoordinator = new QuotaCoordinator();
-    private final Deque<WaitingCharge> mWaiting = new ArrayDeque<>();
+    private final RefillEstimate mEstimate = new RefillEstimate();
+    private final ChargeLine<WaitingCharge> mLine = new ChargeLine<>();
+    private final Map<String, long[]> mUnmet = new HashMap<>();
     private long mTokensPerSecond;
     private long mBurstTokens;
     private Map<String, Long> mParts = Map.of();
     private boolean mAsking;
-    private boolean mExhausted;
-    private long mExhaustedAt;
+    private boolean mWaking;
 
     QuotaLimit(String name, String host, QuotaAccount account) {
         mName = name;
@@ -47,8 +44,12 @@
         return mCoordinator;
     }
 
-    Deque<WaitingCharge> waiting() {
-        return mWaiting;
+    RefillEstimate estimate() {
+        return mEstimate;
+    }
+
+    ChargeLine<WaitingCharge> line() {
+        return mLine;
     }
 
     long burstTokens() {
@@ -63,18 +64,34 @@
         mAsking = asking;
     }
 
+    boolean isWaking() {
+        return mWaking;
+    }
+
+    void setWaking(boolean waking) {
+        mWaking = waking;
+    }
+
     /** Takes over the plan's values and the shares. */
     void resize(
             long tokensPerSecond,
             long burstTokens,
             long ownParts,
             Map<String, Long> parts,
+            Collection<String> liveHosts,
             long nowNanos) {
         mTokensPerSecond = tokensPerSecond;
         mBurstTokens = burstTokens;
         mParts = parts;
         OwnerShare own = share(mHost, ownParts);
         mAccount.resize(own.ratePerSecond(), own.capacity(), nowNanos);
+        long remoteParts =
+                liveHosts.stream()
+                        .filter(host -> !host.equals(mHost))
+                        .mapToLong(host -> parts.getOrDefault(host, 0L))
+                        .sum();
+        OwnerShare remote = share("", remoteParts);
+        mEstimate.resize(own.ratePerSecond(), remote.ratePerSecond(), remote.capacity());
     }
 
     /** Returns the owners among the given hosts, without this host. */
@@ -85,30 +102,43 @@
                 .toList();
     }
 
-    /** Notes that all reachable hosts together had less than was asked for. */
-    void noteExhausted(long nowNanos) {
-        mExhausted = true;
-        mExhaustedAt = nowNanos;
+    /** Returns what this host lacks to pay the debt and the given amount. */
+    long missing(long amount, long nowNanos) {
+        return amount + mAccount.debt() - mAccount.available(nowNanos);
     }
 
-    void noteGranted() {
-        mExhausted = false;
+    /** Returns when all charges up to the given sum of amounts are expected to be served. */
+    long expectedNanos(long amount, long nowNanos) {
+        return mEstimate.expectedNanos(missing(amount, nowNanos), nowNanos);
     }
 
-    /** Returns how long to wait until the missing amount can have been refilled; 0 to ask now. */
-    long retryNanos(long missing, long nowNanos) {
-        if (!mExhausted) {
-            return 0;
+    /** Notes what a borrower still lacks after a grant. */
+    void noteUnmet(String borrower, long amount, long nowNanos) {
+        mUnmet.values().removeIf(unmet -> nowNanos - unmet[1] > UNMET_NANOS);
+        if (amount > 0) {
+            mUnmet.put(borrower, new long[] {amount, nowNanos});
+        } else {
+            mUnmet.remove(borrower);
         }
-        long elapsed = nowNanos - mExhaustedAt;
-        return Math.max(0, Math.max(MIN_RETRY_NANOS, refillNanos(missing)) - elapsed);
     }
 
-    /** Returns the time in which all hosts together refill the amount. */
-    long refillNanos(long amount) {
-        double rate = Math.max(1, mTokensPerSecond) * (double) MICRO;
-        double nanos = amount / rate * 1e9;
-        return (long) Math.min(nanos, (double) Duration.ofHours(1).toNanos());
+    /** Returns the time after which the whole burst is refilled; longer retries help nobody. */
+    long burstNanos() {
+        double seconds = (double) mBurstTokens / Math.max(1, mTokensPerSecond);
+        return (long) (Math.max(1, Math.min(seconds, 3600)) * 1e9);
+    }
+
+    /**
+     * Returns the time in which nothing is refilled after a start, or refill goes to the waiting
+     * charges of other hosts than the given.
+     */
+    long backlogNanos(String borrower, long nowNanos) {
+        long backlog = borrower.equals(mHost) ? 0 : Math.max(0, missing(mLine.total(), nowNanos));
+        for (Map.Entry<String, long[]> unmet : mUnmet.entrySet()) {
+            boolean recent = nowNanos - unmet.getValue()[1] <= UNMET_NANOS;
+            backlog += recent && !unmet.getKey().equals(borrower) ? unmet.getValue()[0] : 0;
+        }
+        return mAccount.startsInNanos(nowNanos) + mEstimate.refillNanos(backlog);
     }
 
     private OwnerShare share(String host, long parts) {
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaService.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaService.java
@@ -129,14 +129,33 @@
         }
         long now = mLoop.clock().nowNanos();
         WaitingCharge waiting = new WaitingCharge(workspace, tokens, now + wait.toNanos(), sink);
-        if (!limit.waiting().isEmpty() || !serve(limit, waiting)) {
-            limit.waiting().add(waiting);
+        if (!limit.line().add(waiting)) {
+            refuse(limit, waiting, limit.expectedNanos(limit.line().total(), now));
+            return;
+        }
+        sink.onCancel(() -> mLoop.scheduler().schedule(() -> limit.line().remove(waiting)));
+        serveLine(limit);
+        if (!limit.line().isEmpty()) {
             mLoop.scheduler()
                     .schedule(() -> giveUp(limit, waiting), wait.toNanos(), TimeUnit.NANOSECONDS);
         }
+    }
+
+    /** Serves what can be paid, refuses what is not expected in time, and asks for the rest. */
+    private void serveLine(QuotaLimit limit) {
+        limit.line().serve(waiting -> serve(limit, waiting));
+        long now = mLoop.clock().nowNanos();
+        limit.line()
+                .removeHopeless(amount -> limit.expectedNanos(amount, now), now)
+                .forEach(waiting -> refuse(limit, waiting, expectedNanos(limit, waiting)));
         ask(limit);
     }
 
+    private long expectedNanos(QuotaLimit limit, WaitingCharge waiting) {
+        long amount = limit.line().total() + waiting.amount();
+        return limit.expectedNanos(amount, mLoop.clock().nowNanos());
+    }
+
     private boolean serve(QuotaLimit limit, WaitingCharge waiting) {
         long now = mLoop.clock().nowNanos();
         Optional<Charge> charge = limit.account().charge(waiting.amount(), now);
@@ -157,54 +176,52 @@
         long now = mLoop.clock().nowNanos();
         long available = limit.account().available(now);
         long reserve = limit.account().reserve(now);
-        if (limit.waiting().isEmpty() && available >= reserve / 2) {
+        if (limit.line().isEmpty() && available >= reserve / 2) {
             return;
         }
-        long wanted = limit.waiting().stream().mapToLong(WaitingCharge::amount).sum();
-        long needed = Math.max(0, wanted + limit.account().debt() - available);
-        long smallest = limit.waiting().stream().mapToLong(WaitingCharge::amount).min().orElse(0);
-        long missing = Math.max(0, smallest + limit.account().debt() - available);
-        if (limit.retryNanos(missing, now) > 0) {
-            refuseWaiting(limit);
+        long retry = limit.estimate().retryNanos(limit.missing(limit.line().first(), now), now);
+        if (retry > 0) {
+            wakeLater(limit, retry);
             return;
         }
         limit.setAsking(true);
-        long ahead = limit.account().shortage(wanted, now) - needed;
+        long wanted = limit.line().total();
+        long needed = Math.max(0, limit.missing(wanted, now));
+        long ahead = Math.max(0, limit.account().shortage(wanted, now) - needed);
         mExchange
-                .borrow(limit, needed, Math.max(0, ahead))
+                .borrow(limit, needed, ahead)
                 .onErrorReturn(false)
-                .subscribe(enough -> borrowed(limit, enough));
+                .subscribe(
+                        enough -> {
+                            limit.setAsking(false);
+                            serveLine(limit);
+                        });
     }
 
-    private void borrowed(QuotaLimit limit, boolean enough) {
-        limit.setAsking(false);
-        if (enough) {
-            limit.noteGranted();
-        } else {
-            limit.noteExhausted(mLoop.clock().nowNanos());
-        }
-        limit.waiting().removeIf(waiting -> serve(limit, waiting));
-        if (!limit.waiting().isEmpty()) {
-            ask(limit);
+    private void wakeLater(QuotaLimit limit, long nanos) {
+        if (!limit.line().isEmpty() && !limit.isWaking()) {
+            limit.setWaking(true);
+            mLoop.scheduler()
+                    .schedule(
+                            () -> {
+                                limit.setWaking(false);
+                                serveLine(limit);
+                            },
+                            nanos,
+                            TimeUnit.NANOSECONDS);
         }
     }
 
-    private void refuseWaiting(QuotaLimit limit) {
-        limit.waiting().forEach(waiting -> refuse(limit, waiting));
-        limit.waiting().clear();
-    }
-
     private void giveUp(QuotaLimit limit, WaitingCharge waiting) {
-        if (limit.waiting().remove(waiting)) {
-            refuse(limit, waiting);
+        if (limit.line().remove(waiting)) {
+            refuse(limit, waiting, expectedNanos(limit, waiting));
         }
     }
 
-    private void refuse(QuotaLimit limit, WaitingCharge waiting) {
-        long now = mLoop.clock().nowNanos();
-        long missing = waiting.amount() + limit.account().debt() - limit.account().available(now);
-        long nanos = Math.max(limit.refillNanos(missing), limit.retryNanos(missing, now));
-        Duration retryAfter = Duration.ofMillis(Math.max(1, (nanos + 999_999) / 1_000_000));
+    private void refuse(QuotaLimit limit, WaitingCharge waiting, long expectedNanos) {
+        long expected = Math.min(expectedNanos, limit.burstNanos());
+        long nanos = Math.max(expected, RefillEstimate.MIN_RETRY_NANOS);
+        Duration retryAfter = Duration.ofMillis((nanos + 999_999) / 1_000_000);
         mLog.log(
                 QuotaEvent.CHARGE_REFUSED,
                 field("workspace", waiting.workspace().name()),
@@ -232,7 +249,7 @@
         resizeAll();
         long now = mLoop.clock().nowNanos();
         for (QuotaLimit limit : mLimits.values()) {
-            limit.account().returnUnneeded(now);
+            limit.account().returnUnneeded(limit.line().total(), now);
             mExchange.report(limit);
         }
         Iterator<OpenCharge> charges = mCharges.values().iterator();
@@ -266,6 +283,7 @@
                 plan.burstTokens(),
                 mShares.ownParts(),
                 mShares.partsByHost(),
+                mLinks.liveHosts(),
                 mLoop.clock().nowNanos());
         return limit;
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/WaitingCharge.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/WaitingCharge.java
@@ -10,11 +10,12 @@
 record WaitingCharge(
         Workspace workspace,
         long tokens,
-        long deadline,
-        MonoSink<Either<Refusal, QuotaCharge>> sink) {
+        long waitUntil,
+        MonoSink<Either<Refusal, QuotaCharge>> sink)
+        implements WaitingAmount {
 
-    /** Returns the charge in micro-tokens. */
-    long amount() {
+    @Override
+    public long amount() {
         return tokens * QuotaLimit.MICRO;
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ChargeLine.java
@@ -0,0 +1,87 @@
+package org.vanillaslip.internal.quota;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.function.LongUnaryOperator;
+import java.util.function.Predicate;
+
+/** Charges of one limit that wait on this host, in order of arrival. */
+public final class ChargeLine<T extends WaitingAmount> {
+
+    /** Bounds memory per workspace; the waits bound the tokens that charges wait for. */
+    private static final int MAX_WAITING = 256;
+
+    private final Deque<T> mWaiting = new ArrayDeque<>();
+    private long mTotal;
+
+    /** Returns the sum of all waiting amounts. */
+    public long total() {
+        return mTotal;
+    }
+
+    /** Returns the amount that is served next, or 0 when no charge waits. */
+    public long first() {
+        return mWaiting.isEmpty() ? 0 : mWaiting.getFirst().amount();
+    }
+
+    /** Returns the number of waiting charges. */
+    public int size() {
+        return mWaiting.size();
+    }
+
+    /** Returns whether no charge waits. */
+    public boolean isEmpty() {
+        return mWaiting.isEmpty();
+    }
+
+    /** Adds a charge behind all others; returns whether there was a place. */
+    public boolean add(T charge) {
+        if (mWaiting.size() >= MAX_WAITING) {
+            return false;
+        }
+        mWaiting.addLast(charge);
+        mTotal += charge.amount();
+        return true;
+    }
+
+    /** Takes the charge out; returns whether it was still waiting. */
+    public boolean remove(T charge) {
+        boolean removed = mWaiting.remove(charge);
+        mTotal -= removed ? charge.amount() : 0;
+        return removed;
+    }
+
+    /** Serves charges in order until one can't be served; a small one never overtakes. */
+    public void serve(Predicate<T> served) {
+        while (!mWaiting.isEmpty() && served.test(mWaiting.getFirst())) {
+            mTotal -= mWaiting.removeFirst().amount();
+        }
+    }
+
+    /**
+     * Takes out the charges that are not expected to be served within their wait. A charge that is
+     * taken out delays no charge behind it.
+     *
+     * @param expectedNanos time until all charges up to the given sum of amounts are served
+     */
+    public List<T> removeHopeless(LongUnaryOperator expectedNanos, long nowNanos) {
+        List<T> hopeless = new ArrayList<>();
+        long ahead = 0;
+        Iterator<T> charges = mWaiting.iterator();
+        while (charges.hasNext()) {
+            T charge = charges.next();
+            long expected = expectedNanos.applyAsLong(ahead + charge.amount());
+            if (expected > charge.waitUntil() - nowNanos) {
+                charges.remove();
+                mTotal -= charge.amount();
+                hopeless.add(charge);
+            } else {
+                ahead += charge.amount();
+            }
+        }
+        return hopeless;
+    }
+}
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/QuotaAccount.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/QuotaAccount.java
@@ -37,6 +37,11 @@
         mBucket.resize(ratePerSecond, capacity, nowNanos);
     }
 
+    /** Returns the time until refill starts. */
+    public long startsInNanos(long nowNanos) {
+        return mBucket.startsInNanos(nowNanos);
+    }
+
     /** Returns whether lent tokens fit into the current part of the limit. */
     public boolean fitsCapacity(long nowNanos) {
         expire(nowNanos);
@@ -164,9 +169,12 @@
         }
     }
 
-    /** Gives borrowed tokens beyond the reserve back; the next reports carry them. */
-    public void returnUnneeded(long nowNanos) {
-        mPool.returnAbove(reserve(nowNanos), nowNanos);
+    /**
+     * Gives borrowed tokens back that neither waiting charges nor the reserve need; the next
+     * reports carry them.
+     */
+    public void returnUnneeded(long waiting, long nowNanos) {
+        mPool.returnAbove(reserve(nowNanos) + waiting, nowNanos);
     }
 
     /** Gives all borrowed tokens back, because this host stops. */
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/QuotaBucket.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/QuotaBucket.java
@@ -43,6 +43,11 @@
         return mLevel;
     }
 
+    /** Returns the time until refill starts. */
+    public long startsInNanos(long nowNanos) {
+        return Math.max(0, mStartsAt - nowNanos);
+    }
+
     /** Returns the tokens that are lent and neither reported nor expired. */
     public long outstanding() {
         return mOutstanding;
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/RefillEstimate.java
@@ -0,0 +1,83 @@
+package org.vanillaslip.internal.quota;
+
+/**
+ * Expects when tokens arrive, from the refill of all reachable hosts and from what the last request
+ * for tokens showed.
+ */
+public final class RefillEstimate {
+
+    /**
+     * Shortest time between two requests for an exhausted limit; bounds messages under overload.
+     */
+    public static final long MIN_RETRY_NANOS = 50_000_000;
+
+    /** Longest time between two requests while charges wait: other hosts may return tokens. */
+    private static final long MAX_RETRY_NANOS = 250_000_000;
+
+    private static final double LONGEST_NANOS = 3.6e12;
+
+    private double mRatePerNano;
+    private double mRemoteRatePerNano;
+    private long mRemoteCapacity;
+    private boolean mExhausted;
+    private long mExhaustedAt;
+    private long mBacklogUntil;
+
+    /** Sets the refill of this host and of all other reachable hosts together. */
+    public void resize(double ownRatePerSecond, double remoteRatePerSecond, long remoteCapacity) {
+        mRemoteRatePerNano = remoteRatePerSecond / 1e9;
+        mRatePerNano = ownRatePerSecond / 1e9 + mRemoteRatePerNano;
+        mRemoteCapacity = remoteCapacity;
+    }
+
+    /**
+     * Notes that the reachable hosts together had less than was asked for.
+     *
+     * @param backlogNanos time in which the refill goes to charges that wait on other hosts
+     */
+    public void noteExhausted(long backlogNanos, long nowNanos) {
+        mExhausted = true;
+        mExhaustedAt = nowNanos;
+        mBacklogUntil = nowNanos + backlogNanos;
+    }
+
+    /** Notes that a request for tokens was met. */
+    public void noteGranted() {
+        mExhausted = false;
+    }
+
+    /** Returns the time in which all reachable hosts together refill the amount. */
+    public long refillNanos(long amount) {
+        if (amount <= 0) {
+            return 0;
+        }
+        return (long) Math.min(amount / Math.max(mRatePerNano, 1e-9), LONGEST_NANOS);
+    }
+
+    /** Returns when the amount that this host is missing is expected to be here. */
+    public long expectedNanos(long missing, long nowNanos) {
+        if (missing <= 0) {
+            return 0;
+        }
+        long backlog = mExhausted ? Math.max(0, mBacklogUntil - nowNanos) : 0;
+        return backlog + refillNanos(missing - remote(nowNanos));
+    }
+
+    /** Returns how long to wait before other hosts are asked for the missing amount. */
+    public long retryNanos(long missing, long nowNanos) {
+        if (!mExhausted) {
+            return 0;
+        }
+        long earliest = MIN_RETRY_NANOS - (nowNanos - mExhaustedAt);
+        long refill = Math.min(MAX_RETRY_NANOS, refillNanos(missing - remote(nowNanos)));
+        return Math.max(0, Math.max(earliest, refill));
+    }
+
+    private long remote(long nowNanos) {
+        if (!mExhausted) {
+            return mRemoteCapacity;
+        }
+        double refilled = (nowNanos - mExhaustedAt) * mRemoteRatePerNano;
+        return (long) Math.min(mRemoteCapacity, refilled);
+    }
+}
