Give new workspaces tokens at once and make the whole burst reachable

A workspace that was added to a running host got no tokens for 4 s, as after a restart. Refill now starts at the latest of the host's start plus the validity of its predecessor's grants, and the opening of the limit.

A request for exactly the whole burst was refused for ever, because the parts of a domain lost the remainder of a division and each share of a burst was rounded down to a micro-token. Remainders now go to the first hosts and domains by name, and accounts count units of which a token has as many as a limit has parts, so all shares are whole numbers that add up to the burst.

--- a/daemon/src/main/java/org/vanillaslip/internal/quota/OpenCharge.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/OpenCharge.java
@@ -6,6 +6,7 @@
 record OpenCharge(QuotaAccount account, Charge charge, long chargedAt) {
 
     void settle(long usedTokens, MonotonicClock clock) {
-        account.settle(charge, usedTokens * QuotaLimit.MICRO, clock.nowNanos());
+        long used = Math.min(usedTokens, QuotaLimit.MAX_TOKENS);
+        account.settle(charge, used * QuotaLimit.UNITS_PER_TOKEN, clock.nowNanos());
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaLimit.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaLimit.java
@@ -7,8 +7,14 @@
 /** One limit on this host: its account, the coordinator's view, and the charges that wait. */
 final class QuotaLimit {
 
-    /** Micro-tokens per token. */
-    static final long MICRO = 1_000_000;
+    /**
+     * Units of accounts per token. With as many units as a share has parts, each share of a burst
+     * is a whole number of units, so the shares add up to the whole burst.
+     */
+    static final long UNITS_PER_TOKEN = ShareTable.WHOLE;
+
+    /** Larger bursts would overflow sums of units. */
+    static final long MAX_TOKENS = Long.MAX_VALUE / 8 / UNITS_PER_TOKEN;
 
     /** A host whose charges waited this long ago asks again before, if they still wait. */
     private static final long UNMET_NANOS = 500_000_000;
@@ -25,6 +31,8 @@
     private Map<String, Long> mParts = Map.of();
     private boolean mAsking;
     private boolean mWaking;
+    private boolean mRemoved;
+    private long mRemovedAt;
 
     QuotaLimit(String name, String host, QuotaAccount account) {
         mName = name;
@@ -81,7 +89,26 @@
             Collection<String> liveHosts,
             long nowNanos) {
         mTokensPerSecond = tokensPerSecond;
-        mBurstTokens = burstTokens;
+        mBurstTokens = Math.min(burstTokens, MAX_TOKENS);
+        mRemoved = false;
+        resize(ownParts, parts, liveHosts, nowNanos);
+    }
+
+    /** Takes over the shares only, because the limit was removed but its tokens are still lent. */
+    void resizeRemoved(
+            long ownParts, Map<String, Long> parts, Collection<String> liveHosts, long nowNanos) {
+        mRemovedAt = mRemoved ? mRemovedAt : nowNanos;
+        mRemoved = true;
+        resize(ownParts, parts, liveHosts, nowNanos);
+    }
+
+    /** Returns whether the limit was removed at least the given time ago. */
+    boolean isRemovedFor(long nanos, long nowNanos) {
+        return mRemoved && nowNanos - mRemovedAt >= nanos;
+    }
+
+    private void resize(
+            long ownParts, Map<String, Long> parts, Collection<String> liveHosts, long nowNanos) {
         mParts = parts;
         OwnerShare own = share(mHost, ownParts);
         mAccount.resize(own.ratePerSecond(), own.capacity(), nowNanos);
@@ -133,19 +160,15 @@
      * charges of other hosts than the given.
      */
     long backlogNanos(String borrower, long nowNanos) {
-        long backlog = borrower.equals(mHost) ? 0 : Math.max(0, missing(mLine.total(), nowNanos));
+        double backlog = borrower.equals(mHost) ? 0 : Math.max(0, missing(mLine.total(), nowNanos));
         for (Map.Entry<String, long[]> unmet : mUnmet.entrySet()) {
             boolean recent = nowNanos - unmet.getValue()[1] <= UNMET_NANOS;
             backlog += recent && !unmet.getKey().equals(borrower) ? unmet.getValue()[0] : 0;
         }
-        return mAccount.startsInNanos(nowNanos) + mEstimate.refillNanos(backlog);
+        return mAccount.startsInNanos(nowNanos) + mEstimate.refillNanos((long) backlog);
     }
 
     private OwnerShare share(String host, long parts) {
-        double fraction = (double) parts / ShareTable.WHOLE;
-        return new OwnerShare(
-                host,
-                mTokensPerSecond * (double) MICRO * fraction,
-                (long) (mBurstTokens * (double) MICRO * fraction));
+        return new OwnerShare(host, mTokensPerSecond * (double) parts, mBurstTokens * parts);
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaService.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaService.java
@@ -42,6 +42,7 @@
     private final LongSupplier mGrantIds;
     private final EventLog mLog;
     private final QuotaExchange mExchange;
+    private final long mRefillFrom;
     private final Map<String, QuotaLimit> mLimits = new HashMap<>();
     private final IdentityHashMap<QuotaCharge, OpenCharge> mCharges = new IdentityHashMap<>();
 
@@ -67,6 +68,8 @@
         mTimes = times;
         mGrantIds = grantIds;
         mLog = log;
+        // An earlier incarnation of this host may have lent tokens that are unknown here.
+        mRefillFrom = loop.clock().nowNanos() + times.predecessorNanos();
         mExchange = new QuotaExchange(host, loop.clock(), links, log);
     }
 
@@ -268,10 +271,19 @@
                             configuration.workspaces().keySet().stream()
                                     .map(workspace -> name(new Workspace(workspace)))
                                     .forEach(this::limit);
-                            mLimits.keySet().removeIf(name -> plan(name).isEmpty());
+                            mLimits.values().removeIf(this::isForgotten);
                         });
     }
 
+    /** A removed limit is kept until its lent tokens have expired, lest they exist twice. */
+    private boolean isForgotten(QuotaLimit limit) {
+        long now = mLoop.clock().nowNanos();
+        if (plan(limit.name()).isEmpty()) {
+            limit.resizeRemoved(mShares.ownParts(), mShares.partsByHost(), mLinks.liveHosts(), now);
+        }
+        return limit.isRemovedFor(mTimes.predecessorNanos(), now);
+    }
+
     private Optional<QuotaLimit> limit(String name) {
         return plan(name).map(plan -> resized(name, plan));
     }
@@ -289,8 +301,7 @@
     }
 
     private QuotaLimit open(String name) {
-        // An earlier incarnation of this host may have lent tokens that are unknown here.
-        long refillFrom = mLoop.clock().nowNanos() + mTimes.predecessorNanos();
+        long refillFrom = Math.max(mRefillFrom, mLoop.clock().nowNanos());
         return new QuotaLimit(name, mHost, new QuotaAccount(mTimes, refillFrom, mGrantIds));
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/ShareTableController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/ShareTableController.java
@@ -277,8 +277,7 @@
         if (domains.isEmpty()) {
             return;
         }
-        Map<String, Long> parts = new HashMap<>();
-        domains.forEach(domain -> parts.put(domain, ShareTable.WHOLE / domains.size()));
+        Map<String, Long> parts = ShareTable.divide(ShareTable.WHOLE, domains);
         write(ShareTables.DOMAINS, ShareTableFormat.writeDomains(parts));
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/WaitingCharge.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/WaitingCharge.java
@@ -16,6 +16,6 @@
 
     @Override
     public long amount() {
-        return tokens * QuotaLimit.MICRO;
+        return tokens * QuotaLimit.UNITS_PER_TOKEN;
     }
 }
--- a/daemon/src/test/java/org/vanillaslip/internal/quota/QuotaServiceTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/QuotaServiceTest.java
@@ -23,12 +23,12 @@
 import org.vanillaslip.internal.control.ConfigurationView;
 import org.vanillaslip.internal.gateway.QuotaCharge;
 import org.vanillaslip.internal.peer.FakePeerNetwork;
+import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 
 /** Guards the borrowing between hosts: a burst at one host may use what all hosts own. */
 class QuotaServiceTest {
 
-    private static final int HOSTS = 4;
     private static final Duration WAIT = Duration.ofMillis(500);
     private static final Workspace WORKSPACE = new Workspace("shop");
     private static final Workspace OTHER = new Workspace("bakery");
@@ -36,14 +36,18 @@
     private final SplittableRandom mRandom = new SplittableRandom(1);
     private final FakePeerNetwork mNetwork = new FakePeerNetwork(1);
     private final Map<String, QuotaService> mServices = new TreeMap<>();
+    private Map<String, Long> mParts = Map.of();
+    private final Map<String, Configuration> mConfigurations = new HashMap<>();
 
     @BeforeEach
     void startHostsAndFillTheirBuckets() {
-        Map<String, Long> parts = new HashMap<>();
-        for (int i = 0; i < HOSTS; i++) {
-            parts.put("host-" + i, ShareTable.WHOLE / HOSTS);
-        }
-        parts.keySet().forEach(host -> mServices.put(host, start(host, parts)));
+        mParts =
+                Map.of(
+                        "host-0", 333_333_333L,
+                        "host-1", 333_333_333L,
+                        "host-2", 250_000_000L,
+                        "host-3", 83_333_334L);
+        mParts.keySet().forEach(host -> mServices.put(host, start(host, mParts)));
         mNetwork.advance(Duration.ofSeconds(20));
     }
 
@@ -72,7 +76,7 @@
         mNetwork.setCutOff("host-2", true);
         mNetwork.advance(Duration.ofSeconds(5));
         assertThat(charge("host-2", 5, 45)).filteredOn(Either::isRight).hasSize(5);
-        // 25 of its 250 tokens are left, and 25 more are refilled in the two waits.
+        // About 25 of its 250 tokens are left, and 25 more are refilled in the two waits.
         assertThat(charge("host-2", 5, 45)).filteredOn(Either::isRight).hasSize(1);
     }
 
@@ -141,6 +145,80 @@
         assertThat(served).as("served of 400").isGreaterThan(350);
     }
 
+    /** Rounding of the shares must not make the largest allowed request impossible. */
+    @Test
+    void chargeOfTheWholeBurstIsServedWhenAllBucketsAreFull() {
+        assertThat(charge("host-3", 1, 999)).singleElement().matches(Either::isRight);
+    }
+
+    @Test
+    void newWorkspaceHasTokensAtOnceOnHostsThatAreUpLongEnough() {
+        mServices
+                .keySet()
+                .forEach(host -> mConfigurations.put(host, configuration(100, 999, "cafe")));
+        mNetwork.advance(Duration.ofSeconds(1));
+        List<Either<Refusal, QuotaCharge>> results = new ArrayList<>();
+        mServices
+                .get("host-0")
+                .charge(new Workspace("cafe"), 60, Duration.ofMillis(20))
+                .subscribe(results::add);
+        mNetwork.advance(Duration.ofMillis(21));
+        assertThat(results).singleElement().matches(Either::isRight);
+    }
+
+    /** Owners that forget their grants would refill while a borrower still holds the tokens. */
+    @Test
+    void workspaceThatIsRemovedAndAddedAgainGetsNoTokensThatAreStillLent() {
+        chargeNow("host-1", 99);
+        Disposable waiting =
+                mServices.get("host-0").charge(WORKSPACE, 999, Duration.ofSeconds(10)).subscribe();
+        mNetwork.advance(Duration.ofMillis(30));
+        mNetwork.setCutOff("host-0", true);
+        List<String> owners = List.of("host-1", "host-2", "host-3");
+        owners.forEach(host -> mConfigurations.put(host, configuration(100, 999, "bakery")));
+        mNetwork.advance(Duration.ofMillis(400));
+        owners.forEach(host -> mConfigurations.put(host, configuration(100, 999, "shop")));
+        mNetwork.advance(Duration.ofMillis(2900));
+        waiting.dispose();
+        mNetwork.advance(Duration.ZERO);
+        int served = 0;
+        for (String host : mServices.keySet()) {
+            for (Either<Refusal, QuotaCharge> result : chargeNow(host, 1000)) {
+                served += result.isRight() ? 1 : 0;
+            }
+        }
+        assertThat(served).as("tokens in one moment").isBetween(990, 999);
+    }
+
+    /** The grants of the incarnation before the restart may still be spent. */
+    @Test
+    void restartedHostRefillsOnlyAfterTheGrantsOfItsPredecessorHaveExpired() {
+        mNetwork.setCutOff("host-2", true);
+        mServices.put("host-2", start("host-2", mParts));
+        mNetwork.advance(Duration.ofSeconds(4));
+        assertThat(chargeNow("host-2", 1)).singleElement().matches(Either::isLeft);
+        mNetwork.advance(Duration.ofSeconds(1));
+        assertThat(chargeNow("host-2", 20)).hasSize(20).allMatch(Either::isRight);
+    }
+
+    @Test
+    void largerPlanYieldsNoFullBucket() {
+        mServices
+                .keySet()
+                .forEach(host -> mConfigurations.put(host, configuration(100, 9999, "shop")));
+        mNetwork.advance(Duration.ofSeconds(1));
+        assertThat(charge("host-0", 1, 1200)).singleElement().matches(Either::isLeft);
+    }
+
+    private List<Either<Refusal, QuotaCharge>> chargeNow(String host, int times) {
+        List<Either<Refusal, QuotaCharge>> results = new ArrayList<>();
+        for (int i = 0; i < times; i++) {
+            mServices.get(host).charge(WORKSPACE, 1, Duration.ZERO).subscribe(results::add);
+        }
+        mNetwork.advance(Duration.ZERO);
+        return results;
+    }
+
     private List<Either<Refusal, QuotaCharge>> charge(String host, int times, long tokens) {
         List<Either<Refusal, QuotaCharge>> results = new ArrayList<>();
         for (int i = 0; i < times; i++) {
@@ -151,11 +229,12 @@
     }
 
     private QuotaService start(String host, Map<String, Long> parts) {
+        mConfigurations.put(host, configuration(100, 999, "shop", "bakery"));
         QuotaService service =
                 new QuotaService(
                         host,
                         mNetwork.loop(),
-                        configuration(),
+                        view(host),
                         mNetwork.join(host),
                         shares(host, parts),
                         QuotaTimes.DEFAULT,
@@ -179,24 +258,28 @@
         };
     }
 
-    private static ConfigurationView configuration() {
-        Configuration configuration =
-                new Configuration(
-                        1,
-                        Map.of("plan", new Plan("plan", Set.of(), Set.of(), 100, 1000)),
-                        Map.of(
-                                "shop", new WorkspaceEntry("shop", "plan", Set.of()),
-                                "bakery", new WorkspaceEntry("bakery", "plan", Set.of())),
-                        Map.of(),
-                        Map.of(),
-                        Map.of(),
-                        Map.of(),
-                        Map.of(),
-                        Map.of());
+    private static Configuration configuration(long rate, long burst, String... workspaces) {
+        Map<String, WorkspaceEntry> entries = new HashMap<>();
+        for (String workspace : workspaces) {
+            entries.put(workspace, new WorkspaceEntry(workspace, "plan", Set.of()));
+        }
+        return new Configuration(
+                1,
+                Map.of("plan", new Plan("plan", Set.of(), Set.of(), rate, burst)),
+                entries,
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of());
+    }
+
+    private ConfigurationView view(String host) {
         return new ConfigurationView() {
             @Override
             public Optional<Configuration> current() {
-                return Optional.of(configuration);
+                return Optional.of(mConfigurations.get(host));
             }
 
             @Override
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ChargeLine.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ChargeLine.java
@@ -14,6 +14,9 @@
     /** Bounds memory per workspace; the waits bound the tokens that charges wait for. */
     private static final int MAX_WAITING = 256;
 
+    /** Sums with a debt and a reserve must not overflow. */
+    private static final long MAX_TOTAL = Long.MAX_VALUE / 4;
+
     private final Deque<T> mWaiting = new ArrayDeque<>();
     private long mTotal;
 
@@ -39,7 +42,7 @@
 
     /** Adds a charge behind all others; returns whether there was a place. */
     public boolean add(T charge) {
-        if (mWaiting.size() >= MAX_WAITING) {
+        if (mWaiting.size() >= MAX_WAITING || charge.amount() > MAX_TOTAL - mTotal) {
             return false;
         }
         mWaiting.addLast(charge);
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ShareTable.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ShareTable.java
@@ -2,6 +2,9 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * Which host owns which fraction of every limit in one failure domain.
@@ -25,6 +28,16 @@
         return new ShareTable(0, failureDomain, domainParts, Map.of());
     }
 
+    /** Divides parts among the names as equally as whole parts can be, without a remainder. */
+    public static Map<String, Long> divide(long parts, Set<String> names) {
+        Map<String, Long> divided = new TreeMap<>();
+        long remainder = names.isEmpty() ? 0 : parts % names.size();
+        for (String name : new TreeSet<>(names)) {
+            divided.put(name, parts / names.size() + (divided.size() < remainder ? 1 : 0));
+        }
+        return divided;
+    }
+
     /** Returns the parts that the host may use. */
     public long partsOf(String host) {
         return Optional.ofNullable(shares.get(host)).map(Share::parts).orElse(0L);
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ShareTablePlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ShareTablePlanner.java
@@ -3,7 +3,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 
 /** Computes the next share table of a failure domain. The held parts never exceed the domain's. */
 public final class ShareTablePlanner {
@@ -27,7 +26,7 @@
         shares.keySet().removeIf(host -> vanished.contains(host) && !staying.contains(host));
         shares.replaceAll((host, share) -> confirm(share, confirmed.getOrDefault(host, -1L)));
         long generation = table.generation() + 1;
-        Map<String, Long> targets = targets(table.domainParts(), staying);
+        Map<String, Long> targets = ShareTable.divide(table.domainParts(), staying);
         shares.replaceAll((host, share) -> shrink(share, targets, generation));
         grow(shares, table.domainParts(), targets);
         shares.values().removeIf(share -> share.heldParts() == 0);
@@ -37,14 +36,6 @@
         return new ShareTable(generation, table.failureDomain(), table.domainParts(), shares);
     }
 
-    private static Map<String, Long> targets(long domainParts, Set<String> staying) {
-        Map<String, Long> targets = new TreeMap<>();
-        for (String host : new TreeSet<>(staying)) {
-            targets.put(host, domainParts / staying.size());
-        }
-        return targets;
-    }
-
     private static Share confirm(Share share, long confirmedGeneration) {
         if (share.isShrinking() && confirmedGeneration >= share.generation()) {
             return new Share(share.host(), share.parts(), share.parts(), share.generation());
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/ShareTablePlannerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/ShareTablePlannerTest.java
@@ -50,4 +50,14 @@
             ShareTable table, Set<String> staying, Set<String> vanished, Map<String, Long> done) {
         return ShareTablePlanner.next(table, staying, vanished, done);
     }
+
+    /** A remainder that no host owns would make a request for the whole burst impossible. */
+    @Test
+    void hostsTogetherOwnTheWholeDomain() {
+        Set<String> hosts = Set.of("one", "two", "three");
+        ShareTable empty = ShareTable.empty("a", ShareTable.WHOLE);
+        ShareTable table = ShareTablePlanner.next(empty, hosts, Set.of(), Map.of());
+        assertThat(table.shares().values().stream().mapToLong(Share::parts).sum())
+                .isEqualTo(ShareTable.WHOLE);
+    }
 }
