Make rate-bound notice four more rules; test share tables under store faults

The harness drives random events, which never brought a borrower's last moment, a full system and a refund together, so RateBoundTest passed with owner drift, the end of cut grants, refund room and reported refunds broken. After the random events it now runs four directed sequences on the same hosts: the slowest clock spends lent tokens at the end of its right, directly and lent on, while owners are in use; and unused charges are refunded after the bucket was full and after their report.

SharesAndSlotsTest runs ShareTableController against lost responses, conflicts, unavailability and ended or failed watches. All cases passed at once; with the reading after the end of a watch removed, the three watch cases fail. A change of the controller was not needed.

--- a/daemon/src/test/java/org/vanillaslip/internal/quota/MemoryStore.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/MemoryStore.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.ObjectStore;
@@ -15,13 +16,23 @@
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
-/** One collection in memory. */
+/** One collection in memory; every other write meets the fault that a test has set. */
 final class MemoryStore implements ObjectStore {
 
     private final Map<String, StoredObject> mObjects = new TreeMap<>();
-    private final Sinks.Many<WatchEvent> mEvents = Sinks.many().multicast().directBestEffort();
+    private Sinks.Many<WatchEvent> mEvents = Sinks.many().multicast().directBestEffort();
+    private Optional<StoreFault> mFault = Optional.empty();
+    private int mWrites;
     private long mVersion;
 
+    void setFault(StoreFault fault) {
+        mFault = Optional.of(fault);
+    }
+
+    int writes() {
+        return mWrites;
+    }
+
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
         return Mono.just(Either.right(mObjects.get(name)));
@@ -41,6 +52,40 @@
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> update(
             String collection, String name, long expectedVersion, ObjectNode spec) {
+        if (mFault.isEmpty() || ++mWrites % 2 == 0) {
+            return put(collection, name, expectedVersion, spec);
+        }
+        PlatformFailure lost = PlatformFailure.OUTCOME_UNKNOWN;
+        switch (mFault.get()) {
+            case LOST_WITHOUT_EFFECT:
+                return Mono.just(Either.left(lost));
+            case UNAVAILABLE:
+                return Mono.just(Either.left(PlatformFailure.UNAVAILABLE));
+            case CONFLICT:
+                put(collection, name, expectedVersion, spec);
+                return put(collection, name, expectedVersion, spec);
+            case LOST_AFTER_EFFECT:
+                return put(collection, name, expectedVersion, spec).thenReturn(Either.left(lost));
+            case WATCH_FAILED:
+                replaceEvents().tryEmitError(new IllegalStateException("watch failed"));
+                return put(collection, name, expectedVersion, spec);
+            case WATCH_ENDED:
+                replaceEvents().tryEmitComplete();
+                return put(collection, name, expectedVersion, spec);
+            default:
+                replaceEvents().tryEmitComplete();
+                return put(collection, name, expectedVersion, spec).thenReturn(Either.left(lost));
+        }
+    }
+
+    private Sinks.Many<WatchEvent> replaceEvents() {
+        Sinks.Many<WatchEvent> ended = mEvents;
+        mEvents = Sinks.many().multicast().directBestEffort();
+        return ended;
+    }
+
+    private Mono<Either<PlatformFailure, StoredObject>> put(
+            String collection, String name, long expectedVersion, ObjectNode spec) {
         StoredObject known = mObjects.get(name);
         if ((known == null ? 0 : known.version()) != expectedVersion) {
             return Mono.just(Either.left(PlatformFailure.CONFLICT));
--- a/daemon/src/test/java/org/vanillaslip/internal/quota/SharesAndSlotsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/SharesAndSlotsTest.java
@@ -10,6 +10,8 @@
 import java.util.Random;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.vanillaslip.BackendKind;
 import org.vanillaslip.BackendServer;
 import org.vanillaslip.FailureDomain;
@@ -65,6 +67,32 @@
         assertThat(parts("three")).isEqualTo(ShareTable.WHOLE / 2);
     }
 
+    /** A host that keeps an old table would use parts that another host was given. */
+    @ParameterizedTest
+    @EnumSource(StoreFault.class)
+    void sharesAreNeverUsedTwiceAndAllArriveUnderFaultsOfTheStore(StoreFault fault) {
+        mStore.setFault(fault);
+        mViews.setHolder("one");
+        list("one", "two");
+        controller("one");
+        controller("two");
+        watchShares(20);
+        assertThat(parts("two")).isEqualTo(ShareTable.WHOLE / 2);
+        list("one", "two", "three");
+        controller("three");
+        watchShares(40);
+        assertThat(parts("three")).isEqualTo(ShareTable.WHOLE / 3);
+        assertThat(mStore.writes()).isLessThan(25);
+    }
+
+    private void watchShares(int seconds) {
+        for (int i = 0; i < seconds; i++) {
+            mNetwork.advance(Duration.ofSeconds(1));
+            long used = mControllers.keySet().stream().mapToLong(this::parts).sum();
+            assertThat(used).isLessThanOrEqualTo(ShareTable.WHOLE);
+        }
+    }
+
     @Test
     void startingServerRunsNoMoreThanItsSlotsOverAllHosts() {
         mViews.setHolder("one");
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaHarness.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaHarness.java
@@ -1,6 +1,8 @@
 package org.vanillaslip.internal.quota;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -61,7 +63,126 @@
             deliverDue();
             mCheck.verify(mContext + ", event " + i);
         }
-        return mCheck.total();
+        long spent = mCheck.total();
+        borrowerSpendsAtTheEndOfItsRight(false);
+        borrowerSpendsAtTheEndOfItsRight(true);
+        unusedChargeIsRefundedAfterTheBucketWasFull();
+        unusedChargeIsRefundedAfterItsReport();
+        return spent;
+    }
+
+    /**
+     * The slowest clock holds all tokens while frozen and spends them when its right is about to
+     * end; all owners spend what they have at the same moment.
+     */
+    private void borrowerSpendsAtTheEndOfItsRight(boolean lentOn) {
+        fillAll();
+        SimulatedHost slow = slowest();
+        SimulatedHost first = lentOn ? other(slow) : slow;
+        long validity = lendAllTo(first);
+        if (lentOn) {
+            mNow += 2 * SECOND;
+            Grant cut = first.account().grant(BURST, first.clock(mNow));
+            slow.account().accept(first.name(), cut, slow.clock(mNow), slow.clock(mNow));
+            validity = cut.validityNanos();
+        }
+        // Owners notice an expiry when they are used, and refill only from then on.
+        long length = slow.realNanos(Math.max(0, validity - SECOND / 1000));
+        long end = mNow + length;
+        mNow += length - length / 50;
+        for (; mNow < end; mNow += SECOND / 1000) {
+            mHosts.values().forEach(this::touch);
+        }
+        mNow = end;
+        spendAll(slow);
+        mHosts.values().forEach(this::spendAll);
+        mCheck.verify(mContext + ", end of right, lent on: " + lentOn);
+    }
+
+    private void unusedChargeIsRefundedAfterTheBucketWasFull() {
+        fillAll();
+        mHosts.values().forEach(this::spendAll);
+        mNow += 20 * SECOND;
+        List<SimulatedHost> hosts = List.copyOf(mHosts.values());
+        List<Map<Charge, Integer>> early = new ArrayList<>();
+        for (SimulatedHost host : hosts) {
+            early.add(Map.copyOf(host.charges()));
+            spendAll(host);
+        }
+        for (int i = 0; i < hosts.size(); i++) {
+            refundAll(hosts.get(i), early.get(i));
+            spendAll(hosts.get(i));
+        }
+        mCheck.verify(mContext + ", refund after the bucket was full");
+    }
+
+    private void unusedChargeIsRefundedAfterItsReport() {
+        fillAll();
+        SimulatedHost borrower = slowest();
+        lendAllTo(borrower);
+        spendAll(borrower);
+        for (SimulatedHost owner : mHosts.values()) {
+            borrower.account()
+                    .reports(owner.name(), borrower.clock(mNow))
+                    .forEach(use -> owner.account().apply(use, owner.clock(mNow)));
+        }
+        mNow += 3 * SECOND;
+        refundAll(borrower, Map.copyOf(borrower.charges()));
+        mHosts.values().forEach(this::spendAll);
+        mCheck.verify(mContext + ", refund after the report");
+    }
+
+    /** Lets all grants expire and all buckets fill. */
+    private void fillAll() {
+        mNetwork.clear();
+        for (int i = 0; i < 3; i++) {
+            mNow += 20 * SECOND;
+            for (SimulatedHost host : mHosts.values()) {
+                host.charges().clear();
+                touch(host);
+            }
+        }
+    }
+
+    private void touch(SimulatedHost host) {
+        watched(host, () -> host.account().available(host.clock(mNow)));
+    }
+
+    private long lendAllTo(SimulatedHost borrower) {
+        long validity = 0;
+        for (SimulatedHost owner : mHosts.values()) {
+            if (owner != borrower) {
+                long clock = borrower.clock(mNow);
+                Grant grant = owner.account().grant(BURST, owner.clock(mNow));
+                borrower.account().accept(owner.name(), grant, clock, clock);
+                validity = grant.validityNanos();
+            }
+        }
+        return validity;
+    }
+
+    private void spendAll(SimulatedHost host) {
+        long clock = host.clock(mNow);
+        touch(host);
+        long amount = host.account().available(clock);
+        host.account()
+                .charge(amount, clock)
+                .ifPresent(charge -> host.charges().put(charge, mCheck.spend(amount, mNow)));
+    }
+
+    private void refundAll(SimulatedHost host, Map<Charge, Integer> charges) {
+        long clock = host.clock(mNow);
+        charges.forEach(
+                (charge, index) -> mCheck.refund(index, host.account().settle(charge, 0, clock)));
+    }
+
+    private SimulatedHost slowest() {
+        return Collections.max(
+                mHosts.values(), Comparator.comparingLong(host -> host.realNanos(SECOND)));
+    }
+
+    private SimulatedHost other(SimulatedHost than) {
+        return mHosts.values().stream().filter(host -> host != than).findFirst().orElseThrow();
     }
 
     private void step() {
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/SimulatedHost.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/SimulatedHost.java
@@ -53,6 +53,11 @@
         return mClockOffset + (long) (now * mClockRate);
     }
 
+    /** Returns the real time in which the clock of this host advances by the given time. */
+    long realNanos(long clockNanos) {
+        return (long) (clockNanos / mClockRate);
+    }
+
     /** Loses all memory, as a killed process does. */
     void restart(long now) {
         mAccount = open(now);
