Serve metrics at /metrics and record all of them

Cause: DaemonMetrics was never created, so no metric was recorded or served. Change: the gateway serves the Prometheus text at /metrics. Requests, first tokens and queue waits are recorded by a RequestMeter per request, platform calls by MeteredObjectStore, quota tokens by MeteredPeerLinks, cold starts by MeteredPlacement and messages between hosts by a channel handler. The label of cold starts is 'kind' (model or adapter) instead of 'checkpoint', because the host that waits does not know where the checkpoint was. Quota tokens are counted in tokens although messages hold micro-tokens; limits of which no quota exists yet are counted as 'other'.

--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/CallerRequest.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/CallerRequest.java
@@ -24,7 +24,8 @@
         Caller caller,
         CredentialFilter filter,
         long deadlineNanos,
-        RequestTrace trace) {
+        RequestTrace trace,
+        RequestMeter meter) {
 
     /** Returns the time until the deadline, at least one millisecond. */
     Duration left(long nowNanos) {
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Forwarding.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Forwarding.java
@@ -54,8 +54,8 @@
     private <T> Flux<T> tryOnce(Job<T> job, Set<String> tried) {
         CallerRequest request = job.request();
         Ticket ticket = ticket(job, tried);
-        return mDispatcher
-                .enter(ticket)
+        return request.meter()
+                .queued(mDispatcher.enter(ticket))
                 .flatMapMany(
                         replica ->
                                 request.trace().begin()
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Gateway.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Gateway.java
@@ -80,7 +80,14 @@
                         attempts,
                         mLoop);
         mStop = new StopSequence(settings, mLoop, mDispatcher, mRunning, attempts, needs.log());
-        mPages = new StatusPages(settings, needs.configuration(), mStop, mRunning, mDispatcher);
+        mPages =
+                new StatusPages(
+                        settings,
+                        needs.configuration(),
+                        mStop,
+                        mRunning,
+                        mDispatcher,
+                        needs.metrics());
     }
 
     /** Begins to listen. */
@@ -143,15 +150,16 @@
 
     private Mono<Void> serve(HttpServerRequest http, HttpServerResponse response, String id) {
         RequestTrace trace = new RequestTrace();
+        RequestMeter meter = new RequestMeter(mNeeds.metrics(), mLoop.clock());
         return Mono.defer(
                         () -> {
                             refuseIfStopping();
-                            return mReader.read(http, id, trace);
+                            return mReader.read(http, id, trace, meter);
                         })
                 .flatMap(request -> answer(request, response))
                 .onErrorResume(
                         error -> {
-                            Refusal refusal = refusalOf(error, trace, id);
+                            Refusal refusal = refusalOf(error, trace, meter, id);
                             if (response.hasSentHeaders()) {
                                 return Mono.error(error);
                             }
@@ -190,7 +198,7 @@
                 response,
                 bounded,
                 request.id(),
-                error -> refusalOf(error, request.trace(), request.id()));
+                error -> refusalOf(error, request.trace(), request.meter(), request.id()));
     }
 
     private Mono<Void> whole(
@@ -227,6 +235,7 @@
 
     private void onCallerLeft(CallerRequest request) {
         request.trace().closeAsNotRun();
+        request.meter().callerLeft();
         mLoop.scheduler()
                 .schedule(
                         () ->
@@ -240,7 +249,7 @@
         return request.left(mLoop.clock().nowNanos());
     }
 
-    private Refusal refusalOf(Throwable error, RequestTrace trace, String id) {
+    private Refusal refusalOf(Throwable error, RequestTrace trace, RequestMeter meter, String id) {
         Refusal refusal;
         if (error instanceof RefusedException refused) {
             refusal = trace.truthful(refused.refusal());
@@ -255,6 +264,7 @@
                     LogField.field("cause", error.getClass().getName()));
             refusal = Refusal.of(ResultCode.INTERNAL_ERROR, "see the log");
         }
+        meter.refused(refusal.code());
         mNeeds.log().log(
                 RequestEvent.REQUEST_REFUSED,
                 LogField.field("request", id),
@@ -264,6 +274,7 @@
     }
 
     private void logCompleted(CallerRequest request) {
+        request.meter().completed();
         mNeeds.log().log(
                 RequestEvent.REQUEST_COMPLETED,
                 LogField.field("request", request.id()),
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/GatewayDependencies.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/GatewayDependencies.java
@@ -5,6 +5,7 @@
 import org.vanillaslip.internal.control.ConfigurationView;
 import org.vanillaslip.internal.control.PlacementView;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.metrics.DaemonMetrics;
 import org.vanillaslip.internal.platform.ObjectStore;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 
@@ -22,4 +23,5 @@
         DecisionLoop loop,
         RandomGenerator random,
         Supplier<String> identifiers,
+        DaemonMetrics metrics,
         EventLog log) {}
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/ModelFlow.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/ModelFlow.java
@@ -91,7 +91,9 @@
                                                     request.trace()::markSent))
                             .doOnNext(
                                     event -> {
-                                        if (event.last()) {
+                                        if (!event.last()) {
+                                            request.meter().token();
+                                        } else {
                                             charge.used(
                                                     event.promptTokens()
                                                             + event.completionTokens());
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/RequestReader.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/RequestReader.java
@@ -36,7 +36,8 @@
     }
 
     /** Reads the request; refusals end the result with {@link RefusedException}. */
-    Mono<CallerRequest> read(HttpServerRequest http, String id, RequestTrace trace) {
+    Mono<CallerRequest> read(
+            HttpServerRequest http, String id, RequestTrace trace, RequestMeter meter) {
         Configuration configuration =
                 mConfiguration
                         .current()
@@ -55,6 +56,7 @@
         if (route == null) {
             throw new RefusedException(Refusal.of(ResultCode.UNKNOWN_ROUTE, "path"));
         }
+        meter.routed(route.requestClass());
         Optional<String> key = KeyCheck.presentedKey(headers);
         Caller caller = orRefuse(KeyCheck.check(configuration, route, key));
         checkAge(route);
@@ -84,7 +86,8 @@
                                         caller,
                                         filter,
                                         deadlineNanos,
-                                        trace));
+                                        trace,
+                                        meter));
     }
 
     private void checkAge(Route route) {
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/StatusPages.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/StatusPages.java
@@ -8,27 +8,33 @@
 import org.vanillaslip.FailureDomain;
 import org.vanillaslip.HostEntry;
 import org.vanillaslip.internal.control.ConfigurationView;
+import org.vanillaslip.internal.metrics.DaemonMetrics;
 
 /** Health, readiness and status of this host. */
 final class StatusPages {
 
+    private static final String PROMETHEUS_TEXT = "text/plain; version=0.0.4; charset=utf-8";
+
     private final GatewaySettings mSettings;
     private final ConfigurationView mConfiguration;
     private final StopSequence mStop;
     private final RunningRequests mRunning;
     private final Dispatcher mDispatcher;
+    private final DaemonMetrics mMetrics;
 
     StatusPages(
             GatewaySettings settings,
             ConfigurationView configuration,
             StopSequence stop,
             RunningRequests running,
-            Dispatcher dispatcher) {
+            Dispatcher dispatcher,
+            DaemonMetrics metrics) {
         mSettings = settings;
         mConfiguration = configuration;
         mStop = stop;
         mRunning = running;
         mDispatcher = dispatcher;
+        mMetrics = metrics;
     }
 
     /** Returns the page of the path, or empty when the path is no page. */
@@ -36,6 +42,7 @@
         return switch (path) {
             case "/healthz" -> Optional.of(text(200, "ok"));
             case "/readyz" -> Optional.of(readiness());
+            case "/metrics" -> Optional.of(metrics());
             case "/status" -> Optional.of(status());
             default -> Optional.empty();
         };
@@ -74,6 +81,11 @@
                 200, "application/json", status.toString().getBytes(StandardCharsets.UTF_8));
     }
 
+    private WholeReply metrics() {
+        return WholeReply.of(
+                200, PROMETHEUS_TEXT, mMetrics.scrape().getBytes(StandardCharsets.UTF_8));
+    }
+
     private static WholeReply text(int status, String text) {
         return WholeReply.of(status, "text/plain", (text + "\n").getBytes(StandardCharsets.UTF_8));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -7,7 +7,9 @@
     REQUESTS(
             "vanillaslip.requests",
             "vanillaslip_requests_total",
-            "Finished requests; code 0 is a complete answer, any other is a result code.",
+            "Finished requests; code 0 is a complete answer, 'caller_left' means that the caller"
+                    + " closed the connection, any other is a result code. Class 'none': refused"
+                    + " before the route was known.",
             "class",
             "code"),
     TIME_TO_FIRST_TOKEN(
@@ -23,12 +25,14 @@
     COLD_STARTS(
             "vanillaslip.cold.start",
             "vanillaslip_cold_start_seconds",
-            "Time from the first request for an unloaded model until a replica was loaded.",
-            "checkpoint"),
+            "Time from the first request of this host for an unloaded model or adapter until a"
+                    + " replica was loaded.",
+            "kind"),
     PLATFORM_CALLS(
             "vanillaslip.platform.calls",
             "vanillaslip_platform_calls_total",
-            "Calls to the platform's object API.",
+            "Calls to the platform's object API, with those that the call budget refused. A watch"
+                    + " is counted when it ends.",
             "kind",
             "result"),
     PEER_MESSAGES(
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.vanillaslip.ModelName;
 import org.vanillaslip.RequestClass;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.platform.PlatformFailure;
@@ -33,6 +34,9 @@
         Duration.ofSeconds(60)
     };
 
+    /** Messages between hosts count in micro-tokens. */
+    private static final double MICRO = 1e6;
+
     private final PrometheusMeterRegistry mRegistry;
 
     /** Creates the metrics on the given registry. */
@@ -40,12 +44,22 @@
         mRegistry = registry;
     }
 
-    /** Counts a finished request; an empty code is a complete answer. */
-    public void requestFinished(RequestClass requestClass, Optional<ResultCode> code) {
+    /**
+     * Counts a finished request.
+     *
+     * @param requestClass empty when it was refused before its route was known
+     * @param code empty for a complete answer
+     */
+    public void requestFinished(Optional<RequestClass> requestClass, Optional<ResultCode> code) {
         String number = code.map(ResultCode::number).map(String::valueOf).orElse("0");
         count(DaemonMetric.REQUESTS, 1, label(requestClass), number);
     }
 
+    /** Counts a request whose caller closed the connection before the answer ended. */
+    public void callerLeft(Optional<RequestClass> requestClass) {
+        count(DaemonMetric.REQUESTS, 1, label(requestClass), "caller_left");
+    }
+
     /** Records the time from acceptance to the first token. */
     public void firstToken(RequestClass requestClass, Duration time) {
         time(DaemonMetric.TIME_TO_FIRST_TOKEN, time, label(requestClass));
@@ -56,13 +70,9 @@
         time(DaemonMetric.QUEUE_WAIT, time, label(requestClass));
     }
 
-    /**
-     * Records a cold start.
-     *
-     * @param checkpoint place that held the checkpoint: memory, disk or remote
-     */
-    public void coldStart(String checkpoint, Duration time) {
-        time(DaemonMetric.COLD_STARTS, time, checkpoint);
+    /** Records a cold start of a model or adapter. */
+    public void coldStart(ModelName model, Duration time) {
+        time(DaemonMetric.COLD_STARTS, time, model.adapter().isPresent() ? "adapter" : "model");
     }
 
     /**
@@ -82,13 +92,13 @@
     }
 
     /** Counts tokens that this host has lent to another host. */
-    public void tokensGranted(QuotaLimit limit, long tokens) {
-        count(DaemonMetric.QUOTA_TOKENS_GRANTED, tokens, label(limit));
+    public void tokensGranted(QuotaLimit limit, long microTokens) {
+        count(DaemonMetric.QUOTA_TOKENS_GRANTED, microTokens / MICRO, label(limit));
     }
 
     /** Counts tokens that this host has received from another host. */
-    public void tokensBorrowed(QuotaLimit limit, long tokens) {
-        count(DaemonMetric.QUOTA_TOKENS_BORROWED, tokens, label(limit));
+    public void tokensBorrowed(QuotaLimit limit, long microTokens) {
+        count(DaemonMetric.QUOTA_TOKENS_BORROWED, microTokens / MICRO, label(limit));
     }
 
     /** Returns all metrics in the Prometheus text format. */
@@ -96,12 +106,12 @@
         return mRegistry.scrape();
     }
 
-    private void count(DaemonMetric metric, long amount, String... values) {
+    private void count(DaemonMetric metric, double amount, String... values) {
         Counter.builder(metric.meterName())
                 .description(metric.description())
                 .tags(tags(metric, values))
                 .register(mRegistry)
-                .increment((double) amount);
+                .increment(amount);
     }
 
     private void time(DaemonMetric metric, Duration time, String... values) {
@@ -121,6 +131,10 @@
         return tags;
     }
 
+    private static String label(Optional<RequestClass> requestClass) {
+        return requestClass.map(DaemonMetrics::label).orElse("none");
+    }
+
     private static String label(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT);
     }
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/MeteredObjectStore.java
@@ -0,0 +1,81 @@
+package org.vanillaslip.internal.metrics;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformException;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Counts platform calls by kind and result. A watch is counted when it ends, because its result is
+ * not known before.
+ */
+public final class MeteredObjectStore implements ObjectStore {
+
+    private final ObjectStore mStore;
+    private final DaemonMetrics mMetrics;
+
+    /** Creates a store that counts the calls to the given one. */
+    public MeteredObjectStore(ObjectStore store, DaemonMetrics metrics) {
+        mStore = store;
+        mMetrics = metrics;
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
+        return counted("read", mStore.read(collection, name));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
+        return counted("list", mStore.list(collection));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> create(
+            String collection, String name, ObjectNode spec) {
+        return counted("create", mStore.create(collection, name, spec));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> update(
+            String collection, String name, long expectedVersion, ObjectNode spec) {
+        return counted("update", mStore.update(collection, name, expectedVersion, spec));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> delete(
+            String collection, String name, long expectedVersion) {
+        return counted("delete", mStore.delete(collection, name, expectedVersion));
+    }
+
+    @Override
+    public Flux<WatchEvent> watch(String collection, long fromVersion) {
+        return mStore.watch(collection, fromVersion)
+                .doOnError(cause -> count("watch", Optional.of(failure(cause))))
+                .doOnComplete(() -> count("watch", Optional.empty()))
+                .doOnCancel(() -> count("watch", Optional.empty()));
+    }
+
+    private <T> Mono<Either<PlatformFailure, T>> counted(
+            String kind, Mono<Either<PlatformFailure, T>> call) {
+        return call.doOnNext(result -> count(kind, result.swap().toJavaOptional()))
+                .doOnError(cause -> count(kind, Optional.of(failure(cause))));
+    }
+
+    private void count(String kind, Optional<PlatformFailure> failure) {
+        mMetrics.platformCall(kind, failure);
+    }
+
+    private static PlatformFailure failure(Throwable cause) {
+        return cause instanceof PlatformException known
+                ? known.failure()
+                : PlatformFailure.UNAVAILABLE;
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/QuotaLimit.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/QuotaLimit.java
@@ -3,7 +3,10 @@
 /** Kinds of limits whose tokens hosts lend each other. */
 public enum QuotaLimit {
     WORKSPACE_RATE,
-    WEIGHT_STORE_LOADS,
-    WEIGHT_STORE_PARALLEL,
-    ADAPTER_LOADS
+    OTHER;
+
+    /** Returns the kind of a limit named in a quota request, such as {@code workspace/name}. */
+    public static QuotaLimit named(String limit) {
+        return limit.startsWith("workspace/") ? WORKSPACE_RATE : OTHER;
+    }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
@@ -24,6 +24,7 @@
 import java.util.function.Supplier;
 import org.vanillaslip.Host;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.metrics.DaemonMetrics;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.messages.Envelope;
 import org.vanillaslip.messages.Heartbeat;
@@ -49,6 +50,7 @@
     private final List<InetSocketAddress> mBootstrap;
     private final Supplier<Heartbeat> mHeartbeat;
     private final PeerTimes mTimes;
+    private final DaemonMetrics mMetrics;
     private final EventLog mLog;
     private final PeerExchange mExchange;
     private final Map<String, PeerLink> mLinks = new HashMap<>();
@@ -77,6 +79,7 @@
             List<InetSocketAddress> bootstrap,
             Supplier<Heartbeat> heartbeat,
             PeerTimes times,
+            DaemonMetrics metrics,
             EventLog log) {
         mHost = host;
         mLoop = loop;
@@ -86,6 +89,7 @@
         mBootstrap = List.copyOf(bootstrap);
         mHeartbeat = heartbeat;
         mTimes = times;
+        mMetrics = metrics;
         mLog = log;
         mExchange =
                 new PeerExchange(
@@ -159,6 +163,7 @@
             protected void initChannel(Channel channel) {
                 PeerLink link = new PeerLink(channel, dialled, mLoop.clock().nowNanos());
                 channel.pipeline().addLast(new EnvelopeCodec());
+                channel.pipeline().addLast(new PeerMessageCounter(mMetrics));
                 channel.pipeline().addLast(new PeerLinkHandler(link, NettyPeerLinks.this, mLoop));
             }
         };
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -3,6 +3,8 @@
 import static org.vanillaslip.internal.logging.LogField.field;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -23,6 +25,10 @@
 import org.vanillaslip.internal.gateway.GatewayDependencies;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.logging.LifecycleEvent;
+import org.vanillaslip.internal.metrics.DaemonMetrics;
+import org.vanillaslip.internal.metrics.MeteredObjectStore;
+import org.vanillaslip.internal.metrics.MeteredPeerLinks;
+import org.vanillaslip.internal.metrics.MeteredPlacement;
 import org.vanillaslip.internal.peer.NettyPeerLinks;
 import org.vanillaslip.internal.peer.PeerLinks;
 import org.vanillaslip.internal.peer.PeerTimes;
@@ -83,9 +89,11 @@
         mLog = log;
         DecisionLoop loop = new DecisionLoop(mScheduler, Ticker.systemTicker()::nanoTime);
         RandomGenerator random = random(settings.host());
-        ObjectStore store = store(settings, loop);
+        DaemonMetrics metrics =
+                new DaemonMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+        ObjectStore store = new MeteredObjectStore(store(settings, loop), metrics);
         HostContext context =
-                new HostContext(settings, loop, store, random, new Identifiers(), log);
+                new HostContext(settings, loop, store, random, new Identifiers(), metrics, log);
         ConfigurationCodec codec = new ConfigurationCodec();
         mHosts = new HostListWatcher(store, new HostCodec(), loop, random, log);
         mConfiguration = new ConfigurationWatcher(store, codec, loop, random, log);
@@ -169,6 +177,7 @@
                 List.copyOf(mSettings.peers().bootstrap().values()),
                 this::heartbeat,
                 PeerTimes.DEFAULT,
+                context.metrics(),
                 mLog);
     }
 
@@ -216,7 +225,7 @@
                 context.name(),
                 context.loop(),
                 configuration,
-                links,
+                new MeteredPeerLinks(links, context.metrics()),
                 shares,
                 QuotaTimes.DEFAULT,
                 context.identifiers()::nextNumber,
@@ -248,13 +257,14 @@
                 PolicySettings.gateway(context.settings()),
                 new GatewayDependencies(
                         configuration,
-                        placement,
+                        new MeteredPlacement(placement, context.loop().clock(), context.metrics()),
                         quota,
                         slots,
                         context.store(),
                         context.loop(),
                         context.random(),
                         context.identifiers()::next,
+                        context.metrics(),
                         context.log()));
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/HostContext.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/HostContext.java
@@ -3,6 +3,7 @@
 import java.util.random.RandomGenerator;
 import org.vanillaslip.FailureDomain;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.metrics.DaemonMetrics;
 import org.vanillaslip.internal.platform.ObjectStore;
 import org.vanillaslip.internal.settings.Settings;
 
@@ -17,6 +18,7 @@
         ObjectStore store,
         RandomGenerator random,
         Identifiers identifiers,
+        DaemonMetrics metrics,
         EventLog log) {
 
     /** Returns the name of this host. */
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
@@ -1,5 +1,7 @@
 package org.vanillaslip.internal.gateway;
 
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vavr.control.Either;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -29,6 +31,7 @@
 import org.vanillaslip.LoadTimes;
 import org.vanillaslip.Model;
 import org.vanillaslip.ModelName;
+import org.vanillaslip.MonotonicClock;
 import org.vanillaslip.Plan;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.RequestClass;
@@ -41,6 +44,8 @@
 import org.vanillaslip.internal.control.PlacementView;
 import org.vanillaslip.internal.control.Replica;
 import org.vanillaslip.internal.control.ServerLoad;
+import org.vanillaslip.internal.metrics.DaemonMetrics;
+import org.vanillaslip.internal.metrics.MeteredPlacement;
 import org.vanillaslip.internal.queue.QueueLimits;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.standins.service.ServiceServer;
@@ -97,18 +102,22 @@
                         Duration.ZERO,
                         Duration.ofSeconds(5),
                         Duration.ofSeconds(9));
+        MonotonicClock clock = () -> mTime.now(TimeUnit.NANOSECONDS);
+        DaemonMetrics metrics =
+                new DaemonMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
         mGateway =
                 new Gateway(
                         settings,
                         new GatewayDependencies(
                                 this,
-                                new FakePlacement(),
+                                new MeteredPlacement(new FakePlacement(), clock, metrics),
                                 this,
                                 this,
                                 mStore,
-                                new DecisionLoop(mTime, () -> mTime.now(TimeUnit.NANOSECONDS)),
+                                new DecisionLoop(mTime, clock),
                                 new Random(7),
                                 () -> "id-" + mIdentifiers.incrementAndGet(),
+                                metrics,
                                 (event, fields) -> mLog.add(event + " " + List.of(fields))));
         mGateway.start().block();
     }
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/MetricsPageTest.java
@@ -0,0 +1,39 @@
+package org.vanillaslip.internal.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** Guards against metrics that are declared but never recorded, or not served to operators. */
+class MetricsPageTest {
+
+    @Test
+    void countsAndTimesWhatTheGatewayDoes() {
+        try (GatewayHarness harness = new GatewayHarness()) {
+            harness.mModelLoaded = false;
+            var waiting = harness.quote(true);
+            harness.awaitTrue(() -> harness.waiting() == 1);
+            // Longer than the promised wait, so that the request asks for the load again.
+            for (int second = 0; second < 3; second++) {
+                harness.mTime.advanceTimeBy(Duration.ofSeconds(1));
+            }
+            harness.modelLoaded(true);
+            harness.await(waiting, Duration.ZERO);
+            harness.await(harness.post("/nowhere", "{}"), Duration.ZERO);
+            harness.await(harness.post("/quotes", "{}"), Duration.ZERO);
+
+            var page = harness.await(harness.get("/metrics"), Duration.ZERO);
+
+            assertThat(page.headers().firstValue("Content-Type").orElseThrow())
+                    .startsWith("text/plain; version=0.0.4");
+            assertThat(page.body())
+                    .contains("vanillaslip_requests_total{class=\"interactive\",code=\"0\"} 1.0")
+                    .contains("vanillaslip_requests_total{class=\"interactive\",code=\"1004\"} 1.0")
+                    .contains("vanillaslip_requests_total{class=\"none\",code=\"1001\"} 1.0")
+                    .contains("_time_to_first_token_seconds_sum{class=\"interactive\"} 3.0")
+                    .contains("vanillaslip_queue_wait_seconds_sum{class=\"interactive\"} 3.0")
+                    .contains("vanillaslip_cold_start_seconds_sum{kind=\"model\"} 3.0");
+        }
+    }
+}
--- a/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.vanillaslip.ModelName;
 import org.vanillaslip.RequestClass;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.platform.PlatformFailure;
@@ -18,15 +19,17 @@
 
     @Test
     void scrapesEveryMetricUnderItsDocumentedName() {
-        mMetrics.requestFinished(RequestClass.INTERACTIVE, Optional.empty());
-        mMetrics.requestFinished(RequestClass.BATCH, Optional.of(ResultCode.QUEUE_FULL));
+        mMetrics.requestFinished(Optional.of(RequestClass.INTERACTIVE), Optional.empty());
+        mMetrics.requestFinished(
+                Optional.of(RequestClass.BATCH), Optional.of(ResultCode.QUEUE_FULL));
+        mMetrics.requestFinished(Optional.empty(), Optional.of(ResultCode.UNKNOWN_ROUTE));
         mMetrics.firstToken(RequestClass.INTERACTIVE, Duration.ofMillis(300));
         mMetrics.queueWait(RequestClass.WAITING, Duration.ofMillis(20));
-        mMetrics.coldStart("disk", Duration.ofSeconds(3));
+        mMetrics.coldStart(ModelName.parse("edge:oak"), Duration.ofSeconds(3));
         mMetrics.platformCall("update", Optional.of(PlatformFailure.CONFLICT));
         mMetrics.peerMessage(PeerDirection.SENT, "HEARTBEAT");
-        mMetrics.tokensGranted(QuotaLimit.WORKSPACE_RATE, 40);
-        mMetrics.tokensBorrowed(QuotaLimit.ADAPTER_LOADS, 2);
+        mMetrics.tokensGranted(QuotaLimit.WORKSPACE_RATE, 40_500_000);
+        mMetrics.tokensBorrowed(QuotaLimit.OTHER, 2_000_000);
 
         String scrape = mMetrics.scrape();
 
@@ -36,8 +39,10 @@
         assertThat(scrape)
                 .contains("vanillaslip_requests_total{class=\"interactive\",code=\"0\"} 1.0")
                 .contains("vanillaslip_requests_total{class=\"batch\",code=\"2002\"} 1.0")
+                .contains("vanillaslip_requests_total{class=\"none\",code=\"1001\"} 1.0")
+                .contains("vanillaslip_cold_start_seconds_count{kind=\"adapter\"} 1")
                 .contains("{class=\"interactive\",le=\"0.46\"} 1")
                 .contains("{kind=\"update\",result=\"conflict\"} 1.0")
-                .contains("vanillaslip_quota_tokens_granted_total{limit=\"workspace_rate\"} 40.0");
+                .contains("vanillaslip_quota_tokens_granted_total{limit=\"workspace_rate\"} 40.5");
     }
 }
--- a/daemon/src/test/java/org/vanillaslip/internal/peer/NettyPeerLinksTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/peer/NettyPeerLinksTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -17,6 +19,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.vanillaslip.internal.metrics.DaemonMetrics;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.messages.ConfigurationDigest;
 import org.vanillaslip.messages.Envelope;
@@ -32,6 +35,8 @@
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Scheduler mScheduler = Schedulers.newSingle("decisions");
+    private final DaemonMetrics mMetrics =
+            new DaemonMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
     private final CountDownLatch mSilent = new CountDownLatch(1);
     private final CountDownLatch mUp = new CountDownLatch(2);
 
@@ -60,6 +65,10 @@
         Envelope reply = two.request("one", digest, Duration.ofSeconds(5)).block().get();
         assertThat(reply.getConfigurationDigest().getVersion()).isEqualTo(7);
         assertThat(reply.getSender()).isEqualTo("one");
+        assertThat(mMetrics.scrape())
+                .contains("{body=\"configuration_digest\",direction=\"sent\"} 2.0")
+                .contains("{body=\"configuration_digest\",direction=\"received\"} 2.0")
+                .contains("{body=\"heartbeat\",direction=\"received\"}");
         one.stop();
         two.stop();
     }
@@ -96,6 +105,7 @@
                 bootstrap,
                 Heartbeat::getDefaultInstance,
                 new PeerTimes(Duration.ofMillis(100), Duration.ofMillis(300)),
+                mMetrics,
                 (event, fields) -> {
                     if (event == PeerEvent.LINK_SILENT) {
                         mSilent.countDown();
