Bring configuration into force within 11 s despite a silent watch

Cause: a watch was dropped after 15 s of silence and then waited for the back-off; a failed list in between waited for the next 10 minutes; the Retry-After of a 429 was ignored. Change: a watch is dropped after 7 s of silence and the collection is listed at once. A failed list in between is tried again with back-off. After a 429 the call budget gives no token until the Retry-After has passed, at most one minute. The platform stand-in has a throttling fault. The test of the fault sequences now allows 11 s instead of 21 s at the end, and the test of the silent watch keeps the watches silent, so both are stricter than before. Result: with watches silent for good and lists that take 1.9 s, changes at seven points of the bookmark interval are in force within 11 s of virtual time.

--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
@@ -31,6 +31,9 @@
     /** Leaves half of the 11 s in which a change has to be in force for the change itself. */
     private static final Duration LONGEST_DELAY = Duration.ofSeconds(5);
 
+    /** The list in between only covers events that were missed without notice. */
+    private static final Duration LONGEST_LIST_DELAY = Duration.ofMinutes(1);
+
     private final ObjectStore mStore;
     private final String mCollection;
     private final DecisionLoop mLoop;
@@ -38,6 +41,7 @@
     private final EventLog mLog;
     private final CollectionListener mListener;
     private final Backoff mBackoff;
+    private final Backoff mListBackoff;
     private final Disposable.Swap mCall = Disposables.swap();
     private final Disposable.Swap mRetry = Disposables.swap();
     private final Disposable.Swap mNextList = Disposables.swap();
@@ -60,6 +64,7 @@
         mLog = log;
         mListener = listener;
         mBackoff = new Backoff(FIRST_DELAY, LONGEST_DELAY, random);
+        mListBackoff = new Backoff(FIRST_DELAY, LONGEST_LIST_DELAY, random);
     }
 
     /** Starts on the decision loop and returns the handle that stops it. */
@@ -112,7 +117,13 @@
                 field("collection", mCollection),
                 field("position", mPosition),
                 field("cause", String.valueOf(cause.getMessage())));
-        retry(this::watch);
+        if (cause instanceof PlatformException failure
+                && failure.failure() == PlatformFailure.SILENT) {
+            // The silence has already used most of the time in which a change has to be in force.
+            listThenWatch();
+        } else {
+            retry(this::watch);
+        }
     }
 
     private void onWatchCompleted() {
@@ -127,8 +138,17 @@
     }
 
     private void listAgain() {
+        mNextListCall.update(list(this::takeAgain, this::retryListAgain));
+    }
+
+    private void takeAgain(ObjectList list) {
+        mListBackoff.reset();
+        take(list);
         scheduleNextList();
-        mNextListCall.update(list(this::take, () -> {}));
+    }
+
+    private void retryListAgain() {
+        mNextList.update(schedule(this::listAgain, mListBackoff.next()));
     }
 
     private Disposable list(Consumer<ObjectList> onList, Runnable onFailure) {
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/AttemptRunner.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/AttemptRunner.java
@@ -203,7 +203,7 @@
             case CONFLICT -> AttemptFailure.CONFLICT;
             case OUTCOME_UNKNOWN -> AttemptFailure.ANSWER_LOST;
             case NOT_FOUND -> AttemptFailure.MISSING;
-            case THROTTLED, UNAVAILABLE, GONE -> AttemptFailure.UNREACHABLE;
+            case THROTTLED, UNAVAILABLE, SILENT, GONE -> AttemptFailure.UNREACHABLE;
         };
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -152,6 +152,8 @@
     private static ObjectStore store(Settings settings, DecisionLoop loop) {
         PlatformSettings platform = settings.platform();
         String address = platform.address().getHostString() + ":" + platform.address().getPort();
+        double calls = platform.callsPerSecond();
+        CallBudget budget = new CallBudget(loop.clock(), calls, calls, calls * RESERVED_CALLS);
         HttpObjectStore store =
                 new HttpObjectStore(
                         HttpClient.create(),
@@ -159,10 +161,9 @@
                         settings.failureDomain().name(),
                         new ObjectJson(new ObjectMapper()),
                         platform.requestTimeout(),
-                        loop.scheduler());
-        double calls = platform.callsPerSecond();
-        return new BudgetedObjectStore(
-                store, new CallBudget(loop.clock(), calls, calls, calls * RESERVED_CALLS));
+                        loop.scheduler(),
+                        budget::pause);
+        return new BudgetedObjectStore(store, budget);
     }
 
     private NettyPeerLinks links(HostContext context) {
--- a/daemon/src/test/java/org/vanillaslip/internal/control/configuration/ConfigurationFaultSequencesTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/configuration/ConfigurationFaultSequencesTest.java
@@ -40,8 +40,7 @@
         platform.mFaults.setLostWriteAnswers(0);
         HOSTS.forEach(platform.mNetwork::join);
         write(platform, random, rate + 1);
-        // The longest silence of a watch and the longest back-off may both have just begun.
-        platform.pass(Duration.ofSeconds(21));
+        platform.pass(Duration.ofSeconds(11));
         for (TestHost host : hosts) {
             assertThat(host.plans()).isEqualTo(hosts.get(0).plans());
             assertThat(host.plans().values()).extracting(Plan::tokensPerSecond).contains(rate + 1);
--- a/daemon/src/test/java/org/vanillaslip/internal/control/configuration/ConfigurationInForceTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/configuration/ConfigurationInForceTest.java
@@ -10,11 +10,14 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.vanillaslip.ItemKind;
 import org.vanillaslip.ItemName;
 import org.vanillaslip.internal.control.configuration.TestPlatform.TestHost;
 import org.vanillaslip.internal.platform.ObjectJson;
 import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformCollections;
 import org.vanillaslip.internal.platform.PlatformFailure;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.standins.platform.CallKind;
@@ -96,16 +99,46 @@
         assertThat(host.plans()).containsOnlyKeys("p");
     }
 
-    @Test
-    void configurationInForceDespiteASilentWatch() {
+    /** The watches stay silent, and each list takes nearly the 2 s that a call may take. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2_500, 4_999, 5_000, 5_001, 20_000})
+    void configurationInForceDespiteASilentWatch(int millisBeforeTheChange) {
         TestHost host = startedHost();
         mPlatform.mFaults.setSilentWatches(true);
+        mPlatform.mFaults.setLatency(Duration.ofMillis(1_900));
+        mPlatform.pass(Duration.ofMillis(millisBeforeTheChange));
+        for (int rate = 20; rate < 25; rate++) {
+            mPlatform.mStorage.update(
+                    PlatformCollections.CONFIGURATION,
+                    "plan.p",
+                    mPlatform.read("p").version(),
+                    mPlatform.mCodec.encode(
+                            new ItemName(ItemKind.PLAN, "p"), Optional.of(plan("p", rate))));
+            mPlatform.pass(IN_FORCE);
+            assertThat(host.rate("p")).isEqualTo(rate);
+        }
+    }
+
+    @Test
+    void configurationInForceSoonAfterAFailedListInBetween() {
+        AtomicBoolean lossy = new AtomicBoolean();
+        ObjectStore store = new LossyWatchStore(mPlatform.store("a"), lossy);
+        mPlatform.write(0, plan("p", 10));
+        TestHost host = mPlatform.start("a", store);
+        mPlatform.pass(MOMENT);
+        lossy.set(true);
         mPlatform.write(mPlatform.read("p").version(), plan("p", 20));
-        mPlatform.pass(Duration.ofSeconds(5));
-        mPlatform.mFaults.setSilentWatches(false);
+        long lists = mPlatform.mCounts.of(CallKind.LIST);
+        while (mPlatform.mCounts.of(CallKind.LIST) == lists) {
+            mPlatform.mFaults.setThrottledCalls(100, Duration.ofSeconds(1));
+            mPlatform.pass(Duration.ofMillis(10));
+        }
+        mPlatform.pass(Duration.ofSeconds(10));
+        // The first retries come within 0.2, 0.4, 0.8, ... seconds: no burst of calls.
+        assertThat(mPlatform.mCounts.of(CallKind.LIST) - lists).isBetween(2L, 40L);
         assertThat(host.rate("p")).isEqualTo(10);
-        // 15 s until the watch is dropped, plus the first back-off.
-        mPlatform.pass(Duration.ofSeconds(11));
+        mPlatform.mFaults.setThrottledCalls(0, Duration.ZERO);
+        mPlatform.pass(Duration.ofMinutes(1));
         assertThat(host.rate("p")).isEqualTo(20);
     }
 
--- a/daemon/src/test/java/org/vanillaslip/internal/metrics/MeteredCallsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/metrics/MeteredCallsTest.java
@@ -45,7 +45,7 @@
                 .contains("{kind=\"read\",result=\"not_found\"} 1.0")
                 .contains("{kind=\"list\",result=\"ok\"} 1.0")
                 .contains("{kind=\"watch\",result=\"ok\"} 1.0")
-                .contains("{kind=\"watch\",result=\"unavailable\"} 1.0");
+                .contains("{kind=\"watch\",result=\"silent\"} 1.0");
     }
 
     @Test
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/CallBudget.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/CallBudget.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.platform;
 
+import java.time.Duration;
 import org.vanillaslip.MonotonicClock;
 
 /**
@@ -10,12 +11,17 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** A wrong value must not cut a host off from the platform for hours. */
+    private static final Duration LONGEST_PAUSE = Duration.ofMinutes(1);
+
     private final MonotonicClock mClock;
     private final double mCallsPerSecond;
     private final double mCapacity;
     private final double mReserved;
     private double mLevel;
     private long mUpdatedNanos;
+    private long mPauseNanos;
+    private long mPausedAtNanos;
 
     /** Creates a full bucket. */
     public CallBudget(
@@ -38,8 +44,20 @@
         return tryTake(1);
     }
 
+    /** Gives no token for the time that the platform asked for; the reserve is closed too. */
+    public synchronized void pause(Duration retryAfter) {
+        long now = mClock.nowNanos();
+        long left = mPauseNanos - (now - mPausedAtNanos);
+        long wanted = Math.min(retryAfter.toNanos(), LONGEST_PAUSE.toNanos());
+        mPauseNanos = Math.max(left, wanted);
+        mPausedAtNanos = now;
+    }
+
     private synchronized boolean tryTake(double needed) {
         long now = mClock.nowNanos();
+        if (now - mPausedAtNanos < mPauseNanos) {
+            return false;
+        }
         double refill = (now - mUpdatedNanos) / NANOS_PER_SECOND * mCallsPerSecond;
         mLevel = Math.min(mCapacity, mLevel + refill);
         mUpdatedNanos = now;
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Flux;
@@ -29,6 +30,18 @@
     private final ObjectJson mJson;
     private final Duration mAnswerTimeout;
     private final Scheduler mTimer;
+    private final Consumer<Duration> mThrottled;
+
+    /** Creates a store for a caller that makes no further calls after a throttled one. */
+    public HttpObjectStore(
+            HttpClient client,
+            String baseUrl,
+            String failureDomain,
+            ObjectJson json,
+            Duration answerTimeout,
+            Scheduler timer) {
+        this(client, baseUrl, failureDomain, json, answerTimeout, timer, retryAfter -> {});
+    }
 
     /**
      * Creates a store.
@@ -38,6 +51,7 @@
      * @param failureDomain sent with each call
      * @param answerTimeout after which the answer of a call counts as lost
      * @param timer measures the silence of watches
+     * @param throttled told for how long the platform wants no calls
      */
     public HttpObjectStore(
             HttpClient client,
@@ -45,7 +59,8 @@
             String failureDomain,
             ObjectJson json,
             Duration answerTimeout,
-            Scheduler timer) {
+            Scheduler timer,
+            Consumer<Duration> throttled) {
         // Only the caller knows whether a call may be repeated.
         mClient =
                 client.baseUrl(baseUrl)
@@ -54,6 +69,7 @@
         mJson = json;
         mAnswerTimeout = answerTimeout;
         mTimer = timer;
+        mThrottled = throttled;
     }
 
     @Override
@@ -102,7 +118,7 @@
                                     int status = response.status().code();
                                     return status == 200
                                             ? content.asByteArray()
-                                            : Flux.error(notOpened(collection, status));
+                                            : Flux.error(notOpened(collection, response));
                                 });
         Flux<WatchEvent> events =
                 Flux.defer(() -> chunks.concatMapIterable(newSplitter()::split))
@@ -155,6 +171,7 @@
             return Either.right(decode.apply(mJson.parse(bytes)));
         }
         PlatformFailure failure = failure(status);
+        noteThrottling(response);
         if (status >= 500) {
             // A server error does not tell whether the change took effect.
             throw new PlatformException(failure, "The platform answered with " + status + ".");
@@ -162,6 +179,12 @@
         return Either.left(failure);
     }
 
+    private void noteThrottling(HttpClientResponse response) {
+        if (failure(response.status().code()) == PlatformFailure.THROTTLED) {
+            mThrottled.accept(RetryAfter.parse(response.responseHeaders().get("Retry-After")));
+        }
+    }
+
     private Function<ObjectNode, StoredObject> object(String collection) {
         return node -> mJson.decodeObject(collection, node);
     }
@@ -180,7 +203,9 @@
         };
     }
 
-    private static PlatformException notOpened(String collection, int status) {
+    private PlatformException notOpened(String collection, HttpClientResponse response) {
+        noteThrottling(response);
+        int status = response.status().code();
         return new PlatformException(
                 failure(status),
                 "The platform refused the watch of '" + collection + "' with " + status + ".");
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformFailure.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformFailure.java
@@ -11,6 +11,8 @@
     UNAVAILABLE,
     /** The answer was lost: the change may have taken effect, and the caller has to read again. */
     OUTCOME_UNKNOWN,
+    /** Nothing came on a watch for too long; changes may have been missed. */
+    SILENT,
     /** The watch position is too old; the caller has to list again. */
     GONE
 }
--- /dev/null
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/RetryAfter.java
@@ -0,0 +1,22 @@
+package org.vanillaslip.internal.platform;
+
+import java.time.Duration;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/** Reads the header {@code Retry-After} of a throttled call. */
+final class RetryAfter {
+
+    /** Used when the header is missing or a date: the clocks of two machines are not compared. */
+    private static final Duration DEFAULT = Duration.ofSeconds(1);
+
+    private static final Pattern SECONDS = Pattern.compile("[0-9]{1,9}");
+
+    private RetryAfter() {}
+
+    static Duration parse(@Nullable String header) {
+        return header != null && SECONDS.matcher(header).matches()
+                ? Duration.ofSeconds(Long.parseLong(header))
+                : DEFAULT;
+    }
+}
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/WatchSilence.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/WatchSilence.java
@@ -7,16 +7,20 @@
 /** Ends watches on which nothing arrives, not even bookmarks. */
 public final class WatchSilence {
 
-    /** Three bookmark intervals of 5 s: one late bookmark does not end a watch. */
-    public static final Duration LONGEST = Duration.ofSeconds(15);
+    /**
+     * The interval of bookmarks, 5 s, and 2 s for a late one. A change that a list has just missed
+     * is in force after the rest of that list, this silence and the next list. With at most 2 s for
+     * each list, the default of a call, that is within 11 s.
+     */
+    public static final Duration LONGEST = Duration.ofSeconds(7);
 
     private WatchSilence() {}
 
-    /** Ends the watch with {@link PlatformFailure#UNAVAILABLE} after the longest silence. */
+    /** Ends the watch with {@link PlatformFailure#SILENT} after the longest silence. */
     public static <T> Flux<T> limit(Flux<T> events, Scheduler timer) {
         PlatformException silent =
                 new PlatformException(
-                        PlatformFailure.UNAVAILABLE,
+                        PlatformFailure.SILENT,
                         "The watch was silent for " + LONGEST.toSeconds() + " s and was dropped.");
         return events.timeout(LONGEST, Flux.error(silent), timer);
     }
--- a/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/FaultSwitches.java
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/FaultSwitches.java
@@ -15,6 +15,8 @@
                     "latencyMillis",
                     "lostWriteAnswers",
                     "silentWatches",
+                    "throttledCalls",
+                    "retryAfterSeconds",
                     "refusedFailureDomains",
                     "breakWatches",
                     "forgetHistory");
@@ -48,6 +50,11 @@
             }
             mFaults.setRefusedFailureDomains(domains);
         }
+        if (body.has("throttledCalls")) {
+            mFaults.setThrottledCalls(
+                    body.get("throttledCalls").asInt(),
+                    Duration.ofSeconds(body.path("retryAfterSeconds").asLong(1)));
+        }
         if (body.path("breakWatches").asBoolean()) {
             mStorage.breakWatches();
         }
--- a/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/InProcessObjectStore.java
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/InProcessObjectStore.java
@@ -101,6 +101,9 @@
                     if (!mFaults.reachableFrom(mFailureDomain)) {
                         return Mono.just(Either.left(PlatformFailure.UNAVAILABLE));
                     }
+                    if (mFaults.throttleCall().isPresent()) {
+                        return Mono.just(Either.left(PlatformFailure.THROTTLED));
+                    }
                     Either<PlatformFailure, T> result = action.get();
                     boolean lost = kind.writes() && mFaults.loseWriteAnswer();
                     return delayed(lost ? Either.left(PlatformFailure.OUTCOME_UNKNOWN) : result);
--- a/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/PlatformFaults.java
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/PlatformFaults.java
@@ -1,6 +1,7 @@
 package org.vanillaslip.internal.standins.platform;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 
 /** The faults that are switched on; safe for use by threads. */
@@ -9,6 +10,8 @@
     private boolean mOutage;
     private boolean mSilentWatches;
     private int mLostWriteAnswers;
+    private int mThrottledCalls;
+    private Duration mRetryAfter = Duration.ofSeconds(1);
     private Duration mLatency = Duration.ZERO;
     private Set<String> mRefusedFailureDomains = Set.of();
 
@@ -27,6 +30,21 @@
         mLostWriteAnswers = count;
     }
 
+    /** Refuses the next calls with 429 and the given {@code Retry-After}. */
+    public synchronized void setThrottledCalls(int count, Duration retryAfter) {
+        mThrottledCalls = count;
+        mRetryAfter = retryAfter;
+    }
+
+    /** Returns the {@code Retry-After} when this call is to be throttled, and counts it. */
+    public synchronized Optional<Duration> throttleCall() {
+        if (mThrottledCalls == 0) {
+            return Optional.empty();
+        }
+        mThrottledCalls--;
+        return Optional.of(mRetryAfter);
+    }
+
     /** Delays every answer after the call took effect. */
     public synchronized void setLatency(Duration latency) {
         mLatency = latency;
--- a/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/PlatformHttpServer.java
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/platform/PlatformHttpServer.java
@@ -67,6 +67,11 @@
         if (!mFaults.reachableFrom(call.failureDomain())) {
             return drop(response);
         }
+        Optional<Duration> retryAfter = mFaults.throttleCall();
+        if (retryAfter.isPresent()) {
+            response.header("Retry-After", Long.toString(retryAfter.get().toSeconds()));
+            return answer(response, 429, status(429));
+        }
         if (call.kind() == CallKind.WATCH) {
             return watch(call, response);
         }
--- a/stand-ins/src/test/java/org/vanillaslip/internal/standins/platform/HttpObjectStoreTest.java
+++ b/stand-ins/src/test/java/org/vanillaslip/internal/standins/platform/HttpObjectStoreTest.java
@@ -5,6 +5,7 @@
 import static org.vanillaslip.internal.platform.PlatformFailure.GONE;
 import static org.vanillaslip.internal.platform.PlatformFailure.NOT_FOUND;
 import static org.vanillaslip.internal.platform.PlatformFailure.OUTCOME_UNKNOWN;
+import static org.vanillaslip.internal.platform.PlatformFailure.THROTTLED;
 import static org.vanillaslip.internal.platform.PlatformFailure.UNAVAILABLE;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -21,8 +22,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.vanillaslip.internal.platform.BudgetedObjectStore;
+import org.vanillaslip.internal.platform.CallBudget;
 import org.vanillaslip.internal.platform.HttpObjectStore;
 import org.vanillaslip.internal.platform.ObjectJson;
+import org.vanillaslip.internal.platform.ObjectStore;
 import org.vanillaslip.internal.platform.PlatformException;
 import org.vanillaslip.internal.platform.StoredObject;
 import reactor.core.Disposable;
@@ -157,16 +161,41 @@
     }
 
     @Test
-    void dropsAWatchAfterFifteenSilentSecondsButNotBefore() throws Exception {
+    void dropsAWatchAfterSevenSilentSecondsButNotBefore() throws Exception {
         BlockingQueue<Object> signals = new LinkedBlockingQueue<>();
         Disposable watch = mStore.watch("c", 0).subscribe(signals::add, signals::add);
-        mTime.advanceTimeBy(Duration.ofMillis(14_900));
+        mTime.advanceTimeBy(Duration.ofMillis(6_900));
         assertThat(signals).isEmpty();
         assertThat(watch.isDisposed()).isFalse();
         mTime.advanceTimeBy(Duration.ofMillis(100));
         assertThat(signals.poll(10, TimeUnit.SECONDS)).isInstanceOf(PlatformException.class);
     }
 
+    @Test
+    void makesNoCallBeforeTheRetryAfterOfAThrottledCall() {
+        CallBudget budget = new CallBudget(() -> mTime.now(TimeUnit.NANOSECONDS), 20, 20, 5);
+        String url = "http://127.0.0.1:" + mServer.port();
+        ObjectStore store =
+                new BudgetedObjectStore(
+                        new HttpObjectStore(
+                                HttpClient.create(), url, "n", mJson, ANSWER, mTime, budget::pause),
+                        budget);
+        assertThat(post("/faults", "{\"throttledCalls\":1,\"retryAfterSeconds\":3}"))
+                .isEqualTo(200);
+        assertThat(get(store.list("c")).getLeft()).isEqualTo(THROTTLED);
+        mTime.advanceTimeBy(Duration.ofMillis(2_999));
+        assertThat(get(store.list("c")).getLeft()).isEqualTo(THROTTLED);
+        StepVerifier.create(store.watch("c", 0)).expectError().verify(Duration.ofSeconds(10));
+        assertThat(mCounts.of(CallKind.LIST)).isEqualTo(1);
+        assertThat(mCounts.of(CallKind.WATCH)).isZero();
+        mTime.advanceTimeBy(Duration.ofMillis(1));
+        assertThat(get(store.list("c")).isRight()).isTrue();
+
+        mFaults.setThrottledCalls(1, Duration.ofSeconds(2));
+        StepVerifier.create(store.watch("c", 0)).expectError().verify(Duration.ofSeconds(10));
+        assertThat(get(store.list("c")).getLeft()).isEqualTo(THROTTLED);
+    }
+
     @Test
     void faultsAreSwitchedOverHttp() {
         String body = "{\"outage\":true,\"refusedFailureDomains\":[]}";
