Leave out faulty configuration items one by one

Change: ItemSelection replaces a faulty item by the version in force before or leaves it out, with every item that needs it; the rest goes into force.

--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationEvent.java
@@ -9,7 +9,7 @@
 /** Log events of the configuration; numbers 200 to 299. */
 public enum ConfigurationEvent implements LogEvent {
     SNAPSHOT_IN_FORCE(200, INFO, "A new configuration snapshot is in force."),
-    SNAPSHOT_REFUSED(201, WARNING, "The newest items are faulty; the last good snapshot stays."),
+    ITEMS_REFUSED(201, WARNING, "Faulty items are not in force; the fields name them."),
     LIST_FAILED(202, WARNING, "A collection could not be listed."),
     WATCH_ENDED(203, INFO, "A watch ended and will be opened again from its position."),
     WATCH_POSITION_GONE(204, INFO, "The watch position is too old; the collection is listed."),
--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationWatcher.java
@@ -89,7 +89,7 @@
                 .orElse(UNKNOWN_AGE);
     }
 
-    /** Returns why the newest items are not in force; empty when they are. */
+    @Override
     public List<Fault> faults() {
         return mState.faults();
     }
@@ -113,7 +113,7 @@
         ConfigurationState before = mState;
         mState = state;
         if (!state.faults().isEmpty() && !state.faults().equals(before.faults())) {
-            mLog.log(ConfigurationEvent.SNAPSHOT_REFUSED, field("faults", state.faults()));
+            mLog.log(ConfigurationEvent.ITEMS_REFUSED, field("faults", state.faults()));
         }
         if (!state.current().equals(before.current())) {
             state.current().ifPresent(this::announce);
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/StatusPages.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/StatusPages.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.gateway;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
@@ -70,6 +71,8 @@
         status.put("stopping", mStop.begun());
         status.put("running", mRunning.size());
         status.put("waiting", mDispatcher.waiting());
+        ArrayNode faults = status.putArray("configuration_faults");
+        mConfiguration.faults().forEach(fault -> faults.add(fault.toString()));
         mConfiguration
                 .current()
                 .ifPresent(
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
@@ -40,6 +40,7 @@
 import org.vanillaslip.Workspace;
 import org.vanillaslip.WorkspaceEntry;
 import org.vanillaslip.internal.admission.KeyDigest;
+import org.vanillaslip.internal.configuration.Fault;
 import org.vanillaslip.internal.control.ConfigurationView;
 import org.vanillaslip.internal.control.PlacementView;
 import org.vanillaslip.internal.control.Replica;
@@ -296,6 +297,11 @@
         return mChanges.asFlux();
     }
 
+    @Override
+    public List<Fault> faults() {
+        return List.of(new Fault("workspace.w", "plan", "gone", "the name of a plan"));
+    }
+
     @Override
     public Duration age() {
         return Duration.ZERO;
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/MetricsPageTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/MetricsPageTest.java
@@ -23,6 +23,8 @@
             harness.await(harness.post("/nowhere", "{}"), Duration.ZERO);
             harness.await(harness.post("/quotes", "{}"), Duration.ZERO);
 
+            assertThat(harness.await(harness.get("/status"), Duration.ZERO).body())
+                    .contains("workspace.w: plan is 'gone'; allowed: the name of a plan");
             var page = harness.await(harness.get("/metrics"), Duration.ZERO);
 
             assertThat(page.headers().firstValue("Content-Type").orElseThrow())
--- a/decisions/src/main/java/org/vanillaslip/internal/configuration/ConfigurationState.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/configuration/ConfigurationState.java
@@ -1,7 +1,6 @@
 package org.vanillaslip.internal.configuration;
 
 import io.vavr.collection.HashMap;
-import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -14,26 +13,28 @@
 import org.vanillaslip.VersionedItem;
 
 /**
- * All items that a host knows, the last good snapshot built from them, and the faults that keep the
- * newest items out of force.
+ * All items that a host knows, the snapshot built from those that are valid together, and the
+ * faults that keep the others out of force.
  */
 public final class ConfigurationState {
 
-    private static final ConfigurationValidator VALIDATOR = new ConfigurationValidator();
     private static final Withdrawals WITHDRAWALS = new Withdrawals();
 
     private final HashMap<String, VersionedItem> mItems;
     private final HashMap<String, UnreadableItem> mUnreadable;
+    private final HashMap<String, VersionedItem> mInForce;
     private final Optional<Configuration> mCurrent;
     private final List<Fault> mFaults;
 
     private ConfigurationState(
             HashMap<String, VersionedItem> items,
             HashMap<String, UnreadableItem> unreadable,
+            HashMap<String, VersionedItem> inForce,
             Optional<Configuration> current,
             List<Fault> faults) {
         mItems = items;
         mUnreadable = unreadable;
+        mInForce = inForce;
         mCurrent = current;
         mFaults = faults;
     }
@@ -41,7 +42,7 @@
     /** Returns the state of a host that knows nothing. */
     public static ConfigurationState empty() {
         return new ConfigurationState(
-                HashMap.empty(), HashMap.empty(), Optional.empty(), List.of());
+                HashMap.empty(), HashMap.empty(), HashMap.empty(), Optional.empty(), List.of());
     }
 
     /** Takes the items that are newer than the known ones; returns this state when none is. */
@@ -109,8 +110,8 @@
     }
 
     /**
-     * Returns the last good snapshot, without keys that newer items revoke and with the drains that
-     * newer items ask for.
+     * Returns the items that are valid together, without keys that newer items revoke and with the
+     * drains that newer items ask for.
      */
     public Optional<Configuration> current() {
         return mCurrent;
@@ -138,15 +139,21 @@
 
     private ConfigurationState rebuilt(
             HashMap<String, VersionedItem> items, HashMap<String, UnreadableItem> unreadable) {
-        Either<List<Fault>, Configuration> result = VALIDATOR.validate(items.values().toJavaList());
+        ItemSelection selection = ItemSelection.of(items, mInForce);
+        Configuration chosen = selection.choose();
         List<Fault> faults = new ArrayList<>();
         unreadable.values().forEach(item -> faults.addAll(item.faults()));
-        result.peekLeft(faults::addAll);
-        Optional<Configuration> current =
-                faults.isEmpty()
-                        ? result.toJavaOptional()
-                        : mCurrent.map(snapshot -> WITHDRAWALS.apply(snapshot, items));
-        return new ConfigurationState(items, unreadable, current, List.copyOf(faults));
+        faults.addAll(selection.faults());
+        // A fault that would take a working item out of force keeps the snapshot as it is.
+        boolean keep = selection.losesItems() && mCurrent.isPresent();
+        Configuration snapshot = keep ? mCurrent.orElseThrow() : chosen;
+        Configuration current = faults.isEmpty() ? snapshot : WITHDRAWALS.apply(snapshot, items);
+        return new ConfigurationState(
+                items,
+                unreadable,
+                keep ? mInForce : selection.chosen(),
+                Optional.of(current),
+                List.copyOf(faults));
     }
 
     private static VersionedItem removal(ItemName name, long version) {
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/configuration/ItemSelection.java
@@ -0,0 +1,77 @@
+package org.vanillaslip.internal.configuration;
+
+import io.vavr.collection.HashMap;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.vanillaslip.Configuration;
+import org.vanillaslip.VersionedItem;
+
+/**
+ * Chooses the items that can be in force together. A faulty item is replaced by the version in
+ * force before, or left out when there was none; this repeats, because other items may refer to it.
+ */
+final class ItemSelection {
+
+    private static final ConfigurationValidator VALIDATOR = new ConfigurationValidator();
+
+    private final HashMap<String, VersionedItem> mInForce;
+    private final List<Fault> mFaults = new ArrayList<>();
+    private HashMap<String, VersionedItem> mChosen;
+    private boolean mLosesItems;
+
+    private ItemSelection(
+            HashMap<String, VersionedItem> newest, HashMap<String, VersionedItem> inForce) {
+        mChosen = newest;
+        mInForce = inForce;
+    }
+
+    /** Chooses among the newest items and those in force before. */
+    static ItemSelection of(
+            HashMap<String, VersionedItem> newest, HashMap<String, VersionedItem> inForce) {
+        return new ItemSelection(newest, inForce);
+    }
+
+    /** Returns the snapshot of the chosen items. */
+    Configuration choose() {
+        Either<List<Fault>, Configuration> result = VALIDATOR.validate(mChosen.values().asJava());
+        while (result.isLeft()) {
+            mFaults.addAll(result.getLeft());
+            Set<String> faulty =
+                    result.getLeft().stream().map(Fault::item).collect(Collectors.toSet());
+            faulty.forEach(this::replace);
+            result = VALIDATOR.validate(mChosen.values().asJava());
+        }
+        return result.get();
+    }
+
+    /** Returns the chosen items by object name. */
+    HashMap<String, VersionedItem> chosen() {
+        return mChosen;
+    }
+
+    /** Returns why items were replaced or left out. */
+    List<Fault> faults() {
+        return mFaults.stream().distinct().toList();
+    }
+
+    /** Returns whether an item that was in force had to be left out. */
+    boolean losesItems() {
+        return mLosesItems;
+    }
+
+    private void replace(String name) {
+        Optional<VersionedItem> before = mInForce.get(name).toJavaOptional();
+        Optional<VersionedItem> now = mChosen.get(name).toJavaOptional();
+        boolean wasInForce = before.flatMap(VersionedItem::item).isPresent();
+        if (wasInForce && !before.equals(now)) {
+            mChosen = mChosen.put(name, before.orElseThrow());
+        } else {
+            mLosesItems |= wasInForce;
+            mChosen = mChosen.remove(name);
+        }
+    }
+}
