Hold no reserve below one charge and ask owners in a fixed order

After each borrowed charge of a rarely used workspace the host fetched a reserve of a quarter of its last second, less than one charge, and returned it unused within 250 ms. A reserve below the last charge is no longer held.

reserveFollowsRecentUseAndFadesWhenIdle charged 80 tokens at once and expected the useless reserve of 20; it now charges 8 times 10, with the same expectation. reserveThatCouldNotServeTheNextChargeIsNotHeld failed before (20 instead of 0).

--- a/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaLimit.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaLimit.java
@@ -125,6 +125,7 @@
     Collection<OwnerShare> owners(Collection<String> hosts) {
         return hosts.stream()
                 .filter(host -> !host.equals(mHost) && mParts.getOrDefault(host, 0L) > 0)
+                .sorted()
                 .map(host -> share(host, mParts.getOrDefault(host, 0L)))
                 .toList();
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/DemandEstimate.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/DemandEstimate.java
@@ -11,14 +11,18 @@
 
     private double mRecent;
     private long mUpdatedAt;
+    private long mLast;
 
     void add(long amount, long nowNanos) {
         mRecent = recent(nowNanos) + amount;
         mUpdatedAt = nowNanos;
+        mLast = amount;
     }
 
+    /** A reserve below one charge would serve none and only be fetched and returned. */
     long reserve(long nowNanos) {
-        return (long) (recent(nowNanos) * RESERVE_NANOS / MEMORY_NANOS);
+        long reserve = (long) (recent(nowNanos) * RESERVE_NANOS / MEMORY_NANOS);
+        return reserve < mLast ? 0 : reserve;
     }
 
     private double recent(long nowNanos) {
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaAccountTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/QuotaAccountTest.java
@@ -122,11 +122,20 @@
 
     @Test
     void reserveFollowsRecentUseAndFadesWhenIdle() {
-        mOwner.charge(80, 0);
+        for (int i = 0; i < 8; i++) {
+            mOwner.charge(10, 0);
+        }
         assertThat(mOwner.reserve(0)).isEqualTo(20);
         assertThat(mOwner.reserve(60 * SECOND)).isZero();
     }
 
+    /** Such a reserve was fetched and returned after each borrowed charge without any use. */
+    @Test
+    void reserveThatCouldNotServeTheNextChargeIsNotHeld() {
+        mOwner.charge(80, 0);
+        assertThat(mOwner.reserve(0)).isZero();
+    }
+
     @Test
     void shrunkShareFitsOnlyWhenLentTokensHaveExpired() {
         mOwner.grant(60, 0);
