--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/quota/MeasuredHosts.java
@@ -0,0 +1,179 @@
+package org.vanillaslip.internal.proofs.quota;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.vanillaslip.Configuration;
+import org.vanillaslip.Plan;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.Workspace;
+import org.vanillaslip.WorkspaceEntry;
+import org.vanillaslip.internal.control.ConfigurationView;
+import org.vanillaslip.internal.gateway.QuotaCharge;
+import org.vanillaslip.internal.peer.PeerExchange;
+import org.vanillaslip.internal.peer.PeerTimes;
+import org.vanillaslip.internal.quota.QuotaService;
+import org.vanillaslip.internal.quota.QuotaTimes;
+import org.vanillaslip.internal.quota.ShareTable;
+import org.vanillaslip.internal.quota.ShareView;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.messages.Envelope;
+import org.vanillaslip.messages.Heartbeat;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** The quota services of all hosts of a deployment in one process and in virtual time. */
+final class MeasuredHosts {
+
+    private final VirtualScheduler mScheduler;
+    private final DecisionLoop mLoop;
+    private final Setting mSetting;
+    private final Policy mPolicy;
+    private final SplittableRandom mRandom;
+    private final Configuration mConfiguration;
+    private final Map<String, Long> mParts = new HashMap<>();
+    private final Map<String, PeerExchange> mExchanges = new HashMap<>();
+    private final List<QuotaService> mServices = new ArrayList<>();
+    private long mMessages;
+
+    MeasuredHosts(Setting setting, Policy policy, VirtualScheduler scheduler, long seed) {
+        mSetting = setting;
+        mPolicy = policy;
+        mScheduler = scheduler;
+        mLoop = new DecisionLoop(scheduler, scheduler::nowNanos);
+        mRandom = new SplittableRandom(seed);
+        mConfiguration = configuration(setting);
+        Set<String> names = new TreeSet<>();
+        for (int i = 0; i < setting.hosts(); i++) {
+            names.add(name(i));
+        }
+        mParts.putAll(ShareTable.divide(ShareTable.WHOLE, names));
+        if (policy == Policy.NO_SHARING) {
+            mParts.replaceAll((host, parts) -> ShareTable.WHOLE);
+        }
+        for (int i = 0; i < setting.hosts(); i++) {
+            mServices.add(start(name(i)));
+        }
+    }
+
+    Mono<Either<Refusal, QuotaCharge>> charge(Arrival arrival, Duration wait) {
+        Workspace workspace = new Workspace(arrival.load().workspace());
+        return mServices.get(arrival.host()).charge(workspace, arrival.tokens(), wait);
+    }
+
+    void settle(int host, QuotaCharge charge) {
+        mServices.get(host).settle(charge, charge.tokens());
+    }
+
+    /** Returns the messages sent so far, heartbeats not counted. */
+    long messages() {
+        return mMessages;
+    }
+
+    private QuotaService start(String host) {
+        PeerExchange exchange =
+                new PeerExchange(
+                        host,
+                        "1",
+                        mLoop,
+                        (to, message) -> send(host, to, message),
+                        mRandom.nextLong() >>> 1,
+                        PeerTimes.DEFAULT.silence());
+        mExchanges.put(host, exchange);
+        mScheduler.schedulePeriodically(() -> beat(exchange), 0, 1, TimeUnit.SECONDS);
+        QuotaService service =
+                new QuotaService(
+                        host,
+                        mLoop,
+                        view(),
+                        exchange,
+                        shares(host),
+                        QuotaTimes.DEFAULT,
+                        () -> mRandom.nextLong() | 1,
+                        (event, fields) -> {});
+        service.start();
+        return service;
+    }
+
+    private void beat(PeerExchange exchange) {
+        Envelope.Builder beat = Envelope.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance());
+        mExchanges.keySet().forEach(to -> exchange.send(to, beat));
+        exchange.refreshLive();
+    }
+
+    private boolean send(String from, String to, Envelope message) {
+        if (from.equals(to) || mPolicy != Policy.OWNED_SHARES) {
+            return false;
+        }
+        mMessages += message.hasHeartbeat() ? 0 : 1;
+        boolean sameDomain = domain(from) == domain(to);
+        long delay = sameDomain ? mSetting.oneWayNanos() / 5 : mSetting.oneWayNanos();
+        PeerExchange receiver = mExchanges.get(to);
+        if (receiver == null) {
+            return false;
+        }
+        mScheduler.schedule(() -> receiver.receive(message), delay, TimeUnit.NANOSECONDS);
+        return true;
+    }
+
+    private int domain(String host) {
+        return Integer.parseInt(host.substring(host.indexOf('-') + 1)) % mSetting.domains();
+    }
+
+    private ShareView shares(String host) {
+        return new ShareView() {
+            @Override
+            public Map<String, Long> partsByHost() {
+                return mParts;
+            }
+
+            @Override
+            public long ownParts() {
+                return mParts.getOrDefault(host, 0L);
+            }
+        };
+    }
+
+    private ConfigurationView view() {
+        return new ConfigurationView() {
+            @Override
+            public Optional<Configuration> current() {
+                return Optional.of(mConfiguration);
+            }
+
+            @Override
+            public Flux<Configuration> changes() {
+                return Flux.empty();
+            }
+
+            @Override
+            public Duration age() {
+                return Duration.ZERO;
+            }
+        };
+    }
+
+    private static Configuration configuration(Setting setting) {
+        Map<String, Plan> plans = new HashMap<>();
+        Map<String, WorkspaceEntry> workspaces = new HashMap<>();
+        for (Load load : setting.loads()) {
+            String name = load.workspace();
+            plans.put(name, new Plan(name, Set.of(), Set.of(), load.rate(), load.burst()));
+            workspaces.put(name, new WorkspaceEntry(name, name, Set.of()));
+        }
+        return new Configuration(
+                1, plans, workspaces, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+    }
+
+    private static String name(int host) {
+        return "host-" + host;
+    }
+}
--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/quota/Policy.java
@@ -0,0 +1,18 @@
+package org.vanillaslip.internal.proofs.quota;
+
+/** Ways to keep a limit over several hosts. */
+enum Policy {
+    OWNED_SHARES("owned shares, expiring grants"),
+    EQUAL_SPLIT("equal split, no borrowing"),
+    NO_SHARING("no sharing");
+
+    private final String mTitle;
+
+    Policy(String title) {
+        mTitle = title;
+    }
+
+    String title() {
+        return mTitle;
+    }
+}
