--- a/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaLimit.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/QuotaLimit.java
@@ -16,7 +16,7 @@
     /** Larger bursts would overflow sums of units. */
     static final long MAX_TOKENS = Long.MAX_VALUE / 8 / UNITS_PER_TOKEN;
 
-    /** A host whose charges waited this long ago asks again before, if they still wait. */
+    /** Older unmet demand is ignored: a host with waiting charges asks again within 250 ms. */
     private static final long UNMET_NANOS = 500_000_000;
 
     private final String mName;
--- a/daemon/src/test/java/org/vanillaslip/internal/quota/QuotaServiceTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/QuotaServiceTest.java
@@ -222,6 +222,38 @@
         assertThat(charge("host-0", 1, 1200)).singleElement().matches(Either::isLeft);
     }
 
+    /** Each waiting charge holds memory, however small its amount is. */
+    @Test
+    void lineIsBoundedInCount() {
+        charge("host-0", 20, 45);
+        List<Either<Refusal, QuotaCharge>> refused = new ArrayList<>();
+        for (int i = 0; i < 600; i++) {
+            mServices
+                    .get("host-1")
+                    .charge(WORKSPACE, 1, Duration.ofSeconds(60))
+                    .subscribe(result -> result.swap().peek(refusal -> refused.add(result)));
+        }
+        mNetwork.advance(Duration.ofMillis(20));
+        assertThat(refused).hasSizeBetween(1, 600 - 256);
+    }
+
+    /** Hosts that each expect the whole refill for themselves would all wait in vain. */
+    @Test
+    void chargeCountsTheChargesThatWaitOnOtherHosts() {
+        charge("host-0", 20, 45);
+        for (String host : List.of("host-0", "host-1", "host-3")) {
+            mServices.get(host).charge(WORKSPACE, 200, Duration.ofSeconds(10)).subscribe();
+        }
+        mNetwork.advance(Duration.ofMillis(100));
+        List<Either<Refusal, QuotaCharge>> results = new ArrayList<>();
+        mServices
+                .get("host-2")
+                .charge(WORKSPACE, 60, Duration.ofSeconds(1))
+                .subscribe(results::add);
+        mNetwork.advance(Duration.ofMillis(100));
+        assertThat(results).singleElement().matches(Either::isLeft);
+    }
+
     private List<Either<Refusal, QuotaCharge>> chargeNow(String host, int times) {
         List<Either<Refusal, QuotaCharge>> results = new ArrayList<>();
         for (int i = 0; i < times; i++) {
