--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/ColdStartMeasure.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/ColdStartMeasure.java
@@ -30,12 +30,17 @@
             variants.addAll(KeepAliveVariant.baselines());
             List<ColdStartResult> results =
                     variants.parallelStream()
-                            .map(v -> ColdStartResult.measure(size, v, trace, mSeed))
+                            .map(v -> measure(size, v, trace))
                             .collect(Collectors.toList());
             print(size, results);
         }
     }
 
+    private ColdStartResult measure(
+            DeploymentSize size, KeepAliveVariant variant, List<Arrival> trace) {
+        return ColdStartResult.measure(size, variant, trace, TraceGenerator.DAY, mSeed);
+    }
+
     private void print(DeploymentSize size, List<ColdStartResult> results) {
         String own = KeepAliveVariant.chosen(size.idleWeight()).name();
         List<ColdStartResult> learned = results.subList(0, WEIGHTS.size());
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/ColdStartResult.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/ColdStartResult.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.proofs.measures;
 
+import java.time.Duration;
 import java.util.List;
 import org.HdrHistogram.Histogram;
 
@@ -33,11 +34,15 @@
                     + " | refused | refused at the deadline | most parallel remote loads |\n"
                     + "|---|---|---|---|---|---|---|---|---|---|---|";
 
-    /** Runs one rule over the trace. */
+    /** Runs one rule over the trace until the given virtual time. */
     static ColdStartResult measure(
-            DeploymentSize size, KeepAliveVariant variant, List<Arrival> trace, long seed) {
-        SimulatedDeployment deployment = new SimulatedDeployment(size, variant, seed);
-        deployment.run(trace, TraceGenerator.DAY.toNanos());
+            DeploymentSize size,
+            KeepAliveVariant variant,
+            List<Arrival> trace,
+            Duration duration,
+            long seed) {
+        SimulatedDeployment deployment = new SimulatedDeployment(size, variant, 0, seed);
+        deployment.run(trace, duration.toNanos());
         Histogram waits = new Histogram(3);
         deployment.requests().stream()
                 .filter(request -> request.mCold && request.mStartedNanos >= 0)
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/DomainChange.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/DomainChange.java
@@ -5,13 +5,14 @@
 
 /** How a failure domain leaves and returns. */
 enum DomainChange {
+    /** Nothing leaves. */
+    NONE("nothing leaves"),
     /** Operators drain the domain two minutes before it goes. */
-    DRAIN,
+    DRAIN("drain, 2 minutes' notice"),
     /** The domain goes without notice. */
-    LOSS;
+    LOSS("loss without notice");
 
-    static final Duration LEAVES = Duration.ofHours(11);
-    static final Duration RETURNS = Duration.ofHours(12);
+    static final Duration AWAY = Duration.ofHours(1);
 
     // The design leaves the load balancer open: it notices readiness within this time.
     private static final Duration ROUTING_DELAY = Duration.ofSeconds(5);
@@ -19,26 +20,38 @@
     private static final Duration NOTICE = Duration.ofMinutes(2);
     private static final int DOMAIN = 0;
 
-    /** Schedules the departure and the return of the first, largest domain. */
-    void schedule(SimulatedDeployment deployment) {
-        Duration gone = LEAVES;
+    private final String mText;
+
+    DomainChange(String text) {
+        mText = text;
+    }
+
+    String text() {
+        return mText;
+    }
+
+    /** Schedules the departure of the first, largest domain and its return. */
+    void schedule(SimulatedDeployment deployment, long leavesNanos) {
+        if (this == NONE) {
+            return;
+        }
+        EventQueue events = deployment.events();
+        long gone = leavesNanos;
         if (this == DRAIN) {
-            gone = LEAVES.plus(NOTICE);
-            at(deployment, LEAVES.plus(CONFIGURATION_DELAY), () -> deployment.drain(Set.of("d0")));
+            gone += NOTICE.toNanos();
+            events.at(
+                    leavesNanos + CONFIGURATION_DELAY.toNanos(),
+                    () -> deployment.drain(Set.of("d" + DOMAIN)));
         }
-        at(deployment, LEAVES.plus(ROUTING_DELAY), () -> deployment.route(DOMAIN, false));
-        at(deployment, gone, () -> deployment.domain(DOMAIN).lose());
-        at(
-                deployment,
-                RETURNS,
+        events.at(leavesNanos + ROUTING_DELAY.toNanos(), () -> deployment.route(DOMAIN, false));
+        events.at(gone, () -> deployment.domain(DOMAIN).lose());
+        long returns = leavesNanos + AWAY.toNanos();
+        events.at(
+                returns,
                 () -> {
                     deployment.drain(Set.of());
                     deployment.domain(DOMAIN).restore();
                 });
-        at(deployment, RETURNS.plus(ROUTING_DELAY), () -> deployment.route(DOMAIN, true));
-    }
-
-    private static void at(SimulatedDeployment deployment, Duration time, Runnable action) {
-        deployment.events().at(time.toNanos(), action);
+        events.at(returns + ROUTING_DELAY.toNanos(), () -> deployment.route(DOMAIN, true));
     }
 }
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/EventQueue.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/EventQueue.java
@@ -14,6 +14,10 @@
     private long mSequence;
     private long mNowNanos;
 
+    EventQueue(long startNanos) {
+        mNowNanos = startNanos;
+    }
+
     long nowNanos() {
         return mNowNanos;
     }
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/FailureDomainMeasure.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/FailureDomainMeasure.java
@@ -2,41 +2,33 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 import org.jfree.data.xy.XYSeries;
 import org.jfree.data.xy.XYSeriesCollection;
 
 /** Service before, while and after a failure domain is away. */
 final class FailureDomainMeasure {
 
-    private static final Duration STEP = Duration.ofMinutes(5);
-    private static final Duration FIRST_MINUTES = Duration.ofMinutes(5);
+    private static final int TRACES = 3;
+    private static final int STEP_MINUTES = 5;
 
-    private record Period(String name, Duration from, Duration to) {}
+    private record Period(String name, double from, double to) {}
 
     private static final List<Period> PERIODS =
             List.of(
-                    new Period("hour before", Duration.ofHours(10), DomainChange.LEAVES),
-                    new Period(
-                            "first 5 minutes away",
-                            DomainChange.LEAVES,
-                            DomainChange.LEAVES.plus(FIRST_MINUTES)),
-                    new Period(
-                            "rest of the hour away",
-                            DomainChange.LEAVES.plus(FIRST_MINUTES),
-                            DomainChange.RETURNS),
-                    new Period(
-                            "first 5 minutes back",
-                            DomainChange.RETURNS,
-                            DomainChange.RETURNS.plus(FIRST_MINUTES)),
-                    new Period(
-                            "rest of the hour back",
-                            DomainChange.RETURNS.plus(FIRST_MINUTES),
-                            Duration.ofHours(13)));
+                    new Period("hour before", -60, 0),
+                    new Period("first minute away", 0, 1),
+                    new Period("minutes 1 to 5 away", 1, 5),
+                    new Period("rest of the hour away", 5, 60),
+                    new Period("first 5 minutes back", 60, 65),
+                    new Period("rest of the hour back", 65, 120));
+
+    private record Result(DomainChange change, List<DomainSample> samples) {}
 
     private final long mSeed;
     private final PrintStream mOutput;
@@ -50,21 +42,15 @@
 
     void run() {
         for (DeploymentSize size : DeploymentSize.ALL) {
-            // The hour before the first period fills the servers.
-            List<Arrival> trace =
-                    new TraceGenerator(size, mSeed)
-                            .generate().stream()
-                                    .filter(a -> a.nanos() >= Duration.ofHours(9).toNanos())
-                                    .toList();
+            List<Result> results =
+                    Arrays.stream(DomainChange.values())
+                            .parallel()
+                            .map(change -> new Result(change, samples(size, change)))
+                            .collect(Collectors.toList());
             XYSeriesCollection series = new XYSeriesCollection();
-            List<SimulatedRequest> undisturbed = requests(size, trace, deployment -> {});
-            print(size, "nothing leaves", undisturbed);
-            series.addSeries(series("nothing leaves", undisturbed));
-            for (DomainChange change : DomainChange.values()) {
-                List<SimulatedRequest> requests = requests(size, trace, change::schedule);
-                String name = change == DomainChange.DRAIN ? "drain, 2 minutes' notice" : "loss";
-                print(size, name, requests);
-                series.addSeries(series(name, requests));
+            for (Result result : results) {
+                print(size, result);
+                series.addSeries(series(result));
             }
             Charts.shares(
                     size.name() + ": a failure domain is away from minute 0 to 60",
@@ -74,18 +60,17 @@
         }
     }
 
-    private List<SimulatedRequest> requests(
-            DeploymentSize size, List<Arrival> trace, Consumer<SimulatedDeployment> incident) {
-        KeepAliveVariant variant = KeepAliveVariant.chosen(size.idleWeight());
-        SimulatedDeployment deployment = new SimulatedDeployment(size, variant, mSeed);
-        incident.accept(deployment);
-        // Long enough for the last requests of the last period to meet their deadlines.
-        deployment.run(trace, Duration.ofMinutes(13 * 60 + 15).toNanos());
-        return deployment.requests();
+    /** Returns the samples of several traces, whose seeds follow one another. */
+    private List<DomainSample> samples(DeploymentSize size, DomainChange change) {
+        return LongStream.range(mSeed, mSeed + TRACES)
+                .parallel()
+                .mapToObj(seed -> DomainSample.measure(size, change, seed))
+                .flatMap(List::stream)
+                .collect(Collectors.toList());
     }
 
-    private void print(DeploymentSize size, String change, List<SimulatedRequest> requests) {
-        mOutput.println("\n" + size.name() + ", " + change + ":\n");
+    private void print(DeploymentSize size, Result result) {
+        mOutput.println("\n" + size.name() + ", " + result.change().text() + ":\n");
         StringBuilder header = new StringBuilder("| period | requests | all |");
         StringBuilder rule = new StringBuilder("|---|---|---|");
         for (String workspace : size.workspaces()) {
@@ -95,62 +80,48 @@
         mOutput.println(header.append(" refused | at the deadline | lost |"));
         mOutput.println(rule.append("---|---|---|"));
         for (Period period : PERIODS) {
-            mOutput.println(row(size, period, requests));
+            mOutput.println(row(size, in(result.samples(), period.from(), period.to()), period));
         }
     }
 
-    private static String row(DeploymentSize size, Period period, List<SimulatedRequest> requests) {
-        List<SimulatedRequest> inPeriod = in(requests, period.from(), period.to());
+    private static String row(DeploymentSize size, List<DomainSample> samples, Period period) {
         List<String> cells = new ArrayList<>();
         cells.add(period.name());
-        cells.add(Integer.toString(inPeriod.size()));
-        cells.add(share(inPeriod, request -> true));
+        cells.add(Integer.toString(samples.size()));
+        cells.add(share(samples, sample -> true));
         for (String workspace : size.workspaces()) {
-            cells.add(share(inPeriod, r -> r.mArrival.workspace().equals(workspace)));
+            cells.add(share(samples, s -> s.request().mArrival.workspace().equals(workspace)));
         }
-        cells.add(count(inPeriod, SimulatedRequest.End.REFUSED));
-        cells.add(count(inPeriod, SimulatedRequest.End.EXPIRED));
-        cells.add(count(inPeriod, SimulatedRequest.End.LOST));
+        cells.add(count(samples, SimulatedRequest.End.REFUSED));
+        cells.add(count(samples, SimulatedRequest.End.EXPIRED));
+        cells.add(count(samples, SimulatedRequest.End.LOST));
         return "| " + String.join(" | ", cells) + " |";
     }
 
-    private static String share(
-            List<SimulatedRequest> requests, Predicate<SimulatedRequest> selected) {
-        long all = requests.stream().filter(selected).count();
-        long answered = requests.stream().filter(selected).filter(r -> answered(r)).count();
+    private static String share(List<DomainSample> samples, Predicate<DomainSample> selected) {
+        long all = samples.stream().filter(selected).count();
+        long answered = samples.stream().filter(selected).filter(DomainSample::answered).count();
         return all == 0 ? "-" : String.format("%.1f%% of %d", 100.0 * answered / all, all);
     }
 
-    private static String count(List<SimulatedRequest> requests, SimulatedRequest.End end) {
-        return Long.toString(requests.stream().filter(request -> request.mEnd == end).count());
-    }
-
-    // A response starts before its deadline or not at all, so that every answer is in time.
-    private static boolean answered(SimulatedRequest request) {
-        return request.mEnd == SimulatedRequest.End.ANSWERED;
+    private static String count(List<DomainSample> samples, SimulatedRequest.End end) {
+        return Long.toString(samples.stream().filter(s -> s.request().mEnd == end).count());
     }
 
-    private static List<SimulatedRequest> in(
-            List<SimulatedRequest> requests, Duration from, Duration to) {
-        return requests.stream()
-                .filter(request -> request.mArrival.nanos() >= from.toNanos())
-                .filter(request -> request.mArrival.nanos() < to.toNanos())
+    private static List<DomainSample> in(List<DomainSample> samples, double from, double to) {
+        return samples.stream()
+                .filter(sample -> sample.minutes() >= from && sample.minutes() < to)
                 .toList();
     }
 
-    private static XYSeries series(String name, List<SimulatedRequest> requests) {
-        XYSeries series = new XYSeries(name);
-        Duration end = Duration.ofHours(13);
-        Duration from = Duration.ofHours(10);
-        while (from.compareTo(end) < 0) {
-            List<SimulatedRequest> part = in(requests, from, from.plus(STEP));
-            long answered = part.stream().filter(r -> answered(r)).count();
+    private static XYSeries series(Result result) {
+        XYSeries series = new XYSeries(result.change().text());
+        for (int from = -60; from < 120; from += STEP_MINUTES) {
+            List<DomainSample> part = in(result.samples(), from, from + STEP_MINUTES);
+            long answered = part.stream().filter(DomainSample::answered).count();
             if (!part.isEmpty()) {
-                series.add(
-                        from.minus(DomainChange.LEAVES).toMinutes(),
-                        100.0 * answered / part.size());
+                series.add(from, 100.0 * answered / part.size());
             }
-            from = from.plus(STEP);
         }
         return series;
     }
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/SimulatedDeployment.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/SimulatedDeployment.java
@@ -11,7 +11,7 @@
 /** A whole deployment in virtual time: failure domains, weight store, load balancer. */
 final class SimulatedDeployment {
 
-    private final EventQueue mEvents = new EventQueue();
+    private final EventQueue mEvents;
     private final List<SimulatedDomain> mDomains = new ArrayList<>();
     private final Set<Integer> mNotRouted = new HashSet<>();
     private final List<SimulatedRequest> mRequests = new ArrayList<>();
@@ -19,7 +19,8 @@
     private final WeightStore mWeights;
     private Configuration mConfiguration;
 
-    SimulatedDeployment(DeploymentSize size, KeepAliveVariant variant, long seed) {
+    SimulatedDeployment(DeploymentSize size, KeepAliveVariant variant, long startNanos, long seed) {
+        mEvents = new EventQueue(startNanos);
         mFleet = new Fleet(size, seed);
         mConfiguration = mFleet.configuration(1, Set.of());
         mWeights = new WeightStore(mEvents, size.weightStore());
