--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/ColdStartMeasure.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/ColdStartMeasure.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
@@ -13,11 +14,16 @@
     private static final List<Double> WEIGHTS = List.of(0.1, 0.3, 0.5, 0.7, 0.9);
 
     private final long mSeed;
+    private final Duration mStart;
+    private final Duration mEnd;
     private final PrintStream mOutput;
     private final Path mCharts;
 
-    ColdStartMeasure(long seed, PrintStream output, Path charts) {
+    /** Creates a measure of the whole day or of a part of it. */
+    ColdStartMeasure(long seed, Duration start, Duration end, PrintStream output, Path charts) {
         mSeed = seed;
+        mStart = start;
+        mEnd = end;
         mOutput = output;
         mCharts = charts;
     }
@@ -38,7 +44,7 @@
 
     private ColdStartResult measure(
             DeploymentSize size, KeepAliveVariant variant, List<Arrival> trace) {
-        return ColdStartResult.measure(size, variant, trace, TraceGenerator.DAY, mSeed);
+        return ColdStartResult.measure(size, variant, trace, mStart, mEnd, mSeed);
     }
 
     private void print(DeploymentSize size, List<ColdStartResult> results) {
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/ColdStartResult.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/ColdStartResult.java
@@ -34,15 +34,18 @@
                     + " | refused | refused at the deadline | most parallel remote loads |\n"
                     + "|---|---|---|---|---|---|---|---|---|---|---|";
 
-    /** Runs one rule over the trace until the given virtual time. */
+    /** Runs one rule over the trace between two virtual times. */
     static ColdStartResult measure(
             DeploymentSize size,
             KeepAliveVariant variant,
             List<Arrival> trace,
-            Duration duration,
+            Duration start,
+            Duration end,
             long seed) {
-        SimulatedDeployment deployment = new SimulatedDeployment(size, variant, 0, seed);
-        deployment.run(trace, duration.toNanos());
+        SimulatedDeployment deployment =
+                new SimulatedDeployment(size, variant, start.toNanos(), seed);
+        deployment.run(
+                trace.stream().filter(a -> a.nanos() >= start.toNanos()).toList(), end.toNanos());
         Histogram waits = new Histogram(3);
         deployment.requests().stream()
                 .filter(request -> request.mCold && request.mStartedNanos >= 0)
--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/measures/MeasureTest.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/measures/MeasureTest.java
@@ -30,6 +30,7 @@
                         DeploymentSize.HANBIT,
                         KeepAliveVariant.chosen(0.3),
                         firstHour,
+                        Duration.ZERO,
                         duration,
                         SEED);
         assertThat(result.requests()).isEqualTo(firstHour.size());
