--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/Charts.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/Charts.java
@@ -40,7 +40,7 @@
         JFreeChart chart =
                 ChartFactory.createScatterPlot(
                         deployment + ": cold requests against idle accelerator hours",
-                        "idle accelerator hours in a day",
+                        "idle accelerator hours",
                         "requests that met a cold model, %",
                         series,
                         PlotOrientation.VERTICAL,
