--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/ColdStartResult.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/ColdStartResult.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.proofs.measures;
 
+import java.time.Duration;
 import java.util.List;
 import org.HdrHistogram.Histogram;
 
@@ -33,11 +34,18 @@
                     + " | refused | refused at the deadline | most parallel remote loads |\n"
                     + "|---|---|---|---|---|---|---|---|---|---|---|";
 
-    /** Runs one rule over the trace. */
+    /** Runs one rule over the trace between two virtual times. */
     static ColdStartResult measure(
-            DeploymentSize size, KeepAliveVariant variant, List<Arrival> trace, long seed) {
-        SimulatedDeployment deployment = new SimulatedDeployment(size, variant, seed);
-        deployment.run(trace, TraceGenerator.DAY.toNanos());
+            DeploymentSize size,
+            KeepAliveVariant variant,
+            List<Arrival> trace,
+            Duration start,
+            Duration end,
+            long seed) {
+        SimulatedDeployment deployment =
+                new SimulatedDeployment(size, variant, start.toNanos(), seed);
+        deployment.run(
+                trace.stream().filter(a -> a.nanos() >= start.toNanos()).toList(), end.toNanos());
         Histogram waits = new Histogram(3);
         deployment.requests().stream()
                 .filter(request -> request.mCold && request.mStartedNanos >= 0)
