Release offline loads by void orders instead of memories of hosts

Cause: an offline load was released while an order for it could still arrive. A restarted host forgot its orders under way, a reclaimed host took that memory with it, and a server that restarts forgets the higher term that was taken as proof. The late answer to a read could also replace a newer record from a digest and bring withdrawn loads back.

Change: after the confirmations of all listed hosts the holder also needs the server's acceptance of a void order, the unload of no model under the number of the withdrawn load, which the server executes at most once per incarnation. OfflineOrders and the release by a higher term are removed. A read older than the last seen version is ignored.

--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/ActivationService.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/ActivationService.java
@@ -136,7 +136,6 @@
             return Activations.unreachable(model);
         }
         Optional<Order> order = OfflineExecutor.order(runtime, model, mReports);
-        order.ifPresent(runtime::sentOffline);
         order.ifPresent(mOfflineOrders);
         return order.flatMap(load -> mShards.model(model))
                 .<Either<Refusal, Duration>>map(m -> Either.right(m.loadTimes().fromRemote()))
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
@@ -167,8 +167,8 @@
     }
 
     private void answered(BackendServer server, Order order, OrderOutcome outcome) {
-        if (outcome != OrderOutcome.UNKNOWN) {
-            mShards.get(server.controlShard()).answeredOffline(order);
+        if (outcome == OrderOutcome.ACCEPTED) {
+            mShards.get(server.controlShard()).accepted(order);
         }
         mPoller.pollIfDue(server, PollPlan.TICK);
     }
@@ -214,7 +214,7 @@
 
     private void confirm(String sender, String name, ShardRuntime shard) {
         boolean shrinking = shard.record().offline().stream().anyMatch(load -> !load.inForce());
-        if (shrinking && shard.offlineOrders().mayConfirm()) {
+        if (shrinking) {
             if (sender.equals(mContexts.host())) {
                 shard.confirmed(sender, shard.version());
             } else {
@@ -246,8 +246,6 @@
         ShardRuntime shard = mShards.get(server.controlShard());
         if (shard.holds()) {
             mPoller.pollIfDue(server, PollPlan.interval(shard.record(), server.name()));
-        } else if (shard.offlineOrders().concerns(server.name())) {
-            mPoller.pollIfDue(server, PollPlan.STEADY);
         } else if (silentFor(server.controlShard(), DIGEST_SILENCE)) {
             mPoller.pollIfDue(server, PollPlan.FALLBACK);
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardRuntime.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardRuntime.java
@@ -9,7 +9,6 @@
 import org.vanillaslip.Refusal;
 import org.vanillaslip.internal.placement.ActivationEstimate;
 import org.vanillaslip.internal.placement.ListShards;
-import org.vanillaslip.internal.placement.OfflineOrders;
 import org.vanillaslip.internal.placement.Order;
 import org.vanillaslip.internal.placement.PublishRecord;
 import org.vanillaslip.internal.placement.ReadObject;
@@ -38,7 +37,6 @@
     private final Supplier<Optional<ShardContext>> mContext;
     private final ShardListener mListener;
     private ShardState mState;
-    private OfflineOrders mOfflineOrders = OfflineOrders.none();
     private boolean mPlatformReachable = true;
 
     ShardRuntime(
@@ -84,22 +82,12 @@
         step(context -> mMachine.tick(mState, context, now()));
     }
 
-    /** Notes an order of the offline placement set; its outcome comes from a report. */
-    void sentOffline(Order order) {
-        mOfflineOrders = mOfflineOrders.sent(order, now());
-    }
-
-    /** Notes that the server has answered an order of the offline placement set. */
-    void answeredOffline(Order order) {
-        mOfflineOrders = mOfflineOrders.answered(order);
-    }
-
-    OfflineOrders offlineOrders() {
-        return mOfflineOrders;
+    /** Notes that the server has accepted an order. */
+    void accepted(Order order) {
+        mState = mMachine.accepted(mState, order, now());
     }
 
     void reported(ServerReport report) {
-        mOfflineOrders = mOfflineOrders.reported(report);
         step(context -> mMachine.reported(mState, context, report, now()));
     }
 
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/OfflinePlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/OfflinePlan.java
@@ -61,14 +61,16 @@
                 .isPresent();
     }
 
-    // A load may have been carried out before its withdrawal was confirmed, so that only a later
-    // report shows whether its memory is free.
+    // After the confirmations no host sends the load any more, and the void order stops those that
+    // were sent before, also by hosts that have restarted or are gone. A higher term would not be
+    // enough: a server that restarts forgets it and takes the load from a partitioned host.
     private boolean released(OfflineLoad load) {
         return mState.reports()
                 .get(load.server())
                 .exists(
                         report ->
-                                (confirmed(load, report) || fenced(load, report))
+                                confirmed(load, report)
+                                        && voided(load, report)
                                         && !resident(load, report));
     }
 
@@ -81,10 +83,9 @@
                                         .exists(c -> c.precedes(report, load.retiredVersion())));
     }
 
-    private boolean fenced(OfflineLoad load, ServerReport report) {
-        return mDraft.context().server(load.server()).filter(s -> s.checksFencing()).isPresent()
-                && load.term() < mState.lease().term()
-                && report.highestTerm() >= mState.lease().term();
+    private boolean voided(OfflineLoad load, ServerReport report) {
+        return report.refused().contains(load.decision())
+                || mState.orders().voids().get(load.decision()).exists(v -> v.precedes(report));
     }
 
     private boolean resident(OfflineLoad load, ServerReport report) {
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/OrderPlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/OrderPlan.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.placement;
 
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -27,9 +28,28 @@
             }
         }
         mContext.servers().forEach(server -> fence(server).ifPresent(orders::add));
+        mState.record().offline().stream()
+                .filter(load -> !load.inForce())
+                .forEach(load -> voiding(load).ifPresent(orders::add));
         return orders;
     }
 
+    private Optional<Order> voiding(OfflineLoad load) {
+        Option<VoidOrder> last = mState.orders().voids().get(load.decision());
+        return mState.reports()
+                .get(load.server())
+                .toJavaOptional()
+                .filter(report -> !report.refused().contains(load.decision()))
+                .filter(
+                        report ->
+                                last.forAll(
+                                        v ->
+                                                !v.incarnation().equals(report.incarnation())
+                                                        || v.answeredNanos() == Long.MAX_VALUE
+                                                                && due(v.sentNanos())))
+                .map(report -> withoutModel(OrderAction.VOID, load.decision(), report));
+    }
+
     private Optional<Order> order(Placement placement, BackendServer server) {
         // An older order on a server that checks terms is settled by a fence order instead: it may
         // have been refused already, and sending it again would make it unresolved once more.
@@ -58,27 +78,24 @@
     private Optional<Order> fence(BackendServer server) {
         boolean needed =
                 mState.record().placements().stream()
-                                .filter(p -> p.server().equals(server.name()) && p.unresolved())
-                                .anyMatch(p -> p.term() < mState.lease().term())
-                        || mState.record().offline().stream()
-                                .filter(l -> l.server().equals(server.name()) && !l.inForce())
-                                .anyMatch(l -> l.term() < mState.lease().term());
+                        .filter(p -> p.server().equals(server.name()) && p.unresolved())
+                        .anyMatch(p -> p.term() < mState.lease().term());
         Long sentAt = mState.orders().fencedAt().getOrElse(server.name(), Long.MIN_VALUE);
         return mState.reports()
                 .get(server.name())
                 .toJavaOptional()
                 .filter(report -> needed && server.checksFencing() && due(sentAt))
                 .filter(report -> report.highestTerm() < mState.lease().term())
-                .map(report -> fence(server, report));
+                .map(report -> withoutModel(OrderAction.FENCE, 0, report));
     }
 
-    private Order fence(BackendServer server, ServerReport report) {
+    private Order withoutModel(OrderAction action, long decision, ServerReport report) {
         return new Order(
-                0,
+                decision,
                 mState.lease().term(),
-                server.name(),
+                report.server(),
                 report.incarnation(),
-                OrderAction.FENCE,
+                action,
                 "",
                 "",
                 "",
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/ShardMachine.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ShardMachine.java
@@ -39,6 +39,10 @@
         Option<PendingWrite> own = state.writes().find(record.lease().nonce());
         if (own.isDefined()) {
             return committed(next, context, own.get(), version, now);
+        } else if (version > 0 && version < state.lease().version()) {
+            // A digest was faster than this read; the older record may name withdrawn loads.
+            return advance(
+                    state.withWrites(state.writes().seen(state.lease().version())), context, now);
         }
         return observed(next, context, version, record, now);
     }
@@ -91,6 +95,13 @@
         return older ? ShardStep.of(state) : advance(state.withReport(report), context, nowNanos);
     }
 
+    /** Takes the acceptance of an order; only void orders have no outcome in reports. */
+    public ShardState accepted(ShardState state, Order order, long nowNanos) {
+        return order.action() == OrderAction.VOID
+                ? state.withOrders(state.orders().voided(order, nowNanos))
+                : state;
+    }
+
     /** Takes a request that waits for a model until the given time. */
     public ShardStep wanted(
             ShardState state, ShardContext context, ModelName model, long untilNanos, long now) {
@@ -126,7 +137,7 @@
         ShardState next =
                 state.withLease(lease)
                         .withRecord(record)
-                        .withOrders(state.orders().learned(record.placements(), now));
+                        .withOrders(state.orders().learned(record, now));
         List<ShardAction> actions = new ArrayList<>();
         if (state.lease().holding() && !lease.holding()) {
             String reason = "held by " + record.lease().holder();
@@ -146,7 +157,7 @@
                                         .written(version, record.lease(), write.sentNanos(), now))
                         .withRecord(record)
                         .withWrites(state.writes().answered(version))
-                        .withOrders(orders.learned(record.placements(), now));
+                        .withOrders(orders.learned(record, now));
         List<ShardAction> actions = new ArrayList<>();
         write.notices().forEach(notice -> actions.add(new Report(notice)));
         actions.add(new PublishRecord(version, record));
