Divide the weight store limits over failure domains and shards

Cause: every control shard used the loads per second, the parallel loads and the adapter loads in flight of the whole fleet, and the loads per second only fed the estimate and bounded no start.

Change: a shard uses its equal part of its failure domain's equal part, at least one parallel load and one adapter load, without any message. A remote load starts only when the shard's part of the rate has passed since its last start. The cost: idle shards lend nothing, a load from disk or an adopted one delays the next remote start too, and a fleet with more shards than parallel loads can exceed the parallel limit.

--- a/decisions/src/main/java/org/vanillaslip/internal/placement/LoadPlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/LoadPlan.java
@@ -12,12 +12,15 @@
     private final ShardState mState;
     private final ServerChoice mChoice;
     private final UnloadPlan mUnloads;
+    private final long mNowNanos;
 
-    LoadPlan(Draft draft, ShardState state, ServerChoice choice, UnloadPlan unloads) {
+    LoadPlan(
+            Draft draft, ShardState state, ServerChoice choice, UnloadPlan unloads, long nowNanos) {
         mDraft = draft;
         mState = state;
         mChoice = choice;
         mUnloads = unloads;
+        mNowNanos = nowNanos;
     }
 
     /** Decides loads, those whose callers wait shortest first. */
@@ -77,13 +80,22 @@
     private void loadIfStoreAdmits(Model model, BackendServer server) {
         String place = mChoice.place(model, server.name());
         int inFlight = mChoice.remoteLoads(mDraft.record());
-        boolean admitted = mDraft.context().settings().weightStore().admits(inFlight);
+        boolean admitted = mDraft.context().weightStore().admits(inFlight) && mayStart();
         if (!place.equals("remote") || admitted) {
             mChoice.report(server.name())
                     .ifPresent(report -> mDraft.load(report, model, "", "wanted, from " + place));
         }
     }
 
+    // Where a loaded model came from is no longer known, so that every load counts as a start.
+    private boolean mayStart() {
+        long distance = mDraft.context().weightStore().startDistanceNanos();
+        return mDraft.placements().stream()
+                .filter(p -> p.adapter().isEmpty() && p.stage() != PlacementStage.UNLOAD_ORDERED)
+                .map(p -> mState.orders().knownSince().getOrElse(p.decision(), mNowNanos))
+                .allMatch(since -> mNowNanos - since >= distance);
+    }
+
     private void placeAdapter(ModelName name, Model model, String adapter) {
         boolean placed =
                 mDraft.find(p -> p.isFor(model.name(), model.version(), adapter) && usable(p))
@@ -118,7 +130,7 @@
     }
 
     private int adapterLimit() {
-        return mDraft.context().settings().weightStore().adaptersInFlight();
+        return mDraft.context().weightStore().adaptersInFlight();
     }
 
     private long adaptersInFlight() {
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/PlacementPlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/PlacementPlan.java
@@ -20,7 +20,7 @@
             unloads.apply();
             mWaiting = new AllowancePlan(mDraft, state).apply();
             ServerChoice choice = new ServerChoice(state, context, nowNanos);
-            new LoadPlan(mDraft, state, choice, unloads).apply();
+            new LoadPlan(mDraft, state, choice, unloads, nowNanos).apply();
             new OfflinePlan(mDraft, state).apply();
         } else {
             mWaiting = false;
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/ServerChoice.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ServerChoice.java
@@ -39,8 +39,7 @@
             case "disk":
                 return model.loadTimes().fromDisk();
             default:
-                return mContext.settings()
-                        .weightStore()
+                return mContext.weightStore()
                         .finish(remoteLoads(record), model.loadTimes().fromRemote());
         }
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/ShardContext.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ShardContext.java
@@ -24,6 +24,22 @@
         Configuration configuration,
         PlacementSettings settings) {
 
+    /** Returns this shard's fixed part of the fleet's weight store limits. */
+    public WeightStoreQueue weightStore() {
+        List<BackendServer> engines =
+                configuration.backendServers().values().stream()
+                        .filter(server -> server.kind() == BackendKind.MODEL_ENGINE)
+                        .toList();
+        long domains = engines.stream().map(BackendServer::failureDomain).distinct().count();
+        long shards =
+                engines.stream()
+                        .filter(server -> server.failureDomain().equals(failureDomain))
+                        .map(BackendServer::controlShard)
+                        .distinct()
+                        .count();
+        return settings.weightStore().part((int) Math.max(1, domains), (int) Math.max(1, shards));
+    }
+
     /** Returns the model engines of this shard. */
     public List<BackendServer> servers() {
         return configuration.backendServers().values().stream()
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/WeightStoreQueue.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/WeightStoreQueue.java
@@ -11,6 +11,24 @@
  */
 public record WeightStoreQueue(double startsPerSecond, int parallel, int adaptersInFlight) {
 
+    /**
+     * Returns the part of one control shard. It is fixed, so that no message is needed and a
+     * partitioned domain keeps its part; idle shards lend nothing to busy ones. Every shard may run
+     * one load, so a fleet with more shards than parallel loads can exceed the parallel limit.
+     */
+    public WeightStoreQueue part(int domains, int shardsOfDomain) {
+        int parts = domains * shardsOfDomain;
+        return new WeightStoreQueue(
+                startsPerSecond / parts,
+                Math.max(1, parallel / parts),
+                Math.max(1, adaptersInFlight / parts));
+    }
+
+    /** Returns the shortest time between two starts. */
+    public long startDistanceNanos() {
+        return (long) (1e9 / startsPerSecond);
+    }
+
     /** Returns the time until a load that is queued behind the given number has finished. */
     public Duration finish(int ahead, Duration load) {
         double startWait = ahead / startsPerSecond;
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/placement/OrderResolutionTest.java
@@ -0,0 +1,34 @@
+package org.vanillaslip.internal.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards replicas-as-decided against old reports that a host still has when it takes a lease. */
+class OrderResolutionTest {
+
+    @ParameterizedTest
+    @CsvSource({
+        "LOADED, 9, s#1, true",
+        "LOADED, 9, s#0, true",
+        "LOAD_ORDERED, 9, s#0, true",
+        "UNLOAD_ORDERED, 9, s#1, true",
+        "LOADED, 10, s#1, false",
+        "LOAD_ORDERED, 10, s#1, true",
+        "LOAD_ORDERED, 10, s#2, false",
+        "UNLOAD_ORDERED, 10, s#1, false"
+    })
+    void aReportSaysNothingAboutADecisionThatWasNotKnownWhenItWasAskedFor(
+            PlacementStage stage, long asked, String incarnation, boolean stays) {
+        Placement placement = new Placement(7, 1, "s", "s#1", "m", "1", "", 60, stage);
+        ServerReport report =
+                new ServerReport("s", incarnation, 1, 0, List.of(), Map.of(), Set.of(), asked);
+        assertThat(new OrderResolution(report, false, 1, d -> 10).resolve(placement).isPresent())
+                .as("%s by a report of %s asked for at %d, known at 10", stage, incarnation, asked)
+                .isEqualTo(stays);
+    }
+}
--- a/decisions/src/test/java/org/vanillaslip/internal/placement/ShardSimulation.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/placement/ShardSimulation.java
@@ -32,6 +32,8 @@
     private long mNowNanos;
     private final Set<String> mLoaded = new HashSet<>();
     final List<Order> mLoadOrders = new ArrayList<>();
+    final List<Long> mLoadStarts = new ArrayList<>();
+    private final Set<Long> mStarted = new HashSet<>();
     int mOrders;
 
     ShardSimulation(FaultKind fault, int faultStep, long seed) {
@@ -160,6 +162,9 @@
         } else if (action instanceof SendOrder) {
             mOrders++;
             Order order = ((SendOrder) action).order();
+            if (order.action() == OrderAction.LOAD && mStarted.add(order.decision())) {
+                mLoadStarts.add(mNowNanos);
+            }
             Runnable delivery =
                     () -> {
                         if (execute(order)) {
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/placement/WeightStoreLimitTest.java
@@ -0,0 +1,40 @@
+package org.vanillaslip.internal.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards the fleet's weight store limits against shards that each use all of them. */
+class WeightStoreLimitTest {
+
+    @ParameterizedTest
+    @CsvSource({"1, 1, 6.0, 4, 32", "3, 1, 2.0, 1, 10", "2, 2, 1.5, 1, 8", "7, 10, 0.0857, 1, 1"})
+    void eachShardGetsAnEqualPartOfItsDomainsEqualPart(
+            int domains, int shards, double starts, int parallel, int adapters) {
+        WeightStoreQueue part = new WeightStoreQueue(6, 4, 32).part(domains, shards);
+        assertThat(part.startsPerSecond()).isCloseTo(starts, within(0.0001));
+        assertThat(part.parallel()).isEqualTo(parallel);
+        assertThat(part.adaptersInFlight()).isEqualTo(adapters);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void loadStartsKeepTheDistanceThatTheRateAllows(long seed) {
+        ShardSimulation simulation = new ShardSimulation(FaultKind.NONE, 0, seed);
+        simulation.run(2);
+        List.of("a", "c", "d").forEach(simulation::want);
+        simulation.run(8);
+        List<Long> starts = simulation.mLoadStarts;
+        assertThat(starts).as("both servers are used").hasSizeGreaterThan(1);
+        for (int i = 1; i < starts.size(); i++) {
+            Duration distance = Duration.ofNanos(starts.get(i) - starts.get(i - 1));
+            // The fastest clock gains 1%.
+            assertThat(distance).isGreaterThanOrEqualTo(Duration.ofMillis(198));
+        }
+    }
+}
