--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Caller.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Caller.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /** An HTTP client that plays a caller or an operator's probe. */
 public final class Caller {
@@ -36,8 +37,33 @@
      */
     public CallerResponse postWithRetry(
             String address, String path, Map<String, String> headers, String body) {
+        return postWhile(response -> response.status() == 429, address, path, headers, body);
+    }
+
+    /**
+     * Sends a POST, and again after the time in Retry-After while it is refused for now, as a
+     * caller does that wants the answer even when a model is just being unloaded.
+     */
+    public CallerResponse postUntilServed(
+            String address, String path, Map<String, String> headers, String body) {
+        return postWhile(
+                response ->
+                        response.status() == 429
+                                || (response.status() == 503 && response.retryAfter().isPresent()),
+                address,
+                path,
+                headers,
+                body);
+    }
+
+    private CallerResponse postWhile(
+            Predicate<CallerResponse> refused,
+            String address,
+            String path,
+            Map<String, String> headers,
+            String body) {
         CallerResponse response = post(address, path, headers, body);
-        for (int i = 0; i < MOST_RETRIES && response.status() == 429; i++) {
+        for (int i = 0; i < MOST_RETRIES && refused.test(response); i++) {
             long seconds = response.retryAfter().map(Long::parseLong).orElse(1L);
             CompletableFuture.runAsync(
                             () -> {}, CompletableFuture.delayedExecutor(seconds, TimeUnit.SECONDS))
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Deployment.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Deployment.java
@@ -40,6 +40,7 @@
     private final Map<String, JavaProcess> mBackendServers = new LinkedHashMap<>();
     private final Map<String, String> mBackendAddresses = new LinkedHashMap<>();
     private final List<JavaProcess> mProcesses = new ArrayList<>();
+    private int mCommands;
 
     private Deployment(Path directory, String classPath) {
         mDirectory = directory;
@@ -79,6 +80,16 @@
         return Optional.ofNullable(mBackendServers.get(name)).orElseThrow();
     }
 
+    /** Returns the names of all backend servers. */
+    public List<String> backendServerNames() {
+        return List.copyOf(mBackendServers.keySet());
+    }
+
+    /** Returns the directory of settings, lists and logs. */
+    public Path directory() {
+        return mDirectory;
+    }
+
     /** Returns the address of the platform's object API. */
     public String platformAddress() {
         return mPlatformAddress;
@@ -91,27 +102,41 @@
 
     /** Runs the operators' command-line tool and returns what it printed. */
     public String operate(String... arguments) {
+        CommandOutcome outcome = command(arguments);
+        if (outcome.exitCode() != 0) {
+            throw new IllegalStateException(
+                    "command failed with exit code "
+                            + outcome.exitCode()
+                            + ":\n"
+                            + outcome.output());
+        }
+        return outcome.output();
+    }
+
+    /** Runs the operators' command-line tool to its end, also when it fails. */
+    public CommandOutcome command(String... arguments) {
+        JavaProcess process = startCommand(arguments);
+        await("the command " + String.join(" ", arguments), () -> !process.isAlive());
+        return new CommandOutcome(process.stop(), process.output());
+    }
+
+    /** Starts the operators' command-line tool without waiting for its end. */
+    public JavaProcess startCommand(String... arguments) {
         List<String> all = new ArrayList<>(List.of(arguments));
         all.add("--platform");
         all.add(mPlatformAddress);
         Path outputDirectory = mDirectory.resolve("commands");
         createDirectory(outputDirectory);
-        String name = "command-" + System.identityHashCode(all) + "-" + arguments[0];
         JavaProcess process =
                 JavaProcess.start(
-                        name,
+                        "command-" + ++mCommands + "-" + arguments[0],
                         mClassPath,
                         MainClasses.COMMAND_LINE,
                         STAND_IN_HEAP,
                         outputDirectory,
                         all);
-        await("the command " + String.join(" ", arguments), () -> !process.isAlive());
-        int exitCode = process.stop();
-        if (exitCode != 0) {
-            throw new IllegalStateException(
-                    "command failed with exit code " + exitCode + ":\n" + process.output());
-        }
-        return process.output();
+        mProcesses.add(process);
+        return process;
     }
 
     /** Starts a host again after it was stopped or killed. */
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/JavaProcess.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/JavaProcess.java
@@ -89,6 +89,11 @@
         awaitExit();
     }
 
+    /** Asks the process to stop and returns at once. */
+    public void requestStop() {
+        mProcess.destroy();
+    }
+
     /** Asks the process to stop and returns its exit code, or kills it after a bound. */
     public int stop() {
         mProcess.destroy();
--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Observations.java
@@ -0,0 +1,145 @@
+package org.vanillaslip.internal.proofs.processes;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Reads what the stand-ins and the platform of a deployment saw. */
+public final class Observations {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Deployment mDeployment;
+
+    /** Creates observations of one deployment. */
+    public Observations(Deployment deployment) {
+        mDeployment = deployment;
+    }
+
+    /** Returns how often the services together executed the booking. */
+    public int executions(String bookingReference) {
+        return serviceNames().stream()
+                .mapToInt(name -> page(name, "/executions").path(bookingReference).asInt(0))
+                .sum();
+    }
+
+    /** Returns everything that engines and services received, one text for each server. */
+    public List<String> received() {
+        List<String> texts = new ArrayList<>();
+        engineNames().forEach(name -> texts.add(page(name, "/received").toString()));
+        serviceNames().forEach(name -> texts.add(page(name, "/records").toString()));
+        return texts;
+    }
+
+    /** Returns the number of calls and orders that a backend server received. */
+    public int callsTo(String server) {
+        return isEngine(server)
+                ? (int) texts(page(server, "/received")).filter("/v1/completions"::equals).count()
+                : page(server, "/records").size();
+    }
+
+    /** Returns the orders that engines report as faults of the caller. */
+    public List<String> violations() {
+        return engineNames().stream()
+                .flatMap(name -> texts(page(name, "/v1/status").path("violations")))
+                .toList();
+    }
+
+    /** Returns in which state a model without adapter is on an engine, or an empty text. */
+    public String modelState(String engine, String model) {
+        for (JsonNode resident : page(engine, "/v1/status").path("resident")) {
+            if (resident.path("model").asText().equals(model)
+                    && resident.path("adapter").asText().isEmpty()) {
+                return resident.path("state").asText();
+            }
+        }
+        return "";
+    }
+
+    /** Returns the number of resident replicas of a model on engines of the failure domain. */
+    public int replicas(String failureDomain, String model) {
+        return (int)
+                engineNames().stream()
+                        .filter(name -> name.endsWith("-" + failureDomain))
+                        .flatMap(name -> stream(page(name, "/v1/status").path("resident")))
+                        .filter(resident -> resident.path("model").asText().equals(model))
+                        .filter(resident -> resident.path("adapter").asText().isEmpty())
+                        .count();
+    }
+
+    /** Returns the name of the host that holds the lease of a control shard, or an empty text. */
+    public String leaseHolder(String shard) {
+        return lease(shard).path("holder").asText("");
+    }
+
+    /** Returns the term of the lease of a control shard. */
+    public long leaseTerm(String shard) {
+        return lease(shard).path("term").asLong();
+    }
+
+    /** Returns the highest version of the configuration items on the platform. */
+    public long configurationVersion() {
+        return stream(platform("configuration").path("items"))
+                .mapToLong(item -> item.path("metadata").path("resourceVersion").asLong())
+                .max()
+                .orElseThrow();
+    }
+
+    /** Returns the configuration version that a host has put in force. */
+    public long configurationVersion(HostProcess host) {
+        return json(mDeployment.caller().get(host.gatewayAddress(), "/status").body())
+                .path("configuration_version")
+                .asLong();
+    }
+
+    /** Returns a text as JSON; an empty text is a missing node. */
+    public static JsonNode json(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private JsonNode lease(String shard) {
+        return platform("controlshards/" + shard).path("spec").path("lease");
+    }
+
+    private JsonNode platform(String path) {
+        return json(
+                mDeployment
+                        .caller()
+                        .get(mDeployment.platformAddress(), "/apis/vanillaslip.org/v1/" + path)
+                        .body());
+    }
+
+    private JsonNode page(String server, String path) {
+        return json(mDeployment.caller().get(mDeployment.backendAddress(server), path).body());
+    }
+
+    private List<String> engineNames() {
+        return mDeployment.backendServerNames().stream().filter(Observations::isEngine).toList();
+    }
+
+    private List<String> serviceNames() {
+        return mDeployment.backendServerNames().stream().filter(name -> !isEngine(name)).toList();
+    }
+
+    private static boolean isEngine(String server) {
+        return server.startsWith("engine");
+    }
+
+    private static Stream<JsonNode> stream(JsonNode array) {
+        List<JsonNode> elements = new ArrayList<>();
+        array.forEach(elements::add);
+        return elements.stream();
+    }
+
+    private static Stream<String> texts(JsonNode array) {
+        return stream(array).map(JsonNode::asText);
+    }
+}
