--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/ActivationService.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/ActivationService.java
@@ -28,6 +28,8 @@
     private final Predicate<String> mHolderSilent;
     private final Function<String, Optional<EngineStatus>> mReports;
     private final Consumer<Order> mOfflineOrders;
+    private final RemoteDomains mRemote;
+    private final LoadedReplicas mLoaded;
     private final WantedModels mWanted = new WantedModels();
 
     /**
@@ -36,6 +38,8 @@
      * @param holderSilent whether a shard's holder has been silent for its whole validity
      * @param reports this host's last own report of a server
      * @param offlineOrders sends an order of the offline placement set
+     * @param remote other failure domains, asked when this one cannot serve a model
+     * @param loaded describes the replicas of this failure domain to others
      */
     ActivationService(
             DecisionLoop loop,
@@ -44,7 +48,9 @@
             PeerLinks peers,
             Predicate<String> holderSilent,
             Function<String, Optional<EngineStatus>> reports,
-            Consumer<Order> offlineOrders) {
+            Consumer<Order> offlineOrders,
+            RemoteDomains remote,
+            LoadedReplicas loaded) {
         mLoop = loop;
         mContexts = contexts;
         mShards = shards;
@@ -53,6 +59,8 @@
         mHolderSilent = holderSilent;
         mReports = reports;
         mOfflineOrders = offlineOrders;
+        mRemote = remote;
+        mLoaded = loaded;
     }
 
     void arrived(ModelName model) {
@@ -69,30 +77,70 @@
         } else if (mShards.model(model).isEmpty()) {
             return refuse(ResultCode.UNKNOWN_MODEL, model.toString());
         }
-        Optional<String> shard = mShards.shardOf(model);
-        if (shard.isEmpty()) {
-            String detail = "model " + model + ": no replica is decided for this failure domain";
-            return refuse(ResultCode.NO_BACKEND_SERVER, detail);
-        }
         mWanted.want(model, mLoop.clock().nowNanos() + wait.toNanos());
-        return request(shard.get(), model, wait);
+        return anywhere(model, wait);
+    }
+
+    /** Asks the own failure domain first, and others when it cannot serve the model. */
+    private Mono<Either<Refusal, Duration>> anywhere(ModelName model, Duration wait) {
+        return here(model, wait)
+                .flatMap(
+                        answer ->
+                                noServer(answer)
+                                        ? mRemote.activate(model, wait)
+                                                .map(other -> other.isRight() ? other : answer)
+                                        : Mono.just(answer));
+    }
+
+    private Mono<Either<Refusal, Duration>> here(ModelName model, Duration wait) {
+        return mShards.usableShardOf(model)
+                .map(shard -> request(shard, model, wait))
+                .orElseGet(
+                        () ->
+                                refuse(
+                                        ResultCode.NO_BACKEND_SERVER,
+                                        "model " + model + ": no server here may load it"));
+    }
+
+    private static boolean noServer(Either<Refusal, Duration> answer) {
+        return answer.isLeft() && answer.getLeft().code() == ResultCode.NO_BACKEND_SERVER;
     }
 
     /** Answers a request of another host. */
     Mono<Envelope.Builder> handle(Envelope envelope) {
         ActivationRequest request = envelope.getActivationRequest();
         ModelName model = ActivationMessages.model(request);
+        int arrivals = Math.min(request.getArrivals(), PollPlan.MOST_ARRIVALS);
+        Duration wait = Duration.ofMillis(request.getWaitMillis());
+        return mContexts.isRemote(envelope.getSender())
+                ? handleRemote(model, wait, arrivals)
+                : handleLocal(model, wait, arrivals);
+    }
+
+    private Mono<Envelope.Builder> handleLocal(ModelName model, Duration wait, int arrivals) {
         Optional<String> shard = mShards.shardOf(model);
         if (shard.isEmpty() || !mShards.get(shard.get()).holds()) {
             return Mono.just(ActivationMessages.reply(Activations.unreachable(model)));
         }
-        int arrivals = Math.min(request.getArrivals(), PollPlan.MOST_ARRIVALS);
         mShards.get(shard.get()).arrived(model, arrivals);
-        if (request.getWaitMillis() == 0) {
+        return wait.isZero()
+                ? Mono.empty()
+                : Mono.just(ActivationMessages.reply(accept(shard.get(), model, wait)));
+    }
+
+    /** A host of another failure domain may ask any host here, not only the lease holder. */
+    private Mono<Envelope.Builder> handleRemote(ModelName model, Duration wait, int arrivals) {
+        if (wait.isZero()) {
+            forwardHere(model, arrivals);
             return Mono.empty();
         }
-        Duration wait = Duration.ofMillis(request.getWaitMillis());
-        return Mono.just(ActivationMessages.reply(accept(shard.get(), model, wait)));
+        return here(model, wait)
+                .map(
+                        answer -> {
+                            Envelope.Builder reply = ActivationMessages.reply(answer);
+                            reply.getActivationReplyBuilder().addAllReplicas(mLoaded.of(model));
+                            return reply;
+                        });
     }
 
     /** Sends arrivals to the holders, and asks again for models that requests still wait for. */
@@ -102,7 +150,7 @@
         for (ModelName model : mWanted.wanted(now)) {
             // A new holder does not know what its predecessor was asked for.
             Duration left = Duration.ofNanos(mWanted.untilNanos(model) - now);
-            mShards.shardOf(model).ifPresent(s -> request(s, model, left).subscribe());
+            anywhere(model, left).subscribe();
         }
     }
 
@@ -143,18 +191,31 @@
     }
 
     private void forward(ModelName model, int arrivals) {
-        Optional<String> shard = mShards.shardOf(model);
-        if (shard.isEmpty()) {
-            return;
-        }
-        ShardRuntime runtime = mShards.get(shard.get());
-        if (runtime.holds()) {
-            runtime.arrived(model, Math.min(arrivals, PollPlan.MOST_ARRIVALS));
+        if (mShards.usableShardOf(model).isPresent()) {
+            forwardHere(model, arrivals);
         } else {
-            runtime.holder().ifPresent(h -> mActivations.sendArrivals(h, model, arrivals));
+            mRemote.sendArrivals(model, arrivals);
         }
     }
 
+    /** Arrivals from another failure domain go no further, so that they cannot circulate. */
+    private void forwardHere(ModelName model, int arrivals) {
+        mShards.usableShardOf(model)
+                .map(mShards::get)
+                .ifPresent(
+                        runtime -> {
+                            if (runtime.holds()) {
+                                runtime.arrived(model, Math.min(arrivals, PollPlan.MOST_ARRIVALS));
+                            } else {
+                                runtime.holder()
+                                        .ifPresent(
+                                                holder ->
+                                                        mActivations.sendArrivals(
+                                                                holder, model, arrivals));
+                            }
+                        });
+    }
+
     private static Mono<Either<Refusal, Duration>> refuse(ResultCode code, String detail) {
         return Mono.just(Either.left(Refusal.of(code, detail)));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.vanillaslip.BackendKind;
 import org.vanillaslip.BackendServer;
 import org.vanillaslip.FailureDomain;
@@ -63,6 +64,7 @@
     private final ShardTable mShards;
     private final Sinks.Many<ModelName> mChanges = Sinks.many().multicast().directBestEffort();
     private final ReplicaTable mReplicas;
+    private final RemoteReplicas mRemote;
     private final Disposable.Composite mTasks = Disposables.composite();
 
     /**
@@ -94,6 +96,8 @@
         mPoller = new StatusPoller(loop, engines, this::reported);
         mDigests = new DigestExchange(peers, mContexts, mJson, mLoads);
         mShards = new ShardTable(mContexts, this::runtime);
+        mReplicas = new ReplicaTable(this::changed);
+        mRemote = new RemoteReplicas(mShards::server, mLoads);
         mActivations =
                 new ActivationService(
                         loop,
@@ -102,8 +106,9 @@
                         peers,
                         shard -> silentFor(shard, OfflineExecutor.HOLDER_SILENCE),
                         server -> Optional.ofNullable(mReports.get(server)),
-                        this::sendOffline);
-        mReplicas = new ReplicaTable(this::changed);
+                        this::sendOffline,
+                        new RemoteDomains(mContexts, peers, mRemote, this::now, mLog),
+                        new LoadedReplicas(mReplicas::replicas, this::load, this::holder));
     }
 
     /** Registers message handlers and starts the periodic work on the decision loop. */
@@ -128,7 +133,9 @@
 
     @Override
     public List<Replica> replicas(ModelName model) {
-        return mReplicas.replicas(model);
+        List<Replica> near = mReplicas.replicas(model);
+        List<Replica> remote = mRemote.replicas(model, now());
+        return remote.isEmpty() ? near : Stream.concat(near.stream(), remote.stream()).toList();
     }
 
     @Override
@@ -153,7 +160,7 @@
 
     @Override
     public Optional<String> holder(String shard) {
-        return mShards.find(shard).flatMap(ShardRuntime::holder);
+        return mShards.find(shard).flatMap(ShardRuntime::holder).or(() -> mRemote.holder(shard));
     }
 
     @Override
@@ -265,6 +272,7 @@
                     }
                 });
         mActivations.exchange();
+        mRemote.removeExpired(now());
     }
 
     private void rebuild() {
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementEvent.java
@@ -17,6 +17,7 @@
     GONE(323, System.Logger.Level.INFO, "Model no longer on server"),
     ADOPTED(324, System.Logger.Level.INFO, "Resident model added to the record"),
     OFFLINE_LOAD(330, System.Logger.Level.WARNING, "Load of the offline placement set ordered"),
+    REMOTE_ACTIVATION(331, System.Logger.Level.INFO, "Another failure domain serves the model"),
     RECORD_UNREADABLE(340, System.Logger.Level.ERROR, "Control shard record cannot be read");
 
     private final int mNumber;
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementLog.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementLog.java
@@ -2,6 +2,8 @@
 
 import static org.vanillaslip.internal.logging.LogField.field;
 
+import java.time.Duration;
+import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.placement.Notice;
 import org.vanillaslip.internal.placement.Order;
@@ -31,6 +33,15 @@
                 field("reason", "neither platform nor lease holder can be reached"));
     }
 
+    void remote(ModelName model, String host, Duration wait) {
+        mLog.log(
+                PlacementEvent.REMOTE_ACTIVATION,
+                field("model", model),
+                field("host", host),
+                field("wait", wait),
+                field("reason", "this failure domain cannot serve it"));
+    }
+
     void unreadable(String shard, long version) {
         mLog.log(
                 PlacementEvent.RECORD_UNREADABLE, field("shard", shard), field("version", version));
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/RemoteReplicas.java
@@ -0,0 +1,74 @@
+package org.vanillaslip.internal.control.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.vanillaslip.BackendServer;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.internal.control.Replica;
+import org.vanillaslip.messages.LoadedReplica;
+
+/** Replicas of other failure domains, as their hosts described them a short time ago. */
+final class RemoteReplicas {
+
+    /** Servers of other domains are not polled from here, so their replicas are asked for again. */
+    private static final long VALIDITY_NANOS = Duration.ofSeconds(5).toNanos();
+
+    private final Function<String, Optional<BackendServer>> mServers;
+    private final LoadTable mLoads;
+    private final Map<ModelName, Entry> mEntries = new HashMap<>();
+    private final Map<String, String> mHolders = new HashMap<>();
+
+    RemoteReplicas(Function<String, Optional<BackendServer>> servers, LoadTable loads) {
+        mServers = servers;
+        mLoads = loads;
+    }
+
+    List<Replica> replicas(ModelName model, long nowNanos) {
+        Entry entry = mEntries.get(model);
+        return entry == null || nowNanos - entry.sinceNanos() >= VALIDITY_NANOS
+                ? List.of()
+                : entry.replicas();
+    }
+
+    Optional<String> holder(String shard) {
+        return Optional.ofNullable(mHolders.get(shard));
+    }
+
+    /** Takes a description; validity counts from the sending of the question. */
+    void put(ModelName model, List<LoadedReplica> described, long askedNanos) {
+        List<Replica> replicas = new ArrayList<>();
+        for (LoadedReplica replica : described) {
+            mServers.apply(replica.getServer())
+                    .ifPresent(server -> replicas.add(take(model, replica, server, askedNanos)));
+        }
+        mEntries.put(model, new Entry(List.copyOf(replicas), askedNanos));
+    }
+
+    void removeExpired(long nowNanos) {
+        mEntries.values().removeIf(entry -> nowNanos - entry.sinceNanos() >= VALIDITY_NANOS);
+    }
+
+    private Replica take(
+            ModelName model, LoadedReplica replica, BackendServer server, long askedNanos) {
+        mLoads.put(
+                new ServerSummary(
+                        server.name(),
+                        replica.getServerIncarnation(),
+                        replica.getUptimeMillis(),
+                        replica.getRunning(),
+                        replica.getWaiting(),
+                        replica.getAgeMillis()),
+                askedNanos);
+        if (!replica.getHolder().isEmpty()) {
+            mHolders.put(server.controlShard(), replica.getHolder());
+        }
+        return new Replica(server, replica.getServerIncarnation(), model);
+    }
+
+    private record Entry(List<Replica> replicas, long sinceNanos) {}
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardContexts.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardContexts.java
@@ -48,6 +48,18 @@
         return mHost;
     }
 
+    /** Returns all listed hosts. */
+    List<Host> hosts() {
+        return mHosts.hosts();
+    }
+
+    /** Returns whether the host is listed in another failure domain. */
+    boolean isRemote(String name) {
+        return mHosts.hosts().stream()
+                .anyMatch(
+                        host -> host.name().equals(name) && !host.failureDomain().equals(mDomain));
+    }
+
     /** Returns the names of the shards of this failure domain. */
     Set<String> shards() {
         return configuration().map(c -> c.backendServers().values().stream()).stream()
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardTable.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardTable.java
@@ -6,6 +6,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.vanillaslip.BackendServer;
+import org.vanillaslip.Configuration;
 import org.vanillaslip.Model;
 import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.placement.ShardSelection;
@@ -54,6 +55,21 @@
                                                                 model)));
     }
 
+    /** Returns the shard that loads the model here if it has a server in service. */
+    Optional<String> usableShardOf(ModelName name) {
+        return shardOf(name)
+                .filter(
+                        shard ->
+                                mContexts.configuration().stream()
+                                        .anyMatch(c -> inService(c, shard)));
+    }
+
+    private static boolean inService(Configuration configuration, String shard) {
+        return configuration.backendServers().values().stream()
+                .filter(server -> server.controlShard().equals(shard))
+                .anyMatch(server -> !configuration.isDrained(server));
+    }
+
     Optional<Model> model(ModelName name) {
         return mContexts
                 .configuration()
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Dispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Dispatcher.java
@@ -244,7 +244,8 @@
             return;
         }
         ticket.mClosed = true;
-        mWaiting.remove(ticket.mRequest.id());
+        // A retry has the same request id and may wait already when the first try is closed.
+        mWaiting.remove(ticket.mRequest.id(), ticket);
         mWaitingCount = mWaiting.size();
         Replica replica = ticket.mReplica;
         if (replica == null) {
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/PolicySettings.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/PolicySettings.java
@@ -18,6 +18,10 @@
     private static final Duration COLD_START_COST = Duration.ofMinutes(1);
 
     private static final Duration KEEP_ALIVE_WITHOUT_HISTORY = Duration.ofMinutes(5);
+
+    /** Hosts report arrivals every 2 s; with less, a model under steady traffic was unloaded. */
+    private static final Duration SHORTEST_KEEP_ALIVE = Duration.ofSeconds(10);
+
     private static final Duration ORDER_RETRY = Duration.ofSeconds(1);
     private static final Duration REPORT_AGE = Duration.ofSeconds(3);
     private static final int OFFLINE_LOADS = 2;
@@ -36,7 +40,10 @@
                         placement.weightStoreParallelLoads(),
                         placement.adapterLoadsInFlight()),
                 new KeepAlivePolicy(
-                        placement.idleWeight(), COLD_START_COST, KEEP_ALIVE_WITHOUT_HISTORY),
+                        placement.idleWeight(),
+                        COLD_START_COST,
+                        KEEP_ALIVE_WITHOUT_HISTORY,
+                        SHORTEST_KEEP_ALIVE),
                 ORDER_RETRY,
                 REPORT_AGE,
                 OFFLINE_LOADS);
--- a/daemon/src/test/java/org/vanillaslip/internal/control/placement/ControllerFixture.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/placement/ControllerFixture.java
@@ -73,7 +73,8 @@
                 new PlacementSettings(
                         LeaseTimes.STANDARD,
                         new WeightStoreQueue(5, 4, 32),
-                        new KeepAlivePolicy(0.5, Duration.ofMinutes(1), Duration.ofMinutes(1)),
+                        new KeepAlivePolicy(
+                                0.5, Duration.ofMinutes(1), Duration.ofMinutes(1), Duration.ZERO),
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(10),
                         1),
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/ServedOrRefusedInTimeTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/ServedOrRefusedInTimeTest.java
@@ -49,6 +49,28 @@
         }
     }
 
+    /**
+     * The first try ends after its retry has begun to wait, and must not take it out of the queue.
+     */
+    @Test
+    void servesARetryThatWaitsUntilTheModelIsLoadedAgain() {
+        try (GatewayHarness harness = new GatewayHarness()) {
+            harness.mEngine.mStatus = 404;
+            harness.mEngine.mScripts.add(
+                    (id, offset) -> {
+                        harness.mModelLoaded = false;
+                        return FakeEngine.tokens(id, 0, 0);
+                    });
+            var retried = harness.quote(false);
+            harness.awaitTrue(() -> harness.waiting() == 1);
+            harness.mEngine.mStatus = 200;
+            harness.modelLoaded(true);
+            assertThat(harness.await(retried, Duration.ZERO).statusCode()).isEqualTo(200);
+            assertThat(harness.await(harness.quote(false), Duration.ZERO).statusCode())
+                    .isEqualTo(200);
+        }
+    }
+
     @Test
     void refusesBeforeTheDeadlineWhenTheLoadNeverEnds() {
         try (GatewayHarness harness = new GatewayHarness()) {
--- a/decisions/src/main/java/org/vanillaslip/internal/configuration/ItemSelection.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/configuration/ItemSelection.java
@@ -37,13 +37,14 @@
 
     /** Returns the snapshot of the chosen items. */
     Configuration choose() {
-        Either<List<Fault>, Configuration> result = VALIDATOR.validate(mChosen.values().asJava());
+        Either<List<Fault>, Configuration> result =
+                VALIDATOR.validate(mChosen.values().toJavaList());
         while (result.isLeft()) {
             mFaults.addAll(result.getLeft());
             Set<String> faulty =
                     result.getLeft().stream().map(Fault::item).collect(Collectors.toSet());
             faulty.forEach(this::replace);
-            result = VALIDATOR.validate(mChosen.values().asJava());
+            result = VALIDATOR.validate(mChosen.values().toJavaList());
         }
         return result.get();
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/KeepAlivePolicy.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/KeepAlivePolicy.java
@@ -9,8 +9,11 @@
  * @param weight weight of idle accelerator time, from 0 to 1
  * @param coldStartCost idle time that is as bad as one cold start at equal weights
  * @param unknown keep-alive of a model without history
+ * @param shortest shortest keep-alive; arrivals on other hosts are known with a delay, and a model
+ *     in use must not look idle meanwhile
  */
-public record KeepAlivePolicy(double weight, Duration coldStartCost, Duration unknown) {
+public record KeepAlivePolicy(
+        double weight, Duration coldStartCost, Duration unknown, Duration shortest) {
 
     /** Returns the keep-alive with the smallest expected cost. */
     public Duration keepAlive(ArrivalHistory history, int accelerators) {
@@ -26,7 +29,7 @@
                 best = candidate;
             }
         }
-        return best;
+        return best.compareTo(shortest) < 0 ? shortest : best;
     }
 
     private double cost(ArrivalHistory history, Duration keepAlive, int accelerators) {
--- a/decisions/src/test/java/org/vanillaslip/internal/placement/KeepAlivePolicyTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/placement/KeepAlivePolicyTest.java
@@ -27,8 +27,16 @@
         assertThat(policy(0.1).keepAlive(history, 1)).isEqualTo(seconds(120));
     }
 
+    /** Arrivals on other hosts are known late, so a model in use looked idle and was unloaded. */
+    @Test
+    void aModelUnderSteadyTrafficStaysLoadedForTheShortestKeepAlive() {
+        Duration shortest = seconds(10);
+        KeepAlivePolicy policy = new KeepAlivePolicy(0.5, COLD_START_COST, seconds(30), shortest);
+        assertThat(policy.keepAlive(history(1, 1, 1, 600), 1)).isEqualTo(shortest);
+    }
+
     private static KeepAlivePolicy policy(double weight) {
-        return new KeepAlivePolicy(weight, COLD_START_COST, seconds(30));
+        return new KeepAlivePolicy(weight, COLD_START_COST, seconds(30), Duration.ZERO);
     }
 
     private static ArrivalHistory history(int... gaps) {
--- a/decisions/src/test/java/org/vanillaslip/internal/placement/ShardFixture.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/placement/ShardFixture.java
@@ -41,7 +41,8 @@
         return new PlacementSettings(
                 LeaseTimes.STANDARD,
                 new WeightStoreQueue(5, 4, 32),
-                new KeepAlivePolicy(0.5, Duration.ofSeconds(60), Duration.ofSeconds(8)),
+                new KeepAlivePolicy(
+                        0.5, Duration.ofSeconds(60), Duration.ofSeconds(8), Duration.ZERO),
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(10),
                 1);
--- a/messages/src/main/java/org/vanillaslip/messages/ActivationReply.java
+++ b/messages/src/main/java/org/vanillaslip/messages/ActivationReply.java
@@ -29,6 +29,7 @@
   }
   private ActivationReply() {
     detail_ = "";
+    replicas_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -125,6 +126,67 @@
     return expectedWaitMillis_;
   }
 
+  public static final int REPLICAS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private java.util.List<org.vanillaslip.messages.LoadedReplica> replicas_;
+  /**
+   * <pre>
+   * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+   * </pre>
+   *
+   * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.vanillaslip.messages.LoadedReplica> getReplicasList() {
+    return replicas_;
+  }
+  /**
+   * <pre>
+   * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+   * </pre>
+   *
+   * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.vanillaslip.messages.LoadedReplicaOrBuilder> 
+      getReplicasOrBuilderList() {
+    return replicas_;
+  }
+  /**
+   * <pre>
+   * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+   * </pre>
+   *
+   * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+   */
+  @java.lang.Override
+  public int getReplicasCount() {
+    return replicas_.size();
+  }
+  /**
+   * <pre>
+   * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+   * </pre>
+   *
+   * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+   */
+  @java.lang.Override
+  public org.vanillaslip.messages.LoadedReplica getReplicas(int index) {
+    return replicas_.get(index);
+  }
+  /**
+   * <pre>
+   * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+   * </pre>
+   *
+   * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+   */
+  @java.lang.Override
+  public org.vanillaslip.messages.LoadedReplicaOrBuilder getReplicasOrBuilder(
+      int index) {
+    return replicas_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -151,6 +213,9 @@
     if (expectedWaitMillis_ != 0) {
       output.writeUInt32(4, expectedWaitMillis_);
     }
+    for (int i = 0; i < replicas_.size(); i++) {
+      output.writeMessage(5, replicas_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -175,6 +240,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, expectedWaitMillis_);
     }
+
+        {
+          final int count = replicas_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(replicas_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -198,6 +272,8 @@
         .equals(other.getDetail())) return false;
     if (getExpectedWaitMillis()
         != other.getExpectedWaitMillis()) return false;
+    if (!getReplicasList()
+        .equals(other.getReplicasList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -218,6 +294,10 @@
     hash = (53 * hash) + getDetail().hashCode();
     hash = (37 * hash) + EXPECTED_WAIT_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getExpectedWaitMillis();
+    if (getReplicasCount() > 0) {
+      hash = (37 * hash) + REPLICAS_FIELD_NUMBER;
+      hash = (53 * hash) + getReplicasList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -353,6 +433,13 @@
       resultCode_ = 0;
       detail_ = "";
       expectedWaitMillis_ = 0;
+      if (replicasBuilder_ == null) {
+        replicas_ = java.util.Collections.emptyList();
+      } else {
+        replicas_ = null;
+        replicasBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -379,11 +466,24 @@
     @java.lang.Override
     public org.vanillaslip.messages.ActivationReply buildPartial() {
       org.vanillaslip.messages.ActivationReply result = new org.vanillaslip.messages.ActivationReply(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.vanillaslip.messages.ActivationReply result) {
+      if (replicasBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          replicas_ = java.util.Collections.unmodifiableList(replicas_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.replicas_ = replicas_;
+      } else {
+        result.replicas_ = replicasBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.vanillaslip.messages.ActivationReply result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -426,6 +526,32 @@
       if (other.getExpectedWaitMillis() != 0) {
         setExpectedWaitMillis(other.getExpectedWaitMillis());
       }
+      if (replicasBuilder_ == null) {
+        if (!other.replicas_.isEmpty()) {
+          if (replicas_.isEmpty()) {
+            replicas_ = other.replicas_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensureReplicasIsMutable();
+            replicas_.addAll(other.replicas_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.replicas_.isEmpty()) {
+          if (replicasBuilder_.isEmpty()) {
+            replicasBuilder_.dispose();
+            replicasBuilder_ = null;
+            replicas_ = other.replicas_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            replicasBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetReplicasFieldBuilder() : null;
+          } else {
+            replicasBuilder_.addAllMessages(other.replicas_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -472,6 +598,19 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              org.vanillaslip.messages.LoadedReplica m =
+                  input.readMessage(
+                      org.vanillaslip.messages.LoadedReplica.parser(),
+                      extensionRegistry);
+              if (replicasBuilder_ == null) {
+                ensureReplicasIsMutable();
+                replicas_.add(m);
+              } else {
+                replicasBuilder_.addMessage(m);
+              }
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -669,6 +808,318 @@
       return this;
     }
 
+    private java.util.List<org.vanillaslip.messages.LoadedReplica> replicas_ =
+      java.util.Collections.emptyList();
+    private void ensureReplicasIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        replicas_ = new java.util.ArrayList<org.vanillaslip.messages.LoadedReplica>(replicas_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.vanillaslip.messages.LoadedReplica, org.vanillaslip.messages.LoadedReplica.Builder, org.vanillaslip.messages.LoadedReplicaOrBuilder> replicasBuilder_;
+
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public java.util.List<org.vanillaslip.messages.LoadedReplica> getReplicasList() {
+      if (replicasBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(replicas_);
+      } else {
+        return replicasBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public int getReplicasCount() {
+      if (replicasBuilder_ == null) {
+        return replicas_.size();
+      } else {
+        return replicasBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public org.vanillaslip.messages.LoadedReplica getReplicas(int index) {
+      if (replicasBuilder_ == null) {
+        return replicas_.get(index);
+      } else {
+        return replicasBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public Builder setReplicas(
+        int index, org.vanillaslip.messages.LoadedReplica value) {
+      if (replicasBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReplicasIsMutable();
+        replicas_.set(index, value);
+        onChanged();
+      } else {
+        replicasBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public Builder setReplicas(
+        int index, org.vanillaslip.messages.LoadedReplica.Builder builderForValue) {
+      if (replicasBuilder_ == null) {
+        ensureReplicasIsMutable();
+        replicas_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        replicasBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public Builder addReplicas(org.vanillaslip.messages.LoadedReplica value) {
+      if (replicasBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReplicasIsMutable();
+        replicas_.add(value);
+        onChanged();
+      } else {
+        replicasBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public Builder addReplicas(
+        int index, org.vanillaslip.messages.LoadedReplica value) {
+      if (replicasBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReplicasIsMutable();
+        replicas_.add(index, value);
+        onChanged();
+      } else {
+        replicasBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public Builder addReplicas(
+        org.vanillaslip.messages.LoadedReplica.Builder builderForValue) {
+      if (replicasBuilder_ == null) {
+        ensureReplicasIsMutable();
+        replicas_.add(builderForValue.build());
+        onChanged();
+      } else {
+        replicasBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public Builder addReplicas(
+        int index, org.vanillaslip.messages.LoadedReplica.Builder builderForValue) {
+      if (replicasBuilder_ == null) {
+        ensureReplicasIsMutable();
+        replicas_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        replicasBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public Builder addAllReplicas(
+        java.lang.Iterable<? extends org.vanillaslip.messages.LoadedReplica> values) {
+      if (replicasBuilder_ == null) {
+        ensureReplicasIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, replicas_);
+        onChanged();
+      } else {
+        replicasBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public Builder clearReplicas() {
+      if (replicasBuilder_ == null) {
+        replicas_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        replicasBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public Builder removeReplicas(int index) {
+      if (replicasBuilder_ == null) {
+        ensureReplicasIsMutable();
+        replicas_.remove(index);
+        onChanged();
+      } else {
+        replicasBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public org.vanillaslip.messages.LoadedReplica.Builder getReplicasBuilder(
+        int index) {
+      return internalGetReplicasFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public org.vanillaslip.messages.LoadedReplicaOrBuilder getReplicasOrBuilder(
+        int index) {
+      if (replicasBuilder_ == null) {
+        return replicas_.get(index);  } else {
+        return replicasBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public java.util.List<? extends org.vanillaslip.messages.LoadedReplicaOrBuilder> 
+         getReplicasOrBuilderList() {
+      if (replicasBuilder_ != null) {
+        return replicasBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(replicas_);
+      }
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public org.vanillaslip.messages.LoadedReplica.Builder addReplicasBuilder() {
+      return internalGetReplicasFieldBuilder().addBuilder(
+          org.vanillaslip.messages.LoadedReplica.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public org.vanillaslip.messages.LoadedReplica.Builder addReplicasBuilder(
+        int index) {
+      return internalGetReplicasFieldBuilder().addBuilder(
+          index, org.vanillaslip.messages.LoadedReplica.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+     * </pre>
+     *
+     * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+     */
+    public java.util.List<org.vanillaslip.messages.LoadedReplica.Builder> 
+         getReplicasBuilderList() {
+      return internalGetReplicasFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.vanillaslip.messages.LoadedReplica, org.vanillaslip.messages.LoadedReplica.Builder, org.vanillaslip.messages.LoadedReplicaOrBuilder> 
+        internalGetReplicasFieldBuilder() {
+      if (replicasBuilder_ == null) {
+        replicasBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.vanillaslip.messages.LoadedReplica, org.vanillaslip.messages.LoadedReplica.Builder, org.vanillaslip.messages.LoadedReplicaOrBuilder>(
+                replicas_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        replicas_ = null;
+      }
+      return replicasBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.vanillaslip.messages.ActivationReply)
   }
 
--- a/messages/src/main/java/org/vanillaslip/messages/ActivationReplyOrBuilder.java
+++ b/messages/src/main/java/org/vanillaslip/messages/ActivationReplyOrBuilder.java
@@ -43,4 +43,48 @@
    * @return The expectedWaitMillis.
    */
   int getExpectedWaitMillis();
+
+  /**
+   * <pre>
+   * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+   * </pre>
+   *
+   * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+   */
+  java.util.List<org.vanillaslip.messages.LoadedReplica> 
+      getReplicasList();
+  /**
+   * <pre>
+   * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+   * </pre>
+   *
+   * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+   */
+  org.vanillaslip.messages.LoadedReplica getReplicas(int index);
+  /**
+   * <pre>
+   * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+   * </pre>
+   *
+   * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+   */
+  int getReplicasCount();
+  /**
+   * <pre>
+   * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+   * </pre>
+   *
+   * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+   */
+  java.util.List<? extends org.vanillaslip.messages.LoadedReplicaOrBuilder> 
+      getReplicasOrBuilderList();
+  /**
+   * <pre>
+   * Replicas in the sender's failure domain; only sent to hosts of other failure domains.
+   * </pre>
+   *
+   * <code>repeated .org.vanillaslip.messages.LoadedReplica replicas = 5;</code>
+   */
+  org.vanillaslip.messages.LoadedReplicaOrBuilder getReplicasOrBuilder(
+      int index);
 }
--- a/messages/src/main/java/org/vanillaslip/messages/EnvelopeOuterClass.java
+++ b/messages/src/main/java/org/vanillaslip/messages/EnvelopeOuterClass.java
@@ -76,6 +76,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_vanillaslip_messages_ActivationReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_vanillaslip_messages_LoadedReplica_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_vanillaslip_messages_LoadedReplica_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_vanillaslip_messages_PlacementDigest_descriptor;
   static final 
@@ -145,18 +150,23 @@
       "ame\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\021\n\tspec_json\030" +
       "\003 \001(\014\"Z\n\021ActivationRequest\022\r\n\005model\030\001 \001(" +
       "\t\022\017\n\007adapter\030\002 \001(\t\022\023\n\013wait_millis\030\003 \001(\r\022" +
-      "\020\n\010arrivals\030\004 \001(\r\"f\n\017ActivationReply\022\020\n\010" +
-      "accepted\030\001 \001(\010\022\023\n\013result_code\030\002 \001(\r\022\016\n\006d" +
-      "etail\030\003 \001(\t\022\034\n\024expected_wait_millis\030\004 \001(" +
-      "\r\"F\n\017PlacementDigest\022\r\n\005shard\030\001 \001(\t\022\017\n\007v" +
-      "ersion\030\002 \001(\004\022\023\n\013record_json\030\003 \001(\014\"j\n\013Slo" +
-      "tRequest\022\016\n\006server\030\001 \001(\t\022\032\n\022server_incar" +
-      "nation\030\002 \001(\t\022\017\n\007acquire\030\003 \001(\r\022\r\n\005renew\030\004" +
-      " \003(\004\022\017\n\007release\030\005 \003(\004\"6\n\tSlotGrant\022\020\n\010sl" +
-      "ot_ids\030\001 \003(\004\022\027\n\017validity_millis\030\002 \001(\r\"?\n" +
-      "\021ShareConfirmation\022\026\n\016failure_domain\030\001 \001" +
-      "(\t\022\022\n\ngeneration\030\002 \001(\004B\034\n\030org.vanillasli" +
-      "p.messagesP\001b\006proto3"
+      "\020\n\010arrivals\030\004 \001(\r\"\241\001\n\017ActivationReply\022\020\n" +
+      "\010accepted\030\001 \001(\010\022\023\n\013result_code\030\002 \001(\r\022\016\n\006" +
+      "detail\030\003 \001(\t\022\034\n\024expected_wait_millis\030\004 \001" +
+      "(\r\0229\n\010replicas\030\005 \003(\0132\'.org.vanillaslip.m" +
+      "essages.LoadedReplica\"\230\001\n\rLoadedReplica\022" +
+      "\016\n\006server\030\001 \001(\t\022\032\n\022server_incarnation\030\002 " +
+      "\001(\t\022\025\n\ruptime_millis\030\003 \001(\004\022\017\n\007running\030\004 " +
+      "\001(\r\022\017\n\007waiting\030\005 \001(\r\022\022\n\nage_millis\030\006 \001(\004" +
+      "\022\016\n\006holder\030\007 \001(\t\"F\n\017PlacementDigest\022\r\n\005s" +
+      "hard\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\023\n\013record_js" +
+      "on\030\003 \001(\014\"j\n\013SlotRequest\022\016\n\006server\030\001 \001(\t\022" +
+      "\032\n\022server_incarnation\030\002 \001(\t\022\017\n\007acquire\030\003" +
+      " \001(\r\022\r\n\005renew\030\004 \003(\004\022\017\n\007release\030\005 \003(\004\"6\n\t" +
+      "SlotGrant\022\020\n\010slot_ids\030\001 \003(\004\022\027\n\017validity_" +
+      "millis\030\002 \001(\r\"?\n\021ShareConfirmation\022\026\n\016fai" +
+      "lure_domain\030\001 \001(\t\022\022\n\ngeneration\030\002 \001(\004B\034\n" +
+      "\030org.vanillaslip.messagesP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -221,27 +231,33 @@
     internal_static_org_vanillaslip_messages_ActivationReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_vanillaslip_messages_ActivationReply_descriptor,
-        new java.lang.String[] { "Accepted", "ResultCode", "Detail", "ExpectedWaitMillis", });
-    internal_static_org_vanillaslip_messages_PlacementDigest_descriptor =
+        new java.lang.String[] { "Accepted", "ResultCode", "Detail", "ExpectedWaitMillis", "Replicas", });
+    internal_static_org_vanillaslip_messages_LoadedReplica_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_org_vanillaslip_messages_LoadedReplica_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_vanillaslip_messages_LoadedReplica_descriptor,
+        new java.lang.String[] { "Server", "ServerIncarnation", "UptimeMillis", "Running", "Waiting", "AgeMillis", "Holder", });
+    internal_static_org_vanillaslip_messages_PlacementDigest_descriptor =
+      getDescriptor().getMessageType(11);
     internal_static_org_vanillaslip_messages_PlacementDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_vanillaslip_messages_PlacementDigest_descriptor,
         new java.lang.String[] { "Shard", "Version", "RecordJson", });
     internal_static_org_vanillaslip_messages_SlotRequest_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_org_vanillaslip_messages_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_vanillaslip_messages_SlotRequest_descriptor,
         new java.lang.String[] { "Server", "ServerIncarnation", "Acquire", "Renew", "Release", });
     internal_static_org_vanillaslip_messages_SlotGrant_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_org_vanillaslip_messages_SlotGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_vanillaslip_messages_SlotGrant_descriptor,
         new java.lang.String[] { "SlotIds", "ValidityMillis", });
     internal_static_org_vanillaslip_messages_ShareConfirmation_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_org_vanillaslip_messages_ShareConfirmation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_vanillaslip_messages_ShareConfirmation_descriptor,
--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/capacity/ConfigurationCapacity.java
@@ -0,0 +1,64 @@
+package org.vanillaslip.internal.proofs.capacity;
+
+import io.netty.util.concurrent.Ticker;
+import java.io.PrintStream;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+import org.vanillaslip.VersionedItem;
+import org.vanillaslip.internal.configuration.ConfigurationState;
+
+/** Memory of the configuration and the time to bring one change into force. */
+final class ConfigurationCapacity {
+
+    private static final double[] FRACTIONS = {0.125, 0.25, 0.5, 1.0};
+    private static final int CHANGES = 30;
+    private static final int WARM_UP = 10;
+    private static final int MICROSECONDS = 1000;
+
+    private final PrintStream mOutput;
+
+    ConfigurationCapacity(PrintStream output) {
+        mOutput = output;
+    }
+
+    void run() {
+        mOutput.println(
+                "| share of design size | items | heap MB | change p50 ms | change max ms |");
+        mOutput.println("|---|---|---|---|---|");
+        for (double fraction : FRACTIONS) {
+            measure(fraction);
+        }
+    }
+
+    private void measure(double fraction) {
+        List<VersionedItem> items = DesignSizeItems.at(fraction);
+        Heap.Retained<ConfigurationState> state =
+                Heap.retainedBy(
+                        () -> ConfigurationState.empty().merge(DesignSizeItems.at(fraction)));
+        if (state.value().current().isEmpty()) {
+            throw new IllegalStateException("not valid: " + state.value().faults());
+        }
+        Histogram times = changes(state.value(), items);
+        mOutput.printf(
+                "| %.3f | %d | %.1f | %.1f | %.1f |%n",
+                fraction,
+                items.size(),
+                state.bytes() / 1e6,
+                times.getValueAtPercentile(50) / 1e3,
+                times.getMaxValue() / 1e3);
+    }
+
+    private static Histogram changes(ConfigurationState initial, List<VersionedItem> items) {
+        Histogram times = new Histogram(3);
+        ConfigurationState state = initial;
+        for (int i = 1; i <= WARM_UP + CHANGES; i++) {
+            VersionedItem change = DesignSizeItems.change(items, i);
+            long start = Ticker.systemTicker().nanoTime();
+            state = state.merge(List.of(change));
+            if (i > WARM_UP) {
+                times.recordValue((Ticker.systemTicker().nanoTime() - start) / MICROSECONDS);
+            }
+        }
+        return times;
+    }
+}
--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/capacity/Heap.java
@@ -0,0 +1,31 @@
+package org.vanillaslip.internal.proofs.capacity;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryMXBean;
+import java.util.function.Supplier;
+
+/** Heap that a value keeps alive. */
+final class Heap {
+
+    private static final int COLLECTIONS = 4;
+
+    private Heap() {}
+
+    /** Creates a value and returns it with the growth of the used heap in bytes. */
+    static <T> Retained<T> retainedBy(Supplier<T> creation) {
+        long before = used();
+        T value = creation.get();
+        return new Retained<>(value, used() - before);
+    }
+
+    private static long used() {
+        MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
+        for (int i = 0; i < COLLECTIONS; i++) {
+            memory.gc();
+        }
+        return memory.getHeapMemoryUsage().getUsed();
+    }
+
+    /** A value and the heap that it keeps alive. */
+    record Retained<T>(T value, long bytes) {}
+}
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/KeepAliveVariant.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/measures/KeepAliveVariant.java
@@ -15,11 +15,12 @@
     // Values of the daemon.
     private static final Duration COLD_START_COST = Duration.ofMinutes(1);
     private static final Duration WITHOUT_HISTORY = Duration.ofMinutes(5);
+    private static final Duration SHORTEST = Duration.ofSeconds(10);
 
     static KeepAliveVariant chosen(double weight) {
         return new KeepAliveVariant(
                 "chosen, weight " + weight,
-                new KeepAlivePolicy(weight, COLD_START_COST, WITHOUT_HISTORY),
+                new KeepAlivePolicy(weight, COLD_START_COST, WITHOUT_HISTORY, SHORTEST),
                 true);
     }
 
@@ -32,6 +33,6 @@
 
     private static KeepAliveVariant baseline(String name, Duration keepAlive) {
         return new KeepAliveVariant(
-                name, new KeepAlivePolicy(0, COLD_START_COST, keepAlive), false);
+                name, new KeepAlivePolicy(0, COLD_START_COST, keepAlive, Duration.ZERO), false);
     }
 }
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Deployment.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Deployment.java
@@ -32,6 +32,7 @@
     /** One minute: far longer than any wait on a busy machine, so that only a fault reaches it. */
     private static final int POLL_ATTEMPTS = 1200;
 
+    private final int mHostsPerFailureDomain;
     private final Path mDirectory;
     private final String mClassPath;
     private final String mPlatformAddress;
@@ -42,7 +43,8 @@
     private final List<JavaProcess> mProcesses = new ArrayList<>();
     private int mCommands;
 
-    private Deployment(Path directory, String classPath) {
+    private Deployment(Path directory, String classPath, int hostsPerFailureDomain) {
+        mHostsPerFailureDomain = hostsPerFailureDomain;
         mDirectory = directory;
         mClassPath = classPath;
         mPlatformAddress = "127.0.0.1:" + Ports.free();
@@ -50,7 +52,14 @@
 
     /** Starts every process, applies the lists, and waits until all hosts are ready. */
     public static Deployment start(Path lists, Path directory) {
-        Deployment deployment = new Deployment(directory, System.getProperty("java.class.path"));
+        return start(lists, directory, HOSTS_PER_FAILURE_DOMAIN);
+    }
+
+    /** Starts a deployment with the given number of hosts in each failure domain. */
+    public static Deployment start(Path lists, Path directory, int hostsPerFailureDomain) {
+        Deployment deployment =
+                new Deployment(
+                        directory, System.getProperty("java.class.path"), hostsPerFailureDomain);
         try {
             deployment.startAll(DeploymentLists.read(lists));
             return deployment;
@@ -214,7 +223,7 @@
     }
 
     private void prepareHosts(String failureDomain) {
-        for (int i = 1; i <= HOSTS_PER_FAILURE_DOMAIN; i++) {
+        for (int i = 1; i <= mHostsPerFailureDomain; i++) {
             String name = "host-" + failureDomain + i;
             String gateway = "127.0.0.1:" + Ports.free();
             String peer = "127.0.0.1:" + Ports.free();
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/JavaProcess.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/JavaProcess.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -64,6 +65,11 @@
         return mProcess.isAlive();
     }
 
+    /** Returns the processor time that the process has used. */
+    public Duration processorTime() {
+        return mProcess.info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
     /** Returns everything the process has printed. */
     public String output() {
         try {
--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/benchmarks/BenchmarkFixture.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/benchmarks/BenchmarkFixture.java
@@ -65,7 +65,8 @@
                 new PlacementSettings(
                         LeaseTimes.STANDARD,
                         new WeightStoreQueue(5, 4, 32),
-                        new KeepAlivePolicy(0.5, Duration.ofMinutes(1), Duration.ofMinutes(5)),
+                        new KeepAlivePolicy(
+                                0.5, Duration.ofMinutes(1), Duration.ofMinutes(5), Duration.ZERO),
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(3),
                         2);
