Log each step of a planned stop once

Cause: LifecycleEvent and RequestEvent both described the begin, the refusals and the end of a planned stop, so a stop was logged twice. REFUSING and STOP_INCOMPLETE were never logged.

Change: StopSequence logs STOPPING, REFUSING and, when the time is over, STOP_INCOMPLETE with the number of unfinished requests. ProcessStarter logs STOPPED. Events 507 to 509 are removed. 510 stays for failed requests; 111, which nothing logged, is removed.

--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/RequestEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/RequestEvent.java
@@ -13,9 +13,6 @@
     CALLER_LEFT(505, Level.INFO, "The caller closed the connection before the answer ended."),
     OUTCOME_NOT_RECORDED(
             506, Level.WARNING, "The outcome of a non-repeatable call could not be recorded."),
-    STOP_BEGAN(507, Level.INFO, "The planned stop began; readiness is false."),
-    STOP_REFUSES(508, Level.INFO, "The planned stop refuses new requests."),
-    STOP_ENDED(509, Level.INFO, "The planned stop of the gateway ended."),
     INTERNAL_FAULT(510, Level.ERROR, "A request failed by an internal error.");
 
     private final int mNumber;
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/StopSequence.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/StopSequence.java
@@ -4,6 +4,7 @@
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.logging.LifecycleEvent;
 import org.vanillaslip.internal.logging.LogField;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import reactor.core.publisher.Flux;
@@ -54,17 +55,16 @@
         return Mono.defer(
                 () -> {
                     mBegun = true;
-                    mLog.log(RequestEvent.STOP_BEGAN);
+                    mLog.log(LifecycleEvent.STOPPING);
                     Duration bound = mSettings.shutdownTimeout().minus(mSettings.shutdownDelay());
                     return Mono.delay(mSettings.shutdownDelay(), mLoop.scheduler())
-                            .then(Mono.defer(() -> finishWork(bound)))
-                            .doOnTerminate(this::logEnd);
+                            .then(Mono.defer(() -> finishWork(bound)));
                 });
     }
 
     private Mono<Void> finishWork(Duration bound) {
         mRefusing = true;
-        mLog.log(RequestEvent.STOP_REFUSES);
+        mLog.log(LifecycleEvent.REFUSING);
         Mono<Void> idle =
                 Flux.interval(Duration.ZERO, CHECK_INTERVAL, mLoop.scheduler())
                         .filter(tick -> mRunning.size() == 0 && mAttempts.unfinished() == 0)
@@ -77,6 +77,7 @@
     }
 
     private Mono<Void> giveUp() {
+        mLog.log(LifecycleEvent.STOP_INCOMPLETE, LogField.field("unfinished", mRunning.size()));
         Refusal stopping =
                 Refusal.retryable(
                         ResultCode.HOST_STOPPING, mSettings.hostName(), Duration.ofSeconds(1));
@@ -84,8 +85,4 @@
         mRunning.abortAll(stopping);
         return Mono.delay(LAST_ANSWERS, mLoop.scheduler()).then();
     }
-
-    private void logEnd() {
-        mLog.log(RequestEvent.STOP_ENDED, LogField.field("unfinished", mRunning.size()));
-    }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/logging/LifecycleEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/logging/LifecycleEvent.java
@@ -6,7 +6,7 @@
     LISTENING(101, System.Logger.Level.INFO, "An address accepts connections."),
     READY(102, System.Logger.Level.INFO, "The host is ready for requests."),
     NOT_READY(103, System.Logger.Level.WARNING, "The host is not ready for requests."),
-    STOPPING(104, System.Logger.Level.INFO, "A planned stop begins."),
+    STOPPING(104, System.Logger.Level.INFO, "A planned stop begins; readiness is false."),
     REFUSING(105, System.Logger.Level.INFO, "New requests are refused from now on."),
     STOPPED(106, System.Logger.Level.INFO, "The daemon has stopped."),
     STOP_INCOMPLETE(
@@ -15,8 +15,7 @@
             "The planned stop ran out of time; running requests are interrupted."),
     START_FAILED(108, System.Logger.Level.ERROR, "The daemon cannot start."),
     SETTINGS_INVALID(109, System.Logger.Level.ERROR, "The settings file is not valid."),
-    SETTINGS_VALID(110, System.Logger.Level.INFO, "The settings file is valid."),
-    UNEXPECTED_FAILURE(111, System.Logger.Level.ERROR, "An internal error occurred.");
+    SETTINGS_VALID(110, System.Logger.Level.INFO, "The settings file is valid.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/ProcessStarter.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/ProcessStarter.java
@@ -33,7 +33,6 @@
     }
 
     private static void stop(Daemon daemon, EventLog log, CountDownLatch stopped) {
-        log.log(LifecycleEvent.STOPPING);
         daemon.stop();
         log.log(LifecycleEvent.STOPPED);
         stopped.countDown();
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/GracefulStopTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/GracefulStopTest.java
@@ -44,6 +44,8 @@
                         harness.mTime.advanceTimeBy(Duration.ofMillis(50));
                         return stopped.get();
                     });
+            assertThat(harness.mLog).containsOnlyOnce("STOPPING []", "REFUSING []");
+            assertThat(harness.mLog).noneMatch(line -> line.startsWith("STOP_INCOMPLETE"));
         }
     }
 
@@ -57,6 +59,9 @@
             AtomicBoolean stopped = new AtomicBoolean();
             harness.stop().doOnTerminate(() -> stopped.set(true)).subscribe();
             harness.mTime.advanceTimeBy(Duration.ofSeconds(9));
+            assertThat(harness.mLog)
+                    .filteredOn(line -> line.startsWith("STOP_INCOMPLETE"))
+                    .hasSize(1);
             assertThat(harness.await(running, Duration.ZERO).body())
                     .contains("event: error", "HOST_STOPPING", "\"not_run\":false")
                     .doesNotContain("[DONE]");
