Show live hosts and held control shards in /status

Cause: an operator could not see from a host which peers it hears and which control shards it decides for.

Change: /status has live_hosts, this host included, and held_control_shards, the shards whose last known lease names this host. The page is made on the decision loop, which owns the leases.

Result: StatusPageTest failed without the fields and passes with them; verify of daemon and command-line passes (daemon 282 tests).

--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Gateway.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Gateway.java
@@ -80,14 +80,7 @@
                         attempts,
                         mLoop);
         mStop = new StopSequence(settings, mLoop, mDispatcher, mRunning, attempts, needs.log());
-        mPages =
-                new StatusPages(
-                        settings,
-                        needs.configuration(),
-                        mStop,
-                        mRunning,
-                        mDispatcher,
-                        needs.metrics());
+        mPages = new StatusPages(settings, needs, mStop, mRunning, mDispatcher);
     }
 
     /** Begins to listen. */
@@ -144,7 +137,7 @@
         String path = http.uri().split("\\?", 2)[0];
         String id = mNeeds.identifiers().get();
         return mPages.page(path)
-                .map(page -> ReplyWriter.write(response, page, id))
+                .map(page -> page.flatMap(reply -> ReplyWriter.write(response, reply, id)))
                 .orElseGet(() -> serve(http, response, id));
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/GatewayDependencies.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/GatewayDependencies.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.gateway;
 
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.vanillaslip.internal.control.ConfigurationView;
@@ -12,11 +13,13 @@
 /**
  * What the gateway needs from the rest of the host.
  *
+ * @param liveHosts supplies the names of other hosts whose heartbeat is current
  * @param identifiers supplies request ids and attempt nonces that are unique over all hosts
  */
 public record GatewayDependencies(
         ConfigurationView configuration,
         PlacementView placement,
+        Supplier<Set<String>> liveHosts,
         QuotaGate quota,
         SlotGate slots,
         ObjectStore store,
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/StatusPages.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/StatusPages.java
@@ -5,11 +5,15 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.vanillaslip.BackendServer;
 import org.vanillaslip.Configuration;
 import org.vanillaslip.FailureDomain;
 import org.vanillaslip.HostEntry;
 import org.vanillaslip.internal.control.ConfigurationView;
-import org.vanillaslip.internal.metrics.DaemonMetrics;
+import reactor.core.publisher.Mono;
 
 /** Health, readiness and status of this host. */
 final class StatusPages {
@@ -21,30 +25,29 @@
     private final StopSequence mStop;
     private final RunningRequests mRunning;
     private final Dispatcher mDispatcher;
-    private final DaemonMetrics mMetrics;
+    private final GatewayDependencies mNeeds;
 
     StatusPages(
             GatewaySettings settings,
-            ConfigurationView configuration,
+            GatewayDependencies needs,
             StopSequence stop,
             RunningRequests running,
-            Dispatcher dispatcher,
-            DaemonMetrics metrics) {
+            Dispatcher dispatcher) {
         mSettings = settings;
-        mConfiguration = configuration;
+        mNeeds = needs;
+        mConfiguration = needs.configuration();
         mStop = stop;
         mRunning = running;
         mDispatcher = dispatcher;
-        mMetrics = metrics;
     }
 
     /** Returns the page of the path, or empty when the path is no page. */
-    Optional<WholeReply> page(String path) {
+    Optional<Mono<WholeReply>> page(String path) {
         return switch (path) {
-            case "/healthz" -> Optional.of(text(200, "ok"));
-            case "/readyz" -> Optional.of(readiness());
-            case "/metrics" -> Optional.of(metrics());
-            case "/status" -> Optional.of(status());
+            case "/healthz" -> Optional.of(Mono.just(text(200, "ok")));
+            case "/readyz" -> Optional.of(Mono.just(readiness()));
+            case "/metrics" -> Optional.of(Mono.just(metrics()));
+            case "/status" -> Optional.of(statusOnLoop());
             default -> Optional.empty();
         };
     }
@@ -63,6 +66,11 @@
                 && !configuration.isDrained(new FailureDomain(mSettings.failureDomain()));
     }
 
+    /** Leases belong to the decision loop, so the page is made there. */
+    private Mono<WholeReply> statusOnLoop() {
+        return Mono.fromSupplier(this::status).subscribeOn(mNeeds.loop().scheduler());
+    }
+
     private WholeReply status() {
         ObjectNode status = JsonNodeFactory.instance.objectNode();
         status.put("host", mSettings.hostName());
@@ -71,6 +79,10 @@
         status.put("stopping", mStop.begun());
         status.put("running", mRunning.size());
         status.put("waiting", mDispatcher.waiting());
+        ArrayNode live = status.putArray("live_hosts");
+        liveHosts().forEach(live::add);
+        ArrayNode held = status.putArray("held_control_shards");
+        mConfiguration.current().map(this::heldShards).ifPresent(names -> names.forEach(held::add));
         ArrayNode faults = status.putArray("configuration_faults");
         mConfiguration.faults().forEach(fault -> faults.add(fault.toString()));
         mConfiguration
@@ -84,9 +96,27 @@
                 200, "application/json", status.toString().getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Includes this host, so that hosts that reach each other show the same list. */
+    private Set<String> liveHosts() {
+        Set<String> hosts = new TreeSet<>(mNeeds.liveHosts().get());
+        hosts.add(mSettings.hostName());
+        return hosts;
+    }
+
+    private Set<String> heldShards(Configuration configuration) {
+        return configuration.backendServers().values().stream()
+                .map(BackendServer::controlShard)
+                .filter(shard -> mNeeds.placement().holder(shard).filter(this::isThis).isPresent())
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private boolean isThis(String host) {
+        return host.equals(mSettings.hostName());
+    }
+
     private WholeReply metrics() {
         return WholeReply.of(
-                200, PROMETHEUS_TEXT, mMetrics.scrape().getBytes(StandardCharsets.UTF_8));
+                200, PROMETHEUS_TEXT, mNeeds.metrics().scrape().getBytes(StandardCharsets.UTF_8));
     }
 
     private static WholeReply text(int status, String text) {
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -112,7 +112,7 @@
         mShares = shares(context, mConfiguration, mHosts, mLinks, mPlacement);
         mQuota = quota(context, mConfiguration, mLinks, mShares);
         mSlots = slots(context, mConfiguration, mLinks, mPlacement);
-        mGateway = gateway(context, mConfiguration, mPlacement, mQuota, mSlots);
+        mGateway = gateway(context, mConfiguration, mPlacement, mLinks, mQuota, mSlots);
     }
 
     /** Starts all parts; fails when an address is not available. */
@@ -252,6 +252,7 @@
             HostContext context,
             ConfigurationView configuration,
             PlacementView placement,
+            PeerLinks links,
             QuotaService quota,
             SlotService slots) {
         return new Gateway(
@@ -259,6 +260,7 @@
                 new GatewayDependencies(
                         configuration,
                         new MeteredPlacement(placement, context.loop().clock(), context.metrics()),
+                        links::liveHosts,
                         quota,
                         slots,
                         context.store(),
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
@@ -72,6 +72,7 @@
     final Map<String, BackendServer> mServers = new HashMap<>();
     volatile boolean mSlotsRefused;
     volatile boolean mModelLoaded = true;
+    volatile String mShardHolder = "host-2";
     volatile Duration mUptime = Duration.ofHours(1);
     volatile Either<Refusal, Duration> mActivation = Either.right(Duration.ofSeconds(1));
     volatile int mConcurrency = 4;
@@ -112,6 +113,7 @@
                         new GatewayDependencies(
                                 this,
                                 new MeteredPlacement(new FakePlacement(), clock, metrics),
+                                () -> Set.of("host-3", "host-2"),
                                 this,
                                 this,
                                 mStore,
@@ -364,7 +366,7 @@
 
         @Override
         public Optional<String> holder(String shard) {
-            return Optional.empty();
+            return Optional.of(mShardHolder);
         }
     }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/StatusPageTest.java
@@ -0,0 +1,23 @@
+package org.vanillaslip.internal.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a status page that hides a lost peer or who decides for a control shard. */
+class StatusPageTest {
+
+    @Test
+    void namesLiveHostsHeldControlShardsAndConfigurationFaults() {
+        try (GatewayHarness harness = new GatewayHarness()) {
+            assertThat(harness.await(harness.get("/status"), Duration.ZERO).body())
+                    .contains("\"live_hosts\":[\"host-1\",\"host-2\",\"host-3\"]")
+                    .contains("\"held_control_shards\":[]")
+                    .contains("\"configuration_faults\":[\"workspace.w: plan is 'gone'");
+            harness.mShardHolder = "host-1";
+            assertThat(harness.await(harness.get("/status"), Duration.ZERO).body())
+                    .contains("\"held_control_shards\":[\"shard-1\"]");
+        }
+    }
+}
