Compute replica counts and budgets once per placement step

AllowancePlan, UnloadPlan and LoadPlan asked Draft.record() for each model, which copied all placements and allowances, and each ReplicaBudget.of went through all servers of the fleet.

The draft now keeps its record and its replica counts until it changes, and one ReplicaBudget per step keeps the shards of each pool. ShardRecord.replicas uses the same count.

--- a/decisions/src/main/java/org/vanillaslip/internal/placement/AllowancePlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/AllowancePlan.java
@@ -10,17 +10,15 @@
 
     private final Draft mDraft;
     private final ShardState mState;
-    private final ReplicaBudget mBudget;
 
     AllowancePlan(Draft draft, ShardState state) {
         mDraft = draft;
         mState = state;
-        mBudget = new ReplicaBudget(draft.context().configuration());
     }
 
     /** Changes the allowances and returns whether one has to wait for other shards. */
     boolean apply() {
-        Set<String> names = new HashSet<>(mDraft.record().allowances().keySet());
+        Set<String> names = new HashSet<>(mDraft.allowedModels());
         for (ModelName wanted : mState.demand().wantedUntil().keySet()) {
             names.add(wanted.model());
         }
@@ -36,7 +34,7 @@
         int allowance = mDraft.allowance(name);
         if (budget <= allowance) {
             // Replicas that are still loaded count until reports show them gone.
-            mDraft.allow(name, Math.max(budget, mDraft.record().replicas(name)));
+            mDraft.allow(name, Math.max(budget, mDraft.replicas(name)));
             return false;
         }
         boolean confirmed =
@@ -48,10 +46,10 @@
     }
 
     private int budget(Model model) {
-        return mBudget.of(model, mDraft.context().shard());
+        return mDraft.budget().of(model, mDraft.context().shard());
     }
 
     private boolean confirmed(Model model) {
-        return mBudget.confirmed(model, mDraft.context().shard(), mState.others());
+        return mDraft.budget().confirmed(model, mDraft.context().shard(), mState.others());
     }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/Draft.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/Draft.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.vanillaslip.Model;
 
@@ -18,7 +19,10 @@
     private final Map<String, Integer> mAllowances;
     private List<Placement> mPlacements;
     private List<OfflineLoad> mOffline;
+    private final ReplicaBudget mBudget;
     private long mNextDecision;
+    private Optional<ShardRecord> mRecord = Optional.empty();
+    private Optional<ReplicaCounts> mReplicas = Optional.empty();
 
     Draft(ShardContext context, ShardRecord stored) {
         mContext = context;
@@ -28,6 +32,7 @@
         mOffline = new ArrayList<>(stored.offline());
         mAllowances = new HashMap<>(stored.allowances());
         mNextDecision = stored.nextDecision();
+        mBudget = new ReplicaBudget(context.configuration());
     }
 
     ShardContext context() {
@@ -36,18 +41,37 @@
 
     /** Returns the record as worked out so far. */
     ShardRecord record() {
-        return mStored.withPlacements(mPlacements, mNextDecision)
-                .withOffline(mOffline, mNextDecision)
-                .withAllowances(mAllowances)
-                .withConfigurationVersion(mContext.configuration().version());
+        ShardRecord current =
+                mRecord.orElseGet(
+                        () ->
+                                new ShardRecord(
+                                        mStored.lease(),
+                                        mNextDecision,
+                                        mContext.configuration().version(),
+                                        mPlacements,
+                                        mOffline,
+                                        mAllowances));
+        mRecord = Optional.of(current);
+        return current;
+    }
+
+    /** Returns how many replicas of the base model are loaded or may still become loaded. */
+    int replicas(String model) {
+        ReplicaCounts current = mReplicas.orElseGet(() -> new ReplicaCounts(mPlacements, mOffline));
+        mReplicas = Optional.of(current);
+        return current.of(model);
+    }
+
+    /** Returns the replica budgets, which stay the same for the whole step. */
+    ReplicaBudget budget() {
+        return mBudget;
     }
 
     /** Returns whether anything but the lease and the configuration version differs. */
     boolean changed() {
-        ShardRecord next = record();
-        return !next.placements().equals(mStored.placements())
-                || !next.offline().equals(mStored.offline())
-                || !next.allowances().equals(mStored.allowances());
+        return !mPlacements.equals(mStored.placements())
+                || !mOffline.equals(mStored.offline())
+                || !mAllowances.equals(mStored.allowances());
     }
 
     List<Notice> notices() {
@@ -72,10 +96,12 @@
         placements.remove(index);
         next.ifPresent(placement -> placements.add(index, placement));
         mPlacements = placements;
+        invalidate();
     }
 
     void add(Placement placement) {
         mPlacements.add(placement);
+        invalidate();
     }
 
     /** Records the load of a model version or adapter on a server. */
@@ -92,7 +118,7 @@
                         adapter,
                         memory,
                         PlacementStage.LOAD_ORDERED);
-        mPlacements.add(placement);
+        add(placement);
         note(NoticeKind.LOAD_DECIDED, placement, reason);
     }
 
@@ -109,6 +135,11 @@
         } else {
             mAllowances.put(model, replicas);
         }
+        mRecord = Optional.empty();
+    }
+
+    Set<String> allowedModels() {
+        return Set.copyOf(mAllowances.keySet());
     }
 
     int allowance(String model) {
@@ -117,6 +148,7 @@
 
     void offline(List<OfflineLoad> loads) {
         mOffline = new ArrayList<>(loads);
+        invalidate();
     }
 
     /** Adds a load to the offline placement set. */
@@ -130,9 +162,15 @@
                         placement.version(),
                         placement.memoryBytes(),
                         0));
+        invalidate();
     }
 
     void note(NoticeKind kind, Placement placement, String reason) {
         mNotices.add(Notice.of(kind, placement, reason));
     }
+
+    private void invalidate() {
+        mRecord = Optional.empty();
+        mReplicas = Optional.empty();
+    }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/LoadPlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/LoadPlan.java
@@ -59,7 +59,7 @@
     }
 
     private void placeBase(ModelName name, Model model) {
-        if (mDraft.record().replicas(model.name()) >= mDraft.allowance(model.name())) {
+        if (mDraft.replicas(model.name()) >= mDraft.allowance(model.name())) {
             return;
         }
         long adapterBytes = name.adapter().isPresent() ? model.adapterMemoryBytes() : 0;
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/ReplicaBudget.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ReplicaBudget.java
@@ -1,6 +1,8 @@
 package org.vanillaslip.internal.placement;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.vanillaslip.BackendKind;
 import org.vanillaslip.BackendServer;
@@ -12,7 +14,13 @@
 /** Divides the replicas of a model over failure domains and their shards. */
 final class ReplicaBudget {
 
+    private record Part(String pool, String shard) {}
+
+    private record DomainShards(FailureDomain domain, List<String> shards) {}
+
     private final Configuration mConfiguration;
+    private final Map<String, List<BackendServer>> mEngines = new HashMap<>();
+    private final Map<Part, Optional<DomainShards>> mParts = new HashMap<>();
 
     ReplicaBudget(Configuration configuration) {
         mConfiguration = configuration;
@@ -20,16 +28,14 @@
 
     /** Returns how many replicas of the model the shard may hold by the configuration. */
     int of(Model model, String shard) {
-        Optional<FailureDomain> domain =
-                engines(model)
-                        .filter(server -> server.controlShard().equals(shard))
-                        .map(BackendServer::failureDomain)
-                        .findFirst();
-        if (domain.isEmpty()) {
-            return 0;
-        }
-        int replicas = model.replicas().getOrDefault(domain.get().name(), 0);
-        List<String> shards = shardsOf(model, domain.get());
+        return mParts.computeIfAbsent(new Part(model.pool(), shard), this::domainShards)
+                .map(part -> share(model, shard, part))
+                .orElse(0);
+    }
+
+    private static int share(Model model, String shard, DomainShards part) {
+        int replicas = model.replicas().getOrDefault(part.domain().name(), 0);
+        List<String> shards = part.shards();
         int rank = LeaseRank.of(model.name(), shard, shards);
         return replicas / shards.size() + (rank < replicas % shards.size() ? 1 : 0);
     }
@@ -41,7 +47,7 @@
      */
     boolean confirmed(Model model, String ownShard, OtherShards others) {
         long needed = others.budgetVersions().getOrElse(model.name(), Long.MAX_VALUE);
-        return engines(model)
+        return engines(model.pool()).stream()
                 .map(BackendServer::controlShard)
                 .distinct()
                 .filter(shard -> !shard.equals(ownShard))
@@ -62,8 +68,16 @@
                 record.allowances().getOrDefault(model.name(), 0), record.replicas(model.name()));
     }
 
-    private List<String> shardsOf(Model model, FailureDomain domain) {
-        return engines(model)
+    private Optional<DomainShards> domainShards(Part part) {
+        return engines(part.pool()).stream()
+                .filter(server -> server.controlShard().equals(part.shard()))
+                .map(BackendServer::failureDomain)
+                .findFirst()
+                .map(domain -> new DomainShards(domain, shardsOf(part.pool(), domain)));
+    }
+
+    private List<String> shardsOf(String pool, FailureDomain domain) {
+        return engines(pool).stream()
                 .filter(server -> server.failureDomain().equals(domain))
                 .map(BackendServer::controlShard)
                 .distinct()
@@ -71,9 +85,13 @@
                 .toList();
     }
 
-    private java.util.stream.Stream<BackendServer> engines(Model model) {
-        return mConfiguration.backendServers().values().stream()
-                .filter(server -> server.kind() == BackendKind.MODEL_ENGINE)
-                .filter(server -> server.pool().equals(model.pool()));
+    private List<BackendServer> engines(String pool) {
+        return mEngines.computeIfAbsent(
+                pool,
+                name ->
+                        mConfiguration.backendServers().values().stream()
+                                .filter(server -> server.kind() == BackendKind.MODEL_ENGINE)
+                                .filter(server -> server.pool().equals(name))
+                                .toList());
     }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/ShardRecord.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/ShardRecord.java
@@ -64,15 +64,6 @@
 
     /** Returns how many replicas of the base model are loaded or may still become loaded. */
     public int replicas(String model) {
-        long placed =
-                placements.stream()
-                        .filter(p -> p.adapter().isEmpty() && p.model().equals(model))
-                        .count();
-        long offlineOnly =
-                offline.stream()
-                        .filter(load -> load.model().equals(model))
-                        .filter(load -> placements.stream().noneMatch(load::coveredBy))
-                        .count();
-        return (int) (placed + offlineOnly);
+        return new ReplicaCounts(placements, offline).of(model);
     }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/placement/UnloadPlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/placement/UnloadPlan.java
@@ -80,7 +80,7 @@
                                         p.stage() == PlacementStage.LOADED
                                                 && p.isFor(model.name(), model.version(), ""))
                         .isPresent();
-        boolean blocked = mDraft.record().replicas(model.name()) >= budget(model);
+        boolean blocked = mDraft.replicas(model.name()) >= budget(model);
         return !current && (replaced || blocked);
     }
 
@@ -91,12 +91,11 @@
                         .filter(p -> p.stage() == PlacementStage.UNLOAD_ORDERED)
                         .count();
         return placement.adapter().isEmpty()
-                && mDraft.record().replicas(model.name()) - leaving > budget(model);
+                && mDraft.replicas(model.name()) - leaving > budget(model);
     }
 
     private int budget(Model model) {
-        return new ReplicaBudget(mDraft.context().configuration())
-                .of(model, mDraft.context().shard());
+        return mDraft.budget().of(model, mDraft.context().shard());
     }
 
     private Optional<String> idleReason(Placement placement, BackendServer server) {
