Send digests without the record to hosts that have confirmed it

A holder sent its whole record to each host of the failure domain every 2 s, although nothing had changed. Hosts confirmed versions only while the offline set was shrinking, so the holder did not know who had the record.

Hosts now confirm each digest. A host whose last confirmation covers the version gets a heartbeat with shard, version and the servers' loads, without the record; the others get the full record. A host with an older version confirms that older one and gets the record with the next digest.

The first new test timed out on the previous code: no digest without the record was sent within 20 s. The bytes saved were not measured.

--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/DigestExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/DigestExchange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.vanillaslip.BackendServer;
 import org.vanillaslip.internal.peer.PeerLinks;
 import org.vanillaslip.internal.placement.ShardRecord;
@@ -27,32 +28,48 @@
         mLoads = loads;
     }
 
-    /** Sends the record and the servers' loads to the other hosts of the domain. */
-    void publish(String shard, long version, ShardRecord record, long nowNanos) {
-        DigestBody body = new DigestBody(record, mLoads.summaries(servers(shard), nowNanos));
-        PlacementDigest digest =
-                PlacementDigest.newBuilder()
-                        .setShard(shard)
-                        .setVersion(version)
-                        .setRecordJson(mJson.write(body))
-                        .build();
+    /**
+     * Sends the servers' loads to the other hosts of the domain, and the record to those that have
+     * not confirmed this version.
+     */
+    void publish(
+            String shard,
+            long version,
+            ShardRecord record,
+            Predicate<String> confirmed,
+            long nowNanos) {
+        List<ServerSummary> servers = mLoads.summaries(servers(shard), nowNanos);
+        PlacementDigest full = digest(shard, version, new DigestBody(record, servers));
+        PlacementDigest heartbeat = digest(shard, version, new DigestBody(null, servers));
         for (String host : mContexts.peers()) {
+            PlacementDigest digest = confirmed.test(host) ? heartbeat : full;
             mPeers.send(host, Envelope.newBuilder().setPlacementDigest(digest));
         }
     }
 
+    private PlacementDigest digest(String shard, long version, DigestBody body) {
+        return PlacementDigest.newBuilder()
+                .setShard(shard)
+                .setVersion(version)
+                .setRecordJson(mJson.write(body))
+                .build();
+    }
+
     /** Reads a digest and notes its load figures; empty for a confirmation. */
-    Optional<ShardRecord> receive(PlacementDigest digest, long nowNanos) {
+    Optional<DigestBody> receive(PlacementDigest digest, long nowNanos) {
         Optional<DigestBody> body = mJson.readDigest(digest.getRecordJson());
         body.ifPresent(
                 content -> {
                     mHeardNanos.put(digest.getShard(), nowNanos);
                     content.servers().forEach(summary -> mLoads.put(summary, nowNanos));
                 });
-        return body.map(DigestBody::record);
+        return body;
     }
 
-    /** Tells the holder that this host acts on the version, so that its offline set can shrink. */
+    /**
+     * Tells the holder which version this host acts on, so that its offline set can shrink and the
+     * record is not sent again.
+     */
     void confirm(String holder, String shard, long version) {
         PlacementDigest confirmation =
                 PlacementDigest.newBuilder()
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
@@ -175,7 +175,7 @@
 
     @Override
     public void publish(String shard, long version, ShardRecord record) {
-        mDigests.publish(shard, version, record, now());
+        publish(shard, version, record, mShards.get(shard));
         mReplicas.put(shard, record);
         rebuild();
     }
@@ -203,24 +203,21 @@
         }
         mDigests.receive(digest, now())
                 .ifPresent(
-                        record -> {
-                            shard.digest(digest.getVersion(), record);
+                        body -> {
+                            if (body.record() != null) {
+                                shard.digest(digest.getVersion(), body.record());
+                            }
+                            // A restarted host has read the record that its confirmation covers.
                             mReplicas.put(digest.getShard(), shard.record());
-                            confirm(envelope.getSender(), digest.getShard(), shard);
+                            mDigests.confirm(
+                                    envelope.getSender(), digest.getShard(), shard.version());
                             rebuild();
                         });
         return Mono.empty();
     }
 
-    private void confirm(String sender, String name, ShardRuntime shard) {
-        boolean shrinking = shard.record().offline().stream().anyMatch(load -> !load.inForce());
-        if (shrinking) {
-            if (sender.equals(mContexts.host())) {
-                shard.confirmed(sender, shard.version());
-            } else {
-                mDigests.confirm(sender, name, shard.version());
-            }
-        }
+    private void publish(String name, long version, ShardRecord record, ShardRuntime shard) {
+        mDigests.publish(name, version, record, host -> shard.hasConfirmed(host, version), now());
     }
 
     private void reported(EngineStatus status) {
@@ -260,8 +257,8 @@
         mShards.forEach(
                 (name, shard) -> {
                     if (shard.holds()) {
-                        mDigests.publish(name, shard.version(), shard.record(), now());
-                        confirm(mContexts.host(), name, shard);
+                        publish(name, shard.version(), shard.record(), shard);
+                        shard.confirmed(mContexts.host(), shard.version());
                     }
                 });
         mActivations.exchange();
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardRuntime.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/ShardRuntime.java
@@ -106,6 +106,11 @@
         step(context -> mMachine.digest(mState, context, version, record, now()));
     }
 
+    /** Returns whether the last confirmation of the host covers the version. */
+    boolean hasConfirmed(String host, long version) {
+        return mState.confirmed().get(host).exists(last -> last.version() >= version);
+    }
+
     void confirmed(String host, long version) {
         mState = mMachine.confirmed(mState, host, version, now());
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/control/placement/ControllerFixture.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/placement/ControllerFixture.java
@@ -40,6 +40,7 @@
 import org.vanillaslip.internal.standins.engine.EngineServer;
 import org.vanillaslip.internal.standins.engine.EngineSettings;
 import org.vanillaslip.messages.Envelope;
+import org.vanillaslip.messages.PlacementDigest;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -53,6 +54,8 @@
 
     final EngineServer mEngine = EngineServer.start(EngineSettings.forTests("e"), System::nanoTime);
     final List<Integer> mEvents = new CopyOnWriteArrayList<>();
+    final List<PlacementDigest> mDigests = new CopyOnWriteArrayList<>();
+    volatile boolean mConfirmationsLost;
     private final Scheduler mScheduler = Schedulers.newSingle("test-decisions");
     private final DecisionLoop mLoop = new DecisionLoop(mScheduler, System::nanoTime);
     private final Map<String, Map<Envelope.BodyCase, PeerHandler>> mHandlers = new HashMap<>();
@@ -196,6 +199,12 @@
 
         @Override
         public void send(String host, Envelope.Builder message) {
+            if (message.hasPlacementDigest()) {
+                mDigests.add(message.getPlacementDigest());
+                if (mConfirmationsLost && message.getPlacementDigest().getRecordJson().isEmpty()) {
+                    return;
+                }
+            }
             mScheduler.schedule(() -> deliver(host, message).subscribe());
         }
 
--- a/daemon/src/test/java/org/vanillaslip/internal/control/placement/PlacementControllerTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/placement/PlacementControllerTest.java
@@ -3,10 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.control.Replica;
+import org.vanillaslip.messages.PlacementDigest;
 import reactor.core.publisher.Mono;
 
 /** Guards the wiring of the state machines with the store, the links and a real engine. */
@@ -44,4 +46,46 @@
                 .takeUntil(other::equals)
                 .blockLast(WAIT);
     }
+
+    /** Guards against sending an unchanged record to every host of the domain every 2 s. */
+    @Test
+    void aHostThatHasConfirmedTheVersionGetsHeartbeatsWithoutTheRecord() {
+        mFixture.awaitHolder();
+        awaitDigests(digest -> isHeartbeat(digest));
+        PlacementDigest heartbeat =
+                mFixture.mDigests.stream().filter(d -> isHeartbeat(d)).findFirst().orElseThrow();
+        assertThat(mFixture.mDigests)
+                .anyMatch(d -> isFull(d) && d.getVersion() == heartbeat.getVersion());
+    }
+
+    /** Guards against leaving a host without the record after its confirmation was lost. */
+    @Test
+    void aHostThatHasNotConfirmedTheVersionGetsTheRecordAgain() {
+        mFixture.mConfirmationsLost = true;
+        mFixture.awaitHolder();
+        awaitDigests(
+                digest ->
+                        mFixture.mDigests.stream()
+                                        .filter(d -> isFull(d))
+                                        .filter(d -> d.getVersion() == digest.getVersion())
+                                        .count()
+                                > 1);
+        assertThat(mFixture.mDigests).noneMatch(d -> isHeartbeat(d));
+    }
+
+    private void awaitDigests(Predicate<PlacementDigest> condition) {
+        Mono.fromSupplier(() -> mFixture.mDigests.stream().anyMatch(condition))
+                .delaySubscription(Duration.ofMillis(20))
+                .repeat()
+                .takeUntil(found -> found)
+                .blockLast(WAIT);
+    }
+
+    private static boolean isHeartbeat(PlacementDigest digest) {
+        return !digest.getRecordJson().isEmpty() && !isFull(digest);
+    }
+
+    private static boolean isFull(PlacementDigest digest) {
+        return digest.getRecordJson().toStringUtf8().contains("\"lease\"");
+    }
 }
