Grant slots across failure domains, exit with 0 after a planned stop

Cause: with service-a drained, the hosts of domain a let requests for its pool wait until their deadline (code 2003): a server whose uptime is unknown needs a slot, and a host of another domain knows no lease holder to ask. A planned stop ended with 143, which supervisors take as a failure. Change: a host without a known holder asks a live host of the server's domain, which passes the request on once; such a host has no report, so it names no incarnation. The process ends with 0 after a planned stop. Servers are gone through every 200 ms instead of every 20 ms while no order is open. One LineSplitter in place of two. Result: hostOfAnotherDomainGetsASlotThroughAHostThatIsNotTheHolder passes; the daemon's tests of slots, streams and stop pass.

--- a/daemon/src/main/java/org/vanillaslip/internal/backend/forward/ModelStream.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/ModelStream.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.vanillaslip.BackendServer;
+import org.vanillaslip.internal.platform.LineSplitter;
 import org.vanillaslip.internal.stream.AssemblyResult;
 import org.vanillaslip.internal.stream.StreamAssembly;
 import reactor.core.publisher.Flux;
@@ -20,6 +22,8 @@
     private static final int MOST_RESUMPTIONS = 3;
 
     private static final Duration RESUME_DELAY = Duration.ofMillis(50);
+    private static final int MOST_EVENT_BYTES = 1 << 20;
+
     private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
 
     private final BackendServer mServer;
@@ -51,7 +55,7 @@
     }
 
     private Flux<EngineEvent> connectAndRead() {
-        LineSplitter splitter = new LineSplitter();
+        LineSplitter splitter = new LineSplitter(MOST_EVENT_BYTES);
         Flux<byte[]> parts =
                 BackendClient.create(mServer, this::markSent)
                         .headers(
@@ -99,8 +103,10 @@
         return connection.inbound().receive().asByteArray();
     }
 
-    private Flux<EngineEvent> judge(String line) {
-        return EngineMessages.event(line).map(this::judge).orElseGet(Flux::empty);
+    private Flux<EngineEvent> judge(byte[] line) {
+        return EngineMessages.event(new String(line, StandardCharsets.UTF_8).stripTrailing())
+                .map(this::judge)
+                .orElseGet(Flux::empty);
     }
 
     private Flux<EngineEvent> judge(JsonNode event) {
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
@@ -29,6 +29,7 @@
 import org.vanillaslip.internal.peer.PeerLinks;
 import org.vanillaslip.internal.placement.Notice;
 import org.vanillaslip.internal.placement.Order;
+import org.vanillaslip.internal.placement.Placement;
 import org.vanillaslip.internal.placement.PlacementSettings;
 import org.vanillaslip.internal.placement.ShardMachine;
 import org.vanillaslip.internal.placement.ShardRecord;
@@ -66,6 +67,7 @@
     private final ReplicaTable mReplicas;
     private final RemoteReplicas mRemote;
     private final Disposable.Composite mTasks = Disposables.composite();
+    private long mPollTicks;
 
     /**
      * Creates a controller; nothing happens before {@link #start()}.
@@ -240,16 +242,32 @@
     }
 
     private void poll() {
+        Set<String> ordered = new HashSet<>();
+        mShards.forEach((name, shard) -> addOrdered(shard, ordered));
+        mPollTicks++;
+        if (ordered.isEmpty() && mPollTicks % PollPlan.STEADY_TICKS != 0) {
+            return;
+        }
         mContexts.configuration().stream()
                 .flatMap(c -> c.backendServers().values().stream())
                 .filter(server -> mShards.find(server.controlShard()).isPresent())
-                .forEach(this::poll);
+                .forEach(server -> poll(server, ordered.contains(server.name())));
+    }
+
+    /** Adds the servers on which an order of this holder has no known outcome. */
+    private static void addOrdered(ShardRuntime shard, Set<String> servers) {
+        if (shard.holds()) {
+            shard.record().placements().stream()
+                    .filter(Placement::unresolved)
+                    .map(Placement::server)
+                    .forEach(servers::add);
+        }
     }
 
-    private void poll(BackendServer server) {
+    private void poll(BackendServer server, boolean ordered) {
         ShardRuntime shard = mShards.get(server.controlShard());
         if (shard.holds()) {
-            mPoller.pollIfDue(server, PollPlan.interval(shard.record(), server.name()));
+            mPoller.pollIfDue(server, PollPlan.interval(ordered));
         } else if (silentFor(server.controlShard(), DIGEST_SILENCE)) {
             mPoller.pollIfDue(server, PollPlan.FALLBACK);
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/PollPlan.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PollPlan.java
@@ -1,7 +1,6 @@
 package org.vanillaslip.internal.control.placement;
 
 import java.time.Duration;
-import org.vanillaslip.internal.placement.ShardRecord;
 
 /** How often servers are asked for their status. */
 final class PollPlan {
@@ -11,6 +10,9 @@
 
     static final Duration STEADY = Duration.ofSeconds(1);
 
+    /** Without an open order the servers are only gone through at every tenth tick. */
+    static final int STEADY_TICKS = 10;
+
     /** Interval of hosts that do not hold the lease and hear from no holder. */
     static final Duration FALLBACK = Duration.ofSeconds(2);
 
@@ -20,10 +22,7 @@
     private PollPlan() {}
 
     /** Returns a short interval while an order on the server has no known outcome. */
-    static Duration interval(ShardRecord record, String server) {
-        boolean unresolved =
-                record.placements().stream()
-                        .anyMatch(p -> p.server().equals(server) && p.unresolved());
-        return unresolved ? TICK : STEADY;
+    static Duration interval(boolean ordered) {
+        return ordered ? TICK : STEADY;
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/SlotLedgers.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/SlotLedgers.java
@@ -55,9 +55,7 @@
         Optional<ServerLoad> load =
                 mPlacement
                         .load(server.name())
-                        .filter(
-                                found ->
-                                        found.incarnation().equals(request.getServerIncarnation()));
+                        .filter(found -> isMeant(found, request.getServerIncarnation()));
         if (load.isEmpty()) {
             return List.of();
         }
@@ -69,6 +67,11 @@
         return ledger.acquire(request.getAcquire(), running, now);
     }
 
+    /** A host of another failure domain has no report of the server, so it names no incarnation. */
+    private static boolean isMeant(ServerLoad load, String incarnation) {
+        return incarnation.isEmpty() || incarnation.equals(load.incarnation());
+    }
+
     private ConcurrencyLedger ledger(BackendServer server, ServerLoad load, long now) {
         ServerLedger known = mLedgers.get(server.name());
         if (known != null && known.incarnation().equals(load.incarnation())) {
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/SlotService.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/SlotService.java
@@ -3,6 +3,7 @@
 import static org.vanillaslip.internal.logging.LogField.field;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +13,10 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.vanillaslip.BackendServer;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.Host;
 import org.vanillaslip.internal.control.ConfigurationView;
+import org.vanillaslip.internal.control.HostView;
 import org.vanillaslip.internal.control.PlacementView;
 import org.vanillaslip.internal.control.Replica;
 import org.vanillaslip.internal.control.ServerLoad;
@@ -28,7 +32,8 @@
 
 /**
  * Takes slots on starting servers from the lease holder of their control shard. A server whose ramp
- * is over needs no slots.
+ * is over needs no slots. A host of another failure domain doesn't know the holder and asks any
+ * live host of the server's domain, which passes the request on.
  */
 public final class SlotService implements SlotGate {
 
@@ -37,9 +42,13 @@
 
     private static final Duration RENEWAL = Duration.ofSeconds(2);
 
+    /** Shorter than the wait of the host that asked, so that it gets the answer. */
+    private static final Duration RELAY_TIMEOUT = Duration.ofMillis(300);
+
     private final String mHost;
     private final DecisionLoop mLoop;
     private final ConfigurationView mConfiguration;
+    private final HostView mHosts;
     private final PlacementView mPlacement;
     private final PeerLinks mLinks;
     private final EventLog mLog;
@@ -55,6 +64,7 @@
             String host,
             DecisionLoop loop,
             ConfigurationView configuration,
+            HostView hosts,
             PlacementView placement,
             PeerLinks links,
             LongSupplier slotIds,
@@ -62,6 +72,7 @@
         mHost = host;
         mLoop = loop;
         mConfiguration = configuration;
+        mHosts = hosts;
         mPlacement = placement;
         mLinks = links;
         mLog = log;
@@ -166,46 +177,76 @@
             mLedgers.apply(server, request);
             return;
         }
-        mPlacement
-                .holder(server.controlShard())
+        granter(server)
                 .ifPresent(
-                        holder ->
-                                mLinks.send(holder, Envelope.newBuilder().setSlotRequest(request)));
+                        host -> mLinks.send(host, Envelope.newBuilder().setSlotRequest(request)));
+    }
+
+    /** Returns the lease holder, or another host that knows it. */
+    private Optional<String> granter(BackendServer server) {
+        return holder(server).or(() -> liveHostOf(server.failureDomain()));
+    }
+
+    private Optional<String> holder(BackendServer server) {
+        return mPlacement.holder(server.controlShard()).filter(host -> !host.equals(mHost));
+    }
+
+    private Optional<String> liveHostOf(FailureDomain domain) {
+        Set<String> live = mLinks.liveHosts();
+        return mHosts.hosts().stream()
+                .filter(host -> host.failureDomain().equals(domain))
+                .map(Host::name)
+                .filter(live::contains)
+                .min(Comparator.naturalOrder());
+    }
+
+    private boolean isOfDomain(String name, FailureDomain domain) {
+        return mHosts.hosts().stream()
+                .anyMatch(host -> host.name().equals(name) && host.failureDomain().equals(domain));
     }
 
     private Mono<List<Long>> send(BackendServer server, SlotRequest request, Duration wait) {
         if (mLedgers.owns(server.controlShard())) {
             return Mono.just(mLedgers.apply(server, request));
         }
-        return mPlacement
-                .holder(server.controlShard())
-                .filter(holder -> !holder.equals(mHost))
+        return granter(server).map(host -> ask(host, request, wait)).orElse(Mono.just(List.of()));
+    }
+
+    private Mono<List<Long>> ask(String host, SlotRequest request, Duration wait) {
+        return mLinks.request(host, Envelope.newBuilder().setSlotRequest(request), wait)
                 .map(
-                        holder ->
-                                mLinks.request(
-                                                holder,
-                                                Envelope.newBuilder().setSlotRequest(request),
-                                                wait)
-                                        .map(
-                                                reply ->
-                                                        reply.map(Envelope::getSlotGrant)
-                                                                .map(SlotGrant::getSlotIdsList)
-                                                                .getOrElse(List.of())))
-                .orElse(Mono.just(List.of()));
+                        reply ->
+                                reply.map(Envelope::getSlotGrant)
+                                        .map(SlotGrant::getSlotIdsList)
+                                        .getOrElse(List.of()));
     }
 
     private Mono<Envelope.Builder> answer(Envelope envelope) {
         SlotRequest request = envelope.getSlotRequest();
-        Optional<BackendServer> server =
-                mConfiguration
-                        .current()
-                        .map(current -> current.backendServers().get(request.getServer()));
-        List<Long> ids = server.map(known -> mLedgers.apply(known, request)).orElse(List.of());
-        return Mono.just(
-                Envelope.newBuilder()
-                        .setSlotGrant(
-                                SlotGrant.newBuilder()
-                                        .addAllSlotIds(ids)
-                                        .setValidityMillis((int) VALIDITY.toMillis())));
+        return mConfiguration
+                .current()
+                .map(current -> current.backendServers().get(request.getServer()))
+                .map(server -> answer(envelope.getSender(), server, request))
+                .orElse(Mono.just(List.of()))
+                .map(SlotService::grant);
+    }
+
+    /** Only requests from other failure domains are passed on, so that none can circulate. */
+    private Mono<List<Long>> answer(String sender, BackendServer server, SlotRequest request) {
+        if (mLedgers.owns(server.controlShard())) {
+            return Mono.just(mLedgers.apply(server, request));
+        }
+        return holder(server)
+                .filter(holder -> !isOfDomain(sender, server.failureDomain()))
+                .map(holder -> ask(holder, request, RELAY_TIMEOUT))
+                .orElse(Mono.just(List.of()));
+    }
+
+    private static Envelope.Builder grant(List<Long> ids) {
+        return Envelope.newBuilder()
+                .setSlotGrant(
+                        SlotGrant.newBuilder()
+                                .addAllSlotIds(ids)
+                                .setValidityMillis((int) VALIDITY.toMillis()));
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -111,7 +111,7 @@
         mPlacement = placement(context, mConfiguration, mHosts, mLinks);
         mShares = shares(context, mConfiguration, mHosts, mLinks, mPlacement);
         mQuota = quota(context, mConfiguration, mLinks, mShares);
-        mSlots = slots(context, mConfiguration, mLinks, mPlacement);
+        mSlots = slots(context, mConfiguration, mHosts, mLinks, mPlacement);
         mGateway = gateway(context, mConfiguration, mPlacement, mLinks, mQuota, mSlots);
     }
 
@@ -236,12 +236,14 @@
     private static SlotService slots(
             HostContext context,
             ConfigurationView configuration,
+            HostView hosts,
             PeerLinks links,
             PlacementView placement) {
         return new SlotService(
                 context.name(),
                 context.loop(),
                 configuration,
+                hosts,
                 placement,
                 links,
                 context.identifiers()::nextNumber,
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/ProcessStarter.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/ProcessStarter.java
@@ -36,6 +36,9 @@
         daemon.stop();
         log.log(LifecycleEvent.STOPPED);
         stopped.countDown();
+        // After a signal the virtual machine would exit with 143, which supervisors take as a
+        // failure.
+        Runtime.getRuntime().halt(0);
     }
 
     private static void awaitStop(CountDownLatch stopped) {
--- a/daemon/src/test/java/org/vanillaslip/internal/quota/SharesAndSlotsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/SharesAndSlotsTest.java
@@ -112,6 +112,25 @@
         assertThat(taken).filteredOn(Optional::isPresent).hasSize(3);
     }
 
+    /** Without a way to the holder, servers of other domains were never used as a fallback. */
+    @Test
+    void hostOfAnotherDomainGetsASlotThroughAHostThatIsNotTheHolder() {
+        list("one", "two");
+        mViews.setHolder("two");
+        mViews.setLoad(new ServerLoad("s1", Duration.ofSeconds(1), 0, 0));
+        FakeViews remote = new FakeViews(SERVER);
+        remote.setHosts(mViews.hosts().hosts());
+        slots("one");
+        slots("two");
+        SlotService three = slots("three", remote);
+        mNetwork.advance(Duration.ofSeconds(8));
+        List<Optional<Slot>> taken = new ArrayList<>();
+        three.acquire(new Replica(SERVER, "", ModelName.parse("model")), Duration.ofMillis(500))
+                .subscribe(taken::add);
+        mNetwork.advance(Duration.ofSeconds(1));
+        assertThat(taken).singleElement().satisfies(slot -> assertThat(slot).isPresent());
+    }
+
     @Test
     void warmServerNeedsNoSlots() {
         mViews.setLoad(new ServerLoad("s1", Duration.ofMinutes(61), 50, 0));
@@ -127,12 +146,17 @@
     }
 
     private SlotService slots(String host) {
+        return slots(host, mViews);
+    }
+
+    private SlotService slots(String host, FakeViews views) {
         SlotService service =
                 new SlotService(
                         host,
                         mNetwork.loop(),
-                        mViews.configuration(),
-                        mViews,
+                        views.configuration(),
+                        views.hosts(),
+                        views,
                         mNetwork.join(host),
                         mRandom::nextLong,
                         (event, fields) -> {});
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/LineSplitter.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/LineSplitter.java
@@ -5,17 +5,18 @@
 import java.util.List;
 
 /** Cuts the chunks of one stream into lines; an unfinished last line is never returned. */
-final class LineSplitter {
+public final class LineSplitter {
 
     private final int mMostBytes;
     private final ByteArrayOutputStream mUnfinished = new ByteArrayOutputStream();
 
-    LineSplitter(int mostBytes) {
+    /** Creates a splitter that accepts lines up to the given length. */
+    public LineSplitter(int mostBytes) {
         mMostBytes = mostBytes;
     }
 
     /** Returns the lines that the chunk completes, without empty ones. */
-    List<byte[]> split(byte[] chunk) {
+    public List<byte[]> split(byte[] chunk) {
         List<byte[]> lines = new ArrayList<>();
         int start = 0;
         for (int index = 0; index < chunk.length; index++) {
@@ -30,8 +31,7 @@
         }
         mUnfinished.write(chunk, start, chunk.length - start);
         if (mUnfinished.size() > mMostBytes) {
-            throw new IllegalArgumentException(
-                    "The platform sent a line of more than " + mMostBytes + " bytes.");
+            throw new IllegalArgumentException("A line has more than " + mMostBytes + " bytes.");
         }
         return lines;
     }
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/capacity/CapacityMain.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/capacity/CapacityMain.java
@@ -12,6 +12,8 @@
     public static void main(String[] arguments) throws IOException {
         System.out.println("## Configuration\n");
         new ConfigurationCapacity(System.out).run();
+        System.out.println("\n## Control shard records\n");
+        new RecordCapacity(System.out).run();
         System.out.println("\n## Latency on a warm path\n");
         new WarmPathLatency(Path.of(arguments[0]), System.out).run();
         System.out.println("\n## Idle hosts\n");
