--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Gateway.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Gateway.java
@@ -100,13 +100,7 @@
                 .idleTimeout(IDLE_TIMEOUT)
                 .handle(this::handle)
                 .bind()
-                .doOnNext(
-                        server -> {
-                            mServer = server;
-                            mNeeds.log().log(
-                                    RequestEvent.GATEWAY_STARTED,
-                                    LogField.field("address", server.address()));
-                        })
+                .doOnNext(server -> mServer = server)
                 .then();
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/RequestEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/RequestEvent.java
@@ -5,7 +5,6 @@
 
 /** Log events of the request path. */
 public enum RequestEvent implements LogEvent {
-    GATEWAY_STARTED(500, Level.INFO, "The gateway accepts requests."),
     SERVER_CHOSEN(501, Level.INFO, "A backend server was chosen for a request."),
     REQUEST_REFUSED(502, Level.INFO, "A request was refused."),
     REQUEST_COMPLETED(503, Level.INFO, "A request got its complete answer."),
--- a/daemon/src/main/java/org/vanillaslip/internal/logging/LifecycleEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/logging/LifecycleEvent.java
@@ -4,8 +4,6 @@
 public enum LifecycleEvent implements LogEvent {
     STARTING(100, System.Logger.Level.INFO, "The daemon starts."),
     LISTENING(101, System.Logger.Level.INFO, "An address accepts connections."),
-    READY(102, System.Logger.Level.INFO, "The host is ready for requests."),
-    NOT_READY(103, System.Logger.Level.WARNING, "The host is not ready for requests."),
     STOPPING(104, System.Logger.Level.INFO, "A planned stop begins; readiness is false."),
     REFUSING(105, System.Logger.Level.INFO, "New requests are refused from now on."),
     STOPPED(106, System.Logger.Level.INFO, "The daemon has stopped."),
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -126,9 +126,7 @@
         mShares.start(mQuota::fitsShare);
         mQuota.start();
         mSlots.start();
-        mLinks.start()
-                .doOnNext(address -> mLog.log(LifecycleEvent.LISTENING, field("address", address)))
-                .block(START_TIMEOUT);
+        mLinks.start().block(START_TIMEOUT);
     }
 
     /** Stops as planned: callers first, then leases and borrowed tokens, then connections. */
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/demo/DemoRun.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/demo/DemoRun.java
@@ -111,13 +111,14 @@
     }
 
     private void printDecisions() {
-        mOutput.println("logged decisions:");
+        mOutput.println("decisions in the logs (docs/LOG-EVENTS.md explains the event numbers):");
         for (HostProcess host : mDeployment.hosts()) {
             host.process()
                     .output()
                     .lines()
                     .filter(DecisionLines::isDecision)
-                    .forEach(line -> mOutput.println("  " + host.name() + " " + line));
+                    .map(DecisionLines::withoutTimeAndLogger)
+                    .forEach(line -> mOutput.println("  " + host.name() + ": " + line));
         }
     }
 
