--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/BackgroundLoad.java
@@ -0,0 +1,96 @@
+package org.vanillaslip.internal.proofs.processes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.ConnectException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Callers that send one request after the other to ready hosts, as the load balancer does. */
+public final class BackgroundLoad {
+
+    private static final int CALLERS = 4;
+
+    private final Deployment mDeployment;
+    private final String mRoute;
+    private final Map<String, String> mHeaders;
+    private final String mBody;
+    private final AtomicInteger mComplete = new AtomicInteger();
+    private final List<String> mInterrupted = new CopyOnWriteArrayList<>();
+    private final List<CompletableFuture<Void>> mCallers = new ArrayList<>();
+    private final ExecutorService mThreads = Executors.newFixedThreadPool(CALLERS);
+    private volatile boolean mStopped;
+
+    /** Creates callers that all send the same streamed request. */
+    public BackgroundLoad(
+            Deployment deployment, String route, Map<String, String> headers, String body) {
+        mDeployment = deployment;
+        mRoute = route;
+        mHeaders = headers;
+        mBody = body;
+    }
+
+    /** Starts the callers. */
+    public void start() {
+        for (int i = 0; i < CALLERS; i++) {
+            int first = i;
+            mCallers.add(CompletableFuture.runAsync(() -> run(first), mThreads));
+        }
+    }
+
+    /** Returns the number of complete answers so far. */
+    public int complete() {
+        return mComplete.get();
+    }
+
+    /** Ends the callers after their running requests and returns what interrupted requests got. */
+    public List<String> stop() {
+        mStopped = true;
+        mCallers.forEach(CompletableFuture::join);
+        mThreads.shutdown();
+        return List.copyOf(mInterrupted);
+    }
+
+    private void run(int first) {
+        for (int i = first; !mStopped; i++) {
+            List<HostProcess> hosts = mDeployment.hosts();
+            HostProcess host = hosts.get(i % hosts.size());
+            if (mDeployment.caller().get(host.gatewayAddress(), "/readyz").status() == 200) {
+                send(host);
+            }
+        }
+    }
+
+    /** A refusal that says "not run" and a connection that was never made interrupt no request. */
+    private void send(HostProcess host) {
+        try {
+            CallerResponse response =
+                    mDeployment
+                            .caller()
+                            .postWithRetry(host.gatewayAddress(), mRoute, mHeaders, mBody);
+            if (response.isCompleteStream()) {
+                mComplete.incrementAndGet();
+            } else if (!isNotRun(response)) {
+                mInterrupted.add(host.name() + ": " + response.status() + " " + response.body());
+            }
+        } catch (CompletionException e) {
+            if (!(e.getCause() instanceof ConnectException)) {
+                mInterrupted.add(host.name() + ": " + e.getCause());
+            }
+        }
+    }
+
+    private static boolean isNotRun(CallerResponse response) {
+        if (response.status() < 400) {
+            return false;
+        }
+        JsonNode refusal = Observations.json(response.body());
+        return refusal.path("not_run").asBoolean();
+    }
+}
--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/ConfigurationSteps.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/ConfigurationSteps.java
@@ -7,6 +7,7 @@
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
 import java.util.List;
+import java.util.Map;
 import org.vanillaslip.internal.proofs.processes.CommandOutcome;
 import org.vanillaslip.internal.proofs.processes.Deployment;
 import org.vanillaslip.internal.proofs.processes.HostProcess;
@@ -16,13 +17,30 @@
 /** Steps about the operators' lists and drains. */
 public final class ConfigurationSteps {
 
+    private static final String QUOTE =
+            "{\"model\": \"edge-quote\", \"prompt\": \"shelf\", \"max_tokens\": 4,"
+                    + " \"stream\": true}";
+
     private final Deployment mDeployment = SharedDeployment.deployment();
     private final Observations mObservations = SharedDeployment.observations();
     private String mKey = "";
     private List<CommandOutcome> mRace = List.of();
 
+    /** Sends rounds until one reaches the server. */
+    @Given("new work reaches {string}")
+    public void reaches(String server) {
+        int before = mObservations.callsTo(server);
+        await(
+                "work on " + server,
+                () -> {
+                    readyHosts().forEach(this::serve);
+                    return mObservations.callsTo(server) > before;
+                });
+    }
+
     /** Waits until the change is in force on all hosts. */
-    private void inForce() {
+    @When("every host has the platform's configuration")
+    public void inForce() {
         long version = mObservations.configurationVersion();
         for (HostProcess host : mDeployment.hosts()) {
             await(
@@ -31,6 +49,25 @@
         }
     }
 
+    /** Checks that requests go on elsewhere. */
+    @Then("{int} rounds of requests are served and none reaches {string}")
+    public void avoids(int rounds, String server) {
+        int before = mObservations.callsTo(server);
+        assertThat(readyHosts()).isNotEmpty();
+        for (int i = 0; i < rounds; i++) {
+            for (HostProcess host : readyHosts()) {
+                assertThat(serve(host)).as(host.name()).isTrue();
+            }
+        }
+        assertThat(mObservations.callsTo(server)).isEqualTo(before);
+    }
+
+    /** Checks the readiness that the load balancer reads. */
+    @Then("the hosts of failure domain {string} are not ready")
+    public void notReady(String failureDomain) {
+        assertThat(readyHosts()).noneMatch(host -> host.failureDomain().equals(failureDomain));
+    }
+
     /** Freezes a host. */
     @Given("the host {string} is frozen")
     public void freeze(String host) {
@@ -104,4 +141,28 @@
     private JavaProcess startKeyCommand() {
         return mDeployment.startCommand("keys", "add", SharedDeployment.WORKSPACE);
     }
+
+    private List<HostProcess> readyHosts() {
+        return mDeployment.hosts().stream()
+                .filter(
+                        host ->
+                                mDeployment.caller().get(host.gatewayAddress(), "/readyz").status()
+                                        == 200)
+                .toList();
+    }
+
+    private boolean serve(HostProcess host) {
+        boolean quote =
+                mDeployment
+                        .caller()
+                        .postUntilServed(
+                                host.gatewayAddress(),
+                                "/quotes/builder",
+                                Map.of("Authorization", "Bearer " + SharedDeployment.key()),
+                                QUOTE)
+                        .isCompleteStream();
+        boolean stock =
+                mDeployment.caller().get(host.gatewayAddress(), "/stock?item=oak").status() == 200;
+        return quote && stock;
+    }
 }
--- /dev/null
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/GracefulStopSteps.java
@@ -0,0 +1,134 @@
+package org.vanillaslip.internal.proofs.scenarios;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.vanillaslip.internal.proofs.processes.Deployment.await;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.vanillaslip.internal.proofs.processes.BackgroundLoad;
+import org.vanillaslip.internal.proofs.processes.CallerResponse;
+import org.vanillaslip.internal.proofs.processes.Deployment;
+import org.vanillaslip.internal.proofs.processes.HostProcess;
+import org.vanillaslip.internal.proofs.processes.Observations;
+
+/** Steps about planned stops. */
+public final class GracefulStopSteps {
+
+    private static final String ROUTE = "/quotes/builder";
+    private static final int HOST_STOPPING = 3001;
+
+    private final Deployment mDeployment = SharedDeployment.deployment();
+    private final List<CompletableFuture<CallerResponse>> mStreams = new ArrayList<>();
+    private List<String> mInterrupted = List.of();
+
+    /** Starts streams of 250 tokens, which take the engine 5 s. */
+    @When("{int} streams run on {string}")
+    public void startStreams(int count, String host) {
+        Observations observations = SharedDeployment.observations();
+        for (int i = 0; i < count; i++) {
+            String prompt = "graceful-" + i;
+            mStreams.add(CompletableFuture.supplyAsync(() -> postUntilServed(host, prompt, 250)));
+        }
+        for (int i = 0; i < count; i++) {
+            String prompt = "graceful-" + i;
+            await(prompt, () -> observations.received().stream().anyMatch(t -> t.contains(prompt)));
+        }
+    }
+
+    /** Begins a planned stop. */
+    @When("the host {string} gets SIGTERM")
+    public void requestStop(String host) {
+        mDeployment.host(host).process().requestStop();
+    }
+
+    /** Checks that readiness changes before the process ends. */
+    @Then("the host {string} turns not ready while it still answers")
+    public void notReady(String host) {
+        await(
+                "the end of readiness of " + host,
+                () ->
+                        mDeployment.caller().get(SharedDeployment.gateway(host), "/readyz").status()
+                                == 503);
+    }
+
+    /** Checks that new requests are refused and not run. */
+    @Then("the host {string} refuses new requests as not run")
+    public void refuses(String host) {
+        await(
+                "a refusal by " + host,
+                () -> {
+                    CallerResponse response = post(host, "late", 1);
+                    JsonNode refusal =
+                            Observations.json(response.status() >= 400 ? response.body() : "{}");
+                    return refusal.path("code").asInt() == HOST_STOPPING
+                            && refusal.path("not_run").asBoolean();
+                });
+    }
+
+    /** Checks that no stream was cut. */
+    @Then("every stream is complete")
+    public void complete() {
+        for (CompletableFuture<CallerResponse> stream : mStreams) {
+            CallerResponse response = stream.join();
+            assertThat(response.isCompleteStream()).as(response.body()).isTrue();
+        }
+    }
+
+    /** Checks that the planned stop ends. */
+    @Then("the host {string} ends by itself with exit code {int}")
+    public void ends(String host, int exitCode) {
+        await("the end of " + host, () -> !mDeployment.host(host).process().isAlive());
+        assertThat(mDeployment.host(host).process().stop()).isEqualTo(exitCode);
+    }
+
+    /** Replaces all hosts while callers go on. */
+    @When("every host is replaced one after the other under load")
+    public void replaceAll() {
+        BackgroundLoad load =
+                new BackgroundLoad(mDeployment, ROUTE, headers(), body("rolling", 20));
+        load.start();
+        for (HostProcess host : mDeployment.hosts()) {
+            int before = load.complete();
+            await("answers before the stop of " + host.name(), () -> load.complete() > before + 4);
+            host.process().requestStop();
+            await("the end of " + host.name(), () -> !host.process().isAlive());
+            mDeployment.restartHost(host.name());
+        }
+        mInterrupted = load.stop();
+    }
+
+    /** Checks the answers of all callers. */
+    @Then("no request was interrupted")
+    public void notInterrupted() {
+        assertThat(mInterrupted).isEmpty();
+    }
+
+    private CallerResponse post(String host, String prompt, int tokens) {
+        return mDeployment
+                .caller()
+                .postWithRetry(
+                        SharedDeployment.gateway(host), ROUTE, headers(), body(prompt, tokens));
+    }
+
+    private CallerResponse postUntilServed(String host, String prompt, int tokens) {
+        return mDeployment
+                .caller()
+                .postUntilServed(
+                        SharedDeployment.gateway(host), ROUTE, headers(), body(prompt, tokens));
+    }
+
+    private static Map<String, String> headers() {
+        return Map.of("Authorization", "Bearer " + SharedDeployment.key());
+    }
+
+    private static String body(String prompt, int tokens) {
+        return ("{\"model\": \"edge-quote\", \"prompt\": \"%s\", \"max_tokens\": %d,"
+                        + " \"stream\": true}")
+                .formatted(prompt, tokens);
+    }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/PartitionSteps.java
@@ -0,0 +1,86 @@
+package org.vanillaslip.internal.proofs.scenarios;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.vanillaslip.internal.proofs.processes.Deployment.await;
+
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.Map;
+import org.vanillaslip.internal.proofs.processes.CallerResponse;
+import org.vanillaslip.internal.proofs.processes.Deployment;
+import org.vanillaslip.internal.proofs.processes.HostProcess;
+import org.vanillaslip.internal.proofs.processes.Observations;
+
+/** Steps about a failure domain that does not reach the platform. */
+public final class PartitionSteps {
+
+    private static final String ROUTE = "/quotes/builder";
+
+    private final Deployment mDeployment = SharedDeployment.deployment();
+    private final Observations mObservations = SharedDeployment.observations();
+
+    /** Waits until the holder of a cut-off domain has lost its lease. */
+    @When("the lease of {string} is lost")
+    public void leaseLost(String shard) {
+        String holder = mObservations.leaseHolder(shard);
+        await(
+                "the loss of the lease of " + shard,
+                () ->
+                        mDeployment
+                                .host(holder)
+                                .process()
+                                .output()
+                                .lines()
+                                .anyMatch(l -> l.contains("event=301") && l.contains(shard)));
+    }
+
+    /** Checks every host of the domain. */
+    @Then("the hosts of failure domain {string} serve {string} completely")
+    public void served(String failureDomain, String model) {
+        for (HostProcess host : mDeployment.hosts()) {
+            if (host.failureDomain().equals(failureDomain)) {
+                CallerResponse response = post(host, model, 60_000);
+                assertThat(response.isCompleteStream()).as(response.body()).isTrue();
+            }
+        }
+    }
+
+    /** Checks a model that is not resident. The call itself gives up after 60 s. */
+    @Then("the hosts of failure domain {string} serve {string} or refuse it with a result code")
+    public void servedOrRefused(String failureDomain, String model) {
+        for (HostProcess host : mDeployment.hosts()) {
+            if (host.failureDomain().equals(failureDomain)) {
+                CallerResponse response = post(host, model, 20_000);
+                boolean refused =
+                        response.status() >= 400
+                                && Observations.json(response.body()).path("code").asInt() > 0;
+                assertThat(refused || response.isCompleteStream())
+                        .as(response.status() + " " + response.body())
+                        .isTrue();
+            }
+        }
+    }
+
+    /** Waits until the domain takes part again. */
+    @When("{string} has a lease holder again that reaches the platform")
+    public void rejoined(String shard) {
+        long term = mObservations.leaseTerm(shard);
+        await("a new term of " + shard, () -> mObservations.leaseTerm(shard) > term);
+    }
+
+    private CallerResponse post(HostProcess host, String model, long deadlineMillis) {
+        String body =
+                "{\"model\": \"%s\", \"prompt\": \"door\", \"max_tokens\": 12, \"stream\": true}";
+        return mDeployment
+                .caller()
+                .postWithRetry(
+                        host.gatewayAddress(),
+                        ROUTE,
+                        Map.of(
+                                "Authorization",
+                                "Bearer " + SharedDeployment.key(),
+                                "X-Request-Deadline-Millis",
+                                Long.toString(deadlineMillis)),
+                        body.formatted(model));
+    }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/PlacementSteps.java
@@ -0,0 +1,146 @@
+package org.vanillaslip.internal.proofs.scenarios;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.vanillaslip.internal.proofs.processes.Deployment.await;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.vanillaslip.internal.proofs.processes.CallerResponse;
+import org.vanillaslip.internal.proofs.processes.Deployment;
+import org.vanillaslip.internal.proofs.processes.HostProcess;
+import org.vanillaslip.internal.proofs.processes.Observations;
+
+/** Steps about loads, leases and engines. */
+public final class PlacementSteps {
+
+    private static final String BODY =
+            "{\"model\": \"%s\", \"prompt\": \"worktop\", \"max_tokens\": 12, \"stream\": true}";
+
+    private final Deployment mDeployment = SharedDeployment.deployment();
+    private final Observations mObservations = SharedDeployment.observations();
+    private CompletableFuture<CallerResponse> mRequest = new CompletableFuture<>();
+    private String mEngine = "";
+    private String mFormerHolder = "";
+
+    /** Runs a drain or restore command. */
+    @Given("the operator runs {string}")
+    public void operate(String command) {
+        mDeployment.operate(command.split(" "));
+    }
+
+    /** Asks a host that stays alive when the shard's holder fails. */
+    @When("a caller asks for {string} at a host that does not hold the lease of {string}")
+    public void ask(String model, String shard) {
+        await("a lease holder of " + shard, () -> !mObservations.leaseHolder(shard).isEmpty());
+        mFormerHolder = mObservations.leaseHolder(shard);
+        String domain = mDeployment.host(mFormerHolder).failureDomain();
+        HostProcess asked =
+                mDeployment.hosts().stream()
+                        .filter(host -> host.failureDomain().equals(domain))
+                        .filter(host -> !host.name().equals(mFormerHolder))
+                        .findFirst()
+                        .orElseThrow();
+        mRequest = CompletableFuture.supplyAsync(() -> post(asked.name(), model));
+    }
+
+    /** Waits for the middle of a load. */
+    @When("{string} is being loaded on {string}")
+    public void loading(String model, String engine) {
+        mEngine = engine;
+        await(
+                "the load of " + model + " on " + engine,
+                () -> mObservations.modelState(engine, model).equals("loading"));
+    }
+
+    /** Freezes the lease holder. */
+    @When("the lease holder is frozen")
+    public void freeze() {
+        mDeployment.host(mFormerHolder).process().freeze();
+    }
+
+    /** Kills the lease holder. */
+    @When("the lease holder is killed")
+    public void kill() {
+        mDeployment.host(mFormerHolder).process().kill();
+    }
+
+    /** Restarts the engine of the load. */
+    @When("the engine restarts cold at the same address")
+    public void restartEngine() {
+        SharedDeployment.faults().restartEngineCold(mEngine);
+    }
+
+    /** Waits for the successor. */
+    @When("another host holds the lease of {string}")
+    public void successor(String shard) {
+        await(
+                "a successor of " + mFormerHolder,
+                () ->
+                        !mObservations.leaseHolder(shard).isEmpty()
+                                && !mObservations.leaseHolder(shard).equals(mFormerHolder));
+    }
+
+    /** Continues the frozen host and waits until it answers. */
+    @When("the frozen host continues")
+    public void thaw() {
+        mDeployment.host(mFormerHolder).process().thaw();
+        await(
+                mFormerHolder + " to answer",
+                () ->
+                        mDeployment
+                                        .caller()
+                                        .get(SharedDeployment.gateway(mFormerHolder), "/readyz")
+                                        .status()
+                                == 200);
+    }
+
+    /** Checks that the hosts serve, the former lease holder among them. */
+    @Then("{string} is served completely by the hosts of failure domain {string}")
+    public void servedByAll(String model, String failureDomain) {
+        for (HostProcess host : mDeployment.hosts()) {
+            if (host.failureDomain().equals(failureDomain)) {
+                await(
+                        model + " at " + host.name(),
+                        () -> post(host.name(), model).isCompleteStream());
+            }
+        }
+    }
+
+    /** Checks the answer of the request that waited for the load. */
+    @Then("the waiting request is answered completely or refused with a result code")
+    public void answered() {
+        CallerResponse response = mRequest.join();
+        assertThat(
+                        response.isCompleteStream()
+                                || (response.status() >= 400
+                                        && Observations.json(response.body()).path("code").asInt()
+                                                > 0))
+                .as(response.status() + " " + response.body())
+                .isTrue();
+    }
+
+    /** Checks the engines' own reports. */
+    @Then("no engine reports a violation")
+    public void noViolation() {
+        assertThat(mObservations.violations()).isEmpty();
+    }
+
+    /** Compares replicas with the budget of the lists. */
+    @Then("failure domain {string} has at most {int} replica(s) of {string}")
+    public void replicas(String failureDomain, int most, String model) {
+        assertThat(mObservations.replicas(failureDomain, model)).isLessThanOrEqualTo(most);
+    }
+
+    private CallerResponse post(String host, String model) {
+        return mDeployment
+                .caller()
+                .postWithRetry(
+                        SharedDeployment.gateway(host),
+                        "/quotes/builder",
+                        Map.of("Authorization", "Bearer " + SharedDeployment.key()),
+                        BODY.formatted(model));
+    }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/StreamSteps.java
@@ -0,0 +1,104 @@
+package org.vanillaslip.internal.proofs.scenarios;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.vanillaslip.internal.proofs.processes.CallerResponse;
+import org.vanillaslip.internal.proofs.processes.Deployment;
+import org.vanillaslip.internal.proofs.processes.HostProcess;
+import org.vanillaslip.internal.proofs.processes.Observations;
+
+/** Steps about bursts and about streams that break at the engine. */
+public final class StreamSteps {
+
+    private static final int TOKENS = 12;
+
+    private final Deployment mDeployment = SharedDeployment.deployment();
+    private final List<CompletableFuture<CallerResponse>> mRequests = new ArrayList<>();
+
+    /** Switches a fault of all engines. */
+    @Given("the engines have the fault {string}")
+    public void engineFault(String body) {
+        SharedDeployment.faults().engines(body);
+    }
+
+    /** Sends requests to all hosts at once, without repeating refused ones. */
+    @When("{int} callers at every host ask for {string} with a deadline of {long} ms")
+    public void burst(int callers, String model, long deadlineMillis) {
+        for (int i = 0; i < callers; i++) {
+            for (HostProcess host : mDeployment.hosts()) {
+                mRequests.add(post(host, model, deadlineMillis, "burst-" + i));
+            }
+        }
+    }
+
+    /** Checks that no request was dropped; a call that gets no answer fails after 60 s. */
+    @Then("every request is answered completely or refused with a result code")
+    public void answered() {
+        assertThat(mRequests).allSatisfy(request -> assertWhole(request.join(), true));
+    }
+
+    /** Checks that resumed streams have every token once. */
+    @Then("every request is answered completely")
+    public void complete() {
+        assertThat(mRequests).allSatisfy(request -> assertWhole(request.join(), false));
+    }
+
+    /** Guards against a test that passes because everything was refused. */
+    @Then("at least {int} request(s) was/were answered completely")
+    public void atLeast(int least) {
+        assertThat(mRequests.stream().filter(r -> r.join().isCompleteStream()).count())
+                .isGreaterThanOrEqualTo(least);
+    }
+
+    private static void assertWhole(CallerResponse response, boolean orRefused) {
+        if (response.isCompleteStream()) {
+            List<Integer> offsets =
+                    events(response)
+                            .filter(event -> event.has("token"))
+                            .map(event -> event.path("offset").asInt())
+                            .toList();
+            assertThat(offsets)
+                    .as(response.body())
+                    .isEqualTo(Stream.iterate(0, i -> i + 1).limit(TOKENS).toList());
+            assertThat(events(response).map(e -> e.path("request_id").asText()).distinct())
+                    .as(response.body())
+                    .hasSize(1);
+        } else {
+            assertThat(orRefused).as(response.status() + " " + response.body()).isTrue();
+            assertThat(response.body()).contains("\"code\":").doesNotContain("[DONE]");
+        }
+    }
+
+    private static Stream<JsonNode> events(CallerResponse response) {
+        return response.body()
+                .lines()
+                .filter(line -> line.startsWith("data: {"))
+                .map(line -> Observations.json(line.substring("data: ".length())));
+    }
+
+    private CompletableFuture<CallerResponse> post(
+            HostProcess host, String model, long deadlineMillis, String prompt) {
+        String body =
+                "{\"model\": \"%s\", \"prompt\": \"%s\", \"max_tokens\": %d, \"stream\": true}";
+        return mDeployment
+                .caller()
+                .postLater(
+                        host.gatewayAddress(),
+                        "/quotes/builder",
+                        Map.of(
+                                "Authorization",
+                                "Bearer " + SharedDeployment.key(),
+                                "X-Request-Deadline-Millis",
+                                Long.toString(deadlineMillis)),
+                        body.formatted(model, prompt, TOKENS));
+    }
+}
