--- a/daemon/src/main/java/org/vanillaslip/internal/backend/forward/SilenceBound.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/SilenceBound.java
@@ -13,7 +13,7 @@
  * Ends a stream that stays silent although more was requested. A plain timeout would also end a
  * stream that waits for a slow reader.
  */
-final class SilenceBound {
+public final class SilenceBound {
 
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
 
@@ -21,13 +21,15 @@
     private final MonotonicClock mClock;
     private final Duration mBound;
 
-    SilenceBound(Scheduler timers, MonotonicClock clock, Duration bound) {
+    /** Creates a bound that is checked by the given clock. */
+    public SilenceBound(Scheduler timers, MonotonicClock clock, Duration bound) {
         mTimers = timers;
         mClock = clock;
         mBound = bound;
     }
 
-    <T> Flux<T> apply(Flux<T> source) {
+    /** Returns the source, ended by an error after too long a silence. */
+    public <T> Flux<T> apply(Flux<T> source) {
         return Flux.defer(
                 () -> {
                     AtomicLong owed = new AtomicLong();
--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
@@ -21,7 +21,7 @@
 /**
  * Lists a collection once, watches it, resumes after gaps, and lists it again from time to time.
  */
-final class CollectionFollower {
+public final class CollectionFollower {
 
     /** Bounds what an event that was missed without notice can cost. */
     static final Duration LIST_INTERVAL = Duration.ofMinutes(10);
@@ -57,18 +57,34 @@
             RandomGenerator random,
             EventLog log,
             CollectionListener listener) {
+        this(store, collection, loop, random, log, listener, LONGEST_DELAY);
+    }
+
+    /**
+     * Creates a follower.
+     *
+     * @param longestDelay longest pause between two attempts to reach the platform
+     */
+    public CollectionFollower(
+            ObjectStore store,
+            String collection,
+            DecisionLoop loop,
+            RandomGenerator random,
+            EventLog log,
+            CollectionListener listener,
+            Duration longestDelay) {
         mStore = store;
         mCollection = collection;
         mLoop = loop;
         mRandom = random;
         mLog = log;
         mListener = listener;
-        mBackoff = new Backoff(FIRST_DELAY, LONGEST_DELAY, random);
+        mBackoff = new Backoff(FIRST_DELAY, longestDelay, random);
         mListBackoff = new Backoff(FIRST_DELAY, LONGEST_LIST_DELAY, random);
     }
 
     /** Starts on the decision loop and returns the handle that stops it. */
-    Disposable start() {
+    public Disposable start() {
         mLoop.scheduler().schedule(this::listThenWatch);
         return mAll;
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionListener.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionListener.java
@@ -4,7 +4,7 @@
 import org.vanillaslip.internal.platform.WatchEvent;
 
 /** Receives the contents of a collection on the decision loop. */
-interface CollectionListener {
+public interface CollectionListener {
 
     /** Takes a complete list, which may be older than events that were already taken. */
     void listed(ObjectList list);
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -0,0 +1,219 @@
+package org.vanillaslip.internal.fleet;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import org.vanillaslip.internal.control.configuration.CollectionListener;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.platform.WatchEventType;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+
+/** All listed backend servers; used on the decision loop only. */
+public final class FleetDirectory implements CollectionListener {
+
+    /**
+     * Entries that expired while the store was away come back within two seconds; until then a
+     * missing server that was in service stays listed.
+     */
+    static final Duration RETURN_GRACE = Duration.ofMillis(1800);
+
+    private final ServingCollections mCollections;
+    private final DrainFollower mDrains;
+    private final DecisionLoop mLoop;
+    private final BooleanSupplier mStoreWasAway;
+    private final EventLog mLog;
+    private final Map<String, FleetMember> mMembers = new HashMap<>();
+    private final Map<String, Long> mVersions = new HashMap<>();
+    private final List<Runnable> mListeners = new ArrayList<>();
+    private boolean mListed;
+
+    /**
+     * Creates an empty directory.
+     *
+     * @param storeWasAway whether the store did not answer a short while ago
+     */
+    public FleetDirectory(
+            ServingCollections collections,
+            DrainFollower drains,
+            DecisionLoop loop,
+            BooleanSupplier storeWasAway,
+            EventLog log) {
+        mCollections = collections;
+        mDrains = drains;
+        mLoop = loop;
+        mStoreWasAway = storeWasAway;
+        mLog = log;
+    }
+
+    /** Registers a listener for changes of servers or of what they hold. */
+    public void onChange(Runnable listener) {
+        mListeners.add(listener);
+    }
+
+    /** Returns whether the list was read once. */
+    public boolean listed() {
+        return mListed;
+    }
+
+    /** Returns all listed servers. */
+    public Collection<FleetMember> members() {
+        return mMembers.values();
+    }
+
+    /** Returns a server by name. */
+    public Optional<FleetMember> member(String instance) {
+        return Optional.ofNullable(mMembers.get(instance));
+    }
+
+    /** Returns the servers of a pool that may get new calls, whether they have room or not. */
+    public List<FleetMember> inService(String pool) {
+        return mMembers.values().stream()
+                .filter(member -> member.registered().pool().equals(pool))
+                .filter(this::inService)
+                .toList();
+    }
+
+    /** Returns whether the server may get new calls. */
+    public boolean inService(FleetMember member) {
+        return member.inService() && !mDrains.isDrained(member.registered().failureDomain());
+    }
+
+    /** Takes over a server's own report of the given life; reports of other lives are dropped. */
+    public void report(String instance, long bornMillis, ServerLoadReport report) {
+        FleetMember member = mMembers.get(instance);
+        if (member != null && member.registered().bornMillis() == bornMillis) {
+            member.report(report, mLoop.clock().nowNanos());
+            changed();
+        }
+    }
+
+    /** Tells the listeners that a server has changed. */
+    public void changed() {
+        mListeners.forEach(Runnable::run);
+    }
+
+    @Override
+    public void listed(ObjectList list) {
+        mListed = true;
+        Set<String> names =
+                list.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
+        List.copyOf(mMembers.keySet()).stream()
+                .filter(name -> !names.contains(name))
+                .forEach(name -> missing(name, list.version()));
+        list.objects().forEach(this::take);
+        changed();
+    }
+
+    @Override
+    public void changed(WatchEvent event) {
+        if (event.type() == WatchEventType.BOOKMARK) {
+            return;
+        }
+        if (event.type() == WatchEventType.DELETED) {
+            missing(event.object().name(), event.object().version());
+        } else {
+            take(event.object());
+        }
+        changed();
+    }
+
+    private void take(StoredObject object) {
+        if (object.version() <= mVersions.getOrDefault(object.name(), 0L)) {
+            return;
+        }
+        mVersions.put(object.name(), object.version());
+        mCollections
+                .server(object)
+                .peek(this::register)
+                .peekLeft(
+                        fault -> {
+                            mLog.log(
+                                    FleetEvent.SERVER_UNREADABLE,
+                                    field("object", object.name()),
+                                    field("fault", fault));
+                            remove(object.name(), "unreadable entry");
+                        });
+    }
+
+    private void register(RegisteredServer server) {
+        long now = mLoop.clock().nowNanos();
+        FleetMember known = mMembers.get(server.instance());
+        boolean newLife =
+                known == null
+                        || known.registered().bornMillis() != server.bornMillis()
+                        || !known.registered().address().equals(server.address());
+        boolean wasInService = known != null && known.inService();
+        if (newLife) {
+            mMembers.put(server.instance(), new FleetMember(server, now));
+            logListed(server);
+        } else {
+            known.register(server, now);
+        }
+        if (wasInService && server.leaving()) {
+            logLeft(server.instance(), "announced");
+        }
+    }
+
+    private void missing(String name, long version) {
+        if (!mMembers.containsKey(name)) {
+            return;
+        }
+        mVersions.merge(name, version, Math::max);
+        FleetMember member = mMembers.get(name);
+        if (!mStoreWasAway.getAsBoolean() || !member.inService()) {
+            remove(name, "entry removed");
+            return;
+        }
+        long removedAt = mVersions.get(name);
+        mLoop.scheduler()
+                .schedule(
+                        () -> removeUnlessBack(name, removedAt),
+                        RETURN_GRACE.toMillis(),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void removeUnlessBack(String name, long removedAt) {
+        if (mVersions.getOrDefault(name, 0L) == removedAt) {
+            remove(name, "entry did not come back");
+            changed();
+        }
+    }
+
+    private void remove(String name, String reason) {
+        if (mMembers.remove(name) != null) {
+            logLeft(name, reason);
+        }
+    }
+
+    private void logListed(RegisteredServer server) {
+        mLog.log(
+                FleetEvent.SERVER_LISTED,
+                field("server", server.instance()),
+                field("pool", server.pool()),
+                field("failure_domain", server.failureDomain().name()),
+                field("address", server.address()),
+                field("born", server.bornMillis()),
+                field("leaving", server.leaving()),
+                field("loaded", server.stock().loaded().size()),
+                field("in_memory", server.stock().inMemory().size()),
+                field("on_disk", server.stock().onDisk().size()));
+    }
+
+    private void logLeft(String instance, String reason) {
+        mLog.log(
+                FleetEvent.SERVER_LEFT, field("server", instance), field("reason", reason));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -0,0 +1,174 @@
+package org.vanillaslip.internal.fleet;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.internal.routing.ColdGate;
+import org.vanillaslip.internal.routing.ServerHealth;
+
+/** One life of a backend server as this host knows it; used on the decision loop only. */
+public final class FleetMember {
+
+    /** A server that said it has no place is not asked again for this long. */
+    private static final long FULL_NANOS = Duration.ofMillis(60).toNanos();
+
+    /** A server that said it lacks a model is believed over an older list for this long. */
+    private static final long DENIED_NANOS = Duration.ofMillis(400).toNanos();
+
+    private final ServerHealth mHealth = new ServerHealth();
+    private final ColdGate mColdGate = new ColdGate();
+    private final Map<String, Integer> mOwnByModel = new HashMap<>();
+    private final Map<ModelName, Long> mDeniedAt = new HashMap<>();
+    private RegisteredServer mRegistered;
+    private ServerStock mStock;
+    private long mReportedAt = Long.MIN_VALUE;
+    private int mOthersInUse;
+    private int mOwnInUse;
+    private long mColdUntil;
+    private long mFullAt = Long.MIN_VALUE;
+    private boolean mOtherServerThere;
+
+    FleetMember(RegisteredServer registered, long nowNanos) {
+        mRegistered = registered;
+        mStock = registered.stock();
+        mColdUntil = nowNanos + Duration.ofMillis(registered.coldMillis()).toNanos();
+    }
+
+    /** Returns what the server has registered. */
+    public RegisteredServer registered() {
+        return mRegistered;
+    }
+
+    /** Returns the name of the server. */
+    public String instance() {
+        return mRegistered.instance();
+    }
+
+    /** Returns what the server holds, from its newest report. */
+    public ServerStock stock() {
+        return mStock;
+    }
+
+    /** Returns what this host has learned from its own calls. */
+    public ServerHealth health() {
+        return mHealth;
+    }
+
+    /** Returns the calls of this host that run or are being sent. */
+    public int ownInUse() {
+        return mOwnInUse;
+    }
+
+    /** Returns the calls of this host by model. */
+    public Map<String, Integer> ownByModel() {
+        return mOwnByModel;
+    }
+
+    /** Returns the places in use: the others' from the last report, this host's as they are now. */
+    public int inUse() {
+        return mOwnInUse + mOthersInUse;
+    }
+
+    /** Takes over a newer registration of the same life. */
+    void register(RegisteredServer registered, long nowNanos) {
+        if (registered.coldMillis() > mRegistered.coldMillis()) {
+            mColdUntil = nowNanos + Duration.ofMillis(registered.coldMillis()).toNanos();
+        }
+        mRegistered = registered;
+        boolean reported = mReportedAt != Long.MIN_VALUE;
+        if (!reported || registered.stock().orderCount() > mStock.orderCount()) {
+            mStock = registered.stock();
+        }
+    }
+
+    /** Takes over a report that is newer than the registration. */
+    void report(ServerLoadReport report, long nowNanos) {
+        mReportedAt = nowNanos;
+        mOthersInUse = Math.max(0, report.running() + report.queued() - mOwnInUse);
+        setStock(report.stock());
+    }
+
+    /** Replaces what the server is known to hold. */
+    void setStock(ServerStock stock) {
+        if (stock.orderCount() >= mStock.orderCount()) {
+            mStock = stock;
+        }
+    }
+
+    /** Returns whether the model and its adapter are loaded. */
+    public boolean holds(ModelName name, long nowNanos) {
+        Set<String> adapters = mStock.loaded().get(name.model());
+        if (adapters == null || denied(name, nowNanos) || denied(name.base(), nowNanos)) {
+            return false;
+        }
+        return name.adapter().map(adapters::contains).orElse(true);
+    }
+
+    /** Notes that the server said it does not hold the model. */
+    public void deny(ModelName name, long nowNanos) {
+        mDeniedAt.put(name, nowNanos);
+    }
+
+    private boolean denied(ModelName name, long nowNanos) {
+        Long deniedAt = mDeniedAt.get(name);
+        if (deniedAt == null) {
+            return false;
+        }
+        if (nowNanos - deniedAt > DENIED_NANOS) {
+            mDeniedAt.remove(name);
+            return false;
+        }
+        return true;
+    }
+
+    /** Notes that the server refused a call because it is full. */
+    public void full(long nowNanos) {
+        mFullAt = nowNanos;
+    }
+
+    /** Notes that another server answers at the address. */
+    public void replaced() {
+        mOtherServerThere = true;
+    }
+
+    /** Returns whether the server takes new calls, as far as it has said. */
+    public boolean inService() {
+        return !mRegistered.leaving() && !mOtherServerThere;
+    }
+
+    /** Returns whether a call may be sent now. */
+    public boolean open(long nowNanos) {
+        boolean full = mFullAt != Long.MIN_VALUE && nowNanos - mFullAt < FULL_NANOS;
+        return inService()
+                && !full
+                && mHealth.usable(nowNanos)
+                && (!cold(nowNanos) || mColdGate.open(nowNanos));
+    }
+
+    /** Returns whether the server is cold. */
+    public boolean cold(long nowNanos) {
+        return nowNanos - mColdUntil < 0;
+    }
+
+    /** Notes a call that is about to be sent. */
+    public void begin(Optional<ModelName> model, double coldPerSecond, int hosts, long nowNanos) {
+        mOwnInUse++;
+        mHealth.sent();
+        model.ifPresent(name -> mOwnByModel.merge(name.model(), 1, Integer::sum));
+        if (cold(nowNanos) && coldPerSecond > 0) {
+            mColdGate.passed(coldPerSecond, hosts, nowNanos);
+        }
+    }
+
+    /** Notes that a call has ended. */
+    public void end(Optional<ModelName> model) {
+        mOwnInUse--;
+        model.ifPresent(
+                name ->
+                        mOwnByModel.computeIfPresent(
+                                name.model(), (key, count) -> count > 1 ? count - 1 : null));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/HostRegistration.java
@@ -0,0 +1,166 @@
+package org.vanillaslip.internal.fleet;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.vanillaslip.Host;
+import org.vanillaslip.internal.control.HostView;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.platform.HostCodec;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformCollections;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.publisher.Mono;
+
+/** Enters this host into the host list, and takes out hosts that have been silent for long. */
+public final class HostRegistration {
+
+    private static final Duration RETRY = Duration.ofMillis(700);
+    private static final Duration CLEAN_INTERVAL = Duration.ofSeconds(5);
+
+    /** Restarts and partitions are shorter; a host that comes back enters itself again. */
+    private static final Duration SILENT_FOR = Duration.ofSeconds(30);
+
+    private final Host mHost;
+    private final ObjectStore mStore;
+    private final HostCodec mCodec = new HostCodec();
+    private final HostView mHosts;
+    private final Supplier<Set<String>> mLive;
+    private final DecisionLoop mLoop;
+    private final EventLog mLog;
+    private final Map<String, Long> mSilentSince = new HashMap<>();
+    private long mVersion;
+    private boolean mStopped;
+
+    /**
+     * Creates a registration that is not started.
+     *
+     * @param live hosts that this host hears from
+     */
+    public HostRegistration(
+            Host host,
+            ObjectStore store,
+            HostView hosts,
+            Supplier<Set<String>> live,
+            DecisionLoop loop,
+            EventLog log) {
+        mHost = host;
+        mStore = store;
+        mHosts = hosts;
+        mLive = live;
+        mLoop = loop;
+        mLog = log;
+    }
+
+    /** Enters this host, again and again until it is listed. */
+    public void start() {
+        mLoop.scheduler().schedule(this::enter);
+        long period = CLEAN_INTERVAL.toNanos();
+        mLoop.scheduler()
+                .schedulePeriodically(this::noteSilent, period, period, TimeUnit.NANOSECONDS);
+    }
+
+    /** Takes this host out of the list, because it stops as planned. */
+    public Mono<Void> stop() {
+        mStopped = true;
+        return mStore.delete(PlatformCollections.HOSTS, mHost.name(), mVersion).then();
+    }
+
+    /** Takes out hosts that were silent for too long; only the host that orders loads does this. */
+    public void clean() {
+        long now = mLoop.clock().nowNanos();
+        mSilentSince.forEach(
+                (name, since) -> {
+                    if (now - since >= SILENT_FOR.toNanos()) {
+                        remove(name);
+                    }
+                });
+    }
+
+    private void enter() {
+        if (mStopped) {
+            return;
+        }
+        mStore.create(PlatformCollections.HOSTS, mHost.name(), mCodec.encode(mHost))
+                .flatMap(
+                        result ->
+                                result.isLeft() && result.getLeft() == PlatformFailure.CONFLICT
+                                        ? replace()
+                                        : Mono.just(result))
+                .publishOn(mLoop.scheduler())
+                .subscribe(this::entered, error -> retry(error.toString()));
+    }
+
+    private Mono<Either<PlatformFailure, StoredObject>> replace() {
+        return mStore.read(PlatformCollections.HOSTS, mHost.name())
+                .flatMap(
+                        found ->
+                                found.isLeft()
+                                        ? Mono.just(found)
+                                        : mStore.update(
+                                                PlatformCollections.HOSTS,
+                                                mHost.name(),
+                                                found.get().version(),
+                                                mCodec.encode(mHost)));
+    }
+
+    private void entered(Either<PlatformFailure, StoredObject> result) {
+        result.peek(stored -> mVersion = stored.version())
+                .peekLeft(failure -> retry(failure.name()));
+    }
+
+    private void retry(String cause) {
+        mLog.log(FleetEvent.REGISTRATION_FAILED, field("cause", cause));
+        mLoop.scheduler().schedule(this::enter, RETRY.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private void noteSilent() {
+        long now = mLoop.clock().nowNanos();
+        Set<String> live = mLive.get();
+        mSilentSince
+                .keySet()
+                .removeIf(
+                        name ->
+                                live.contains(name)
+                                        || mHosts.hosts().stream()
+                                                .noneMatch(host -> host.name().equals(name)));
+        mHosts.hosts().stream()
+                .map(Host::name)
+                .filter(name -> !name.equals(mHost.name()) && !live.contains(name))
+                .forEach(name -> mSilentSince.putIfAbsent(name, now));
+        boolean listed =
+                mHosts.hosts().stream().anyMatch(host -> host.name().equals(mHost.name()));
+        if (!listed && mVersion > 0 && !mStopped) {
+            enter();
+        }
+    }
+
+    private void remove(String name) {
+        mStore.read(PlatformCollections.HOSTS, name)
+                .flatMap(
+                        found ->
+                                found.isLeft()
+                                        ? Mono.just(Optional.<StoredObject>empty())
+                                        : mStore.delete(
+                                                        PlatformCollections.HOSTS,
+                                                        name,
+                                                        found.get().version())
+                                                .thenReturn(Optional.of(found.get())))
+                .subscribe(
+                        done -> {},
+                        error ->
+                                mLog.log(
+                                        FleetEvent.REGISTRATION_FAILED,
+                                        field("host", name),
+                                        field("cause", error.toString())));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/PlanFollower.java
@@ -0,0 +1,80 @@
+package org.vanillaslip.internal.fleet;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.vanillaslip.internal.control.configuration.CollectionListener;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.platform.WatchEventType;
+import org.vanillaslip.internal.serving.ServingPlan;
+
+/** Puts each newer configuration version in force; an older one never replaces a newer one. */
+public final class PlanFollower implements CollectionListener, PlanView {
+
+    private final ServingCollections mCollections;
+    private final EventLog mLog;
+    private final List<Consumer<ServingPlan>> mListeners = new ArrayList<>();
+    private Optional<ServingPlan> mCurrent = Optional.empty();
+
+    /** Creates a follower that knows no configuration. */
+    public PlanFollower(ServingCollections collections, EventLog log) {
+        mCollections = collections;
+        mLog = log;
+    }
+
+    /** Registers a listener for versions that come into force. */
+    public void onChange(Consumer<ServingPlan> listener) {
+        mListeners.add(listener);
+    }
+
+    @Override
+    public Optional<ServingPlan> current() {
+        return mCurrent;
+    }
+
+    @Override
+    public void listed(ObjectList list) {
+        list.objects().forEach(this::take);
+    }
+
+    @Override
+    public void changed(WatchEvent event) {
+        if (event.type() == WatchEventType.ADDED || event.type() == WatchEventType.MODIFIED) {
+            take(event.object());
+        }
+    }
+
+    private void take(StoredObject object) {
+        Optional<Either<String, ServingPlan>> decoded = mCollections.plan(object);
+        decoded.ifPresent(
+                plan ->
+                        plan.peek(this::putInForce)
+                                .peekLeft(
+                                        fault ->
+                                                mLog.log(
+                                                        FleetEvent.PLAN_UNREADABLE,
+                                                        field("object", object.name()),
+                                                        field("revision", object.version()),
+                                                        field("fault", fault))));
+    }
+
+    private void putInForce(ServingPlan plan) {
+        if (mCurrent.isPresent() && mCurrent.get().version() >= plan.version()) {
+            return;
+        }
+        mCurrent = Optional.of(plan);
+        mLog.log(
+                FleetEvent.PLAN_IN_FORCE,
+                field("version", plan.version()),
+                field("routes", plan.routes().size()),
+                field("workspaces", plan.workspaces().size()));
+        mListeners.forEach(listener -> listener.accept(plan));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -0,0 +1,108 @@
+package org.vanillaslip.internal.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.internal.membership.RendezvousRanking;
+import org.vanillaslip.internal.routing.RankedServer;
+import org.vanillaslip.internal.routing.ServerRanking;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.internal.serving.ServicePool;
+
+/** Chooses the server of a call and reserves a place on it. */
+public final class ServerSelector {
+
+    /** A model engine queues a few calls beyond its places; more wait here. */
+    private static final double ENGINE_QUEUE = 1.25;
+
+    private final FleetDirectory mDirectory;
+    private final PlanView mPlans;
+    private final FailureDomain mFailureDomain;
+    private final IntSupplier mHosts;
+    private final DecisionLoop mLoop;
+    private final RandomGenerator mRandom;
+    private final RendezvousRanking mAffinity = new RendezvousRanking();
+
+    /**
+     * Creates a selector.
+     *
+     * @param hosts number of hosts that may send calls, this host included
+     */
+    public ServerSelector(
+            FleetDirectory directory,
+            PlanView plans,
+            FailureDomain failureDomain,
+            IntSupplier hosts,
+            DecisionLoop loop,
+            RandomGenerator random) {
+        mDirectory = directory;
+        mPlans = plans;
+        mFailureDomain = failureDomain;
+        mHosts = hosts;
+        mLoop = loop;
+        mRandom = random;
+    }
+
+    /** Returns a server with a place that is now reserved, or empty when there is none. */
+    public Optional<FleetMember> choose(ServerWish wish) {
+        long now = mLoop.clock().nowNanos();
+        List<FleetMember> open =
+                holders(wish.target()).stream()
+                        .filter(member -> !wish.tried().contains(member.instance()))
+                        .filter(member -> hasRoom(member, wish.target(), now))
+                        .toList();
+        Optional<String> kept =
+                wish.promptPart()
+                        .flatMap(
+                                part ->
+                                        mAffinity.first(
+                                                part,
+                                                open.stream().map(FleetMember::instance).toList()));
+        Optional<FleetMember> chosen =
+                ServerRanking.best(
+                                open.stream().map(member -> choice(member, kept)).toList(), mRandom)
+                        .flatMap(choice -> mDirectory.member(choice.instance()));
+        chosen.ifPresent(
+                member ->
+                        member.begin(
+                                wish.target().model(),
+                                coldRate(wish.target().pool()),
+                                mHosts.getAsInt(),
+                                now));
+        return chosen;
+    }
+
+    /** Returns the servers in service that hold what the call needs, whether they have room. */
+    public List<FleetMember> holders(CallTarget target) {
+        long now = mLoop.clock().nowNanos();
+        return mDirectory.inService(target.pool()).stream()
+                .filter(member -> target.model().map(name -> member.holds(name, now)).orElse(true))
+                .toList();
+    }
+
+    private static boolean hasRoom(FleetMember member, CallTarget target, long nowNanos) {
+        boolean places =
+                target.model().isEmpty()
+                        || member.inUse() < member.registered().places() * ENGINE_QUEUE;
+        return places && member.open(nowNanos);
+    }
+
+    private RankedServer choice(
+            FleetMember member, Optional<String> kept) {
+        return new RankedServer(
+                member.instance(),
+                member.inUse(),
+                member.registered().places(),
+                member.registered().failureDomain().equals(mFailureDomain),
+                kept.equals(Optional.of(member.instance())));
+    }
+
+    private double coldRate(String pool) {
+        return mPlans.current()
+                .map(plan -> plan.pools().get(pool))
+                .map(ServicePool::coldCallsPerSecond)
+                .orElse(0.0);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/StoreHealth.java
@@ -0,0 +1,110 @@
+package org.vanillaslip.internal.fleet;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.time.Duration;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformException;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Passes calls to the platform's store on and notes when it does not answer. */
+public final class StoreHealth implements ObjectStore {
+
+    /** Entries that expired during an outage are back this long after it. */
+    private static final long AFTERMATH_NANOS = Duration.ofMillis(2500).toNanos();
+
+    private final ObjectStore mStore;
+    private final DecisionLoop mLoop;
+    private final EventLog mLog;
+    private long mFailedAt = Long.MIN_VALUE;
+    private boolean mAway;
+
+    /** Creates a store whose calls go to the given one. */
+    public StoreHealth(ObjectStore store, DecisionLoop loop, EventLog log) {
+        mStore = store;
+        mLoop = loop;
+        mLog = log;
+    }
+
+    /** Returns whether the store did not answer a short while ago. */
+    public boolean wasAway() {
+        return mFailedAt != Long.MIN_VALUE
+                && mLoop.clock().nowNanos() - mFailedAt < AFTERMATH_NANOS;
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
+        return noted(mStore.read(collection, name));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> readRecent(String collection, String name) {
+        return noted(mStore.readRecent(collection, name));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
+        return noted(mStore.list(collection));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> create(
+            String collection, String name, ObjectNode spec) {
+        return noted(mStore.create(collection, name, spec));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> update(
+            String collection, String name, long expectedVersion, ObjectNode spec) {
+        return noted(mStore.update(collection, name, expectedVersion, spec));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> delete(
+            String collection, String name, long expectedVersion) {
+        return noted(mStore.delete(collection, name, expectedVersion));
+    }
+
+    @Override
+    public Flux<WatchEvent> watch(String collection, long fromVersion) {
+        return mStore.watch(collection, fromVersion)
+                .doOnNext(event -> answered())
+                .doOnError(
+                        error -> {
+                            if (error instanceof PlatformException failure) {
+                                note(failure.failure());
+                            }
+                        });
+    }
+
+    private <T> Mono<Either<PlatformFailure, T>> noted(Mono<Either<PlatformFailure, T>> call) {
+        return call.doOnNext(result -> result.peek(value -> answered()).peekLeft(this::note));
+    }
+
+    private void note(PlatformFailure failure) {
+        switch (failure) {
+            case NOT_FOUND, CONFLICT, GONE -> answered();
+            case THROTTLED, UNAVAILABLE, OUTCOME_UNKNOWN, SILENT -> {
+                mFailedAt = mLoop.clock().nowNanos();
+                if (!mAway) {
+                    mAway = true;
+                    mLog.log(FleetEvent.STORE_LOST);
+                }
+            }
+        }
+    }
+
+    private void answered() {
+        if (mAway) {
+            mAway = false;
+            mLog.log(FleetEvent.STORE_REGAINED);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCall.java
@@ -0,0 +1,18 @@
+package org.vanillaslip.internal.fleet;
+
+import reactor.core.publisher.MonoSink;
+
+/**
+ * A call that waits for a server.
+ *
+ * @param priority 0 is the most urgent
+ * @param objectiveNanos when the call stops being on time
+ * @param giveUpNanos when the call can no longer be served
+ */
+record WaitingCall(
+        ServerWish wish,
+        int priority,
+        long objectiveNanos,
+        long giveUpNanos,
+        long sinceNanos,
+        MonoSink<FleetMember> sink) {}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingRoom.java
@@ -0,0 +1,194 @@
+package org.vanillaslip.internal.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.internal.gateway.RefusedException;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/** Calls that wait for a server with the right model and a free place; on the decision loop. */
+public final class WaitingRoom {
+
+    /** Places become free without an event, so waiting calls are looked at this often. */
+    private static final Duration TICK = Duration.ofMillis(25);
+
+    private static final Duration LEAST_RETRY = Duration.ofMillis(250);
+
+    private static final Comparator<WaitingCall> ORDER =
+            Comparator.comparingInt(WaitingCall::priority)
+                    .thenComparingLong(WaitingCall::sinceNanos);
+
+    private final ServerSelector mSelector;
+    private final DecisionLoop mLoop;
+    private final int mMostWaiting;
+    private final Map<CallTarget, List<WaitingCall>> mWaiting = new HashMap<>();
+    private Consumer<CallTarget> mOnMissing = target -> {};
+    private int mCount;
+    private boolean mTicking;
+
+    /** Creates an empty room for at most the given number of calls. */
+    public WaitingRoom(ServerSelector selector, DecisionLoop loop, int mostWaiting) {
+        mSelector = selector;
+        mLoop = loop;
+        mMostWaiting = mostWaiting;
+    }
+
+    /** Registers a listener for calls whose model no server in service holds. */
+    public void onMissing(Consumer<CallTarget> listener) {
+        mOnMissing = listener;
+    }
+
+    /** Returns a server with a reserved place, at once or as soon as there is one. */
+    public Mono<FleetMember> enter(ServerWish wish, WaitBounds bounds) {
+        return Mono.create(sink -> enter(wish, bounds, sink));
+    }
+
+    private void enter(ServerWish wish, WaitBounds bounds, MonoSink<FleetMember> sink) {
+        List<WaitingCall> queue = mWaiting.get(wish.target());
+        if (queue == null || queue.isEmpty()) {
+            Optional<FleetMember> member = mSelector.choose(wish);
+            if (member.isPresent()) {
+                sink.success(member.get());
+                return;
+            }
+        }
+        if (mCount >= mMostWaiting) {
+            sink.error(
+                    new RefusedException(
+                            Refusal.retryable(
+                                    ResultCode.QUEUE_FULL, wish.target().pool(), LEAST_RETRY)));
+            return;
+        }
+        WaitingCall call =
+                new WaitingCall(
+                        wish,
+                        bounds.priority(),
+                        bounds.objectiveNanos(),
+                        bounds.giveUpNanos(),
+                        mLoop.clock().nowNanos(),
+                        sink);
+        List<WaitingCall> waiting =
+                mWaiting.computeIfAbsent(wish.target(), target -> new ArrayList<>());
+        waiting.add(call);
+        waiting.sort(ORDER);
+        mCount++;
+        sink.onCancel(() -> leave(call));
+        if (mSelector.holders(wish.target()).isEmpty()) {
+            mOnMissing.accept(wish.target());
+        }
+        tickLater();
+    }
+
+    /** Serves waiting calls as far as there are places. */
+    public void pump() {
+        for (CallTarget target : List.copyOf(mWaiting.keySet())) {
+            pump(target);
+        }
+    }
+
+    private void pump(CallTarget target) {
+        List<WaitingCall> queue = mWaiting.getOrDefault(target, List.of());
+        for (WaitingCall call : List.copyOf(queue)) {
+            Optional<FleetMember> member = mSelector.choose(call.wish());
+            if (member.isPresent()) {
+                leave(call);
+                call.sink().success(member.get());
+            } else if (call.wish().tried().isEmpty()) {
+                return;
+            }
+        }
+    }
+
+    /** Refuses the calls that the expected load does not help in time. */
+    public void forecast(CallTarget target, Duration expected) {
+        long readyAt = mLoop.clock().nowNanos() + expected.toNanos();
+        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+            if (readyAt - call.giveUpNanos() > 0) {
+                refuse(call, ResultCode.DEADLINE_UNREACHABLE, expected);
+            }
+        }
+    }
+
+    /** Refuses all calls that wait for the target, because no load can be planned for it. */
+    public void unplanned(CallTarget target, Duration retryAfter) {
+        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+            refuse(call, ResultCode.NO_BACKEND_SERVER, retryAfter);
+        }
+    }
+
+    /** Refuses everything, because this host stops. */
+    public void refuseAll(Duration retryAfter) {
+        for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
+            List.copyOf(queue).forEach(call -> refuse(call, ResultCode.HOST_STOPPING, retryAfter));
+        }
+    }
+
+    /** Returns the calls that wait for models that no server in service holds. */
+    public Map<CallTarget, Collection<WaitingCall>> missing() {
+        Map<CallTarget, Collection<WaitingCall>> missing = new HashMap<>();
+        mWaiting.forEach(
+                (target, queue) -> {
+                    if (target.model().isPresent() && mSelector.holders(target).isEmpty()) {
+                        missing.put(target, List.copyOf(queue));
+                    }
+                });
+        return missing;
+    }
+
+    /** Returns the number of waiting calls. */
+    public int size() {
+        return mCount;
+    }
+
+    private void refuse(WaitingCall call, ResultCode code, Duration retryAfter) {
+        leave(call);
+        Duration wait = retryAfter.compareTo(LEAST_RETRY) < 0 ? LEAST_RETRY : retryAfter;
+        String detail = call.wish().target().model().map(Object::toString).orElse("");
+        call.sink().error(new RefusedException(Refusal.retryable(code, detail, wait)));
+    }
+
+    private void leave(WaitingCall call) {
+        List<WaitingCall> queue = mWaiting.get(call.wish().target());
+        if (queue != null && queue.remove(call)) {
+            mCount--;
+            if (queue.isEmpty()) {
+                mWaiting.remove(call.wish().target());
+            }
+        }
+    }
+
+    private void tickLater() {
+        if (!mTicking && mCount > 0) {
+            mTicking = true;
+            mLoop.scheduler().schedule(this::tick, TICK.toNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void tick() {
+        mTicking = false;
+        long now = mLoop.clock().nowNanos();
+        for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
+            Iterator<WaitingCall> calls = List.copyOf(queue).iterator();
+            while (calls.hasNext()) {
+                WaitingCall call = calls.next();
+                if (now - call.giveUpNanos() >= 0) {
+                    refuse(call, ResultCode.DEADLINE_UNREACHABLE, LEAST_RETRY);
+                }
+            }
+        }
+        pump();
+        tickLater();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/package-info.java
@@ -0,0 +1,5 @@
+/** Backend servers of pass-through routes: directory, waiting calls, and orders to load models. */
+@NullMarked
+package org.vanillaslip.internal.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/RefusalWriter.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/RefusalWriter.java
@@ -9,7 +9,7 @@
 import org.vanillaslip.ResultCode;
 
 /** Writes refusals as JSON. */
-final class RefusalWriter {
+public final class RefusalWriter {
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -19,12 +19,17 @@
         return new WholeReply(
                 refusal.code().httpStatus(),
                 "application/json",
-                json(refusal, requestId).getBytes(StandardCharsets.UTF_8),
+                bytes(refusal, requestId),
                 refusal.retryAfter()
                         .map(time -> Map.of("Retry-After", Long.toString(wholeSeconds(time))))
                         .orElseGet(Map::of));
     }
 
+    /** Returns the JSON of a refusal in UTF-8. */
+    public static byte[] bytes(Refusal refusal, String requestId) {
+        return json(refusal, requestId).getBytes(StandardCharsets.UTF_8);
+    }
+
     static String json(Refusal refusal, String requestId) {
         ResultCode code = refusal.code();
         ObjectNode body = MAPPER.createObjectNode();
--- a/daemon/src/main/java/org/vanillaslip/internal/logging/LifecycleEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/logging/LifecycleEvent.java
@@ -13,7 +13,11 @@
             "The planned stop ran out of time; running requests are interrupted."),
     START_FAILED(108, System.Logger.Level.ERROR, "The daemon cannot start."),
     SETTINGS_INVALID(109, System.Logger.Level.ERROR, "The settings file is not valid."),
-    SETTINGS_VALID(110, System.Logger.Level.INFO, "The settings file is valid.");
+    SETTINGS_VALID(110, System.Logger.Level.INFO, "The settings file is valid."),
+    RELOAD_REQUESTED(
+            111,
+            System.Logger.Level.INFO,
+            "A signal asked to read the settings again; they take effect at the next start.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -50,7 +50,28 @@
             "vanillaslip.quota.tokens.borrowed",
             "vanillaslip_quota_tokens_borrowed_total",
             "Quota tokens that this host has received from other hosts.",
-            "limit");
+            "limit"),
+    RELAY_ANSWERS(
+            "vanillaslip.relay.answers",
+            "vanillaslip_relay_answers_total",
+            "Answers of backend servers that were passed on, by kind of call.",
+            "kind",
+            "status"),
+    RELAY_FIRST_EVENT(
+            "vanillaslip.relay.first.event",
+            "vanillaslip_relay_first_event_seconds",
+            "Time from the arrival of a pass-through call to its first event.",
+            "kind"),
+    RELAY_REFUSALS(
+            "vanillaslip.relay.refusals",
+            "vanillaslip_relay_refusals_total",
+            "Pass-through calls that got no answer of a backend server, by result code.",
+            "code"),
+    RELAY_BROKEN(
+            "vanillaslip.relay.broken",
+            "vanillaslip_relay_broken_total",
+            "Pass-through answers that broke off.",
+            "kind");
 
     private final String mMeterName;
     private final String mScrapeName;
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -13,6 +13,7 @@
 import org.vanillaslip.RequestClass;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.serving.CallKind;
 
 /**
  * Counts and times what this host does. Labels take few values: no workspace, model or host names,
@@ -101,6 +102,27 @@
         count(DaemonMetric.QUOTA_TOKENS_BORROWED, microTokens / MICRO, label(limit));
     }
 
+    /** Counts an answer that was passed on; 0 stands for an answer without events. */
+    public void relayAnswered(CallKind kind, int statusClass, long firstEventNanos) {
+        count(DaemonMetric.RELAY_ANSWERS, 1, label(kind), statusClass + "xx");
+        if (firstEventNanos > 0) {
+            time(
+                    DaemonMetric.RELAY_FIRST_EVENT,
+                    Duration.ofNanos(firstEventNanos),
+                    label(kind));
+        }
+    }
+
+    /** Counts a pass-through call that got no answer of a backend server. */
+    public void relayRefused(ResultCode code) {
+        count(DaemonMetric.RELAY_REFUSALS, 1, String.valueOf(code.number()));
+    }
+
+    /** Counts a pass-through answer that broke off. */
+    public void relayBroken(CallKind kind) {
+        count(DaemonMetric.RELAY_BROKEN, 1, label(kind));
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public String scrape() {
         return mRegistry.scrape();
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/MeteredObjectStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/MeteredObjectStore.java
@@ -32,6 +32,11 @@
         return counted("read", mStore.read(collection, name));
     }
 
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> readRecent(String collection, String name) {
+        return counted("read_recent", mStore.readRecent(collection, name));
+    }
+
     @Override
     public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
         return counted("list", mStore.list(collection));
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BackendSend.java
@@ -0,0 +1,89 @@
+package org.vanillaslip.internal.relay;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiFunction;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Sends requests to backend servers, each on a connection of its own: a kept one may be silent, may
+ * be closed just now, or may carry a late answer to an earlier request.
+ */
+final class BackendSend {
+
+    /** Servers are a few milliseconds away; a server that takes longer has no power or is cut. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 250;
+
+    private final HttpClient mClient;
+
+    BackendSend(LoopResources loops) {
+        mClient =
+                HttpClient.create(ConnectionProvider.newConnection())
+                        .runOn(loops)
+                        .disableRetry(true)
+                        .followRedirect(false)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                        .option(ChannelOption.TCP_NODELAY, true);
+    }
+
+    /**
+     * Sends the request once; ends with {@link SendFailedException} when no answer came.
+     *
+     * @param onAnswer turns the answer into the result
+     */
+    <T> Flux<T> send(
+            String address,
+            HttpMethod method,
+            String uri,
+            HttpHeaders headers,
+            byte[] body,
+            BiFunction<HttpClientResponse, Flux<byte[]>, Publisher<T>> onAnswer) {
+        return Flux.defer(
+                () -> {
+                    AtomicBoolean sent = new AtomicBoolean();
+                    HttpClient.RequestSender sender =
+                            mClient.doOnRequest((request, connection) -> sent.set(true))
+                                    .headers(head -> write(head, headers, body))
+                                    .request(method)
+                                    .uri("http://" + address + uri);
+                    HttpClient.ResponseReceiver<?> receiver =
+                            body.length == 0
+                                    ? sender
+                                    : sender.send(
+                                            Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)));
+                    return receiver.responseConnection(
+                                    (response, connection) ->
+                                            onAnswer.apply(
+                                                    response,
+                                                    connection.inbound().receive().asByteArray()))
+                            .onErrorMap(error -> failure(error, sent.get()));
+                });
+    }
+
+    private static void write(HttpHeaders head, HttpHeaders headers, byte[] body) {
+        head.remove(HttpHeaderNames.USER_AGENT);
+        headers.names().forEach(name -> head.set(name, headers.getAll(name)));
+        if (body.length > 0) {
+            head.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+    }
+
+    private static Throwable failure(Throwable error, boolean sent) {
+        if (error instanceof SendFailedException) {
+            return error;
+        }
+        SendFailureKind kind = sent ? SendFailureKind.UNKNOWN : SendFailureKind.UNREACHED;
+        return new SendFailedException(
+                kind, error.getClass().getSimpleName() + ": " + error.getMessage());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallDialect.java
@@ -0,0 +1,22 @@
+package org.vanillaslip.internal.relay;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.vavr.control.Either;
+import java.time.Duration;
+import org.vanillaslip.Refusal;
+
+/** Names and meanings of the headers that callers and backend servers exchange. */
+public interface CallDialect {
+
+    /** Reads the head of a caller's request. */
+    Either<Refusal, CallHead> read(HttpHeaders headers);
+
+    /** Writes the head of the request to a backend server; nothing that only hosts may set stays. */
+    HttpHeaders outgoing(HttpHeaders fromCaller, CallHead head, OutgoingCall call);
+
+    /** Judges the head of a backend server's answer. */
+    ServerVerdict judge(int status, HttpHeaders answer, String callId, String instance);
+
+    /** Tells the caller when to come back. */
+    void retryAfter(HttpHeaders answer, Duration wait);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
@@ -0,0 +1,116 @@
+package org.vanillaslip.internal.relay;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeoutException;
+import org.vanillaslip.internal.backend.forward.BoundedBody;
+import org.vanillaslip.internal.fleet.FleetMember;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.internal.serving.CallKind;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClientResponse;
+
+/** Calls whose answers are passed on as a whole. */
+final class PlainRelay {
+
+    /** Answers are held in memory until they are complete. */
+    private static final int LARGEST_ANSWER_BYTES = 8 * 1024 * 1024;
+
+    /** An answer takes at least this long, so a call is not sent with less time left. */
+    private static final Duration SHORTEST_RUN = Duration.ofMillis(20);
+
+    /** A call that may be repeated leaves time for another server. */
+    private static final int PARTS_OF_TIME = 3;
+
+    private final CallSender mSender;
+    private final DecisionLoop mLoop;
+
+    PlainRelay(CallSender sender, DecisionLoop loop) {
+        mSender = sender;
+        mLoop = loop;
+    }
+
+    /** Returns the answer; a call that runs at most once goes on when its caller leaves. */
+    Mono<WholeAnswer> run(RelayCall call) {
+        Mono<WholeAnswer> answer =
+                attempt(call)
+                        .timeout(call.left(mLoop.clock().nowNanos()), mLoop.scheduler());
+        if (call.route().kind() != CallKind.AT_MOST_ONCE) {
+            return answer;
+        }
+        return Mono.defer(
+                () -> {
+                    Mono<WholeAnswer> detached = answer.cache();
+                    detached.subscribe(done -> {}, failed -> {});
+                    return detached;
+                });
+    }
+
+    private Mono<WholeAnswer> attempt(RelayCall call) {
+        return mSender.server(call, SHORTEST_RUN)
+                .flatMap(member -> send(call, member))
+                .onErrorResume(
+                        SendFailedException.class,
+                        failure ->
+                                mSender.mayRepeat(call, failure)
+                                        ? attempt(call)
+                                        : Mono.error(mSender.refusal(call, failure)));
+    }
+
+    private Mono<WholeAnswer> send(RelayCall call, FleetMember member) {
+        Flux<WholeAnswer> sent =
+                mSender.send(
+                        call,
+                        member,
+                        OptionalLong.empty(),
+                        (response, parts) -> whole(call, member, response, parts));
+        boolean again = call.maySendAgain(SendFailureKind.UNKNOWN) && call.sends() == 0;
+        if (!again) {
+            return sent.next();
+        }
+        Duration part = call.left(mLoop.clock().nowNanos()).dividedBy(PARTS_OF_TIME);
+        return sent.next()
+                .timeout(part, mLoop.scheduler())
+                .onErrorMap(
+                        TimeoutException.class,
+                        error -> {
+                            call.mayHaveRun();
+                            call.tried().add(member.instance());
+                            member.health().failed(mLoop.clock().nowNanos());
+                            return new SendFailedException(
+                                    SendFailureKind.UNKNOWN, "no answer in time");
+                        });
+    }
+
+    private Mono<WholeAnswer> whole(
+            RelayCall call, FleetMember member, HttpClientResponse response, Flux<byte[]> parts) {
+        int status = response.status().code();
+        return BoundedBody.collect(
+                        parts,
+                        LARGEST_ANSWER_BYTES,
+                        () ->
+                                new SendFailedException(
+                                        SendFailureKind.UNKNOWN, "the answer is too large"))
+                .flatMap(
+                        body -> {
+                            boolean failed = status >= 500;
+                            if (failed && call.route().kind() == CallKind.REPEATABLE
+                                    && call.sends() < call.route().attempts()) {
+                                return Mono.error(
+                                        new SendFailedException(
+                                                SendFailureKind.UNKNOWN, "status " + status));
+                            }
+                            if (failed) {
+                                member.health().failed(mLoop.clock().nowNanos());
+                            } else {
+                                member.health().succeeded();
+                            }
+                            return Mono.just(
+                                    new WholeAnswer(
+                                            status,
+                                            RelayHeaders.endToEnd(response.responseHeaders()),
+                                            body));
+                        });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
@@ -0,0 +1,252 @@
+package org.vanillaslip.internal.relay;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.reactivestreams.Publisher;
+import org.vanillaslip.Refusal;
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.internal.backend.forward.BoundedBody;
+import org.vanillaslip.internal.gateway.RefusalWriter;
+import org.vanillaslip.internal.gateway.RefusedException;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.internal.serving.CallKind;
+import org.vanillaslip.internal.serving.CallerLimits;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Serves the calls of pass-through routes. */
+final class Relay {
+
+    private final CallAdmission mAdmission;
+    private final CallDialect mDialect;
+    private final CallSender mSender;
+    private final PlainRelay mPlain;
+    private final RelayMeter mMeter;
+    private final DecisionLoop mLoop;
+    private final EventLog mLog;
+    private final AtomicInteger mActive = new AtomicInteger();
+    private volatile boolean mStopping;
+
+    Relay(
+            CallAdmission admission,
+            CallDialect dialect,
+            CallSender sender,
+            RelayMeter meter,
+            DecisionLoop loop,
+            EventLog log) {
+        mAdmission = admission;
+        mDialect = dialect;
+        mSender = sender;
+        mPlain = new PlainRelay(sender, loop);
+        mMeter = meter;
+        mLoop = loop;
+        mLog = log;
+    }
+
+    /** Returns the number of calls that are not answered yet. */
+    int active() {
+        return mActive.get();
+    }
+
+    /** Asks callers to open their next connection elsewhere. */
+    void stopping() {
+        mStopping = true;
+    }
+
+    Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        return Mono.defer(
+                () -> {
+                    mActive.incrementAndGet();
+                    long arrived = mLoop.clock().nowNanos();
+                    HttpHeaders headers = new DefaultHttpHeaders().set(request.requestHeaders());
+                    HttpMethod method = request.method();
+                    String uri = request.uri();
+                    response.keepAlive(!mStopping);
+                    return body(request)
+                            .flatMap(
+                                    body ->
+                                            serve(method, uri, headers, body, arrived, response))
+                            .onErrorResume(
+                                    error -> refuse(response, headers, error, "", arrived))
+                            .doFinally(signal -> mActive.decrementAndGet());
+                });
+    }
+
+    private Mono<byte[]> body(HttpServerRequest request) {
+        int largest = largestBody();
+        return BoundedBody.collect(
+                request.receive().asByteArray(),
+                largest,
+                () ->
+                        new RefusedException(
+                                Refusal.of(
+                                        ResultCode.BODY_TOO_LARGE, "at most " + largest + " bytes")));
+    }
+
+    private int largestBody() {
+        try {
+            return mAdmission.plan().limits().maxBodyBytes();
+        } catch (RefusedException notReady) {
+            return CallerLimits.DEFAULT.maxBodyBytes();
+        }
+    }
+
+    private Mono<Void> serve(
+            HttpMethod method,
+            String uri,
+            HttpHeaders headers,
+            byte[] body,
+            long arrived,
+            HttpServerResponse response) {
+        RelayCall call = mAdmission.admit(method, uri, headers, body, arrived);
+        Mono<Void> answer =
+                call.route().kind() == CallKind.STREAM
+                        ? stream(call, response)
+                        : plain(call, response);
+        return answer.onErrorResume(error -> fail(response, call, error))
+                .doOnCancel(() -> callerLeft(call));
+    }
+
+    private Mono<Void> plain(RelayCall call, HttpServerResponse response) {
+        return mPlain.run(call)
+                .flatMap(
+                        answer -> {
+                            answered(call, answer.status(), 0);
+                            return write(response, call.method(), answer);
+                        });
+    }
+
+    private Mono<Void> stream(RelayCall call, HttpServerResponse response) {
+        StreamRun run = new StreamRun(call, mSender, mLoop, mLog);
+        return run.events()
+                .switchOnFirst(
+                        (first, events) ->
+                                first.isOnError() ? events.then() : send(response, run, events))
+                .then()
+                .doOnSuccess(
+                        done -> answered(call, run.head().status(), run.firstEventNanos()));
+    }
+
+    private static Publisher<Void> send(
+            HttpServerResponse response, StreamRun run, Flux<byte[]> events) {
+        StreamHead head = run.head();
+        response.status(head.status()).headers(head.headers());
+        Flux<ByteBuf> buffers = events.map(Unpooled::wrappedBuffer);
+        return response.send(buffers, buffer -> true).then();
+    }
+
+    private static Mono<Void> write(
+            HttpServerResponse response, HttpMethod method, WholeAnswer answer) {
+        response.status(answer.status()).headers(answer.headers());
+        if (method.equals(HttpMethod.HEAD)) {
+            return response.send().then();
+        }
+        response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(answer.body().length));
+        return response.sendByteArray(Mono.just(answer.body())).then();
+    }
+
+    private Mono<Void> fail(HttpServerResponse response, RelayCall call, Throwable error) {
+        if (!call.hasMaybeRun()) {
+            mAdmission.giveBack(call);
+        }
+        if (response.hasSentHeaders()) {
+            mMeter.broken(call.route());
+            mLog.log(
+                    RelayEvent.STREAM_BROKEN,
+                    field("request", call.head().id()),
+                    field("route", call.route().name()),
+                    field("server", call.server()),
+                    field("after_ms", millisSince(call.arrivedNanos())),
+                    field("cause", String.valueOf(error.getMessage())));
+            return Mono.error(error);
+        }
+        Throwable cause = error instanceof TimeoutException ? expired(call) : error;
+        return refuse(response, call.headers(), cause, call.head().id(), call.arrivedNanos());
+    }
+
+    private static RefusedException expired(RelayCall call) {
+        boolean run = call.hasMaybeRun() || call.sends() > 0;
+        ResultCode code = run ? ResultCode.DEADLINE_EXPIRED : ResultCode.DEADLINE_UNREACHABLE;
+        return new RefusedException(Refusal.of(code, call.route().name()));
+    }
+
+    private Mono<Void> refuse(
+            HttpServerResponse response,
+            HttpHeaders headers,
+            Throwable error,
+            String id,
+            long arrived) {
+        if (response.hasSentHeaders()) {
+            return Mono.error(error);
+        }
+        Refusal refusal = refusalOf(error, id);
+        mMeter.refused(refusal.code());
+        mLog.log(
+                RelayEvent.CALL_REFUSED,
+                field("request", id.isEmpty() ? mDialect.read(headers).fold(x -> "", CallHead::id) : id),
+                field("code", refusal.code().number()),
+                field("detail", refusal.detail()),
+                field("not_run", refusal.code().notRun()),
+                field("retry_after_ms", refusal.retryAfter().map(wait -> wait.toMillis()).orElse(0L)),
+                field("after_ms", millisSince(arrived)));
+        byte[] body = RefusalWriter.bytes(refusal, id);
+        HttpHeaders answer = new DefaultHttpHeaders();
+        answer.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        refusal.retryAfter().ifPresent(wait -> mDialect.retryAfter(answer, wait));
+        response.status(refusal.code().httpStatus()).headers(answer);
+        if (refusal.code() == ResultCode.BODY_TOO_LARGE) {
+            response.keepAlive(false);
+        }
+        response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
+        return response.sendByteArray(Mono.just(body)).then();
+    }
+
+    private Refusal refusalOf(Throwable error, String id) {
+        if (error instanceof RefusedException refused) {
+            return refused.refusal();
+        }
+        mLog.log(
+                RelayEvent.CALL_FAULT,
+                field("request", id),
+                field("cause", error.getClass().getName() + ": " + error.getMessage()));
+        return Refusal.of(ResultCode.INTERNAL_ERROR, "see the log");
+    }
+
+    private void answered(RelayCall call, int status, long firstEventNanos) {
+        mMeter.answered(call.route(), status, firstEventNanos);
+        mLog.log(
+                RelayEvent.CALL_ANSWERED,
+                field("request", call.head().id()),
+                field("route", call.route().name()),
+                field("workspace", call.terms().map(terms -> terms.workspace().name()).orElse("")),
+                field("model", call.target().model().map(Object::toString).orElse("")),
+                field("server", call.server()),
+                field("status", status),
+                field("sends", call.sends()),
+                field("first_event_ms", firstEventNanos / 1_000_000),
+                field("after_ms", millisSince(call.arrivedNanos())));
+    }
+
+    private void callerLeft(RelayCall call) {
+        mLog.log(
+                RelayEvent.CALLER_LEFT,
+                field("request", call.head().id()),
+                field("server", call.server()),
+                field("after_ms", millisSince(call.arrivedNanos())));
+    }
+
+    private long millisSince(long nanos) {
+        return (mLoop.clock().nowNanos() - nanos) / 1_000_000;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayHeaders.java
@@ -0,0 +1,49 @@
+package org.vanillaslip.internal.relay;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Headers that concern one connection only and are never passed on. */
+public final class RelayHeaders {
+
+    private static final Set<String> CONNECTION_HEADERS =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "expect");
+
+    private RelayHeaders() {}
+
+    /** Returns a copy without the headers of the connection, and without the body's length. */
+    public static HttpHeaders endToEnd(HttpHeaders headers) {
+        Set<String> dropped = new HashSet<>(CONNECTION_HEADERS);
+        dropped.add("content-length");
+        List<String> named = headers.getAll(HttpHeaderNames.CONNECTION);
+        named.forEach(
+                value -> {
+                    for (String name : value.split(",", -1)) {
+                        dropped.add(name.strip().toLowerCase(Locale.ROOT));
+                    }
+                });
+        HttpHeaders kept = new DefaultHttpHeaders();
+        for (Map.Entry<String, String> header : headers) {
+            if (!dropped.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+                kept.add(header.getKey(), header.getValue());
+            }
+        }
+        return kept;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayMeter.java
@@ -0,0 +1,27 @@
+package org.vanillaslip.internal.relay;
+
+import org.vanillaslip.ResultCode;
+import org.vanillaslip.internal.metrics.DaemonMetrics;
+import org.vanillaslip.internal.serving.ServedRoute;
+
+/** Counts and times pass-through calls. */
+final class RelayMeter {
+
+    private final DaemonMetrics mMetrics;
+
+    RelayMeter(DaemonMetrics metrics) {
+        mMetrics = metrics;
+    }
+
+    void answered(ServedRoute route, int status, long firstEventNanos) {
+        mMetrics.relayAnswered(route.kind(), status / 100, firstEventNanos);
+    }
+
+    void refused(ResultCode code) {
+        mMetrics.relayRefused(code);
+    }
+
+    void broken(ServedRoute route) {
+        mMetrics.relayBroken(route.kind());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayServer.java
@@ -0,0 +1,92 @@
+package org.vanillaslip.internal.relay;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.logging.LifecycleEvent;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.LoopResources;
+
+/** The sockets of a serving host: callers, readiness and metrics. */
+final class RelayServer {
+
+    private static final String METRICS_PATH = "/metrics";
+
+    /** Callers reuse connections nearly as long as the configuration allows. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
+    private final Relay mRelay;
+    private final LoopResources mLoops;
+    private final InetSocketAddress mAddress;
+    private final SmallPage mReadiness;
+    private final SmallPage mMetrics;
+    private final EventLog mLog;
+    private final List<DisposableServer> mServers = new ArrayList<>();
+
+    RelayServer(
+            Relay relay,
+            LoopResources loops,
+            InetSocketAddress address,
+            InetSocketAddress readinessAddress,
+            String readinessPath,
+            BooleanSupplier ready,
+            InetSocketAddress metricsAddress,
+            Supplier<String> metrics,
+            EventLog log) {
+        mRelay = relay;
+        mLoops = loops;
+        mAddress = address;
+        mReadiness =
+                new SmallPage(
+                        readinessAddress,
+                        readinessPath,
+                        () ->
+                                ready.getAsBoolean()
+                                        ? new SmallPage.Content(200, "ready\n")
+                                        : new SmallPage.Content(503, "not ready\n"),
+                        loops);
+        mMetrics =
+                new SmallPage(
+                        metricsAddress,
+                        METRICS_PATH,
+                        () -> new SmallPage.Content(200, metrics.get()),
+                        loops);
+        mLog = log;
+    }
+
+    /** Begins to listen. */
+    Mono<Void> start() {
+        Mono<? extends DisposableServer> callers =
+                HttpServer.create()
+                        .runOn(mLoops)
+                        .bindAddress(() -> mAddress)
+                        .idleTimeout(IDLE_TIMEOUT)
+                        .doOnChannelInit(
+                                (observer, channel, remote) -> StrictRequestCodec.install(channel))
+                        .handle(mRelay::handle)
+                        .bind();
+        return Flux.<DisposableServer>concat(callers, mReadiness.start(), mMetrics.start())
+                .doOnNext(
+                        server -> {
+                            mServers.add(server);
+                            mLog.log(LifecycleEvent.LISTENING, field("address", server.address()));
+                        })
+                .then();
+    }
+
+    /** Accepts no more connections of callers; open ones go on. */
+    void stopAccepting() {
+        if (!mServers.isEmpty()) {
+            mServers.get(0).dispose();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -0,0 +1,261 @@
+package org.vanillaslip.internal.relay;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.vanillaslip.Host;
+import org.vanillaslip.internal.control.configuration.CollectionFollower;
+import org.vanillaslip.internal.control.configuration.CollectionListener;
+import org.vanillaslip.internal.control.configuration.HostListWatcher;
+import org.vanillaslip.internal.fleet.DrainFollower;
+import org.vanillaslip.internal.fleet.FleetDirectory;
+import org.vanillaslip.internal.fleet.HostRegistration;
+import org.vanillaslip.internal.fleet.PlanFollower;
+import org.vanillaslip.internal.fleet.ServerSelector;
+import org.vanillaslip.internal.fleet.StoreHealth;
+import org.vanillaslip.internal.fleet.WaitingRoom;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.logging.LifecycleEvent;
+import org.vanillaslip.internal.metrics.DaemonMetrics;
+import org.vanillaslip.internal.metrics.MeteredObjectStore;
+import org.vanillaslip.internal.peer.NettyPeerLinks;
+import org.vanillaslip.internal.peer.PeerTimes;
+import org.vanillaslip.internal.platform.HostCodec;
+import org.vanillaslip.internal.quota.WorkspaceLimits;
+import org.vanillaslip.internal.routing.RetryBudget;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.internal.runtime.RunningDaemon;
+import org.vanillaslip.internal.settings.HostSettings;
+import org.vanillaslip.internal.settings.ServingSettings;
+import org.vanillaslip.internal.settings.Settings;
+import org.vanillaslip.messages.Heartbeat;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** All parts of a host that passes calls through, connected once at the start. */
+public final class ServingHost implements RunningDaemon {
+
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
+
+    /** A change has to be in force within two seconds, also after an outage of the store. */
+    private static final Duration LONGEST_RETRY = Duration.ofMillis(400);
+
+    private static final Duration STOP_CHECK = Duration.ofMillis(50);
+    private static final Duration STOPPING_RETRY = Duration.ofMillis(100);
+    private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(500);
+    private static final int INCARNATION_BYTES = 8;
+
+    private final HostSettings mHost;
+    private final ServingLoop mServingLoop;
+    private final DecisionLoop mLoop;
+    private final EventLog mLog;
+    private final StoreHealth mStore;
+    private final ServingPorts mPorts;
+    private final RandomGenerator mRandom;
+    private final PlanFollower mPlans;
+    private final DrainFollower mDrains;
+    private final FleetDirectory mDirectory;
+    private final HostListWatcher mHosts;
+    private final NettyPeerLinks mLinks;
+    private final HostRegistration mRegistration;
+    private final WorkspaceLimits mLimits;
+    private final WaitingRoom mRoom;
+    private final Relay mRelay;
+    private final RelayServer mServer;
+    private volatile boolean mLeaving;
+
+    /** Creates the parts; nothing runs before {@link #start()}. */
+    public ServingHost(
+            Settings settings,
+            ServingSettings serving,
+            ServingPorts ports,
+            ServingLoop loop,
+            EventLog log) {
+        mHost = settings.host();
+        mServingLoop = loop;
+        mLoop = loop.decisions();
+        mLog = log;
+        mPorts = ports;
+        SecureRandom seeds = new SecureRandom();
+        mRandom =
+                RandomGeneratorFactory.of("L64X128MixRandom")
+                        .create(mHost.randomSeed().orElseGet(seeds::nextLong));
+        DaemonMetrics metrics =
+                new DaemonMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+        mStore = new StoreHealth(new MeteredObjectStore(ports.store(), metrics), mLoop, log);
+        mPlans = new PlanFollower(ports.collections(), log);
+        mDrains = new DrainFollower(ports.collections(), log);
+        mDirectory =
+                new FleetDirectory(ports.collections(), mDrains, mLoop, mStore::wasAway, log);
+        mHosts = new HostListWatcher(mStore, new HostCodec(), mLoop, mRandom, log);
+        byte[] incarnation = new byte[INCARNATION_BYTES];
+        seeds.nextBytes(incarnation);
+        mLinks =
+                new NettyPeerLinks(
+                        mHost.name(),
+                        HexFormat.of().formatHex(incarnation),
+                        seeds.nextLong() >>> 1,
+                        mLoop,
+                        loop.group(),
+                        mHost.peerAddress(),
+                        mHosts::hosts,
+                        List.copyOf(settings.peers().bootstrap().values()),
+                        this::heartbeat,
+                        PeerTimes.DEFAULT,
+                        metrics,
+                        log);
+        mRegistration =
+                new HostRegistration(
+                        new Host(
+                                mHost.name(),
+                                mHost.failureDomain(),
+                                mHost.peerAddress().getHostString()
+                                        + ":"
+                                        + mHost.peerAddress().getPort(),
+                                false),
+                        mStore,
+                        mHosts,
+                        mLinks::liveHosts,
+                        mLoop,
+                        log);
+        mLimits = new WorkspaceLimits(mLoop, mLinks, this::otherHosts, mRandom, log);
+        ServerSelector selector =
+                new ServerSelector(
+                        mDirectory, mPlans, mHost.failureDomain(), this::hostCount, mLoop, mRandom);
+        mRoom = new WaitingRoom(selector, mLoop, settings.admission().maxWaitingRequests());
+        CallSender sender =
+                new CallSender(
+                        new BackendSend(loop.resources()),
+                        ports.dialect(),
+                        mRoom,
+                        selector,
+                        () -> retryBudget(serving),
+                        mLoop,
+                        log);
+        mRelay =
+                new Relay(
+                        new CallAdmission(mPlans, ports.dialect(), mLimits, mLoop, mRandom),
+                        ports.dialect(),
+                        sender,
+                        new RelayMeter(metrics),
+                        mLoop,
+                        log);
+        mServer =
+                new RelayServer(
+                        mRelay,
+                        loop.resources(),
+                        mHost.gatewayAddress(),
+                        serving.readinessAddress(),
+                        ports.readinessPath(),
+                        this::ready,
+                        serving.metricsAddress(),
+                        metrics::scrape,
+                        log);
+    }
+
+    @Override
+    public void start() {
+        mServer.start().block(START_TIMEOUT);
+        mLinks.start().block(START_TIMEOUT);
+        mPlans.onChange(mLimits::apply);
+        mDirectory.onChange(mRoom::pump);
+        follow(mPorts.collections().plans(), mPlans);
+        follow(mPorts.collections().drains(), mDrains);
+        follow(mPorts.collections().servers(), mDirectory);
+        mHosts.start();
+        mRegistration.start();
+        mLimits.start();
+    }
+
+    /** Readiness first, then new connections, then waiting and running calls. */
+    @Override
+    public void stop() {
+        mLeaving = true;
+        mRelay.stopping();
+        mLog.log(LifecycleEvent.STOPPING, field("active", mRelay.active()));
+        Duration rest = mHost.shutdownTimeout();
+        Mono.delay(mHost.shutdownDelay(), mLoop.scheduler())
+                .doOnNext(tick -> mServer.stopAccepting())
+                .then(finish(rest))
+                .then(mRegistration.stop().timeout(RELEASE_TIMEOUT).onErrorComplete())
+                .block(mHost.shutdownDelay().plus(rest).plus(RELEASE_TIMEOUT.multipliedBy(2)));
+        mServingLoop.group().shutdownGracefully();
+    }
+
+    private Mono<Void> finish(Duration bound) {
+        Mono<Long> waitingEnds =
+                Mono.delay(bound.dividedBy(2), mLoop.scheduler())
+                        .doOnNext(tick -> mRoom.refuseAll(STOPPING_RETRY));
+        Mono<Void> idle =
+                Flux.interval(Duration.ZERO, STOP_CHECK, mLoop.scheduler())
+                        .filter(tick -> mRelay.active() == 0)
+                        .next()
+                        .then();
+        return Mono.firstWithSignal(idle, Mono.delay(bound, mLoop.scheduler()).then())
+                .doOnSubscribe(
+                        started -> {
+                            mLog.log(LifecycleEvent.REFUSING, field("active", mRelay.active()));
+                            waitingEnds.subscribe();
+                        })
+                .doOnSuccess(done -> logUnfinished());
+    }
+
+    private void logUnfinished() {
+        if (mRelay.active() > 0) {
+            mLog.log(LifecycleEvent.STOP_INCOMPLETE, field("unfinished", mRelay.active()));
+        }
+    }
+
+    private void follow(String collection, CollectionListener listener) {
+        new CollectionFollower(
+                        mStore, collection, mLoop, mRandom, mLog, listener, LONGEST_RETRY)
+                .start();
+    }
+
+    private boolean ready() {
+        return !mLeaving
+                && mPlans.current().isPresent()
+                && mDirectory.listed()
+                && mDrains.listed();
+    }
+
+    private List<String> otherHosts() {
+        return mHosts.hosts().stream()
+                .map(Host::name)
+                .filter(name -> !name.equals(mHost.name()))
+                .toList();
+    }
+
+    private int hostCount() {
+        return otherHosts().size() + 1;
+    }
+
+    /** Each host has an equal part of the sends beyond the ratio. */
+    private RetryBudget retryBudget(ServingSettings serving) {
+        return new RetryBudget(
+                requests ->
+                        (long)
+                                (serving.retryRatio() * requests
+                                        + (double) serving.retryExtra() / hostCount()),
+                serving.retryWindow());
+    }
+
+    private Heartbeat heartbeat() {
+        return Heartbeat.newBuilder()
+                .setLeaving(mLeaving)
+                .setConfigurationVersion(
+                        Optional.ofNullable(mPlans)
+                                .flatMap(PlanFollower::current)
+                                .map(plan -> plan.version())
+                                .orElse(0L))
+                .build();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingLoop.java
@@ -0,0 +1,33 @@
+package org.vanillaslip.internal.relay;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Ticker;
+import java.util.concurrent.ScheduledExecutorService;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * The one thread of a serving host: connections, timers and decisions share it, so that a call
+ * changes threads nowhere.
+ *
+ * @param group the event loop as Netty's group
+ * @param resources the event loop as Reactor Netty's resources
+ */
+public record ServingLoop(
+        EventLoopGroup group, LoopResources resources, DecisionLoop decisions) {
+
+    /** Starts the thread. */
+    public static ServingLoop create() {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        ScheduledExecutorService executor = group.next();
+        return new ServingLoop(
+                group,
+                useNative -> group,
+                new DecisionLoop(
+                        Schedulers.fromExecutorService(executor, "serving"),
+                        Ticker.systemTicker()::nanoTime));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/SmallPage.java
@@ -0,0 +1,56 @@
+package org.vanillaslip.internal.relay;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.Supplier;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.LoopResources;
+
+/** A server with one page, for the load balancer or for metrics. */
+final class SmallPage {
+
+    /** Status and text of the page. */
+    record Content(int status, String text) {}
+
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+
+    private final InetSocketAddress mAddress;
+    private final String mPath;
+    private final Supplier<Content> mContent;
+    private final LoopResources mLoops;
+
+    SmallPage(
+            InetSocketAddress address,
+            String path,
+            Supplier<Content> content,
+            LoopResources loops) {
+        mAddress = address;
+        mPath = path;
+        mContent = content;
+        mLoops = loops;
+    }
+
+    Mono<? extends DisposableServer> start() {
+        return HttpServer.create()
+                .runOn(mLoops)
+                .bindAddress(() -> mAddress)
+                .idleTimeout(IDLE_TIMEOUT)
+                .handle(
+                        (request, response) -> {
+                            String path = request.uri().split("\\?", 2)[0];
+                            Content content =
+                                    path.equals(mPath)
+                                            ? mContent.get()
+                                            : new Content(404, "unknown path\n");
+                            byte[] body = content.text().getBytes(StandardCharsets.UTF_8);
+                            return response.status(content.status())
+                                    .header("Content-Type", "text/plain; charset=utf-8")
+                                    .header("Content-Length", Integer.toString(body.length))
+                                    .sendByteArray(Mono.just(body));
+                        })
+                .bind();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRun.java
@@ -0,0 +1,178 @@
+package org.vanillaslip.internal.relay;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.jspecify.annotations.Nullable;
+import org.reactivestreams.Publisher;
+import org.vanillaslip.internal.backend.forward.SilenceBound;
+import org.vanillaslip.internal.fleet.FleetMember;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.internal.stream.EventFramer;
+import org.vanillaslip.internal.stream.StreamEvent;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClientResponse;
+
+/** One stream of events, over several servers if the route allows that. */
+final class StreamRun {
+
+    /** Time that an engine needs at least for the first events. */
+    private static final Duration SHORTEST_RUN = Duration.ofMillis(200);
+
+    /** A server that is silent for several pauses has stopped or is cut off. */
+    private static final int SILENT_PAUSES = 4;
+
+    private static final Duration SHORTEST_SILENCE = Duration.ofMillis(1000);
+
+    private final RelayCall mCall;
+    private final CallSender mSender;
+    private final DecisionLoop mLoop;
+    private final EventLog mLog;
+    private @Nullable StreamHead mHead;
+    private OptionalLong mLastEvent;
+    private boolean mStarted;
+    private long mFirstEventNanos;
+
+    StreamRun(RelayCall call, CallSender sender, DecisionLoop loop, EventLog log) {
+        mCall = call;
+        mSender = sender;
+        mLoop = loop;
+        mLog = log;
+        mLastEvent = call.head().resumeAfter();
+    }
+
+    /** Returns status and headers; set before the first event. */
+    StreamHead head() {
+        StreamHead head = mHead;
+        if (head == null) {
+            throw new IllegalStateException("no server has answered");
+        }
+        return head;
+    }
+
+    /** Returns the time to the first event, or 0 when there was none. */
+    long firstEventNanos() {
+        return mFirstEventNanos;
+    }
+
+    /** Returns the events as they arrive; ends with an error when they are not complete. */
+    Flux<byte[]> events() {
+        return Flux.defer(
+                () -> {
+                    Duration left = mCall.left(mLoop.clock().nowNanos());
+                    AtomicBoolean expired = new AtomicBoolean();
+                    Mono<Long> end =
+                            Mono.delay(left, mLoop.scheduler())
+                                    .doOnNext(tick -> expired.set(true));
+                    return connect()
+                            .takeUntilOther(end)
+                            .concatWith(
+                                    Mono.defer(
+                                            () ->
+                                                    expired.get()
+                                                            ? Mono.error(new TimeoutException())
+                                                            : Mono.empty()));
+                });
+    }
+
+    private Flux<byte[]> connect() {
+        return mSender.server(mCall, SHORTEST_RUN)
+                .flatMapMany(this::receive)
+                .onErrorResume(SendFailedException.class, this::resumeOrFail);
+    }
+
+    private Flux<byte[]> receive(FleetMember member) {
+        EventFramer framer = new EventFramer();
+        return mSender.send(
+                mCall,
+                member,
+                mLastEvent,
+                (response, parts) -> answer(member, response, parts, framer));
+    }
+
+    private Publisher<byte[]> answer(
+            FleetMember member,
+            HttpClientResponse response,
+            Flux<byte[]> parts,
+            EventFramer framer) {
+        int status = response.status().code();
+        boolean success = status >= 200 && status < 300;
+        if (!success && (mStarted || mayTryAnother())) {
+            return Flux.error(
+                    new SendFailedException(SendFailureKind.UNKNOWN, "status " + status));
+        }
+        if (mHead == null) {
+            mHead = new StreamHead(status, RelayHeaders.endToEnd(response.responseHeaders()));
+        }
+        if (!success) {
+            member.health().failed(mLoop.clock().nowNanos());
+            return parts;
+        }
+        return bounded(parts)
+                .concatMapIterable(framer::accept, 1)
+                .filter(this::isNew)
+                .doOnNext(event -> arrived(member, event))
+                .map(StreamEvent::bytes)
+                .concatWith(Flux.defer(() -> rest(framer)));
+    }
+
+    private boolean mayTryAnother() {
+        return mCall.route().repeatable() && mCall.maySendAgain(SendFailureKind.UNKNOWN)
+                && mCall.sends() < mCall.route().attempts();
+    }
+
+    /** Only a stream that may continue elsewhere gains from giving up on a silent server. */
+    private Flux<byte[]> bounded(Flux<byte[]> parts) {
+        if (!mCall.route().resumable()) {
+            return parts;
+        }
+        Duration pauses = mCall.route().pauseObjective().multipliedBy(SILENT_PAUSES);
+        Duration bound = pauses.compareTo(SHORTEST_SILENCE) < 0 ? SHORTEST_SILENCE : pauses;
+        return new SilenceBound(mLoop.scheduler(), mLoop.clock(), bound).apply(parts);
+    }
+
+    /** A server that resumes may repeat events that were already passed on. */
+    private boolean isNew(StreamEvent event) {
+        return event.id().isEmpty()
+                || mLastEvent.isEmpty()
+                || event.id().getAsLong() > mLastEvent.getAsLong();
+    }
+
+    private void arrived(FleetMember member, StreamEvent event) {
+        if (!mStarted) {
+            mStarted = true;
+            mFirstEventNanos = mLoop.clock().nowNanos() - mCall.arrivedNanos();
+        }
+        member.health().succeeded();
+        if (event.id().isPresent()) {
+            mLastEvent = event.id();
+        }
+    }
+
+    private static Flux<byte[]> rest(EventFramer framer) {
+        byte[] rest = framer.rest();
+        return rest.length == 0 ? Flux.empty() : Flux.just(rest);
+    }
+
+    private Flux<byte[]> resumeOrFail(SendFailedException failure) {
+        boolean resumable = !mStarted || mCall.route().resumable();
+        if (!resumable || !mSender.mayRepeat(mCall, failure)) {
+            return Flux.error(mSender.refusal(mCall, failure));
+        }
+        if (mStarted) {
+            mLog.log(
+                    RelayEvent.STREAM_RESUMED,
+                    field("request", mCall.head().id()),
+                    field("after_event", mLastEvent.orElse(-1)),
+                    field("server", mCall.server()));
+        } else {
+            mHead = null;
+        }
+        return connect();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StrictRequestCodec.java
@@ -0,0 +1,50 @@
+package org.vanillaslip.internal.relay;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import reactor.netty.NettyPipeline;
+
+/**
+ * Refuses requests that state both a length and chunks: two readers of such a request can disagree
+ * on where the next request begins.
+ */
+final class StrictRequestCodec
+        extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
+
+    /** A caller's head may have this many bytes; the configuration allows less. */
+    static final int LARGEST_HEAD_BYTES = 64 * 1024;
+
+    private static final int LONGEST_LINE_BYTES = 16 * 1024;
+
+    private StrictRequestCodec() {
+        super(new StrictDecoder(), new HttpResponseEncoder());
+    }
+
+    /** Replaces the codec of a new connection. */
+    static void install(Channel channel) {
+        ChannelPipeline pipeline = channel.pipeline();
+        pipeline.replace(
+                NettyPipeline.HttpCodec, NettyPipeline.HttpCodec, new StrictRequestCodec());
+    }
+
+    /** Reads requests. */
+    private static final class StrictDecoder extends HttpRequestDecoder {
+
+        StrictDecoder() {
+            super(
+                    new HttpDecoderConfig()
+                            .setMaxInitialLineLength(LONGEST_LINE_BYTES)
+                            .setMaxHeaderSize(LARGEST_HEAD_BYTES));
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("The request has both a length and chunks.");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/WholeAnswer.java
@@ -0,0 +1,6 @@
+package org.vanillaslip.internal.relay;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** A complete answer of a backend server. */
+record WholeAnswer(int status, HttpHeaders headers, byte[] body) {}
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -54,7 +54,7 @@
 import reactor.netty.http.client.HttpClient;
 
 /** All parts of one host, created and connected once at the start. */
-public final class Daemon {
+public final class Daemon implements RunningDaemon {
 
     private static final int PEER_THREADS = 1;
     private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
@@ -115,7 +115,7 @@
         mGateway = gateway(context, mConfiguration, mPlacement, mLinks, mQuota, mSlots);
     }
 
-    /** Starts all parts; fails when an address is not available. */
+    @Override
     public void start() {
         mGateway.start().block(START_TIMEOUT);
         mLog.log(LifecycleEvent.LISTENING, field("address", mGateway.address()));
@@ -129,7 +129,8 @@
         mLinks.start().block(START_TIMEOUT);
     }
 
-    /** Stops as planned: callers first, then leases and borrowed tokens, then connections. */
+    /** Callers first, then leases and borrowed tokens, then connections. */
+    @Override
     public void stop() {
         mLeaving = true;
         HostSettings host = mSettings.host();
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/ProcessStarter.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/ProcessStarter.java
@@ -3,22 +3,31 @@
 import static org.vanillaslip.internal.logging.LogField.field;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.function.BiFunction;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.logging.LifecycleEvent;
 import org.vanillaslip.internal.logging.SystemEventLog;
 import org.vanillaslip.internal.settings.Settings;
 
 /** Runs a daemon for the life of the process; a termination signal begins the planned stop. */
-final class ProcessStarter implements DaemonStarter {
+public final class ProcessStarter implements DaemonStarter {
 
     /** Exit code when the daemon cannot start, for example because an address is taken. */
     private static final int EXIT_START_FAILED = 1;
 
+    private final BiFunction<Settings, EventLog, RunningDaemon> mDaemons;
+
+    /** Creates a starter of the daemons that the function creates. */
+    public ProcessStarter(BiFunction<Settings, EventLog, RunningDaemon> daemons) {
+        mDaemons = daemons;
+    }
+
     @Override
     public int run(Settings settings) {
         EventLog log = new SystemEventLog(System.getLogger(SystemEventLog.LOGGER_NAME));
         log.log(LifecycleEvent.STARTING, field("host", settings.host().name()));
-        Daemon daemon = new Daemon(settings, log);
+        RunningDaemon daemon = mDaemons.apply(settings, log);
+        ReloadSignal.handle(() -> log.log(LifecycleEvent.RELOAD_REQUESTED));
         CountDownLatch stopped = new CountDownLatch(1);
         try {
             daemon.start();
@@ -32,7 +41,7 @@
         return 0;
     }
 
-    private static void stop(Daemon daemon, EventLog log, CountDownLatch stopped) {
+    private static void stop(RunningDaemon daemon, EventLog log, CountDownLatch stopped) {
         daemon.stop();
         log.log(LifecycleEvent.STOPPED);
         stopped.countDown();
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/ReloadSignal.java
@@ -0,0 +1,15 @@
+package org.vanillaslip.internal.runtime;
+
+import sun.misc.Signal;
+
+/** The signal that asks a daemon to read its settings again; by default it would end the process. */
+final class ReloadSignal {
+
+    private static final String HANG_UP = "HUP";
+
+    private ReloadSignal() {}
+
+    static void handle(Runnable reload) {
+        Signal.handle(new Signal(HANG_UP), signal -> reload.run());
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/Settings.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/Settings.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.settings;
 
+import java.util.Optional;
 import org.vanillaslip.FailureDomain;
 
 /** All settings of one daemon; read once at start-up and never changed. */
@@ -9,7 +10,8 @@
         PeerSettings peers,
         AdmissionSettings admission,
         PlacementSettings placement,
-        LogSettings log) {
+        LogSettings log,
+        Optional<ServingSettings> serving) {
 
     /** Returns the failure domain of this host. */
     public FailureDomain failureDomain() {
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
@@ -153,6 +153,48 @@
                             SettingTypes.duration(1, 300, Duration::ofSeconds),
                             "Validity of a control shard's lease; the same on all hosts.")
                     .orDefault("10");
+    static final Setting<InetSocketAddress> READINESS_ADDRESS =
+            optional(
+                    "serving",
+                    "readiness_address",
+                    SettingTypes.listenAddress(),
+                    "Address on which the load balancer asks for readiness;"
+                            + " the section is only read when it is set.");
+    static final Setting<InetSocketAddress> METRICS_ADDRESS =
+            optional(
+                            "serving",
+                            "metrics_address",
+                            SettingTypes.listenAddress(),
+                            "Address on which metrics are read.")
+                    .orDefault("127.0.0.1:0");
+    static final Setting<Duration> ORDER_TURN =
+            optional(
+                            "serving",
+                            "order_turn_millis",
+                            SettingTypes.duration(0, 60_000, Duration::ofMillis),
+                            "Time between the last order of one host and the first of another.")
+                    .orDefault("3000");
+    static final Setting<Double> RETRY_RATIO =
+            optional(
+                            "serving",
+                            "retry_ratio",
+                            SettingTypes.decimal(0, 10),
+                            "Part of the requests of a pool that all hosts may send again.")
+                    .orDefault("0.1");
+    static final Setting<Integer> RETRY_EXTRA =
+            optional(
+                            "serving",
+                            "retry_extra",
+                            SettingTypes.wholeNumber(0, 1_000_000),
+                            "Repeated sends of a pool beyond that part, in each window.")
+                    .orDefault("10");
+    static final Setting<Duration> RETRY_WINDOW =
+            optional(
+                            "serving",
+                            "retry_window_seconds",
+                            SettingTypes.duration(1, 600, Duration::ofSeconds),
+                            "Window of the retry budget.")
+                    .orDefault("10");
     static final Setting<LogFormat> LOG_FORMAT =
             optional(
                             "log",
@@ -197,6 +239,12 @@
                     WEIGHT_STORE_PARALLEL_LOADS,
                     ADAPTER_LOADS_IN_FLIGHT,
                     LEASE,
+                    READINESS_ADDRESS,
+                    METRICS_ADDRESS,
+                    ORDER_TURN,
+                    RETRY_RATIO,
+                    RETRY_EXTRA,
+                    RETRY_WINDOW,
                     LOG_FORMAT,
                     LOG_LEVEL);
 
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCheck.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCheck.java
@@ -101,7 +101,21 @@
                         value(SettingsCatalogue.ADAPTER_LOADS_IN_FLIGHT),
                         value(SettingsCatalogue.LEASE)),
                 new LogSettings(
-                        value(SettingsCatalogue.LOG_FORMAT), value(SettingsCatalogue.LOG_LEVEL)));
+                        value(SettingsCatalogue.LOG_FORMAT), value(SettingsCatalogue.LOG_LEVEL)),
+                servingSettings());
+    }
+
+    private Optional<ServingSettings> servingSettings() {
+        return Optional.ofNullable(valueOrNull(SettingsCatalogue.READINESS_ADDRESS))
+                .map(
+                        readiness ->
+                                new ServingSettings(
+                                        readiness,
+                                        value(SettingsCatalogue.METRICS_ADDRESS),
+                                        value(SettingsCatalogue.ORDER_TURN),
+                                        value(SettingsCatalogue.RETRY_RATIO),
+                                        value(SettingsCatalogue.RETRY_EXTRA),
+                                        value(SettingsCatalogue.RETRY_WINDOW)));
     }
 
     private HostSettings hostSettings() {
--- a/decisions/src/main/java/org/vanillaslip/ResultCode.java
+++ b/decisions/src/main/java/org/vanillaslip/ResultCode.java
@@ -30,6 +30,12 @@
             true,
             "The header Idempotency-Key is not valid.",
             "Send 1 to 255 printable characters."),
+    MALFORMED_HEAD(
+            1011,
+            400,
+            true,
+            "A header that identifies the request is missing or malformed.",
+            "Send the header that the detail names."),
     RATE_EXCEEDED(
             2001,
             429,
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/ServerLoadReport.java
@@ -0,0 +1,9 @@
+package org.vanillaslip.internal.fleet;
+
+/**
+ * A server's own report. Its values lag by some hundred milliseconds.
+ *
+ * @param running requests that run
+ * @param queued requests that wait at the server
+ */
+public record ServerLoadReport(ServerStock stock, int running, int queued) {}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
@@ -0,0 +1,189 @@
+package org.vanillaslip.internal.quota;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Rate and burst of one workspace, replicated on every host. Each host takes tokens from its own
+ * replica at once and learns what the others took from their reports. Between two reports a host
+ * takes at most its share of what is left, by recent demand; the overdraft of one report interval
+ * is paid back before anything else is admitted.
+ */
+public final class ReplicatedBucket {
+
+    /** A host that has not reported for this long is assumed to use its share. */
+    private static final long HEARD_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** A host that has not reported for this long has been stopped. */
+    private static final long FORGET_NANOS = Duration.ofSeconds(30).toNanos();
+
+    /** Demand is averaged over this time. */
+    private static final double DEMAND_NANOS = 2e9;
+
+    /** Part of the rate that idle hosts count as asking for, so that each has a share. */
+    private static final double IDLE_DEMAND = 0.1;
+
+    private final Map<String, PeerUse> mPeers = new HashMap<>();
+    private double mRatePerNano;
+    private double mBurst;
+    private double mLevel;
+    private long mUpdatedAt;
+    private boolean mFresh = true;
+    private long mAdmitted;
+    private double mDemand;
+    private long mDemandAt;
+    private double mTakenSinceReport;
+
+    /** Creates an empty bucket: what an earlier incarnation of this host took is unknown. */
+    public ReplicatedBucket(long nowNanos) {
+        mUpdatedAt = nowNanos;
+        mDemandAt = nowNanos;
+    }
+
+    /** Sets rate and burst; tokens above the new burst are lost. */
+    public void resize(double ratePerSecond, double burst, long nowNanos) {
+        refill(nowNanos);
+        mRatePerNano = ratePerSecond / 1e9;
+        mBurst = burst;
+        mLevel = Math.min(mLevel, burst);
+    }
+
+    /** Names the other hosts, so that those that were never heard from have a share, too. */
+    public void expect(Collection<String> hosts, long nowNanos) {
+        refill(nowNanos);
+        hosts.forEach(host -> mPeers.computeIfAbsent(host, name -> new PeerUse(nowNanos)));
+        mPeers.values().removeIf(peer -> nowNanos - peer.mHeardAt > FORGET_NANOS);
+    }
+
+    /** Takes the tokens if the workspace has any left for this host. */
+    public boolean tryTake(long tokens, long nowNanos) {
+        refill(nowNanos);
+        mDemand = demand(nowNanos) + tokens;
+        mDemandAt = nowNanos;
+        double mine = share(nowNanos) * (mLevel + mTakenSinceReport);
+        if (mLevel <= 0 || mTakenSinceReport >= mine) {
+            return false;
+        }
+        mLevel -= tokens;
+        mTakenSinceReport += tokens;
+        mAdmitted += tokens;
+        return true;
+    }
+
+    /** Returns tokens of a call that did not run. */
+    public void giveBack(long tokens, long nowNanos) {
+        refill(nowNanos);
+        mLevel = Math.min(mBurst, mLevel + tokens);
+        mTakenSinceReport = Math.max(0, mTakenSinceReport - tokens);
+        mAdmitted -= tokens;
+    }
+
+    /** Returns the time until tokens are left again. */
+    public Duration refillTime(long tokens, long nowNanos) {
+        refill(nowNanos);
+        double missing = Math.max(0, -mLevel) + tokens;
+        return Duration.ofNanos((long) (missing / Math.max(mRatePerNano, 1e-12)));
+    }
+
+    /** Returns the part of the burst that this host took since its last report. */
+    public double unreportedPart() {
+        return mBurst <= 0 ? 0 : mTakenSinceReport / mBurst;
+    }
+
+    /** Returns what the other hosts need to know, and begins a new report interval. */
+    public BucketUse report(long nowNanos) {
+        refill(nowNanos);
+        mTakenSinceReport = 0;
+        return new BucketUse(mAdmitted, demandPerSecond(nowNanos), (long) mLevel);
+    }
+
+    /** Takes over the report of another host. */
+    public void apply(String host, String incarnation, BucketUse use, long nowNanos) {
+        refill(nowNanos);
+        PeerUse peer = mPeers.computeIfAbsent(host, name -> new PeerUse(nowNanos));
+        if (mFresh) {
+            mLevel = Math.min(mBurst, use.level());
+            mFresh = false;
+        } else if (peer.mIncarnation.equals(incarnation)) {
+            mLevel += peer.mAssumed - (use.admitted() - peer.mAdmitted);
+        } else if (!peer.mIncarnation.isEmpty()) {
+            mLevel += peer.mAssumed - use.admitted();
+        }
+        mLevel = Math.min(mBurst, mLevel);
+        peer.mIncarnation = incarnation;
+        peer.mAdmitted = use.admitted();
+        peer.mDemand = use.demandPerSecond();
+        peer.mHeardAt = nowNanos;
+        peer.mHeard = true;
+        peer.mAssumed = 0;
+    }
+
+    /** Returns the level as this host knows it. */
+    public double level(long nowNanos) {
+        refill(nowNanos);
+        return mLevel;
+    }
+
+    private void refill(long nowNanos) {
+        double elapsed = nowNanos - mUpdatedAt;
+        mUpdatedAt = nowNanos;
+        if (elapsed <= 0) {
+            return;
+        }
+        double gained = elapsed * mRatePerNano;
+        double total = totalDemand(nowNanos);
+        for (PeerUse peer : mPeers.values()) {
+            if (!peer.heard(nowNanos)) {
+                double used = gained * weight(peer.mDemand) / total;
+                peer.mAssumed += used;
+                mLevel -= used;
+            }
+        }
+        mLevel = Math.min(mBurst, mLevel + gained);
+    }
+
+    private double share(long nowNanos) {
+        return weight(demandPerSecond(nowNanos)) / totalDemand(nowNanos);
+    }
+
+    private double totalDemand(long nowNanos) {
+        double total = weight(demandPerSecond(nowNanos));
+        for (PeerUse peer : mPeers.values()) {
+            total += weight(peer.mDemand);
+        }
+        return total;
+    }
+
+    private double weight(double demandPerSecond) {
+        double idle = IDLE_DEMAND * mRatePerNano * 1e9 / (mPeers.size() + 1);
+        return Math.max(1, demandPerSecond + idle);
+    }
+
+    private long demandPerSecond(long nowNanos) {
+        return (long) (demand(nowNanos) * 1e9 / DEMAND_NANOS);
+    }
+
+    private double demand(long nowNanos) {
+        return mDemand * Math.exp(-(nowNanos - mDemandAt) / DEMAND_NANOS);
+    }
+
+    /** What is known of another host. */
+    private static final class PeerUse {
+        private String mIncarnation = "";
+        private long mAdmitted;
+        private double mDemand;
+        private long mHeardAt;
+        private boolean mHeard;
+        private double mAssumed;
+
+        PeerUse(long nowNanos) {
+            mHeardAt = nowNanos;
+        }
+
+        boolean heard(long nowNanos) {
+            return mHeard && nowNanos - mHeardAt <= HEARD_NANOS;
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/RankedServer.java
@@ -0,0 +1,11 @@
+package org.vanillaslip.internal.routing;
+
+/**
+ * A server that can take a call.
+ *
+ * @param inUse places in use, as far as this host knows
+ * @param near whether the server is in the failure domain of this host
+ * @param preferred whether the server has read the call's prompt parts
+ */
+public record RankedServer(
+        String instance, double inUse, int places, boolean near, boolean preferred) {}
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/RetryBudget.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/RetryBudget.java
@@ -3,16 +3,34 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.LongUnaryOperator;
 
-/** Allows retries up to 10% of the requests of the last ten seconds, and always at least one. */
+/** Allows as many retries as the requests of the last seconds justify. */
 public final class RetryBudget {
 
     private static final int REQUESTS_PER_RETRY = 10;
-    private static final long WINDOW_NANOS = Duration.ofSeconds(10).toNanos();
-    private static final long SLICE_NANOS = WINDOW_NANOS / 10;
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+    private static final int SLICES = 10;
 
+    private final LongUnaryOperator mAllowance;
+    private final long mWindowNanos;
     private final Deque<Slice> mSlices = new ArrayDeque<>();
 
+    /** Creates a budget of 10% of the requests of the last ten seconds, and at least one. */
+    public RetryBudget() {
+        this(requests -> Math.max(1, requests / REQUESTS_PER_RETRY), WINDOW);
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param allowance most retries in a window, by the number of requests in it
+     */
+    public RetryBudget(LongUnaryOperator allowance, Duration window) {
+        mAllowance = allowance;
+        mWindowNanos = window.toNanos();
+    }
+
     /** Counts a first try. */
     public void recordRequest(long nowNanos) {
         current(nowNanos).mRequests++;
@@ -23,7 +41,7 @@
         Slice slice = current(nowNanos);
         long requests = mSlices.stream().mapToLong(recent -> recent.mRequests).sum();
         long retries = mSlices.stream().mapToLong(recent -> recent.mRetries).sum();
-        if (retries >= Math.max(1, requests / REQUESTS_PER_RETRY)) {
+        if (retries >= mAllowance.applyAsLong(requests)) {
             return false;
         }
         slice.mRetries++;
@@ -31,10 +49,10 @@
     }
 
     private Slice current(long nowNanos) {
-        while (!mSlices.isEmpty() && nowNanos - mSlices.getFirst().mStart >= WINDOW_NANOS) {
+        while (!mSlices.isEmpty() && nowNanos - mSlices.getFirst().mStart >= mWindowNanos) {
             mSlices.removeFirst();
         }
-        if (mSlices.isEmpty() || nowNanos - mSlices.getLast().mStart >= SLICE_NANOS) {
+        if (mSlices.isEmpty() || nowNanos - mSlices.getLast().mStart >= mWindowNanos / SLICES) {
             mSlices.addLast(new Slice(nowNanos));
         }
         return mSlices.getLast();
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/ServerRanking.java
@@ -0,0 +1,45 @@
+package org.vanillaslip.internal.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Chooses the server with the most room; distance and kept prompts count like a little load. */
+public final class ServerRanking {
+
+    /** Calls to other failure domains are slower and their bytes are paid for. */
+    private static final double FAR = 0.12;
+
+    /** A kept prompt saves a few milliseconds of reading. */
+    private static final double KEPT_PROMPT = 0.08;
+
+    /** Spreads calls over servers that look alike to every host. */
+    private static final double JITTER = 0.01;
+
+    private ServerRanking() {}
+
+    /** Returns the best server, or empty when there is none. */
+    public static Optional<RankedServer> best(List<RankedServer> choices, RandomGenerator random) {
+        RankedServer best = null;
+        double lowest = Double.MAX_VALUE;
+        for (RankedServer choice : choices) {
+            double cost = cost(choice) + random.nextDouble() * JITTER;
+            if (cost < lowest) {
+                lowest = cost;
+                best = choice;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static double cost(RankedServer choice) {
+        double cost = choice.inUse() / Math.max(1, choice.places());
+        if (!choice.near()) {
+            cost += FAR;
+        }
+        if (choice.preferred()) {
+            cost -= KEPT_PROMPT;
+        }
+        return cost;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/serving/ServingPlan.java
@@ -0,0 +1,74 @@
+package org.vanillaslip.internal.serving;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.internal.admission.KeyDigest;
+
+/** Routes, pools and workspaces of one configuration version. */
+public final class ServingPlan {
+
+    private final long mVersion;
+    private final List<ServedRoute> mRoutes;
+    private final RouteTable mTable;
+    private final Map<String, ServicePool> mPools;
+    private final List<WorkspaceTerms> mWorkspaces;
+    private final Map<String, WorkspaceTerms> mByKeyDigest;
+    private final CallerLimits mLimits;
+
+    /**
+     * Creates a plan.
+     *
+     * @param byKeyDigest workspaces by the digest of each of their keys
+     */
+    public ServingPlan(
+            long version,
+            List<ServedRoute> routes,
+            Map<String, ServicePool> pools,
+            List<WorkspaceTerms> workspaces,
+            Map<String, WorkspaceTerms> byKeyDigest,
+            CallerLimits limits) {
+        mVersion = version;
+        mRoutes = List.copyOf(routes);
+        mTable = new RouteTable(routes);
+        mPools = Map.copyOf(pools);
+        mWorkspaces = List.copyOf(workspaces);
+        mByKeyDigest = Map.copyOf(byKeyDigest);
+        mLimits = limits;
+    }
+
+    /** Returns the version of the configuration. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns all routes. */
+    public List<ServedRoute> routes() {
+        return mRoutes;
+    }
+
+    /** Returns the route of a call. */
+    public Optional<ServedRoute> route(String host, String path) {
+        return mTable.find(host, path);
+    }
+
+    /** Returns all pools by name. */
+    public Map<String, ServicePool> pools() {
+        return mPools;
+    }
+
+    /** Returns all workspaces. */
+    public List<WorkspaceTerms> workspaces() {
+        return mWorkspaces;
+    }
+
+    /** Returns the workspace that holds the key. */
+    public Optional<WorkspaceTerms> workspaceOf(String key) {
+        return Optional.ofNullable(mByKeyDigest.get(KeyDigest.of(key)));
+    }
+
+    /** Returns the limits of callers' requests. */
+    public CallerLimits limits() {
+        return mLimits;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/stream/EventFramer.java
@@ -0,0 +1,65 @@
+package org.vanillaslip.internal.stream;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.OptionalLong;
+
+/** Cuts a stream of bytes into server-sent events; an unfinished last event is never returned. */
+public final class EventFramer {
+
+    private static final String ID = "id:";
+
+    /** An event this long is not one. */
+    private static final int MOST_BYTES = 1 << 20;
+
+    private final ByteArrayOutputStream mOpen = new ByteArrayOutputStream();
+    private boolean mLineEmpty = true;
+
+    /** Returns the events that the chunk completes. */
+    public List<StreamEvent> accept(byte[] chunk) {
+        List<StreamEvent> events = new ArrayList<>();
+        int start = 0;
+        for (int index = 0; index < chunk.length; index++) {
+            byte current = chunk[index];
+            if (current == '\n') {
+                if (mLineEmpty) {
+                    mOpen.write(chunk, start, index + 1 - start);
+                    start = index + 1;
+                    complete(events);
+                }
+                mLineEmpty = true;
+            } else if (current != '\r') {
+                mLineEmpty = false;
+            }
+        }
+        mOpen.write(chunk, start, chunk.length - start);
+        if (mOpen.size() > MOST_BYTES) {
+            throw new IllegalStateException("An event has more than " + MOST_BYTES + " bytes.");
+        }
+        return events;
+    }
+
+    /** Returns the bytes of an event that has not ended. */
+    public byte[] rest() {
+        return mOpen.toByteArray();
+    }
+
+    private void complete(List<StreamEvent> events) {
+        byte[] bytes = mOpen.toByteArray();
+        mOpen.reset();
+        events.add(new StreamEvent(id(bytes), bytes));
+    }
+
+    private static OptionalLong id(byte[] event) {
+        String text = new String(event, StandardCharsets.ISO_8859_1);
+        return Arrays.stream(text.split("\r?\n"))
+                .filter(line -> line.startsWith(ID))
+                .map(line -> line.substring(ID.length()).strip())
+                .filter(value -> value.matches("[0-9]{1,18}"))
+                .mapToLong(Long::parseLong)
+                .findFirst();
+    }
+}
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -2,13 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
@@ -30,7 +28,7 @@
     private final ObjectJson mJson;
     private final Duration mAnswerTimeout;
     private final Scheduler mTimer;
-    private final Consumer<Duration> mThrottled;
+    private final ObjectCalls mCalls;
 
     /** Creates a store for a caller that makes no further calls after a throttled one. */
     public HttpObjectStore(
@@ -69,7 +67,7 @@
         mJson = json;
         mAnswerTimeout = answerTimeout;
         mTimer = timer;
-        mThrottled = throttled;
+        mCalls = new ObjectCalls(mClient, timer, status -> false, throttled);
     }
 
     @Override
@@ -138,76 +136,20 @@
             String path,
             @Nullable ObjectNode body,
             Function<ObjectNode, T> decode) {
-        boolean writes = !method.equals(HttpMethod.GET);
-        return Mono.defer(
-                () -> {
-                    AtomicBoolean sent = new AtomicBoolean();
-                    return mClient.doOnRequest((request, connection) -> sent.set(true))
-                            .headers(headers -> headers.set("Content-Type", "application/json"))
-                            .request(method)
-                            .uri(path)
-                            .send(
-                                    body == null
-                                            ? Mono.empty()
-                                            : Mono.fromSupplier(
-                                                    () ->
-                                                            Unpooled.wrappedBuffer(
-                                                                    mJson.write(body))))
-                            .responseSingle(
-                                    (response, content) ->
-                                            content.asByteArray()
-                                                    .defaultIfEmpty(new byte[0])
-                                                    .map(bytes -> result(response, bytes, decode)))
-                            .timeout(mAnswerTimeout, mTimer)
-                            .onErrorResume(
-                                    cause -> Mono.just(Either.left(lost(writes && sent.get()))));
-                });
-    }
-
-    private <T> Either<PlatformFailure, T> result(
-            HttpClientResponse response, byte[] bytes, Function<ObjectNode, T> decode) {
-        int status = response.status().code();
-        if (status >= 200 && status < 300) {
-            return Either.right(decode.apply(mJson.parse(bytes)));
-        }
-        PlatformFailure failure = failure(status);
-        noteThrottling(response);
-        if (status >= 500) {
-            // A server error does not tell whether the change took effect.
-            throw new PlatformException(failure, "The platform answered with " + status + ".");
-        }
-        return Either.left(failure);
-    }
-
-    private void noteThrottling(HttpClientResponse response) {
-        if (failure(response.status().code()) == PlatformFailure.THROTTLED) {
-            mThrottled.accept(RetryAfter.parse(response.responseHeaders().get("Retry-After")));
-        }
+        byte[] bytes = body == null ? new byte[0] : mJson.write(body);
+        return mCalls.call(
+                method, path, bytes, mAnswerTimeout, answer -> decode.apply(mJson.parse(answer)));
     }
 
     private Function<ObjectNode, StoredObject> object(String collection) {
         return node -> mJson.decodeObject(collection, node);
     }
 
-    private static PlatformFailure lost(boolean mayHaveTakenEffect) {
-        return mayHaveTakenEffect ? PlatformFailure.OUTCOME_UNKNOWN : PlatformFailure.UNAVAILABLE;
-    }
-
-    private static PlatformFailure failure(int status) {
-        return switch (status) {
-            case 404 -> PlatformFailure.NOT_FOUND;
-            case 409 -> PlatformFailure.CONFLICT;
-            case 410 -> PlatformFailure.GONE;
-            case 429 -> PlatformFailure.THROTTLED;
-            default -> PlatformFailure.UNAVAILABLE;
-        };
-    }
-
     private PlatformException notOpened(String collection, HttpClientResponse response) {
-        noteThrottling(response);
+        mCalls.noteThrottling(response);
         int status = response.status().code();
         return new PlatformException(
-                failure(status),
+                ObjectCalls.failure(status),
                 "The platform refused the watch of '" + collection + "' with " + status + ".");
     }
 
--- /dev/null
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectCalls.java
@@ -0,0 +1,112 @@
+package org.vanillaslip.internal.platform;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.IntPredicate;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+
+/** Single HTTP calls of the object API, with what is known of each that failed. */
+public final class ObjectCalls {
+
+    private final HttpClient mClient;
+    private final Scheduler mTimer;
+    private final IntPredicate mUndone;
+    private final Consumer<Duration> mThrottled;
+
+    /**
+     * Creates calls on the given client, which must not repeat calls by itself.
+     *
+     * @param undone statuses of server errors that say that nothing was changed
+     * @param throttled told for how long the platform wants no calls
+     */
+    public ObjectCalls(
+            HttpClient client,
+            Scheduler timer,
+            IntPredicate undone,
+            Consumer<Duration> throttled) {
+        mClient = client;
+        mTimer = timer;
+        mUndone = undone;
+        mThrottled = throttled;
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param body empty when the call has none
+     * @param answerTimeout after which the answer counts as lost
+     */
+    public <T> Mono<Either<PlatformFailure, T>> call(
+            HttpMethod method,
+            String path,
+            byte[] body,
+            Duration answerTimeout,
+            Function<byte[], T> decode) {
+        boolean writes = !method.equals(HttpMethod.GET);
+        return Mono.defer(
+                () -> {
+                    AtomicBoolean sent = new AtomicBoolean();
+                    return mClient.doOnRequest((request, connection) -> sent.set(true))
+                            .headers(headers -> headers.set("Content-Type", "application/json"))
+                            .request(method)
+                            .uri(path)
+                            .send(
+                                    body.length == 0
+                                            ? Mono.empty()
+                                            : Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+                            .responseSingle(
+                                    (response, content) ->
+                                            content.asByteArray()
+                                                    .defaultIfEmpty(new byte[0])
+                                                    .map(bytes -> result(response, bytes, decode)))
+                            .timeout(answerTimeout, mTimer)
+                            .onErrorResume(
+                                    cause -> Mono.just(Either.left(lost(writes && sent.get()))));
+                });
+    }
+
+    private <T> Either<PlatformFailure, T> result(
+            HttpClientResponse response, byte[] bytes, Function<byte[], T> decode) {
+        int status = response.status().code();
+        if (status >= 200 && status < 300) {
+            return Either.right(decode.apply(bytes));
+        }
+        PlatformFailure failure = failure(status);
+        noteThrottling(response);
+        if (status >= 500 && !mUndone.test(status)) {
+            // A server error does not tell whether the change took effect.
+            throw new PlatformException(failure, "The platform answered with " + status + ".");
+        }
+        return Either.left(failure);
+    }
+
+    /** Passes on for how long the platform wants no calls, if the answer says so. */
+    void noteThrottling(HttpClientResponse response) {
+        if (failure(response.status().code()) == PlatformFailure.THROTTLED) {
+            mThrottled.accept(RetryAfter.parse(response.responseHeaders().get("Retry-After")));
+        }
+    }
+
+    /** Returns what an HTTP status other than success means. */
+    static PlatformFailure failure(int status) {
+        return switch (status) {
+            case 404 -> PlatformFailure.NOT_FOUND;
+            case 409 -> PlatformFailure.CONFLICT;
+            case 410 -> PlatformFailure.GONE;
+            case 429 -> PlatformFailure.THROTTLED;
+            default -> PlatformFailure.UNAVAILABLE;
+        };
+    }
+
+    private static PlatformFailure lost(boolean mayHaveTakenEffect) {
+        return mayHaveTakenEffect ? PlatformFailure.OUTCOME_UNKNOWN : PlatformFailure.UNAVAILABLE;
+    }
+}
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectStore.java
@@ -11,6 +11,11 @@
     /** Reads one object. */
     Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name);
 
+    /** Reads one object as it was at most seconds ago, where the platform has a cheaper read. */
+    default Mono<Either<PlatformFailure, StoredObject>> readRecent(String collection, String name) {
+        return read(collection, name);
+    }
+
     /** Lists a collection. */
     Mono<Either<PlatformFailure, ObjectList>> list(String collection);
 
