--- a/daemon/src/main/java/org/vanillaslip/internal/logging/LogOutput.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/logging/LogOutput.java
@@ -8,6 +8,8 @@
 import ch.qos.logback.core.OutputStreamAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import ch.qos.logback.core.encoder.EncoderBase;
+import java.io.FilterOutputStream;
+import java.io.IOException;
 import java.io.OutputStream;
 import net.logstash.logback.encoder.LogstashEncoder;
 import org.slf4j.LoggerFactory;
@@ -28,7 +30,7 @@
         OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
         appender.setContext(context);
         appender.setEncoder(encoder(settings.format(), context));
-        appender.setOutputStream(stream);
+        appender.setOutputStream(unclosed(stream));
         appender.start();
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.addAppender(appender);
@@ -36,6 +38,21 @@
         context.getLogger(SystemEventLog.LOGGER_NAME).setLevel(level(settings.level()));
     }
 
+    /** A later set-up stops the appender, which would close the output of the process. */
+    private static OutputStream unclosed(OutputStream stream) {
+        return new FilterOutputStream(stream) {
+            @Override
+            public void write(byte[] bytes, int offset, int length) throws IOException {
+                out.write(bytes, offset, length);
+            }
+
+            @Override
+            public void close() throws IOException {
+                flush();
+            }
+        };
+    }
+
     private static Encoder<ILoggingEvent> encoder(LogFormat format, LoggerContext context) {
         EncoderBase<ILoggingEvent> encoder =
                 format == LogFormat.JSON ? new LogstashEncoder() : plainEncoder();
