Order loads from one lease holder and tell all hosts what servers hold

Change: LoadPlanner decides loads, victims and copies of busy models; FleetLease, LoadController and FleetExchange carry them out; quota slack is a setting.

--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/DemandBook.java
@@ -0,0 +1,109 @@
+package org.vanillaslip.internal.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.messages.DemandReport;
+import org.vanillaslip.messages.ModelDemand;
+import org.vanillaslip.messages.RunningCalls;
+
+/** What callers of this host ask for, for the host that orders loads. */
+public final class DemandBook {
+
+    private final WaitingRoom mRoom;
+    private final FleetDirectory mDirectory;
+    private final DecisionLoop mLoop;
+    private final Map<CallTarget, Arrivals> mArrivals = new HashMap<>();
+
+    /** Creates a book without arrivals. */
+    public DemandBook(WaitingRoom room, FleetDirectory directory, DecisionLoop loop) {
+        mRoom = room;
+        mDirectory = directory;
+        mLoop = loop;
+    }
+
+    /** Notes a call for a model. */
+    public void arrived(CallTarget target, Duration objective) {
+        if (target.model().isPresent()) {
+            Arrivals arrivals = mArrivals.computeIfAbsent(target, name -> new Arrivals());
+            arrivals.mCount++;
+            if (objective.compareTo(arrivals.mObjective) < 0) {
+                arrivals.mObjective = objective;
+            }
+        }
+    }
+
+    /** Returns the demand since the last report, or empty when there is nothing to tell. */
+    public Optional<DemandReport> report() {
+        DemandReport.Builder report = DemandReport.newBuilder();
+        Map<CallTarget, ModelDemand.Builder> demands = new HashMap<>();
+        mArrivals.forEach(
+                (target, arrivals) ->
+                        demands.computeIfAbsent(target, DemandBook::demand)
+                                .setArrivals(arrivals.mCount)
+                                .setObjectiveMillis((int) arrivals.mObjective.toMillis()));
+        mArrivals.clear();
+        mRoom.missing()
+                .forEach(
+                        (target, calls) ->
+                                addWaiting(
+                                        demands.computeIfAbsent(target, DemandBook::demand),
+                                        calls));
+        demands.values().forEach(report::addModels);
+        report.addAllRunning(running());
+        return report.getModelsCount() + report.getRunningCount() == 0
+                ? Optional.empty()
+                : Optional.of(report.build());
+    }
+
+    private static ModelDemand.Builder demand(CallTarget target) {
+        ModelDemand.Builder demand = ModelDemand.newBuilder().setPool(target.pool());
+        target.model()
+                .ifPresent(
+                        model -> {
+                            demand.setModel(model.model());
+                            model.adapter().ifPresent(demand::setAdapter);
+                        });
+        return demand;
+    }
+
+    private void addWaiting(ModelDemand.Builder demand, Collection<WaitingCall> calls) {
+        long now = mLoop.clock().nowNanos();
+        long objective =
+                calls.stream().mapToLong(call -> call.objectiveNanos() - now).min().orElse(0);
+        long deadline =
+                calls.stream().mapToLong(call -> call.giveUpNanos() - now).max().orElse(0);
+        int priority = calls.stream().mapToInt(WaitingCall::priority).min().orElse(0);
+        demand.setWaiting(calls.size())
+                .setObjectiveLeftMillis((int) (objective / 1_000_000))
+                .setDeadlineLeftMillis((int) Math.max(0, deadline / 1_000_000))
+                .setPriority(priority);
+    }
+
+    private List<RunningCalls> running() {
+        List<RunningCalls> running = new ArrayList<>();
+        for (FleetMember member : mDirectory.members()) {
+            member.ownByModel()
+                    .forEach(
+                            (model, count) ->
+                                    running.add(
+                                            RunningCalls.newBuilder()
+                                                    .setServer(member.instance())
+                                                    .setModel(model)
+                                                    .setCount(count)
+                                                    .build()));
+        }
+        return running;
+    }
+
+    /** Calls for one target since the last report. */
+    private static final class Arrivals {
+        private int mCount;
+        private Duration mObjective = Duration.ofDays(1);
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -91,11 +91,16 @@
         return member.inService() && !mDrains.isDrained(member.registered().failureDomain());
     }
 
-    /** Takes over a server's own report of the given life; reports of other lives are dropped. */
-    public void report(String instance, long bornMillis, ServerLoadReport report) {
+    /**
+     * Takes over a server's own report of the given life; reports of other lives are dropped.
+     *
+     * @param newer whether the report is newer than all that is known of the server's orders
+     */
+    public void report(
+            String instance, long bornMillis, ServerLoadReport report, boolean newer) {
         FleetMember member = mMembers.get(instance);
         if (member != null && member.registered().bornMillis() == bornMillis) {
-            member.report(report, mLoop.clock().nowNanos());
+            member.report(report, newer, mLoop.clock().nowNanos());
             changed();
         }
     }
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -0,0 +1,298 @@
+package org.vanillaslip.internal.fleet;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.vanillaslip.internal.lease.LeaseRank;
+import org.vanillaslip.internal.lease.LeaseRecord;
+import org.vanillaslip.internal.lease.LeaseState;
+import org.vanillaslip.internal.lease.LeaseTimes;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformCollections;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.publisher.Mono;
+
+/**
+ * The lease on orders to backend servers. Servers do not check fencing numbers, so only time keeps
+ * two hosts apart: the first order of a new holder follows the last one that the old holder could
+ * have sent by a whole turn.
+ */
+public final class FleetLease {
+
+    /** Name of the object; there is one holder for all servers of the deployment. */
+    static final String NAME = "fleet";
+
+    private static final Duration TICK = Duration.ofMillis(200);
+    private static final Duration READ_INTERVAL = Duration.ofMillis(400);
+
+    /** Orders of the old holder may be this long on their way. */
+    private static final Duration DELIVERY = Duration.ofMillis(300);
+
+    /** Two clocks of one host that differ by more were set or stood still in between. */
+    private static final long CLOCK_TOLERANCE_MILLIS = 200;
+
+    private final String mHost;
+    private final ObjectStore mStore;
+    private final DecisionLoop mLoop;
+    private final InstantSource mTimeOfDay;
+    private final LeaseTimes mTimes;
+    private final Duration mTurn;
+    private final Supplier<String> mNonces;
+    private final Supplier<Collection<String>> mHosts;
+    private final EventLog mLog;
+    private LeaseState mState;
+    private LeaseRecord mRecord = LeaseRecord.NONE;
+    private long mQuietUntil;
+    private long mSentDayMillis;
+    private long mReadAt = Long.MIN_VALUE / 2;
+    private boolean mCalling;
+    private boolean mStopped;
+    private Runnable mOnTaken = () -> {};
+
+    /**
+     * Creates a lease that this host does not hold.
+     *
+     * @param timeOfDay second clock, which runs on while a suspended host's first one stands still
+     * @param turn time between the last order of one holder and the first of the next
+     * @param hosts live hosts, this host included
+     */
+    public FleetLease(
+            String host,
+            ObjectStore store,
+            DecisionLoop loop,
+            InstantSource timeOfDay,
+            LeaseTimes times,
+            Duration turn,
+            Supplier<String> nonces,
+            Supplier<Collection<String>> hosts,
+            EventLog log) {
+        mHost = host;
+        mStore = store;
+        mLoop = loop;
+        mTimeOfDay = timeOfDay;
+        mTimes = times;
+        mTurn = turn;
+        mNonces = nonces;
+        mHosts = hosts;
+        mLog = log;
+        mState = LeaseState.unknown(loop.clock().nowNanos());
+    }
+
+    /** Registers a listener for the moment at which this host takes the lease. */
+    public void onTaken(Runnable listener) {
+        mOnTaken = listener;
+    }
+
+    /** Begins to look at the lease. */
+    public void start() {
+        long period = TICK.toNanos();
+        mLoop.scheduler().schedulePeriodically(this::tick, 0, period, TimeUnit.NANOSECONDS);
+    }
+
+    /** Returns the host that held the lease when it was last read. */
+    public Optional<String> holder() {
+        return mRecord.released() ? Optional.empty() : Optional.of(mRecord.holder());
+    }
+
+    /** Returns whether this host holds the lease, though it may have to wait with orders. */
+    public boolean held() {
+        return mState.holding();
+    }
+
+    /** Returns the fencing number of this host's orders. */
+    public long term() {
+        return mState.term();
+    }
+
+    /** Returns whether an order may be sent at this moment. */
+    public boolean mayOrder() {
+        long now = now();
+        return mState.mayDecide(mTimes, now) && now - mQuietUntil >= 0 && clocksAgree(now);
+    }
+
+    /** Gives the lease up, because this host stops as planned. */
+    public Mono<Void> release() {
+        mStopped = true;
+        if (!mState.holding()) {
+            return Mono.empty();
+        }
+        LeaseRecord released =
+                new LeaseRecord("", mState.term(), mNonces.get(), mTimes.validity().toMillis());
+        long version = mState.version();
+        mState = new LeaseState(false, mState.term(), 0, version, now());
+        return mStore.update(PlatformCollections.CONTROL_SHARDS, NAME, version, spec(released))
+                .then();
+    }
+
+    /** A suspended host's clock stands still; only the time of day shows that the lease is old. */
+    private boolean clocksAgree(long nowNanos) {
+        long steady = TimeUnit.NANOSECONDS.toMillis(nowNanos - mState.validFromNanos());
+        long day = mTimeOfDay.millis() - mSentDayMillis;
+        return Math.abs(day - steady) <= CLOCK_TOLERANCE_MILLIS;
+    }
+
+    private void tick() {
+        long now = now();
+        boolean held = mState.holding();
+        mState = mState.expire(mTimes, now);
+        if (held && !mState.holding()) {
+            mLog.log(FleetEvent.LEASE_LOST, field("term", mState.term()));
+        }
+        if (mCalling || mStopped) {
+            return;
+        }
+        if (mState.holding()) {
+            if (!clocksAgree(now)) {
+                mLog.log(FleetEvent.CLOCKS_DISAGREE, field("term", mState.term()));
+                write(mState.term());
+            } else if (mState.renewalDue(mTimes, now)) {
+                write(mState.term());
+            }
+        } else if (now - mReadAt >= READ_INTERVAL.toNanos()) {
+            read();
+        }
+    }
+
+    private void read() {
+        mCalling = true;
+        mReadAt = now();
+        mStore.readRecent(PlatformCollections.CONTROL_SHARDS, NAME)
+                .publishOn(mLoop.scheduler())
+                .subscribe(this::read, error -> mCalling = false, () -> mCalling = false);
+    }
+
+    private void read(Either<PlatformFailure, StoredObject> result) {
+        mCalling = false;
+        if (result.isLeft()) {
+            if (result.getLeft() == PlatformFailure.NOT_FOUND) {
+                mRecord = LeaseRecord.NONE;
+                write(1);
+            }
+            return;
+        }
+        long now = now();
+        StoredObject object = result.get();
+        if (object.version() < mState.version()) {
+            return;
+        }
+        mRecord = record(object.spec());
+        mState = mState.observed(object.version(), mRecord, mHost, now);
+        boolean own = mRecord.holder().equals(mHost);
+        int rank = LeaseRank.of(NAME, mHost, mHosts.get());
+        if (own || mState.mayTake(mTimes, mRecord, rank, now)) {
+            // Only one process runs on a host, so an earlier one of this host sends nothing more.
+            mQuietUntil = own ? Math.max(now, mQuietUntil) : firstOrder(now);
+            write(mRecord.term() + 1);
+        }
+    }
+
+    /** The old holder's last order was sent in the deciding time after its last write. */
+    private long firstOrder(long nowNanos) {
+        long lastOrder =
+                mRecord.released()
+                        ? mState.seenSinceNanos()
+                        : mState.seenSinceNanos() + mTimes.decidingNanos();
+        return Math.max(nowNanos, lastOrder + mTurn.plus(DELIVERY).toNanos());
+    }
+
+    private void write(long term) {
+        mCalling = true;
+        LeaseRecord record =
+                new LeaseRecord(mHost, term, mNonces.get(), mTimes.validity().toMillis());
+        long sentAt = now();
+        long sentDay = mTimeOfDay.millis();
+        boolean create = mState.version() < 0;
+        Mono<Either<PlatformFailure, StoredObject>> written =
+                create
+                        ? mStore.create(PlatformCollections.CONTROL_SHARDS, NAME, spec(record))
+                        : mStore.update(
+                                PlatformCollections.CONTROL_SHARDS,
+                                NAME,
+                                mState.version(),
+                                spec(record));
+        written.flatMap(result -> settled(result, record))
+                .publishOn(mLoop.scheduler())
+                .subscribe(
+                        result -> written(result, record, sentAt, sentDay),
+                        error -> mCalling = false,
+                        () -> mCalling = false);
+    }
+
+    /** After a lost answer the object tells whether the write took effect. */
+    private Mono<Either<PlatformFailure, StoredObject>> settled(
+            Either<PlatformFailure, StoredObject> result, LeaseRecord record) {
+        if (result.isRight() || result.getLeft() != PlatformFailure.OUTCOME_UNKNOWN) {
+            return Mono.just(result);
+        }
+        return mStore.read(PlatformCollections.CONTROL_SHARDS, NAME)
+                .map(
+                        found ->
+                                found.isRight()
+                                                && record(found.get().spec())
+                                                        .nonce()
+                                                        .equals(record.nonce())
+                                        ? found
+                                        : Either.left(PlatformFailure.CONFLICT));
+    }
+
+    private void written(
+            Either<PlatformFailure, StoredObject> result,
+            LeaseRecord record,
+            long sentAt,
+            long sentDay) {
+        mCalling = false;
+        if (result.isLeft()) {
+            boolean conflict = result.getLeft() == PlatformFailure.CONFLICT;
+            if (conflict && mState.holding()) {
+                mLog.log(FleetEvent.LEASE_LOST, field("term", mState.term()));
+                mState = new LeaseState(false, mState.term(), 0, mState.version(), now());
+            } else if (!conflict) {
+                mLog.log(FleetEvent.LEASE_WRITE_FAILED, field("failure", result.getLeft()));
+            }
+            return;
+        }
+        boolean taken = !mState.holding();
+        mRecord = record;
+        mSentDayMillis = sentDay;
+        mState = mState.written(result.get().version(), record, sentAt, now());
+        if (taken) {
+            mLog.log(
+                    FleetEvent.LEASE_TAKEN,
+                    field("term", record.term()),
+                    field("quiet_ms", Math.max(0, (mQuietUntil - now()) / 1_000_000)));
+            mOnTaken.run();
+        }
+    }
+
+    private static ObjectNode spec(LeaseRecord record) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("holder", record.holder())
+                .put("term", record.term())
+                .put("nonce", record.nonce())
+                .put("validity_millis", record.validityMillis());
+    }
+
+    private static LeaseRecord record(ObjectNode spec) {
+        return new LeaseRecord(
+                spec.path("holder").asText(),
+                spec.path("term").asLong(),
+                spec.path("nonce").asText(),
+                spec.path("validity_millis").asLong());
+    }
+
+    private long now() {
+        return mLoop.clock().nowNanos();
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -18,6 +18,9 @@
     /** A server that said it lacks a model is believed over an older list for this long. */
     private static final long DENIED_NANOS = Duration.ofMillis(400).toNanos();
 
+    /** A report goes before a registration for this long. */
+    private static final long REPORT_VALID_NANOS = Duration.ofSeconds(3).toNanos();
+
     private final ServerHealth mHealth = new ServerHealth();
     private final ColdGate mColdGate = new ColdGate();
     private final Map<String, Integer> mOwnByModel = new HashMap<>();
@@ -78,17 +81,22 @@
             mColdUntil = nowNanos + Duration.ofMillis(registered.coldMillis()).toNanos();
         }
         mRegistered = registered;
-        boolean reported = mReportedAt != Long.MIN_VALUE;
+        boolean reported =
+                mReportedAt != Long.MIN_VALUE && nowNanos - mReportedAt < REPORT_VALID_NANOS;
         if (!reported || registered.stock().orderCount() > mStock.orderCount()) {
             mStock = registered.stock();
         }
     }
 
     /** Takes over a report that is newer than the registration. */
-    void report(ServerLoadReport report, long nowNanos) {
+    void report(ServerLoadReport report, boolean newer, long nowNanos) {
         mReportedAt = nowNanos;
         mOthersInUse = Math.max(0, report.running() + report.queued() - mOwnInUse);
-        setStock(report.stock());
+        if (newer) {
+            mStock = report.stock();
+        } else {
+            setStock(report.stock());
+        }
     }
 
     /** Replaces what the server is known to hold. */
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/PendingOrder.java
@@ -0,0 +1,16 @@
+package org.vanillaslip.internal.fleet;
+
+/**
+ * An order whose end was not reported yet.
+ *
+ * @param sentNanos when it was sent
+ * @param doneNanos when it is expected to be done
+ * @param accepted whether the server has accepted it; otherwise its outcome is unknown
+ */
+record PendingOrder(PlannedOrder order, long sentNanos, long doneNanos, boolean accepted) {
+
+    PendingOrder asAccepted(long nowNanos) {
+        long takes = order.takes().toNanos();
+        return new PendingOrder(order, sentNanos, nowNanos + takes, true);
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
@@ -37,6 +37,7 @@
 
     private static final Duration LEAST_RETRY = Duration.ofMillis(200);
 
+    private final double mOverdraft;
     private final DecisionLoop mLoop;
     private final PeerLinks mLinks;
     private final Supplier<Collection<String>> mOtherHosts;
@@ -49,14 +50,17 @@
     /**
      * Creates limits without any workspace.
      *
+     * @param overdraft units that a workspace may use beyond its burst, because reports lag
      * @param otherHosts all listed hosts but this one
      */
     public WorkspaceLimits(
+            double overdraft,
             DecisionLoop loop,
             PeerLinks links,
             Supplier<Collection<String>> otherHosts,
             RandomGenerator random,
             EventLog log) {
+        mOverdraft = overdraft;
         mLoop = loop;
         mLinks = links;
         mOtherHosts = otherHosts;
@@ -122,7 +126,7 @@
     private ReplicatedBucket bucket(WorkspaceTerms terms, long nowNanos) {
         ReplicatedBucket bucket =
                 mBuckets.computeIfAbsent(
-                        terms.workspace().name(), name -> new ReplicatedBucket(nowNanos));
+                        terms.workspace().name(), name -> new ReplicatedBucket(mOverdraft, nowNanos));
         bucket.resize(terms.ratePerSecond(), terms.burst(), nowNanos);
         return bucket;
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
@@ -14,6 +14,7 @@
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.backend.forward.BoundedBody;
+import org.vanillaslip.internal.fleet.DemandBook;
 import org.vanillaslip.internal.gateway.RefusalWriter;
 import org.vanillaslip.internal.gateway.RefusedException;
 import org.vanillaslip.internal.logging.EventLog;
@@ -31,6 +32,7 @@
     private final CallAdmission mAdmission;
     private final CallDialect mDialect;
     private final CallSender mSender;
+    private final DemandBook mBook;
     private final PlainRelay mPlain;
     private final RelayMeter mMeter;
     private final DecisionLoop mLoop;
@@ -42,12 +44,14 @@
             CallAdmission admission,
             CallDialect dialect,
             CallSender sender,
+            DemandBook book,
             RelayMeter meter,
             DecisionLoop loop,
             EventLog log) {
         mAdmission = admission;
         mDialect = dialect;
         mSender = sender;
+        mBook = book;
         mPlain = new PlainRelay(sender, loop);
         mMeter = meter;
         mLoop = loop;
@@ -110,6 +114,7 @@
             long arrived,
             HttpServerResponse response) {
         RelayCall call = mAdmission.admit(method, uri, headers, body, arrived);
+        mBook.arrived(call.target(), call.route().objective());
         Mono<Void> answer =
                 call.route().kind() == CallKind.STREAM
                         ? stream(call, response)
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -6,6 +6,14 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.security.SecureRandom;
 import java.time.Duration;
+import org.vanillaslip.internal.lease.LeaseTimes;
+import org.vanillaslip.internal.fleet.LoadController;
+import org.vanillaslip.internal.fleet.FleetLease;
+import org.vanillaslip.internal.fleet.FleetExchange;
+import org.vanillaslip.internal.fleet.DemandBook;
+import java.util.Collection;
+import java.util.ArrayList;
+import java.time.InstantSource;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
@@ -53,6 +61,13 @@
     private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(500);
     private static final int INCARNATION_BYTES = 8;
 
+    /** The rest of the slack is for what hosts admit at the same moment. */
+    private static final double OVERDRAFT_PART = 0.4;
+
+    /** Short, since nobody orders loads between the loss of a holder and the end of its lease. */
+    private static final LeaseTimes LEASE_TIMES =
+            new LeaseTimes(Duration.ofMillis(2500), 0.01, Duration.ofMillis(150));
+
     private final HostSettings mHost;
     private final ServingLoop mServingLoop;
     private final DecisionLoop mLoop;
@@ -68,6 +83,9 @@
     private final HostRegistration mRegistration;
     private final WorkspaceLimits mLimits;
     private final WaitingRoom mRoom;
+    private final FleetLease mLease;
+    private final LoadController mController;
+    private final FleetExchange mExchange;
     private final Relay mRelay;
     private final RelayServer mServer;
     private volatile boolean mLeaving;
@@ -126,11 +144,39 @@
                         mLinks::liveHosts,
                         mLoop,
                         log);
-        mLimits = new WorkspaceLimits(mLoop, mLinks, this::otherHosts, mRandom, log);
+        mLimits =
+                new WorkspaceLimits(
+                        serving.rateSlack() * OVERDRAFT_PART,
+                        mLoop, mLinks, this::otherHosts, mRandom, log);
         ServerSelector selector =
                 new ServerSelector(
                         mDirectory, mPlans, mHost.failureDomain(), this::hostCount, mLoop, mRandom);
         mRoom = new WaitingRoom(selector, mLoop, settings.admission().maxWaitingRequests());
+        mLease =
+                new FleetLease(
+                        mHost.name(),
+                        mStore,
+                        mLoop,
+                        InstantSource.system(),
+                        LEASE_TIMES,
+                        serving.orderTurn(),
+                        () -> Long.toHexString(seeds.nextLong()),
+                        this::liveHosts,
+                        log);
+        mController =
+                new LoadController(
+                        mHost.name(),
+                        mLease,
+                        mDirectory,
+                        mPlans,
+                        ports.engines(),
+                        settings.placement().weightStoreParallelLoads(),
+                        mLoop,
+                        log);
+        DemandBook book = new DemandBook(mRoom, mDirectory, mLoop);
+        mExchange =
+                new FleetExchange(
+                        mHost.name(), mLease, mDirectory, mController, book, mRoom, mLinks, mLoop);
         CallSender sender =
                 new CallSender(
                         new BackendSend(loop.resources()),
@@ -145,6 +191,7 @@
                         new CallAdmission(mPlans, ports.dialect(), mLimits, mLoop, mRandom),
                         ports.dialect(),
                         sender,
+                        book,
                         new RelayMeter(metrics),
                         mLoop,
                         log);
@@ -173,6 +220,9 @@
         mHosts.start();
         mRegistration.start();
         mLimits.start();
+        mExchange.start();
+        mController.start();
+        mLease.start();
     }
 
     /** Readiness first, then new connections, then waiting and running calls. */
@@ -182,6 +232,7 @@
         mRelay.stopping();
         mLog.log(LifecycleEvent.STOPPING, field("active", mRelay.active()));
         Duration rest = mHost.shutdownTimeout();
+        mLease.release().subscribe();
         Mono.delay(mHost.shutdownDelay(), mLoop.scheduler())
                 .doOnNext(tick -> mServer.stopAccepting())
                 .then(finish(rest))
@@ -234,6 +285,12 @@
                 .toList();
     }
 
+    private Collection<String> liveHosts() {
+        List<String> live = new ArrayList<>(mLinks.liveHosts());
+        live.add(mHost.name());
+        return live;
+    }
+
     private int hostCount() {
         return otherHosts().size() + 1;
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/ServingSettings.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/ServingSettings.java
@@ -12,6 +12,7 @@
  * @param retryRatio part of the requests of a pool that may be sent again, over all hosts
  * @param retryExtra sends beyond that part in each window, over all hosts
  * @param retryWindow window of the retry budget
+ * @param rateSlack units by which a workspace may exceed its rate and burst in a window
  */
 public record ServingSettings(
         InetSocketAddress readinessAddress,
@@ -19,4 +20,5 @@
         Duration orderTurn,
         double retryRatio,
         int retryExtra,
-        Duration retryWindow) {}
+        Duration retryWindow,
+        double rateSlack) {}
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
@@ -195,6 +195,14 @@
                             SettingTypes.duration(1, 600, Duration::ofSeconds),
                             "Window of the retry budget.")
                     .orDefault("10");
+    static final Setting<Double> RATE_SLACK =
+            optional(
+                            "serving",
+                            "rate_slack",
+                            SettingTypes.decimal(0, 1e9),
+                            "Units by which a workspace may exceed its rate and burst in a window,"
+                                    + " because hosts learn of each other's use with a lag.")
+                    .orDefault("0");
     static final Setting<LogFormat> LOG_FORMAT =
             optional(
                             "log",
@@ -245,6 +253,7 @@
                     RETRY_RATIO,
                     RETRY_EXTRA,
                     RETRY_WINDOW,
+                    RATE_SLACK,
                     LOG_FORMAT,
                     LOG_LEVEL);
 
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCheck.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCheck.java
@@ -115,7 +115,8 @@
                                         value(SettingsCatalogue.ORDER_TURN),
                                         value(SettingsCatalogue.RETRY_RATIO),
                                         value(SettingsCatalogue.RETRY_EXTRA),
-                                        value(SettingsCatalogue.RETRY_WINDOW)));
+                                        value(SettingsCatalogue.RETRY_WINDOW),
+                                        value(SettingsCatalogue.RATE_SLACK)));
     }
 
     private HostSettings hostSettings() {
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/EngineState.java
@@ -0,0 +1,34 @@
+package org.vanillaslip.internal.fleet;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillaslip.FailureDomain;
+
+/**
+ * A model engine as the host that orders loads sees it.
+ *
+ * @param running calls that run by model, over all hosts
+ * @param inUse all calls that run or wait there
+ * @param busyFor time until its current order is done; zero when it can take one now
+ * @param loading model that its current order loads
+ */
+public record EngineState(
+        String instance,
+        FailureDomain failureDomain,
+        ServerStock stock,
+        Map<String, Integer> running,
+        int inUse,
+        Duration busyFor,
+        Optional<String> loading) {
+
+    /** Returns whether the engine can take an order now. */
+    public boolean free() {
+        return busyFor.isZero() && !stock.ordered();
+    }
+
+    /** Returns whether the model is loaded or being loaded. */
+    public boolean holdsOrLoads(String model) {
+        return stock.loaded().containsKey(model) || loading.equals(Optional.of(model));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -0,0 +1,347 @@
+package org.vanillaslip.internal.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.internal.serving.EngineProfile;
+import org.vanillaslip.internal.serving.ModelProfile;
+
+/**
+ * Decides loads and unloads of one pool. Models that callers wait for come first, in the order in
+ * which their callers become late; then copies of busy models; then weights that no server has.
+ */
+public final class LoadPlanner {
+
+    /** Time of an order that needs no weights, with the lag of the report that shows its end. */
+    static final Duration ORDER_TIME = Duration.ofMillis(120);
+
+    private static final Duration ADAPTER_TIME = Duration.ofMillis(40);
+
+    /** An engine in use is a little worse for a load than an idle one. */
+    private static final double IN_USE_MILLIS = 4;
+
+    /** A copy of a busy model is not worth more than this loss elsewhere. */
+    private static final double COPY_LOSS_MILLIS = 450;
+
+    /** Urgent calls per second from which a model is kept on two servers. */
+    private static final double BUSY_RATE = 0.25;
+
+    /** Urgent calls that one copy serves per second. */
+    private static final double CALLS_PER_COPY = 12;
+
+    /** Copies of busy models may fill this part of all places. */
+    private static final double COPIES_PART = 0.6;
+
+    private static final Comparator<ModelWish> URGENCY =
+            Comparator.comparing((ModelWish wish) -> wish.objectiveLeft().isNegative())
+                    .thenComparing(ModelWish::priority)
+                    .thenComparing(ModelWish::objectiveLeft);
+
+    private final EngineProfile mProfile;
+    private final DemandHistory mHistory;
+    private final List<EngineState> mEngines;
+    private final int mStoreLoads;
+    private final long mNowNanos;
+    private final VictimChoice mVictims;
+    private final Set<String> mUsed = new HashSet<>();
+    private final List<PlannedOrder> mOrders = new ArrayList<>();
+    private final Map<ModelName, Duration> mExpected = new HashMap<>();
+    private int mStoreFree;
+    private int mStoreQueue;
+
+    private LoadPlanner(
+            EngineProfile profile,
+            DemandHistory history,
+            List<EngineState> engines,
+            Collection<ModelWish> wishes,
+            int storeLoads,
+            int storeFree,
+            long nowNanos) {
+        mProfile = profile;
+        mHistory = history;
+        mEngines = engines;
+        mStoreLoads = Math.max(1, storeLoads);
+        mStoreFree = storeFree;
+        mNowNanos = nowNanos;
+        Set<String> wanted =
+                wishes.stream().map(wish -> wish.model().model()).collect(Collectors.toSet());
+        mVictims = new VictimChoice(profile, history, replicas(), wanted, nowNanos);
+    }
+
+    /**
+     * Returns the orders to give now.
+     *
+     * @param storeLoads loads that the weight store serves at full speed at once
+     * @param storeFree how many more of them may begin now
+     */
+    public static LoadPlan plan(
+            EngineProfile profile,
+            DemandHistory history,
+            List<EngineState> engines,
+            Collection<ModelWish> wishes,
+            int storeLoads,
+            int storeFree,
+            long nowNanos) {
+        LoadPlanner planner =
+                new LoadPlanner(
+                        profile, history, engines, wishes, storeLoads, storeFree, nowNanos);
+        wishes.stream().sorted(URGENCY).forEach(planner::serve);
+        planner.copyBusyModels();
+        if (wishes.isEmpty()) {
+            planner.seedDisks();
+        }
+        return new LoadPlan(planner.mOrders, planner.mExpected);
+    }
+
+    private void serve(ModelWish wish) {
+        ModelProfile model = mProfile.models().get(wish.model().model());
+        if (model == null) {
+            return;
+        }
+        List<EngineState> holders =
+                mEngines.stream()
+                        .filter(engine -> engine.stock().loaded().containsKey(model.name()))
+                        .toList();
+        if (!holders.isEmpty()) {
+            wish.model().adapter().ifPresent(adapter -> loadAdapter(wish, holders, adapter));
+            return;
+        }
+        Optional<EngineState> loading =
+                mEngines.stream().filter(engine -> engine.holdsOrLoads(model.name())).findFirst();
+        if (loading.isPresent()) {
+            mExpected.put(wish.model(), loading.get().busyFor().plus(ORDER_TIME));
+            return;
+        }
+        Optional<LoadOption> best = best(model, Double.MAX_VALUE);
+        if (best.isPresent()) {
+            mExpected.put(wish.model(), best.get().total().plus(ORDER_TIME));
+            give(best.get(), "calls wait");
+            return;
+        }
+        expectLater(wish, model);
+    }
+
+    /** No engine can begin now: the model waits for an engine with a copy, or for the store. */
+    private void expectLater(ModelWish wish, ModelProfile model) {
+        Optional<Duration> copy =
+                mEngines.stream()
+                        .filter(engine -> source(engine, model) != WeightSource.STORE)
+                        .map(engine -> waitFor(engine).plus(time(engine, model)))
+                        .min(Comparator.naturalOrder());
+        if (copy.isPresent()) {
+            mExpected.put(wish.model(), copy.get().plus(ORDER_TIME.multipliedBy(2)));
+        } else if (!mEngines.isEmpty()) {
+            mStoreQueue++;
+            long rounds = 1 + (mStoreQueue + mStoreLoads - 1) / mStoreLoads;
+            mExpected.put(wish.model(), model.fromStore().multipliedBy(rounds));
+        }
+    }
+
+    private Duration waitFor(EngineState engine) {
+        boolean taken = mUsed.contains(engine.instance());
+        Duration other = taken ? Duration.ofMillis(1300) : Duration.ZERO;
+        return engine.busyFor().plus(other);
+    }
+
+    private void loadAdapter(ModelWish wish, List<EngineState> holders, String adapter) {
+        Optional<EngineState> engine =
+                holders.stream()
+                        .filter(holder -> holder.free() && !mUsed.contains(holder.instance()))
+                        .min(Comparator.comparingInt(EngineState::inUse));
+        mExpected.put(wish.model(), ADAPTER_TIME.multipliedBy(2));
+        if (engine.isEmpty()) {
+            holders.stream()
+                    .map(EngineState::busyFor)
+                    .min(Comparator.naturalOrder())
+                    .ifPresent(wait -> mExpected.put(wish.model(), wait.plus(ORDER_TIME)));
+            return;
+        }
+        EngineState chosen = engine.get();
+        mUsed.add(chosen.instance());
+        int held = chosen.stock().loaded().values().stream().mapToInt(Set::size).sum();
+        Optional<String[]> victim =
+                held < mProfile.adapterPlaces() ? Optional.empty() : adapterVictim(chosen);
+        String model = victim.map(found -> found[0]).orElse(wish.model().model());
+        String name = victim.map(found -> found[1]).orElse(adapter);
+        OrderKind kind = victim.isPresent() ? OrderKind.UNLOAD : OrderKind.LOAD;
+        mOrders.add(
+                new PlannedOrder(
+                        chosen.instance(),
+                        kind,
+                        model,
+                        Optional.of(name),
+                        wish.model().model(),
+                        ADAPTER_TIME,
+                        false,
+                        victim.isPresent() ? "an adapter makes way" : "calls wait"));
+    }
+
+    /** Adapters load within milliseconds, so any of the least busy model may make way. */
+    private Optional<String[]> adapterVictim(EngineState engine) {
+        return engine.stock().loaded().entrySet().stream()
+                .filter(entry -> !entry.getValue().isEmpty())
+                .min(
+                        Comparator.comparingDouble(
+                                entry -> mHistory.urgentRate(entry.getKey(), mNowNanos)))
+                .map(
+                        entry ->
+                                new String[] {
+                                    entry.getKey(), entry.getValue().stream().sorted().toList().get(0)
+                                });
+    }
+
+    /** Keeps busy models on more than one server, as far as nothing else is lost by that. */
+    private void copyBusyModels() {
+        Map<String, Integer> replicas = replicas();
+        int places = Math.max(1, mEngines.size()) * placesOfOne();
+        List<String> busy =
+                mProfile.models().keySet().stream()
+                        .filter(name -> mHistory.urgentRate(name, mNowNanos) >= BUSY_RATE)
+                        .sorted(
+                                Comparator.comparingDouble(
+                                        name -> -mHistory.urgentRate(name, mNowNanos)))
+                        .toList();
+        int copies = busy.stream().mapToInt(name -> replicas.getOrDefault(name, 0)).sum();
+        for (String name : busy) {
+            double rate = mHistory.urgentRate(name, mNowNanos);
+            int target =
+                    Math.min(mEngines.size(), Math.max(2, (int) Math.ceil(rate / CALLS_PER_COPY)));
+            if (replicas.getOrDefault(name, 0) < target && copies < places * COPIES_PART) {
+                ModelProfile model = mProfile.models().get(name);
+                if (model != null && copy(model)) {
+                    copies++;
+                }
+            }
+        }
+    }
+
+    private boolean copy(ModelProfile model) {
+        Optional<LoadOption> best =
+                best(model, COPY_LOSS_MILLIS).filter(option -> !option.fromStore());
+        best.ifPresent(option -> give(option, "busy model"));
+        return best.isPresent();
+    }
+
+    /** Uses the idle weight store for models that no server has on its disk. */
+    private void seedDisks() {
+        for (ModelProfile model : mProfile.models().values()) {
+            if (mStoreFree <= 0) {
+                return;
+            }
+            boolean copied =
+                    mEngines.stream()
+                            .anyMatch(
+                                    engine ->
+                                            engine.holdsOrLoads(model.name())
+                                                    || source(engine, model)
+                                                            != WeightSource.STORE);
+            if (!copied && freeEngines() > mEngines.size() / 2) {
+                best(model, COPY_LOSS_MILLIS).ifPresent(option -> give(option, "no copy"));
+            }
+        }
+    }
+
+    private long freeEngines() {
+        return mEngines.stream()
+                .filter(engine -> engine.free() && !mUsed.contains(engine.instance()))
+                .count();
+    }
+
+    private Optional<LoadOption> best(ModelProfile model, double mostLoss) {
+        LoadOption best = null;
+        for (EngineState engine : mEngines) {
+            if (!engine.free()
+                    || mUsed.contains(engine.instance())
+                    || engine.holdsOrLoads(model.name())) {
+                continue;
+            }
+            boolean fromStore = source(engine, model) == WeightSource.STORE;
+            if (fromStore && mStoreFree <= 0) {
+                continue;
+            }
+            Optional<List<String>> victims = mVictims.victims(engine, model);
+            if (victims.isEmpty()) {
+                continue;
+            }
+            double loss =
+                    victims.get().stream()
+                            .mapToDouble(name -> mVictims.loss(engine, name))
+                            .sum();
+            if (loss > mostLoss) {
+                continue;
+            }
+            Duration total =
+                    mVictims.unloadTime(engine, victims.get()).plus(time(engine, model));
+            double cost = total.toMillis() + loss + engine.inUse() * IN_USE_MILLIS;
+            if (best == null || cost < best.cost()) {
+                best = new LoadOption(engine, model, victims.get(), total, cost, fromStore);
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Orders the first step: an unload while something has to make way, then the load. */
+    private void give(LoadOption option, String reason) {
+        mUsed.add(option.engine().instance());
+        if (option.fromStore()) {
+            mStoreFree--;
+        }
+        boolean unload = !option.victims().isEmpty();
+        mOrders.add(
+                new PlannedOrder(
+                        option.engine().instance(),
+                        unload ? OrderKind.UNLOAD : OrderKind.LOAD,
+                        unload ? option.victims().get(0) : option.model().name(),
+                        Optional.empty(),
+                        option.model().name(),
+                        unload
+                                ? mVictims.unloadTime(option.engine(), option.victims())
+                                : time(option.engine(), option.model()),
+                        !unload && option.fromStore(),
+                        unload ? "makes way for " + option.model().name() : reason));
+    }
+
+    private Map<String, Integer> replicas() {
+        Map<String, Integer> replicas = new HashMap<>();
+        for (EngineState engine : mEngines) {
+            engine.stock().loaded().keySet().forEach(name -> replicas.merge(name, 1, Integer::sum));
+            engine.loading().ifPresent(name -> replicas.merge(name, 1, Integer::sum));
+        }
+        return replicas;
+    }
+
+    private int placesOfOne() {
+        double largest =
+                mProfile.models().values().stream()
+                        .mapToDouble(ModelProfile::weightsMegabytes)
+                        .max()
+                        .orElse(1);
+        return Math.max(1, (int) (mProfile.weightsMegabytes() / Math.max(1, largest)));
+    }
+
+    private static Duration time(EngineState engine, ModelProfile model) {
+        return switch (source(engine, model)) {
+            case MEMORY -> model.fromMemory();
+            case DISK -> model.fromDisk();
+            case STORE -> model.fromStore();
+        };
+    }
+
+    private static WeightSource source(EngineState engine, ModelProfile model) {
+        if (engine.stock().inMemory().contains(model.name())) {
+            return WeightSource.MEMORY;
+        }
+        return engine.stock().onDisk().contains(model.name())
+                ? WeightSource.DISK
+                : WeightSource.STORE;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/StockChange.java
@@ -0,0 +1,65 @@
+package org.vanillaslip.internal.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** What a server holds after an order. */
+public final class StockChange {
+
+    private StockChange() {}
+
+    /** Returns the stock once the server has accepted the order: a load is not finished then. */
+    public static ServerStock accepted(ServerStock stock, PlannedOrder order) {
+        ServerStock changed =
+                order.kind() == OrderKind.UNLOAD ? applied(stock, order, 1) : counted(stock, 1);
+        return new ServerStock(
+                changed.orderCount(),
+                true,
+                changed.loaded(),
+                changed.inMemory(),
+                changed.onDisk());
+    }
+
+    /**
+     * Returns the stock once the order is done.
+     *
+     * @param orders accepted orders to count
+     */
+    public static ServerStock applied(ServerStock stock, PlannedOrder order, long orders) {
+        Map<String, Set<String>> loaded = new HashMap<>(stock.loaded());
+        if (order.adapter().isPresent()) {
+            Set<String> adapters = new HashSet<>(loaded.getOrDefault(order.model(), Set.of()));
+            order.adapter()
+                    .ifPresent(
+                            name -> {
+                                if (order.kind() == OrderKind.LOAD) {
+                                    adapters.add(name);
+                                } else {
+                                    adapters.remove(name);
+                                }
+                            });
+            loaded.computeIfPresent(order.model(), (name, before) -> adapters);
+        } else if (order.kind() == OrderKind.UNLOAD) {
+            loaded.remove(order.model());
+        } else {
+            loaded.put(order.model(), Set.of());
+        }
+        return new ServerStock(
+                stock.orderCount() + orders,
+                stock.ordered(),
+                loaded,
+                stock.inMemory(),
+                stock.onDisk());
+    }
+
+    private static ServerStock counted(ServerStock stock, long orders) {
+        return new ServerStock(
+                stock.orderCount() + orders,
+                stock.ordered(),
+                stock.loaded(),
+                stock.inMemory(),
+                stock.onDisk());
+    }
+}
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
@@ -26,6 +26,7 @@
     private static final double IDLE_DEMAND = 0.1;
 
     private final Map<String, PeerUse> mPeers = new HashMap<>();
+    private final double mOverdraft;
     private double mRatePerNano;
     private double mBurst;
     private double mLevel;
@@ -36,8 +37,13 @@
     private long mDemandAt;
     private double mTakenSinceReport;
 
-    /** Creates an empty bucket: what an earlier incarnation of this host took is unknown. */
-    public ReplicatedBucket(long nowNanos) {
+    /**
+     * Creates an empty bucket: what an earlier incarnation of this host took is unknown.
+     *
+     * @param overdraft tokens that may be taken beyond the burst, because reports lag
+     */
+    public ReplicatedBucket(double overdraft, long nowNanos) {
+        mOverdraft = overdraft;
         mUpdatedAt = nowNanos;
         mDemandAt = nowNanos;
     }
@@ -62,8 +68,9 @@
         refill(nowNanos);
         mDemand = demand(nowNanos) + tokens;
         mDemandAt = nowNanos;
-        double mine = share(nowNanos) * (mLevel + mTakenSinceReport);
-        if (mLevel <= 0 || mTakenSinceReport >= mine) {
+        double left = mLevel + mOverdraft;
+        double mine = share(nowNanos) * (left + mTakenSinceReport);
+        if (left <= 0 || mTakenSinceReport >= mine) {
             return false;
         }
         mLevel -= tokens;
