Count accepted orders right, try the load right after the unload, know callers' patience

Change: counts follow the answers, a report newer than all orders corrects them, loads are tried 40 ms after an unload, routes carry the callers' patience, unsent calls give their tokens back, only one load seeds disks during traffic.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
@@ -43,6 +43,9 @@
     /** An accepted order that reports never show as done is looked at anew. */
     private static final Duration OVERDUE = Duration.ofSeconds(20);
 
+    /** An unload of a model without running calls is done within this time. */
+    private static final Duration UNLOAD_TIME = Duration.ofMillis(40);
+
     private static final Duration ADAPTER_TIME = Duration.ofMillis(25);
 
     /** Demand of a host that has not reported for this long is gone. */
@@ -59,6 +62,7 @@
     private final Map<String, DemandHistory> mHistories = new HashMap<>();
     private final Map<String, HostDemand> mDemands = new HashMap<>();
     private final Map<String, PendingOrder> mPending = new HashMap<>();
+    private final Map<String, PendingOrder> mAssumed = new HashMap<>();
     private final Map<String, Long> mAskedAt = new HashMap<>();
     private final Map<String, Long> mOrderedAt = new HashMap<>();
     private final Set<String> mReported = new HashSet<>();
@@ -129,6 +133,7 @@
 
     private void taken() {
         mPending.clear();
+        mAssumed.clear();
         mAskedAt.clear();
         mReported.clear();
         // Models that stand on several servers are busy, as far as this host can know.
@@ -353,15 +358,12 @@
             case ALREADY -> {
                 mPending.remove(instance);
                 if (planned.adapter().isPresent()) {
-                    adapterDone(member, planned);
+                    // An unused adapter is unloaded at once, which counts as an order.
+                    adapterDone(member, planned, planned.kind() == OrderKind.UNLOAD ? 1 : 0);
                 }
                 pollLater(member, POLL_INTERVAL);
             }
-            case REFUSED -> {
-                mPending.remove(instance);
-                mReported.remove(instance);
-                pollLater(member, POLL_INTERVAL);
-            }
+            case REFUSED -> refused(member, planned);
             case OTHER_SERVER -> {
                 mPending.remove(instance);
                 member.replaced();
@@ -380,12 +382,13 @@
     private void accepted(FleetMember member, PendingOrder pending) {
         PlannedOrder planned = pending.order();
         long now = now();
+        mAssumed.remove(planned.instance());
         mPending.put(planned.instance(), pending.asAccepted(now));
         if (planned.adapter().isPresent()) {
             // Adapter orders do not occupy the engine, and reports of them lag behind their end.
             mLoop.scheduler()
                     .schedule(
-                            () -> adapterDone(member, planned),
+                            () -> adapterDone(member, planned, 1),
                             planned.kind() == OrderKind.LOAD ? ADAPTER_TIME.toNanos() : 0,
                             TimeUnit.NANOSECONDS);
             return;
@@ -393,15 +396,47 @@
         ServerStock stock = member.stock();
         member.setStock(StockChange.accepted(stock, planned));
         pollLater(member, planned.takes().isZero() ? POLL_INTERVAL : firstPoll(planned));
+        if (planned.kind() == OrderKind.UNLOAD) {
+            mLoop.scheduler()
+                    .schedule(
+                            () -> assumeDone(member, pending.order()),
+                            UNLOAD_TIME.toNanos(),
+                            TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** Reports lag, so the next order is tried before one shows the end of an unload. */
+    private void assumeDone(FleetMember member, PlannedOrder planned) {
+        PendingOrder pending = mPending.get(planned.instance());
+        if (pending != null && pending.order() == planned) {
+            mPending.remove(planned.instance());
+            mAssumed.put(planned.instance(), pending);
+            member.setStock(StockChange.idle(member.stock()));
+            planSoon();
+        }
+    }
+
+    private void refused(FleetMember member, PlannedOrder planned) {
+        PendingOrder assumed = mAssumed.remove(planned.instance());
+        if (assumed != null) {
+            // The unload still waits for calls that run on the model.
+            mPending.put(planned.instance(), assumed);
+            pollLater(member, POLL_INTERVAL);
+            return;
+        }
+        // What is known of the server is wrong, so a report that is newer than all orders decides.
+        mPending.remove(planned.instance());
+        mReported.remove(planned.instance());
+        pollLater(member, REPORT_LAG.plus(POLL_INTERVAL));
     }
 
     private static Duration firstPoll(PlannedOrder planned) {
         return planned.kind() == OrderKind.UNLOAD ? POLL_INTERVAL : planned.takes();
     }
 
-    private void adapterDone(FleetMember member, PlannedOrder planned) {
+    private void adapterDone(FleetMember member, PlannedOrder planned, int orders) {
         mPending.remove(planned.instance());
-        member.setStock(StockChange.applied(member.stock(), planned, 1));
+        member.setStock(StockChange.applied(member.stock(), planned, orders));
         mDirectory.changed();
         planSoon();
     }
@@ -443,9 +478,11 @@
         }
         ServerLoadReport report = result.get();
         PendingOrder pending = mPending.get(instance);
-        mReported.add(instance);
         long ordered = mOrderedAt.getOrDefault(instance, Long.MIN_VALUE / 2);
         boolean newer = now() - ordered > REPORT_LAG.toNanos();
+        if (newer) {
+            mReported.add(instance);
+        }
         mDirectory.report(instance, member.registered().bornMillis(), report, newer);
         if (pending != null) {
             settle(member, pending, report);
@@ -456,6 +493,9 @@
     private void settle(FleetMember member, PendingOrder pending, ServerLoadReport report) {
         long now = now();
         boolean current = report.stock().orderCount() >= member.stock().orderCount();
+        if (pending.order().adapter().isPresent() && pending.accepted()) {
+            return;
+        }
         if (!pending.accepted()) {
             if (now - pending.sentNanos() > UNKNOWN_FOR.toNanos()) {
                 mPending.remove(member.instance());
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
@@ -65,8 +65,7 @@
                         member,
                         OptionalLong.empty(),
                         (response, parts) -> whole(call, member, response, parts));
-        boolean again = call.maySendAgain(SendFailureKind.UNKNOWN) && call.sends() == 0;
-        if (!again) {
+        if (!call.allowsSecondRun()) {
             return sent.next();
         }
         Duration part = call.left(mLoop.clock().nowNanos()).dividedBy(PARTS_OF_TIME);
@@ -95,8 +94,7 @@
                 .flatMap(
                         body -> {
                             boolean failed = status >= 500;
-                            if (failed && call.route().kind() == CallKind.REPEATABLE
-                                    && call.sends() < call.route().attempts()) {
+                            if (failed && call.allowsSecondRun()) {
                                 return Mono.error(
                                         new SendFailedException(
                                                 SendFailureKind.UNKNOWN, "status " + status));
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
@@ -244,6 +244,9 @@
     }
 
     private void callerLeft(RelayCall call) {
+        if (call.sends() == 0) {
+            mAdmission.giveBack(call);
+        }
         mLog.log(
                 RelayEvent.CALLER_LEFT,
                 field("request", call.head().id()),
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -132,10 +132,11 @@
      * @param shortestRun time that an answer takes at least
      */
     WaitBounds bounds(Duration shortestRun) {
+        long leaves = mArrivedNanos + mRoute.patience().toNanos();
         return new WaitBounds(
                 priority(),
                 mArrivedNanos + mRoute.objective().toNanos(),
-                mEndNanos - shortestRun.toNanos());
+                Math.min(mEndNanos, leaves) - shortestRun.toNanos());
     }
 
     void sending(String instance) {
@@ -154,6 +155,11 @@
         return mMayHaveRun;
     }
 
+    /** Returns whether another server may run the call while the first one might. */
+    boolean allowsSecondRun() {
+        return mRoute.repeatable() && mRoute.attempts() > mRuns + 1;
+    }
+
     /** Returns whether the call may be sent once more after the failure. */
     boolean maySendAgain(SendFailureKind kind) {
         if (mSends >= MOST_SENDS) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRun.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRun.java
@@ -122,8 +122,7 @@
     }
 
     private boolean mayTryAnother() {
-        return mCall.route().repeatable() && mCall.maySendAgain(SendFailureKind.UNKNOWN)
-                && mCall.sends() < mCall.route().attempts();
+        return mCall.allowsSecondRun();
     }
 
     /** Only a stream that may continue elsewhere gains from giving up on a silent server. */
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/DemandHistory.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/DemandHistory.java
@@ -50,6 +50,14 @@
         return demand.mPatient / MEMORY_NANOS * 1e9;
     }
 
+    /** Returns calls per second for all models. */
+    public double totalRate(long nowNanos) {
+        return mDemands.keySet().stream()
+                .mapToDouble(
+                        model -> urgentRate(model, nowNanos) + patientRate(model, nowNanos))
+                .sum();
+    }
+
     /** Returns whether the model was asked for urgently within the last minutes. */
     public boolean everUrgent(String model, long nowNanos) {
         Demand demand = mDemands.get(model);
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -38,6 +38,9 @@
     /** Urgent calls that one copy serves per second. */
     private static final double CALLS_PER_COPY = 12;
 
+    /** Calls per second above which only one load at a time seeds disks. */
+    private static final double QUIET_RATE = 0.5;
+
     /** Copies of busy models may fill this part of all places. */
     private static final double COPIES_PART = 0.6;
 
@@ -233,8 +236,12 @@
 
     /** Uses the idle weight store for models that no server has on its disk. */
     private void seedDisks() {
+        boolean calls = mHistory.totalRate(mNowNanos) > QUIET_RATE;
+        if (calls && mStoreFree < mStoreLoads) {
+            return;
+        }
         for (ModelProfile model : mProfile.models().values()) {
-            if (mStoreFree <= 0) {
+            if (mStoreFree <= 0 || (calls && mStoreFree < mStoreLoads)) {
                 return;
             }
             boolean copied =
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/StockChange.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/StockChange.java
@@ -54,6 +54,12 @@
                 stock.onDisk());
     }
 
+    /** Returns the stock of a server that can take the next order. */
+    public static ServerStock idle(ServerStock stock) {
+        return new ServerStock(
+                stock.orderCount(), false, stock.loaded(), stock.inMemory(), stock.onDisk());
+    }
+
     private static ServerStock counted(ServerStock stock, long orders) {
         return new ServerStock(
                 stock.orderCount() + orders,
--- a/decisions/src/main/java/org/vanillaslip/internal/serving/ServedRoute.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/serving/ServedRoute.java
@@ -11,6 +11,7 @@
  * @param timeout longest time that a call is kept waiting
  * @param objective time within which the answer, or its first event, is on time
  * @param pauseObjective longest pause between two events of a stream that is on time
+ * @param patience time after which callers leave when nothing has come
  * @param priority 0 is the most urgent
  * @param attempts most servers that one call is sent to
  * @param open whether callers need no key
@@ -24,6 +25,7 @@
         Duration timeout,
         Duration objective,
         Duration pauseObjective,
+        Duration patience,
         int priority,
         List<PoolShare> pools,
         int attempts,
