--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
@@ -21,6 +21,7 @@
 import org.vanillaslip.internal.serving.ServicePool;
 import org.vanillaslip.messages.DemandReport;
 import org.vanillaslip.messages.ModelDemand;
+import reactor.core.Disposable;
 
 /** Plans and sends orders while this host holds the lease; used on the decision loop only. */
 public final class LoadController {
@@ -32,7 +33,7 @@
     private static final Duration GATHER = Duration.ofMillis(3);
 
     private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
-    private static final Duration POLL_INTERVAL = Duration.ofMillis(70);
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
 
     /** A report lags, so an order without an answer is open until reports are newer than it. */
     private static final Duration UNKNOWN_FOR = Duration.ofMillis(700);
@@ -46,6 +47,9 @@
     /** An unload of a model without running calls is done within this time. */
     private static final Duration UNLOAD_TIME = Duration.ofMillis(40);
 
+    /** A load from disk or memory takes its usual time; a little more for the way of the order. */
+    private static final Duration LOAD_MARGIN = Duration.ofMillis(30);
+
     private static final Duration ADAPTER_TIME = Duration.ofMillis(25);
 
     /** Demand of a host that has not reported for this long is gone. */
@@ -66,6 +70,7 @@
     private final Map<String, Long> mAskedAt = new HashMap<>();
     private final Map<String, Long> mOrderedAt = new HashMap<>();
     private final Set<String> mReported = new HashSet<>();
+    private final Map<String, Disposable> mPolls = new HashMap<>();
     private final Set<String> mReporting = new HashSet<>();
     private BiConsumer<CallTarget, Optional<Duration>> mForecasts = (target, expected) -> {};
     private boolean mPlanning;
@@ -395,25 +400,40 @@
         }
         ServerStock stock = member.stock();
         member.setStock(StockChange.accepted(stock, planned));
-        pollLater(member, planned.takes().isZero() ? POLL_INTERVAL : firstPoll(planned));
-        if (planned.kind() == OrderKind.UNLOAD) {
-            mLoop.scheduler()
-                    .schedule(
-                            () -> assumeDone(member, pending.order()),
-                            UNLOAD_TIME.toNanos(),
-                            TimeUnit.NANOSECONDS);
+        if (planned.fromStore()) {
+            // Loads from the store share its speed, so only a report tells when one is done.
+            pollLater(member, planned.takes().plus(POLL_INTERVAL));
+            return;
         }
+        boolean unload = planned.kind() == OrderKind.UNLOAD;
+        Duration takes = unload ? UNLOAD_TIME : planned.takes().plus(LOAD_MARGIN);
+        mLoop.scheduler()
+                .schedule(
+                        () -> assumeDone(member, planned), takes.toNanos(), TimeUnit.NANOSECONDS);
     }
 
-    /** Reports lag, so the next order is tried before one shows the end of an unload. */
+    /** Reports lag, so calls and the next order are tried before one shows the end of an order. */
     private void assumeDone(FleetMember member, PlannedOrder planned) {
         PendingOrder pending = mPending.get(planned.instance());
-        if (pending != null && pending.order() == planned) {
-            mPending.remove(planned.instance());
-            mAssumed.put(planned.instance(), pending);
-            member.setStock(StockChange.idle(member.stock()));
-            planSoon();
+        if (pending == null || pending.order() != planned) {
+            return;
         }
+        mPending.remove(planned.instance());
+        mAssumed.put(planned.instance(), pending);
+        ServerStock stock =
+                planned.kind() == OrderKind.LOAD
+                        ? StockChange.applied(member.stock(), planned, 0)
+                        : member.stock();
+        member.setStock(StockChange.idle(stock));
+        mLog.log(
+                FleetEvent.LOAD_FINISHED,
+                field("server", planned.instance()),
+                field("kind", planned.kind()),
+                field("model", planned.model()),
+                field("assumed", true),
+                field("took_ms", (now() - pending.sentNanos()) / 1_000_000));
+        mDirectory.changed();
+        planSoon();
     }
 
     private void refused(FleetMember member, PlannedOrder planned) {
@@ -430,10 +450,6 @@
         pollLater(member, REPORT_LAG.plus(POLL_INTERVAL));
     }
 
-    private static Duration firstPoll(PlannedOrder planned) {
-        return planned.kind() == OrderKind.UNLOAD ? POLL_INTERVAL : planned.takes();
-    }
-
     private void adapterDone(FleetMember member, PlannedOrder planned, int orders) {
         mPending.remove(planned.instance());
         member.setStock(StockChange.applied(member.stock(), planned, orders));
@@ -441,16 +457,22 @@
         planSoon();
     }
 
+    /** Asks the server for a report after the delay, in place of an earlier plan to do so. */
     private void pollLater(FleetMember member, Duration delay) {
-        mLoop.scheduler()
-                .schedule(
-                        () -> {
-                            if (mLease.held()) {
-                                report(member);
-                            }
-                        },
-                        delay.toNanos(),
-                        TimeUnit.NANOSECONDS);
+        Disposable poll =
+                mLoop.scheduler()
+                        .schedule(
+                                () -> {
+                                    if (mLease.held()) {
+                                        report(member);
+                                    }
+                                },
+                                delay.toNanos(),
+                                TimeUnit.NANOSECONDS);
+        Disposable before = mPolls.put(member.instance(), poll);
+        if (before != null) {
+            before.dispose();
+        }
     }
 
     private void report(FleetMember member) {
@@ -514,7 +536,8 @@
                     field("model", pending.order().model()),
                     field("took_ms", (now - pending.sentNanos()) / 1_000_000));
         } else {
-            pollLater(member, POLL_INTERVAL);
+            long left = pending.doneNanos() - now;
+            pollLater(member, POLL_INTERVAL.plusNanos(Math.max(0, left)));
         }
     }
 
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -58,6 +58,7 @@
     private final Set<String> mUsed = new HashSet<>();
     private final List<PlannedOrder> mOrders = new ArrayList<>();
     private final Map<ModelName, Duration> mExpected = new HashMap<>();
+    private final Map<String, Duration> mLater = new HashMap<>();
     private int mStoreFree;
     private int mStoreQueue;
 
@@ -125,23 +126,20 @@
             return;
         }
         Optional<LoadOption> best = best(model, Double.MAX_VALUE);
-        if (best.isPresent()) {
+        Optional<EngineState> copy = soonestCopy(model);
+        boolean waits =
+                copy.isPresent()
+                        && best.map(option -> option.total().compareTo(later(copy.get(), model)) > 0)
+                                .orElse(true);
+        if (best.isPresent() && !waits) {
             mExpected.put(wish.model(), best.get().total().plus(ORDER_TIME));
             give(best.get(), "calls wait");
             return;
         }
-        expectLater(wish, model);
-    }
-
-    /** No engine can begin now: the model waits for an engine with a copy, or for the store. */
-    private void expectLater(ModelWish wish, ModelProfile model) {
-        Optional<Duration> copy =
-                mEngines.stream()
-                        .filter(engine -> source(engine, model) != WeightSource.STORE)
-                        .map(engine -> waitFor(engine).plus(time(engine, model)))
-                        .min(Comparator.naturalOrder());
         if (copy.isPresent()) {
-            mExpected.put(wish.model(), copy.get().plus(ORDER_TIME.multipliedBy(2)));
+            Duration expected = later(copy.get(), model);
+            mLater.put(copy.get().instance(), expected);
+            mExpected.put(wish.model(), expected.plus(ORDER_TIME));
         } else if (!mEngines.isEmpty()) {
             mStoreQueue++;
             long rounds = 1 + (mStoreQueue + mStoreLoads - 1) / mStoreLoads;
@@ -149,10 +147,18 @@
         }
     }
 
-    private Duration waitFor(EngineState engine) {
-        boolean taken = mUsed.contains(engine.instance());
-        Duration other = taken ? Duration.ofMillis(1300) : Duration.ZERO;
-        return engine.busyFor().plus(other);
+    /** Returns the engine with a copy of the weights that can load them first, if it is busy. */
+    private Optional<EngineState> soonestCopy(ModelProfile model) {
+        return mEngines.stream()
+                .filter(engine -> source(engine, model) != WeightSource.STORE)
+                .filter(engine -> !engine.free() || mUsed.contains(engine.instance()))
+                .min(Comparator.comparing(engine -> later(engine, model)));
+    }
+
+    /** Returns when a busy engine will have loaded the model, after what waits for it already. */
+    private Duration later(EngineState engine, ModelProfile model) {
+        Duration before = mLater.getOrDefault(engine.instance(), engine.busyFor());
+        return before.plus(ORDER_TIME).plus(time(engine, model));
     }
 
     private void loadAdapter(ModelWish wish, List<EngineState> holders, String adapter) {
@@ -299,6 +305,7 @@
     /** Orders the first step: an unload while something has to make way, then the load. */
     private void give(LoadOption option, String reason) {
         mUsed.add(option.engine().instance());
+        mLater.put(option.engine().instance(), option.total());
         if (option.fromStore()) {
             mStoreFree--;
         }
