--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -6,31 +6,31 @@
 
 import org.vanillaslip.internal.logging.LogEvent;
 
-/** Log events of backend servers, loads and the lease on them; numbers 620 to 679. */
+/** Log events of backend servers, loads and the lease on them; numbers 520 to 559. */
 public enum FleetEvent implements LogEvent {
-    SERVER_LISTED(620, INFO, "A backend server is listed."),
-    SERVER_LEFT(621, INFO, "A backend server leaves or is gone; it gets no new calls."),
-    SERVER_UNREADABLE(622, WARNING, "An entry of the server list cannot be read; it is left out."),
-    PLAN_IN_FORCE(623, INFO, "A new configuration version is in force."),
-    PLAN_UNREADABLE(624, WARNING, "A configuration version cannot be read; it is not in force."),
-    DOMAIN_DRAINED(625, INFO, "A failure domain is drained; its servers get no new calls."),
-    DOMAIN_RETURNED(626, INFO, "A drained failure domain is back in service."),
-    SERVER_PAUSED(627, INFO, "Calls to a backend server failed; it is left out for a while."),
-    STORE_LOST(628, WARNING, "The platform's store does not answer; the last known state holds."),
-    STORE_REGAINED(629, INFO, "The platform's store answers again."),
-    LEASE_TAKEN(640, INFO, "This host orders loads from now on."),
-    LEASE_LOST(641, WARNING, "This host no longer orders loads."),
-    LEASE_WRITE_FAILED(642, WARNING, "The lease on orders could not be written."),
-    ORDER_SENT(643, INFO, "An order to load or unload is sent."),
-    ORDER_ANSWERED(644, DEBUG, "An order was answered."),
-    ORDER_FAILED(645, WARNING, "An order was not accepted, or its outcome is unknown."),
-    LOAD_FINISHED(646, INFO, "A load has finished."),
-    REPORT_FAILED(647, DEBUG, "A backend server did not report."),
+    SERVER_LISTED(520, INFO, "A backend server is listed."),
+    SERVER_LEFT(521, INFO, "A backend server leaves or is gone; it gets no new calls."),
+    SERVER_UNREADABLE(522, WARNING, "An entry of the server list cannot be read; it is left out."),
+    PLAN_IN_FORCE(523, INFO, "A new configuration version is in force."),
+    PLAN_UNREADABLE(524, WARNING, "A configuration version cannot be read; it is not in force."),
+    DOMAIN_DRAINED(525, INFO, "A failure domain is drained; its servers get no new calls."),
+    DOMAIN_RETURNED(526, INFO, "A drained failure domain is back in service."),
+    SERVER_PAUSED(527, INFO, "Calls to a backend server failed; it is left out for a while."),
+    STORE_LOST(528, WARNING, "The platform's store does not answer; the last known state holds."),
+    STORE_REGAINED(529, INFO, "The platform's store answers again."),
+    LEASE_TAKEN(540, INFO, "This host orders loads from now on."),
+    LEASE_LOST(541, WARNING, "This host no longer orders loads."),
+    LEASE_WRITE_FAILED(542, WARNING, "The lease on orders could not be written."),
+    ORDER_SENT(543, INFO, "An order to load or unload is sent."),
+    ORDER_ANSWERED(544, DEBUG, "An order was answered."),
+    ORDER_FAILED(545, WARNING, "An order was not accepted, or its outcome is unknown."),
+    LOAD_FINISHED(546, INFO, "A load has finished."),
+    REPORT_FAILED(547, DEBUG, "A backend server did not report."),
     CLOCKS_DISAGREE(
-            648,
+            548,
             WARNING,
             "The clocks of this host advanced differently; the lease waits for a renewal."),
-    REGISTRATION_FAILED(649, WARNING, "This host could not be entered into the host list.");
+    REGISTRATION_FAILED(549, WARNING, "This host could not be entered into the host list.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/ReplicatedBucketTest.java
@@ -0,0 +1,168 @@
+package org.vanillaslip.internal.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BiPredicate;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards the rate of a workspace over all hosts, whatever the hosts know of each other. */
+class ReplicatedBucketTest {
+
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+    private static final long REPORT = SECOND / 5;
+    private static final long STEP = SECOND / 100;
+    private static final int HOSTS = 6;
+    private static final double RATE = 40_000;
+    private static final double OVERDRAFT = 6_800;
+    private static final long CALL = 1_100;
+    private static final int WINDOW_SECONDS = 8;
+
+    /** What the platform allows: rate and burst, a tenth more, and a fixed number of tokens. */
+    private static final long BOUND = (long) ((RATE * WINDOW_SECONDS + RATE) * 1.1 + 17_000);
+
+    private final List<ReplicatedBucket> mHosts = new ArrayList<>();
+    private final List<long[]> mAdmitted = new ArrayList<>();
+    private long mNow = SECOND;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void eightTimesTheRateStaysWithinTheBoundInEveryWindow(long seed) {
+        start();
+        run(30, 8 * RATE, seed, (from, to) -> true);
+
+        assertThat(largestWindow()).isLessThanOrEqualTo(BOUND);
+        assertThat(total()).isGreaterThan((long) (RATE * 25));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aPartitionBetweenHalvesStaysWithinTheBound(long seed) {
+        start();
+        run(5, 8 * RATE, seed, (from, to) -> true);
+        run(8, 8 * RATE, seed, (from, to) -> from / 3 == to / 3);
+        run(8, 8 * RATE, seed, (from, to) -> true);
+
+        assertThat(largestWindow()).isLessThanOrEqualTo(BOUND);
+    }
+
+    @Test
+    void hostsThatStartTogetherStayWithinTheBound() {
+        start();
+        run(10, 8 * RATE, 1, (from, to) -> true);
+        start();
+        run(10, 8 * RATE, 2, (from, to) -> true);
+
+        assertThat(largestWindow()).isLessThanOrEqualTo(BOUND);
+    }
+
+    /** A workspace that keeps its rate is not refused because its calls meet few hosts. */
+    @Test
+    void halfOfTheRateOnOneHostIsAdmitted() {
+        start();
+        run(3, 0, 1, (from, to) -> true);
+        int refused = 0;
+        for (int step = 0; step < 500; step++) {
+            tick(step, (from, to) -> true);
+            if (step % 6 == 0 && !mHosts.get(0).tryTake(CALL, mNow)) {
+                refused++;
+            }
+        }
+
+        assertThat(refused).isZero();
+    }
+
+    @Test
+    void tokensOfACallThatDidNotRunComeBack() {
+        ReplicatedBucket bucket = bucket();
+        mNow += SECOND;
+        double before = bucket.level(mNow);
+        bucket.tryTake(CALL, mNow);
+        bucket.giveBack(CALL, mNow);
+
+        assertThat(bucket.level(mNow)).isEqualTo(before);
+    }
+
+    @Test
+    void aLoweredRateTakesEffectAtOnce() {
+        ReplicatedBucket bucket = bucket();
+        mNow += SECOND;
+        bucket.resize(RATE / 10, RATE / 10, mNow);
+
+        assertThat(bucket.level(mNow)).isLessThanOrEqualTo(RATE / 10);
+    }
+
+    private void start() {
+        mHosts.clear();
+        for (int host = 0; host < HOSTS; host++) {
+            mHosts.add(bucket());
+        }
+    }
+
+    private ReplicatedBucket bucket() {
+        ReplicatedBucket bucket = new ReplicatedBucket(OVERDRAFT, mNow);
+        bucket.resize(RATE, RATE, mNow);
+        return bucket;
+    }
+
+    private void run(int seconds, double tokensPerSecond, long seed, BiPredicate<Integer, Integer> linked) {
+        Random random = new Random(seed);
+        double callsPerStep = tokensPerSecond / CALL * STEP / SECOND;
+        for (int step = 0; step < seconds * 100; step++) {
+            tick(step, linked);
+            double calls = callsPerStep;
+            while (random.nextDouble() < calls) {
+                calls--;
+                if (mHosts.get(random.nextInt(HOSTS)).tryTake(CALL, mNow)) {
+                    mAdmitted.add(new long[] {mNow, CALL});
+                }
+            }
+        }
+    }
+
+    private void tick(int step, BiPredicate<Integer, Integer> linked) {
+        mNow += STEP;
+        if (step % (REPORT / STEP) != 0) {
+            return;
+        }
+        List<String> names = new ArrayList<>();
+        for (int host = 0; host < HOSTS; host++) {
+            names.add("h" + host);
+        }
+        for (int from = 0; from < HOSTS; from++) {
+            ReplicatedBucket sender = mHosts.get(from);
+            List<String> others = new ArrayList<>(names);
+            others.remove("h" + from);
+            sender.expect(others, mNow);
+            BucketUse use = sender.report(mNow);
+            for (int to = 0; to < HOSTS; to++) {
+                if (to != from && linked.test(from, to)) {
+                    mHosts.get(to).apply("h" + from, "i" + sender.hashCode(), use, mNow);
+                }
+            }
+        }
+    }
+
+    private long total() {
+        return mAdmitted.stream().mapToLong(call -> call[1]).sum();
+    }
+
+    private long largestWindow() {
+        long largest = 0;
+        long sum = 0;
+        int first = 0;
+        for (long[] call : mAdmitted) {
+            sum += call[1];
+            while (call[0] - mAdmitted.get(first)[0] >= WINDOW_SECONDS * SECOND) {
+                sum -= mAdmitted.get(first++)[1];
+            }
+            largest = Math.max(largest, sum);
+        }
+        return largest;
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/vanillaslip/internal/routing/ServerChoiceTest.java
@@ -0,0 +1,107 @@
+package org.vanillaslip.internal.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Guards against calls that go to servers which cannot or should not take them. */
+class ServerChoiceTest {
+
+    private static final long MILLI = Duration.ofMillis(1).toNanos();
+
+    private final ServerHealth mHealth = new ServerHealth();
+
+    @Test
+    void theServerWithMoreRoomIsChosen() {
+        assertThat(best(server("a", 20, true, false), server("b", 2, true, false))).isEqualTo("b");
+    }
+
+    @Test
+    void aServerNearbyIsChosenUnlessItIsClearlyBusier() {
+        assertThat(best(server("near", 3, true, false), server("far", 0, false, false)))
+                .isEqualTo("near");
+        assertThat(best(server("near", 20, true, false), server("far", 0, false, false)))
+                .isEqualTo("far");
+    }
+
+    @Test
+    void aServerThatHasReadThePromptIsChosenUnlessItIsClearlyBusier() {
+        assertThat(best(server("kept", 2, true, true), server("other", 0, true, false)))
+                .isEqualTo("kept");
+        assertThat(best(server("kept", 20, true, true), server("other", 0, true, false)))
+                .isEqualTo("other");
+    }
+
+    @Test
+    void anUnreachableServerIsLeftOutAndTriedAgainWithOneCall() {
+        mHealth.unreachable(0);
+
+        assertThat(mHealth.usable(100 * MILLI)).isFalse();
+        assertThat(mHealth.usable(500 * MILLI)).isTrue();
+        mHealth.sent();
+        assertThat(mHealth.usable(501 * MILLI)).isFalse();
+        mHealth.succeeded();
+        assertThat(mHealth.usable(502 * MILLI)).isTrue();
+    }
+
+    @Test
+    void aServerThatFailsAgainIsLeftOutForLonger() {
+        mHealth.unreachable(0);
+        mHealth.sent();
+        mHealth.failed(500 * MILLI);
+
+        assertThat(mHealth.usable(1000 * MILLI)).isFalse();
+        assertThat(mHealth.usable(1400 * MILLI)).isTrue();
+    }
+
+    @Test
+    void oneFailureAmongSuccessesLeavesAServerIn() {
+        mHealth.succeeded();
+        mHealth.failed(0);
+        mHealth.succeeded();
+
+        assertThat(mHealth.usable(1)).isTrue();
+    }
+
+    /** Six hosts with 18 calls a second have three each. */
+    @Test
+    void aColdServerGetsThisHostsPartOfItsCalls() {
+        ColdGate gate = new ColdGate();
+        int passed = 0;
+        for (long now = 0; now < 1000 * MILLI; now += MILLI) {
+            if (gate.open(now)) {
+                gate.passed(18, 6, now);
+                passed++;
+            }
+        }
+
+        assertThat(passed).isLessThanOrEqualTo(4);
+    }
+
+    @Test
+    void retriesStayWithinTheAllowanceOfTheWindow() {
+        RetryBudget budget =
+                new RetryBudget(requests -> requests / 5 + 2, Duration.ofSeconds(10));
+        for (int request = 0; request < 50; request++) {
+            budget.recordRequest(0);
+        }
+        int retries = 0;
+        while (budget.tryRetry(MILLI)) {
+            retries++;
+        }
+
+        assertThat(retries).isEqualTo(12);
+        assertThat(budget.tryRetry(Duration.ofSeconds(11).toNanos())).isTrue();
+    }
+
+    private static String best(RankedServer... servers) {
+        return ServerRanking.best(List.of(servers), new Random(1)).orElseThrow().instance();
+    }
+
+    private static RankedServer server(String name, int inUse, boolean near, boolean preferred) {
+        return new RankedServer(name, inUse, 48, near, preferred);
+    }
+}
