--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/DemandBook.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/DemandBook.java
@@ -76,8 +76,7 @@
         long now = mLoop.clock().nowNanos();
         long objective =
                 calls.stream().mapToLong(call -> call.objectiveNanos() - now).min().orElse(0);
-        long deadline =
-                calls.stream().mapToLong(call -> call.giveUpNanos() - now).max().orElse(0);
+        long deadline = calls.stream().mapToLong(call -> call.giveUpNanos() - now).max().orElse(0);
         int priority = calls.stream().mapToInt(WaitingCall::priority).min().orElse(0);
         demand.setWaiting(calls.size())
                 .setObjectiveLeftMillis((int) (objective / 1_000_000))
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -96,8 +96,7 @@
      *
      * @param newer whether the report is newer than all that is known of the server's orders
      */
-    public void report(
-            String instance, long bornMillis, ServerLoadReport report, boolean newer) {
+    public void report(String instance, long bornMillis, ServerLoadReport report, boolean newer) {
         FleetMember member = mMembers.get(instance);
         if (member != null && member.registered().bornMillis() == bornMillis) {
             member.report(report, newer, mLoop.clock().nowNanos());
@@ -156,33 +155,33 @@
     private void register(RegisteredServer server) {
         long now = mLoop.clock().nowNanos();
         FleetMember known = mMembers.get(server.instance());
-        boolean newLife =
-                known == null
-                        || known.registered().bornMillis() != server.bornMillis()
-                        || !known.registered().address().equals(server.address());
         boolean wasInService = known != null && known.inService();
-        if (newLife) {
+        if (known != null && sameLife(known.registered(), server)) {
+            known.register(server, now);
+        } else {
             mMembers.put(server.instance(), new FleetMember(server, now));
             logListed(server);
-        } else {
-            known.register(server, now);
         }
         if (wasInService && server.leaving()) {
             logLeft(server.instance(), "announced");
         }
     }
 
+    private static boolean sameLife(RegisteredServer one, RegisteredServer other) {
+        return one.bornMillis() == other.bornMillis() && one.address().equals(other.address());
+    }
+
     private void missing(String name, long version) {
-        if (!mMembers.containsKey(name)) {
+        FleetMember member = mMembers.get(name);
+        if (member == null) {
             return;
         }
-        mVersions.merge(name, version, Math::max);
-        FleetMember member = mMembers.get(name);
+        long removedAt = Math.max(version, mVersions.getOrDefault(name, 0L));
+        mVersions.put(name, removedAt);
         if (!mStoreWasAway.getAsBoolean() || !member.inService()) {
             remove(name, "entry removed");
             return;
         }
-        long removedAt = mVersions.get(name);
         mLoop.scheduler()
                 .schedule(
                         () -> removeUnlessBack(name, removedAt),
@@ -218,7 +217,6 @@
     }
 
     private void logLeft(String instance, String reason) {
-        mLog.log(
-                FleetEvent.SERVER_LEFT, field("server", instance), field("reason", reason));
+        mLog.log(FleetEvent.SERVER_LEFT, field("server", instance), field("reason", reason));
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
@@ -81,8 +81,7 @@
         mLoop.scheduler()
                 .schedulePeriodically(this::sendDemand, demand, demand, TimeUnit.NANOSECONDS);
         long digest = DIGEST_INTERVAL.toNanos();
-        mLoop.scheduler()
-                .schedulePeriodically(this::sendAll, digest, digest, TimeUnit.NANOSECONDS);
+        mLoop.scheduler().schedulePeriodically(this::sendAll, digest, digest, TimeUnit.NANOSECONDS);
     }
 
     private void demandSoon() {
@@ -126,8 +125,8 @@
                 LoadForecast.newBuilder()
                         .setPool(target.pool())
                         .setUnplanned(expected.isEmpty())
-                        .setExpectedMillis((int) expected.map(Duration::toMillis).orElse(0L)
-                                .longValue());
+                        .setExpectedMillis(
+                                (int) expected.map(Duration::toMillis).orElse(0L).longValue());
         target.model()
                 .ifPresent(
                         model -> {
@@ -178,7 +177,9 @@
             return;
         }
         Set<String> instances =
-                mDirectory.members().stream().map(FleetMember::instance).collect(Collectors.toSet());
+                mDirectory.members().stream()
+                        .map(FleetMember::instance)
+                        .collect(Collectors.toSet());
         mSent.keySet().retainAll(instances);
         FleetDigest.Builder digest = FleetDigest.newBuilder().setTerm(mLease.term());
         for (FleetMember member : mDirectory.members()) {
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/HostRegistration.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/HostRegistration.java
@@ -137,8 +137,7 @@
                 .map(Host::name)
                 .filter(name -> !name.equals(mHost.name()) && !live.contains(name))
                 .forEach(name -> mSilentSince.putIfAbsent(name, now));
-        boolean listed =
-                mHosts.hosts().stream().anyMatch(host -> host.name().equals(mHost.name()));
+        boolean listed = mHosts.hosts().stream().anyMatch(host -> host.name().equals(mHost.name()));
         if (!listed && mVersion > 0 && !mStopped) {
             enter();
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
@@ -118,11 +118,7 @@
         for (ModelDemand demand : report.getModelsList()) {
             if (demand.getArrivals() > 0) {
                 history(demand.getPool())
-                        .note(
-                                demand.getModel(),
-                                demand.getArrivals(),
-                                urgent(demand),
-                                now);
+                        .note(demand.getModel(), demand.getArrivals(), urgent(demand), now);
             }
         }
         planSoon();
@@ -131,7 +127,9 @@
     private boolean urgent(ModelDemand demand) {
         Optional<ModelProfile> model =
                 profile(demand.getPool())
-                        .flatMap(found -> Optional.ofNullable(found.models().get(demand.getModel())));
+                        .flatMap(
+                                found ->
+                                        Optional.ofNullable(found.models().get(demand.getModel())));
         return model.map(found -> demand.getObjectiveMillis() < found.fromDisk().toMillis())
                 .orElse(false);
     }
@@ -152,7 +150,8 @@
                                     member.stock()
                                             .loaded()
                                             .keySet()
-                                            .forEach(name -> replicas.merge(name, 1, Integer::sum)));
+                                            .forEach(
+                                                    name -> replicas.merge(name, 1, Integer::sum)));
             replicas.forEach(
                     (name, count) -> {
                         if (count > 1) {
@@ -170,8 +169,7 @@
         }
         long now = now();
         mPending.keySet().removeIf(instance -> mDirectory.member(instance).isEmpty());
-        mDemands.values()
-                .removeIf(demand -> now - demand.receivedNanos() > DEMAND_AGE.toNanos());
+        mDemands.values().removeIf(demand -> now - demand.receivedNanos() > DEMAND_AGE.toNanos());
         for (String pool : enginePools()) {
             for (FleetMember member : mDirectory.inService(pool)) {
                 long asked = mAskedAt.getOrDefault(member.instance(), Long.MIN_VALUE / 2);
@@ -248,9 +246,7 @@
 
     private static ModelWish wish(ModelDemand demand, long ageMillis) {
         Optional<String> adapter =
-                demand.getAdapter().isEmpty()
-                        ? Optional.empty()
-                        : Optional.of(demand.getAdapter());
+                demand.getAdapter().isEmpty() ? Optional.empty() : Optional.of(demand.getAdapter());
         return new ModelWish(
                 new ModelName(demand.getModel(), adapter),
                 demand.getWaiting(),
@@ -408,8 +404,7 @@
         boolean unload = planned.kind() == OrderKind.UNLOAD;
         Duration takes = unload ? UNLOAD_TIME : planned.takes().plus(LOAD_MARGIN);
         mLoop.scheduler()
-                .schedule(
-                        () -> assumeDone(member, planned), takes.toNanos(), TimeUnit.NANOSECONDS);
+                .schedule(() -> assumeDone(member, planned), takes.toNanos(), TimeUnit.NANOSECONDS);
     }
 
     /** Reports lag, so calls and the next order are tried before one shows the end of an order. */
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -89,8 +89,7 @@
         return places && member.open(nowNanos);
     }
 
-    private RankedServer choice(
-            FleetMember member, Optional<String> kept) {
+    private RankedServer choice(FleetMember member, Optional<String> kept) {
         return new RankedServer(
                 member.instance(),
                 member.inUse(),
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -106,10 +106,7 @@
     public void relayAnswered(CallKind kind, int statusClass, long firstEventNanos) {
         count(DaemonMetric.RELAY_ANSWERS, 1, label(kind), statusClass + "xx");
         if (firstEventNanos > 0) {
-            time(
-                    DaemonMetric.RELAY_FIRST_EVENT,
-                    Duration.ofNanos(firstEventNanos),
-                    label(kind));
+            time(DaemonMetric.RELAY_FIRST_EVENT, Duration.ofNanos(firstEventNanos), label(kind));
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
@@ -72,8 +72,7 @@
     public void start() {
         mLinks.handle(Envelope.BodyCase.USAGE_REPORT, this::received);
         long period = REPORT_INTERVAL.toNanos();
-        mLoop.scheduler()
-                .schedulePeriodically(this::tick, period, period, TimeUnit.NANOSECONDS);
+        mLoop.scheduler().schedulePeriodically(this::tick, period, period, TimeUnit.NANOSECONDS);
     }
 
     /** Takes over rates and bursts. */
@@ -111,8 +110,7 @@
                 field("tokens", units),
                 field("level", (long) bucket.level(now)),
                 field("retry_after", retry));
-        return Optional.of(
-                Refusal.retryable(ResultCode.RATE_EXCEEDED, units + " units", retry));
+        return Optional.of(Refusal.retryable(ResultCode.RATE_EXCEEDED, units + " units", retry));
     }
 
     /** Gives back the units of a call that no server has run. */
@@ -126,7 +124,8 @@
     private ReplicatedBucket bucket(WorkspaceTerms terms, long nowNanos) {
         ReplicatedBucket bucket =
                 mBuckets.computeIfAbsent(
-                        terms.workspace().name(), name -> new ReplicatedBucket(mOverdraft, nowNanos));
+                        terms.workspace().name(),
+                        name -> new ReplicatedBucket(mOverdraft, nowNanos));
         bucket.resize(terms.ratePerSecond(), terms.burst(), nowNanos);
         return bucket;
     }
@@ -135,8 +134,7 @@
         if (!mUrgent && bucket.unreportedPart() > URGENT_PART) {
             mUrgent = true;
             mLoop.scheduler()
-                    .schedule(
-                            this::report, REPORT_INTERVAL.toNanos() / 4, TimeUnit.NANOSECONDS);
+                    .schedule(this::report, REPORT_INTERVAL.toNanos() / 4, TimeUnit.NANOSECONDS);
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
@@ -69,8 +69,7 @@
         Optional<WorkspaceTerms> terms = route.open() ? Optional.empty() : terms(plan, head);
         CallTarget target = target(plan, route, head);
         RelayCall call =
-                new RelayCall(
-                        head, method, uri, headers, body, route, target, terms, arrivedNanos);
+                new RelayCall(head, method, uri, headers, body, route, target, terms, arrivedNanos);
         terms.ifPresent(found -> charge(found, head));
         return call;
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallDialect.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallDialect.java
@@ -11,7 +11,9 @@
     /** Reads the head of a caller's request. */
     Either<Refusal, CallHead> read(HttpHeaders headers);
 
-    /** Writes the head of the request to a backend server; nothing that only hosts may set stays. */
+    /**
+     * Writes the head of the request to a backend server; nothing that only hosts may set stays.
+     */
     HttpHeaders outgoing(HttpHeaders fromCaller, CallHead head, OutgoingCall call);
 
     /** Judges the head of a backend server's answer. */
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -78,24 +78,27 @@
             OptionalLong resumeAfter,
             BiFunction<HttpClientResponse, Flux<byte[]>, Publisher<T>> onAnswer) {
         return Flux.defer(
-                () -> {
-                    call.sending(member.instance());
-                    if (call.sends() == 1) {
-                        budget(call).recordRequest(now());
-                    }
-                    logChosen(call, member);
-                    HttpHeaders headers =
-                            mDialect.outgoing(
-                                    call.headers(), call.head(), outgoing(call, member, resumeAfter));
-                    return mBackend.<T>send(
-                            member.registered().address(),
-                            call.method(),
-                            call.uri(),
-                            headers,
-                            call.body(),
-                            (response, parts) -> judged(call, member, response, parts, onAnswer))
-                            .doOnError(error -> failed(call, member, error));
-                })
+                        () -> {
+                            call.sending(member.instance());
+                            if (call.sends() == 1) {
+                                budget(call).recordRequest(now());
+                            }
+                            logChosen(call, member);
+                            HttpHeaders headers =
+                                    mDialect.outgoing(
+                                            call.headers(),
+                                            call.head(),
+                                            outgoing(call, member, resumeAfter));
+                            return mBackend.<T>send(
+                                            member.registered().address(),
+                                            call.method(),
+                                            call.uri(),
+                                            headers,
+                                            call.body(),
+                                            (response, parts) ->
+                                                    judged(call, member, response, parts, onAnswer))
+                                    .doOnError(error -> failed(call, member, error));
+                        })
                 .doFinally(signal -> member.end(call.target().model()));
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
@@ -34,8 +34,7 @@
     /** Returns the answer; a call that runs at most once goes on when its caller leaves. */
     Mono<WholeAnswer> run(RelayCall call) {
         Mono<WholeAnswer> answer =
-                attempt(call)
-                        .timeout(call.left(mLoop.clock().nowNanos()), mLoop.scheduler());
+                attempt(call).timeout(call.left(mLoop.clock().nowNanos()), mLoop.scheduler());
         if (call.route().kind() != CallKind.AT_MOST_ONCE) {
             return answer;
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
@@ -78,11 +78,8 @@
                     String uri = request.uri();
                     response.keepAlive(!mStopping);
                     return body(request)
-                            .flatMap(
-                                    body ->
-                                            serve(method, uri, headers, body, arrived, response))
-                            .onErrorResume(
-                                    error -> refuse(response, headers, error, "", arrived))
+                            .flatMap(body -> serve(method, uri, headers, body, arrived, response))
+                            .onErrorResume(error -> refuse(response, headers, error, "", arrived))
                             .doFinally(signal -> mActive.decrementAndGet());
                 });
     }
@@ -95,7 +92,8 @@
                 () ->
                         new RefusedException(
                                 Refusal.of(
-                                        ResultCode.BODY_TOO_LARGE, "at most " + largest + " bytes")));
+                                        ResultCode.BODY_TOO_LARGE,
+                                        "at most " + largest + " bytes")));
     }
 
     private int largestBody() {
@@ -139,8 +137,7 @@
                         (first, events) ->
                                 first.isOnError() ? events.then() : send(response, run, events))
                 .then()
-                .doOnSuccess(
-                        done -> answered(call, run.head().status(), run.firstEventNanos()));
+                .doOnSuccess(done -> answered(call, run.head().status(), run.firstEventNanos()));
     }
 
     private static Publisher<Void> send(
@@ -199,11 +196,15 @@
         mMeter.refused(refusal.code());
         mLog.log(
                 RelayEvent.CALL_REFUSED,
-                field("request", id.isEmpty() ? mDialect.read(headers).fold(x -> "", CallHead::id) : id),
+                field(
+                        "request",
+                        id.isEmpty() ? mDialect.read(headers).fold(x -> "", CallHead::id) : id),
                 field("code", refusal.code().number()),
                 field("detail", refusal.detail()),
                 field("not_run", refusal.code().notRun()),
-                field("retry_after_ms", refusal.retryAfter().map(wait -> wait.toMillis()).orElse(0L)),
+                field(
+                        "retry_after_ms",
+                        refusal.retryAfter().map(wait -> wait.toMillis()).orElse(0L)),
                 field("after_ms", millisSince(arrived)));
         byte[] body = RefusalWriter.bytes(refusal, id);
         HttpHeaders answer = new DefaultHttpHeaders();
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -53,8 +53,10 @@
         mTarget = target;
         mTerms = terms;
         mArrivedNanos = arrivedNanos;
-        Duration wait = head.timeLeft().filter(left -> left.compareTo(route.timeout()) < 0)
-                .orElse(route.timeout());
+        Duration wait =
+                head.timeLeft()
+                        .filter(left -> left.compareTo(route.timeout()) < 0)
+                        .orElse(route.timeout());
         mEndNanos = arrivedNanos + wait.toNanos();
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -6,14 +6,9 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.security.SecureRandom;
 import java.time.Duration;
-import org.vanillaslip.internal.lease.LeaseTimes;
-import org.vanillaslip.internal.fleet.LoadController;
-import org.vanillaslip.internal.fleet.FleetLease;
-import org.vanillaslip.internal.fleet.FleetExchange;
-import org.vanillaslip.internal.fleet.DemandBook;
-import java.util.Collection;
-import java.util.ArrayList;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
@@ -23,13 +18,18 @@
 import org.vanillaslip.internal.control.configuration.CollectionFollower;
 import org.vanillaslip.internal.control.configuration.CollectionListener;
 import org.vanillaslip.internal.control.configuration.HostListWatcher;
+import org.vanillaslip.internal.fleet.DemandBook;
 import org.vanillaslip.internal.fleet.DrainFollower;
 import org.vanillaslip.internal.fleet.FleetDirectory;
+import org.vanillaslip.internal.fleet.FleetExchange;
+import org.vanillaslip.internal.fleet.FleetLease;
 import org.vanillaslip.internal.fleet.HostRegistration;
+import org.vanillaslip.internal.fleet.LoadController;
 import org.vanillaslip.internal.fleet.PlanFollower;
 import org.vanillaslip.internal.fleet.ServerSelector;
 import org.vanillaslip.internal.fleet.StoreHealth;
 import org.vanillaslip.internal.fleet.WaitingRoom;
+import org.vanillaslip.internal.lease.LeaseTimes;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.logging.LifecycleEvent;
 import org.vanillaslip.internal.metrics.DaemonMetrics;
@@ -111,8 +111,7 @@
         mStore = new StoreHealth(new MeteredObjectStore(ports.store(), metrics), mLoop, log);
         mPlans = new PlanFollower(ports.collections(), log);
         mDrains = new DrainFollower(ports.collections(), log);
-        mDirectory =
-                new FleetDirectory(ports.collections(), mDrains, mLoop, mStore::wasAway, log);
+        mDirectory = new FleetDirectory(ports.collections(), mDrains, mLoop, mStore::wasAway, log);
         mHosts = new HostListWatcher(mStore, new HostCodec(), mLoop, mRandom, log);
         byte[] incarnation = new byte[INCARNATION_BYTES];
         seeds.nextBytes(incarnation);
@@ -147,7 +146,11 @@
         mLimits =
                 new WorkspaceLimits(
                         serving.rateSlack() * OVERDRAFT_PART,
-                        mLoop, mLinks, this::otherHosts, mRandom, log);
+                        mLoop,
+                        mLinks,
+                        this::otherHosts,
+                        mRandom,
+                        log);
         ServerSelector selector =
                 new ServerSelector(
                         mDirectory, mPlans, mHost.failureDomain(), this::hostCount, mLoop, mRandom);
@@ -266,16 +269,12 @@
     }
 
     private void follow(String collection, CollectionListener listener) {
-        new CollectionFollower(
-                        mStore, collection, mLoop, mRandom, mLog, listener, LONGEST_RETRY)
+        new CollectionFollower(mStore, collection, mLoop, mRandom, mLog, listener, LONGEST_RETRY)
                 .start();
     }
 
     private boolean ready() {
-        return !mLeaving
-                && mPlans.current().isPresent()
-                && mDirectory.listed()
-                && mDrains.listed();
+        return !mLeaving && mPlans.current().isPresent() && mDirectory.listed() && mDrains.listed();
     }
 
     private List<String> otherHosts() {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingLoop.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingLoop.java
@@ -16,8 +16,7 @@
  * @param group the event loop as Netty's group
  * @param resources the event loop as Reactor Netty's resources
  */
-public record ServingLoop(
-        EventLoopGroup group, LoopResources resources, DecisionLoop decisions) {
+public record ServingLoop(EventLoopGroup group, LoopResources resources, DecisionLoop decisions) {
 
     /** Starts the thread. */
     public static ServingLoop create() {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRun.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRun.java
@@ -67,8 +67,7 @@
                     Duration left = mCall.left(mLoop.clock().nowNanos());
                     AtomicBoolean expired = new AtomicBoolean();
                     Mono<Long> end =
-                            Mono.delay(left, mLoop.scheduler())
-                                    .doOnNext(tick -> expired.set(true));
+                            Mono.delay(left, mLoop.scheduler()).doOnNext(tick -> expired.set(true));
                     return connect()
                             .takeUntilOther(end)
                             .concatWith(
@@ -103,8 +102,7 @@
         int status = response.status().code();
         boolean success = status >= 200 && status < 300;
         if (!success && (mStarted || mayTryAnother())) {
-            return Flux.error(
-                    new SendFailedException(SendFailureKind.UNKNOWN, "status " + status));
+            return Flux.error(new SendFailedException(SendFailureKind.UNKNOWN, "status " + status));
         }
         if (mHead == null) {
             mHead = new StreamHead(status, RelayHeaders.endToEnd(response.responseHeaders()));
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/DaemonMain.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/DaemonMain.java
@@ -11,7 +11,10 @@
     public static void main(String[] arguments) {
         DaemonCommand command =
                 new DaemonCommand(
-                        new SettingsReader(), new ProcessStarter(Daemon::new), System.out, System.err);
+                        new SettingsReader(),
+                        new ProcessStarter(Daemon::new),
+                        System.out,
+                        System.err);
         int exitCode = command.run(arguments);
         if (exitCode != 0) {
             System.exit(exitCode);
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/ReloadSignal.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/ReloadSignal.java
@@ -2,7 +2,9 @@
 
 import sun.misc.Signal;
 
-/** The signal that asks a daemon to read its settings again; by default it would end the process. */
+/**
+ * The signal that asks a daemon to read its settings again; by default it would end the process.
+ */
 final class ReloadSignal {
 
     private static final String HANG_UP = "HUP";
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/DemandHistory.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/DemandHistory.java
@@ -53,8 +53,7 @@
     /** Returns calls per second for all models. */
     public double totalRate(long nowNanos) {
         return mDemands.keySet().stream()
-                .mapToDouble(
-                        model -> urgentRate(model, nowNanos) + patientRate(model, nowNanos))
+                .mapToDouble(model -> urgentRate(model, nowNanos) + patientRate(model, nowNanos))
                 .sum();
     }
 
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -96,8 +96,7 @@
             int storeFree,
             long nowNanos) {
         LoadPlanner planner =
-                new LoadPlanner(
-                        profile, history, engines, wishes, storeLoads, storeFree, nowNanos);
+                new LoadPlanner(profile, history, engines, wishes, storeLoads, storeFree, nowNanos);
         wishes.stream().sorted(URGENCY).forEach(planner::serve);
         planner.copyBusyModels();
         if (wishes.isEmpty()) {
@@ -129,7 +128,10 @@
         Optional<EngineState> copy = soonestCopy(model);
         boolean waits =
                 copy.isPresent()
-                        && best.map(option -> option.total().compareTo(later(copy.get(), model)) > 0)
+                        && best.map(
+                                        option ->
+                                                option.total().compareTo(later(copy.get(), model))
+                                                        > 0)
                                 .orElse(true);
         if (best.isPresent() && !waits) {
             mExpected.put(wish.model(), best.get().total().plus(ORDER_TIME));
@@ -204,7 +206,8 @@
                 .map(
                         entry ->
                                 new String[] {
-                                    entry.getKey(), entry.getValue().stream().sorted().toList().get(0)
+                                    entry.getKey(),
+                                    entry.getValue().stream().sorted().toList().get(0)
                                 });
     }
 
@@ -255,8 +258,7 @@
                             .anyMatch(
                                     engine ->
                                             engine.holdsOrLoads(model.name())
-                                                    || source(engine, model)
-                                                            != WeightSource.STORE);
+                                                    || source(engine, model) != WeightSource.STORE);
             if (!copied && freeEngines() > mEngines.size() / 2) {
                 best(model, COPY_LOSS_MILLIS).ifPresent(option -> give(option, "no copy"));
             }
@@ -286,14 +288,11 @@
                 continue;
             }
             double loss =
-                    victims.get().stream()
-                            .mapToDouble(name -> mVictims.loss(engine, name))
-                            .sum();
+                    victims.get().stream().mapToDouble(name -> mVictims.loss(engine, name)).sum();
             if (loss > mostLoss) {
                 continue;
             }
-            Duration total =
-                    mVictims.unloadTime(engine, victims.get()).plus(time(engine, model));
+            Duration total = mVictims.unloadTime(engine, victims.get()).plus(time(engine, model));
             double cost = total.toMillis() + loss + engine.inUse() * IN_USE_MILLIS;
             if (best == null || cost < best.cost()) {
                 best = new LoadOption(engine, model, victims.get(), total, cost, fromStore);
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/ModelWish.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/ModelWish.java
@@ -12,11 +12,7 @@
  * @param priority most urgent priority among them; 0 is first
  */
 public record ModelWish(
-        ModelName model,
-        int waiting,
-        Duration objectiveLeft,
-        Duration deadlineLeft,
-        int priority) {
+        ModelName model, int waiting, Duration objectiveLeft, Duration deadlineLeft, int priority) {
 
     /** Joins the wishes of two hosts for the same model. */
     public ModelWish with(ModelWish other) {
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/ServerStock.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/ServerStock.java
@@ -20,8 +20,7 @@
         Set<String> onDisk) {
 
     /** The stock of a server that holds nothing. */
-    public static final ServerStock EMPTY =
-            new ServerStock(0, false, Map.of(), Set.of(), Set.of());
+    public static final ServerStock EMPTY = new ServerStock(0, false, Map.of(), Set.of(), Set.of());
 
     /** Copies the collections so that the record is immutable. */
     public ServerStock {
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/StockChange.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/StockChange.java
@@ -15,11 +15,7 @@
         ServerStock changed =
                 order.kind() == OrderKind.UNLOAD ? applied(stock, order, 1) : counted(stock, 1);
         return new ServerStock(
-                changed.orderCount(),
-                true,
-                changed.loaded(),
-                changed.inMemory(),
-                changed.onDisk());
+                changed.orderCount(), true, changed.loaded(), changed.inMemory(), changed.onDisk());
     }
 
     /**
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/VictimChoice.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/VictimChoice.java
@@ -106,8 +106,7 @@
         ModelProfile profile = mProfile.models().get(model);
         if (profile == null) {
             // A model that is no longer configured; its size is unknown, so assume an equal part.
-            return mProfile.weightsMegabytes()
-                    / Math.max(1, engine.stock().loaded().size());
+            return mProfile.weightsMegabytes() / Math.max(1, engine.stock().loaded().size());
         }
         int adapters = engine.stock().loaded().getOrDefault(model, Set.of()).size();
         return profile.weightsMegabytes() + adapters * profile.adapterMegabytes();
--- a/decisions/src/test/java/org/vanillaslip/internal/fleet/LoadPlannerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/fleet/LoadPlannerTest.java
@@ -26,8 +26,7 @@
 
         assertThat(plan.orders())
                 .extracting(PlannedOrder::instance, PlannedOrder::kind, PlannedOrder::model)
-                .containsExactly(
-                        tuple("b", OrderKind.LOAD, "m7"));
+                .containsExactly(tuple("b", OrderKind.LOAD, "m7"));
         assertThat(plan.expected().get(model("m7"))).isLessThan(Duration.ofSeconds(2));
     }
 
@@ -147,8 +146,7 @@
         LoadPlan plan = mPool.plan();
 
         assertThat(plan.orders()).singleElement().matches(order -> order.model().equals("m8"));
-        assertThat(plan.expected().get(model("m9")))
-                .isLessThan(plan.expected().get(model("m7")));
+        assertThat(plan.expected().get(model("m9"))).isLessThan(plan.expected().get(model("m7")));
     }
 
     /** Pattern "burst of the patient kind": callers that are late already wait behind others. */
@@ -210,13 +208,7 @@
     @Test
     void anAdapterMakesWayWhenAllPlacesAreTaken() {
         Set<String> eight = Set.of("a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8");
-        mPool.engine(
-                        "a",
-                        Map.of("m1", eight),
-                        Set.of(),
-                        Map.of(),
-                        Duration.ZERO,
-                        Optional.empty())
+        mPool.engine("a", Map.of("m1", eight), Set.of(), Map.of(), Duration.ZERO, Optional.empty())
                 .wish(new ModelName("m1", Optional.of("a9")), 400, 0);
 
         assertThat(mPool.plan().orders())
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/ReplicatedBucketTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/ReplicatedBucketTest.java
@@ -110,7 +110,8 @@
         return bucket;
     }
 
-    private void run(int seconds, double tokensPerSecond, long seed, BiPredicate<Integer, Integer> linked) {
+    private void run(
+            int seconds, double tokensPerSecond, long seed, BiPredicate<Integer, Integer> linked) {
         Random random = new Random(seed);
         double callsPerStep = tokensPerSecond / CALL * STEP / SECOND;
         for (int step = 0; step < seconds * 100; step++) {
--- a/decisions/src/test/java/org/vanillaslip/internal/routing/ServerChoiceTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/routing/ServerChoiceTest.java
@@ -83,8 +83,7 @@
 
     @Test
     void retriesStayWithinTheAllowanceOfTheWindow() {
-        RetryBudget budget =
-                new RetryBudget(requests -> requests / 5 + 2, Duration.ofSeconds(10));
+        RetryBudget budget = new RetryBudget(requests -> requests / 5 + 2, Duration.ofSeconds(10));
         for (int request = 0; request < 50; request++) {
             budget.recordRequest(0);
         }
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectCalls.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectCalls.java
@@ -28,10 +28,7 @@
      * @param throttled told for how long the platform wants no calls
      */
     public ObjectCalls(
-            HttpClient client,
-            Scheduler timer,
-            IntPredicate undone,
-            Consumer<Duration> throttled) {
+            HttpClient client, Scheduler timer, IntPredicate undone, Consumer<Duration> throttled) {
         mClient = client;
         mTimer = timer;
         mUndone = undone;
