--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/DemandLedger.java
@@ -0,0 +1,119 @@
+package org.vanillaslip.internal.fleet;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiPredicate;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.internal.serving.EngineProfile;
+import org.vanillaslip.internal.serving.ModelProfile;
+import org.vanillaslip.internal.serving.ServicePool;
+import org.vanillaslip.messages.DemandReport;
+import org.vanillaslip.messages.ModelDemand;
+
+/** Demand of all hosts, as the host that orders loads knows it; on the decision loop only. */
+final class DemandLedger {
+
+    /** Demand of a host that has not reported for this long is gone. */
+    private static final Duration DEMAND_AGE = Duration.ofMillis(1500);
+
+    private final PlanView mPlans;
+    private final Map<String, DemandHistory> mHistories = new HashMap<>();
+    private final Map<String, HostDemand> mDemands = new HashMap<>();
+
+    DemandLedger(PlanView plans) {
+        mPlans = plans;
+    }
+
+    /** Takes over the demand of a host. */
+    void note(String host, DemandReport report, long nowNanos) {
+        mDemands.put(host, new HostDemand(report, nowNanos));
+        for (ModelDemand demand : report.getModelsList()) {
+            if (demand.getArrivals() > 0) {
+                history(demand.getPool())
+                        .note(demand.getModel(), demand.getArrivals(), urgent(demand), nowNanos);
+            }
+        }
+    }
+
+    /** Forgets hosts that have stopped or are cut off. */
+    void forgetSilentHosts(long nowNanos) {
+        mDemands.values()
+                .removeIf(demand -> nowNanos - demand.receivedNanos() > DEMAND_AGE.toNanos());
+    }
+
+    /** Returns the recent calls of a pool. */
+    DemandHistory history(String pool) {
+        return mHistories.computeIfAbsent(pool, name -> new DemandHistory());
+    }
+
+    /**
+     * Returns the models of a pool that callers wait for.
+     *
+     * @param held whether a server has the model by now
+     */
+    Map<ModelName, ModelWish> wishes(
+            String pool, BiPredicate<String, ModelName> held, long nowNanos) {
+        Map<ModelName, ModelWish> wishes = new HashMap<>();
+        for (HostDemand demand : mDemands.values()) {
+            long age = (nowNanos - demand.receivedNanos()) / 1_000_000;
+            for (ModelDemand model : demand.report().getModelsList()) {
+                if (model.getWaiting() > 0 && model.getPool().equals(pool)) {
+                    ModelWish wish = wish(model, age);
+                    wishes.merge(wish.model(), wish, ModelWish::with);
+                }
+            }
+        }
+        wishes.keySet().removeIf(name -> held.test(pool, name));
+        return wishes;
+    }
+
+    /** Returns the calls that run by server and model. */
+    Map<String, Map<String, Integer>> running() {
+        Map<String, Map<String, Integer>> running = new HashMap<>();
+        mDemands.values()
+                .forEach(
+                        demand ->
+                                demand.report()
+                                        .getRunningList()
+                                        .forEach(
+                                                calls ->
+                                                        running.computeIfAbsent(
+                                                                        calls.getServer(),
+                                                                        name -> new HashMap<>())
+                                                                .merge(
+                                                                        calls.getModel(),
+                                                                        calls.getCount(),
+                                                                        Integer::sum)));
+        return running;
+    }
+
+    /** Returns what the engines of a pool can hold. */
+    Optional<EngineProfile> profile(String pool) {
+        return mPlans.current()
+                .flatMap(plan -> Optional.ofNullable(plan.pools().get(pool)))
+                .flatMap(ServicePool::engine);
+    }
+
+    private boolean urgent(ModelDemand demand) {
+        Optional<ModelProfile> model =
+                profile(demand.getPool())
+                        .flatMap(
+                                found ->
+                                        Optional.ofNullable(found.models().get(demand.getModel())));
+        return model.map(found -> demand.getObjectiveMillis() < found.fromDisk().toMillis())
+                .orElse(false);
+    }
+
+    private static ModelWish wish(ModelDemand demand, long ageMillis) {
+        Optional<String> adapter =
+                demand.getAdapter().isEmpty() ? Optional.empty() : Optional.of(demand.getAdapter());
+        return new ModelWish(
+                new ModelName(demand.getModel(), adapter),
+                demand.getWaiting(),
+                Duration.ofMillis(demand.getObjectiveLeftMillis() - ageMillis),
+                Duration.ofMillis(demand.getDeadlineLeftMillis() - ageMillis),
+                demand.getPriority());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDesk.java
@@ -0,0 +1,360 @@
+package org.vanillaslip.internal.fleet;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.Disposable;
+
+/**
+ * Sends orders, one at a time to each engine, and follows them until they are done. Every order
+ * names the number of orders that the engine must have accepted before, so of two orders with the
+ * same number at most one is carried out, however late an unanswered one arrives.
+ */
+final class OrderDesk {
+
+    private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
+
+    /** A report lags, so an order without an answer is open until reports are newer than it. */
+    private static final Duration UNKNOWN_FOR = Duration.ofMillis(700);
+
+    /** A report may be this old, so one that comes sooner after an order may not count it. */
+    private static final Duration REPORT_LAG = Duration.ofMillis(500);
+
+    /** An accepted order that reports never show as done is looked at anew. */
+    private static final Duration OVERDUE = Duration.ofSeconds(20);
+
+    /** An unload of a model without running calls is done within this time. */
+    private static final Duration UNLOAD_TIME = Duration.ofMillis(40);
+
+    /** A load from disk or memory takes its usual time; a little more for the way of the order. */
+    private static final Duration LOAD_MARGIN = Duration.ofMillis(30);
+
+    private static final Duration ADAPTER_TIME = Duration.ofMillis(25);
+
+    private final String mHost;
+    private final FleetLease mLease;
+    private final FleetDirectory mDirectory;
+    private final EngineControl mEngines;
+    private final DecisionLoop mLoop;
+    private final EventLog mLog;
+    private final Map<String, PendingOrder> mPending = new HashMap<>();
+    private final Map<String, PendingOrder> mAssumed = new HashMap<>();
+    private final Map<String, Long> mAskedAt = new HashMap<>();
+    private final Map<String, Long> mOrderedAt = new HashMap<>();
+    private final Set<String> mReported = new HashSet<>();
+    private final Map<String, Disposable> mPolls = new HashMap<>();
+    private final Set<String> mReporting = new HashSet<>();
+    private Runnable mOnProgress = () -> {};
+
+    OrderDesk(
+            String host,
+            FleetLease lease,
+            FleetDirectory directory,
+            EngineControl engines,
+            DecisionLoop loop,
+            EventLog log) {
+        mHost = host;
+        mLease = lease;
+        mDirectory = directory;
+        mEngines = engines;
+        mLoop = loop;
+        mLog = log;
+    }
+
+    /** Registers a listener for answers, reports and ends of orders. */
+    void onProgress(Runnable listener) {
+        mOnProgress = listener;
+    }
+
+    /** Forgets all orders, because this host has just taken or lost the lease. */
+    void clear() {
+        mPending.clear();
+        mAssumed.clear();
+        mAskedAt.clear();
+        mReported.clear();
+    }
+
+    /** Asks engines for reports that are due, and forgets orders to engines that are gone. */
+    void refresh(Collection<FleetMember> engines) {
+        long now = now();
+        mPending.keySet().removeIf(instance -> mDirectory.member(instance).isEmpty());
+        for (FleetMember member : engines) {
+            long asked = mAskedAt.getOrDefault(member.instance(), Long.MIN_VALUE / 2);
+            if (now - asked >= REPORT_INTERVAL.toNanos()) {
+                report(member);
+            }
+        }
+    }
+
+    /** Returns whether the engine has reported since its last orders were forgotten. */
+    boolean reported(String instance) {
+        return mReported.contains(instance);
+    }
+
+    /** Returns the order that the engine carries out. */
+    Optional<PendingOrder> pending(String instance) {
+        return Optional.ofNullable(mPending.get(instance));
+    }
+
+    /** Returns the number of loads from the weight store that have not ended. */
+    int storeLoads() {
+        return (int)
+                mPending.values().stream().filter(pending -> pending.order().fromStore()).count();
+    }
+
+    /** Sends an order while the lease allows it. */
+    void give(PlannedOrder planned) {
+        FleetMember member = mDirectory.member(planned.instance()).orElseThrow();
+        long now = now();
+        EngineOrder order =
+                new EngineOrder(
+                        planned.kind(),
+                        planned.model(),
+                        planned.adapter(),
+                        member.stock().orderCount(),
+                        mHost,
+                        mLease.term());
+        mLog.log(
+                FleetEvent.ORDER_SENT,
+                field("server", planned.instance()),
+                field("kind", planned.kind()),
+                field("model", planned.model()),
+                field("adapter", planned.adapter().orElse("")),
+                field("expected_orders", order.expectedOrders()),
+                field("term", order.term()),
+                field("from_store", planned.fromStore()),
+                field("reason", planned.reason()));
+        mOrderedAt.put(planned.instance(), now);
+        mPending.put(
+                planned.instance(),
+                new PendingOrder(planned, now, now + planned.takes().toNanos(), false));
+        if (planned.kind() == OrderKind.UNLOAD) {
+            // No new call goes to what is about to make way.
+            member.setStock(StockChange.applied(member.stock(), planned, 0));
+            mDirectory.changed();
+        }
+        if (!mLease.mayOrder()) {
+            mPending.remove(planned.instance());
+            return;
+        }
+        mEngines.order(member.registered(), order)
+                .publishOn(mLoop.scheduler())
+                .subscribe(
+                        answer -> answered(member, planned, answer),
+                        error -> answered(member, planned, OrderAnswer.UNKNOWN));
+    }
+
+    private void answered(FleetMember member, PlannedOrder planned, OrderAnswer answer) {
+        String instance = planned.instance();
+        PendingOrder pending = mPending.get(instance);
+        if (pending == null || pending.order() != planned) {
+            return;
+        }
+        boolean failed = answer != OrderAnswer.ACCEPTED && answer != OrderAnswer.ALREADY;
+        mLog.log(
+                failed ? FleetEvent.ORDER_FAILED : FleetEvent.ORDER_ANSWERED,
+                field("server", instance),
+                field("model", planned.model()),
+                field("answer", answer));
+        switch (answer) {
+            case ACCEPTED -> accepted(member, pending);
+            case ALREADY -> {
+                mPending.remove(instance);
+                if (planned.adapter().isPresent()) {
+                    // An unused adapter is unloaded at once, which counts as an order.
+                    adapterDone(member, planned, planned.kind() == OrderKind.UNLOAD ? 1 : 0);
+                }
+                pollLater(member, POLL_INTERVAL);
+            }
+            case REFUSED -> refused(member, planned);
+            case OTHER_SERVER -> {
+                mPending.remove(instance);
+                member.replaced();
+                mDirectory.changed();
+            }
+            case UNREACHED -> {
+                mPending.remove(instance);
+                member.health().unreachable(now());
+                mReported.remove(instance);
+            }
+            case UNKNOWN -> pollLater(member, POLL_INTERVAL);
+        }
+        mOnProgress.run();
+    }
+
+    private void accepted(FleetMember member, PendingOrder pending) {
+        PlannedOrder planned = pending.order();
+        long now = now();
+        mAssumed.remove(planned.instance());
+        mPending.put(planned.instance(), pending.asAccepted(now));
+        if (planned.adapter().isPresent()) {
+            // Adapter orders do not occupy the engine, and reports of them lag behind their end.
+            mLoop.scheduler()
+                    .schedule(
+                            () -> adapterDone(member, planned, 1),
+                            planned.kind() == OrderKind.LOAD ? ADAPTER_TIME.toNanos() : 0,
+                            TimeUnit.NANOSECONDS);
+            return;
+        }
+        ServerStock stock = member.stock();
+        member.setStock(StockChange.accepted(stock, planned));
+        if (planned.fromStore()) {
+            // Loads from the store share its speed, so only a report tells when one is done.
+            pollLater(member, planned.takes().plus(POLL_INTERVAL));
+            return;
+        }
+        boolean unload = planned.kind() == OrderKind.UNLOAD;
+        Duration takes = unload ? UNLOAD_TIME : planned.takes().plus(LOAD_MARGIN);
+        mLoop.scheduler()
+                .schedule(() -> assumeDone(member, planned), takes.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Reports lag, so calls and the next order are tried before one shows the end of an order. */
+    private void assumeDone(FleetMember member, PlannedOrder planned) {
+        PendingOrder pending = mPending.get(planned.instance());
+        if (pending == null || pending.order() != planned) {
+            return;
+        }
+        mPending.remove(planned.instance());
+        mAssumed.put(planned.instance(), pending);
+        ServerStock stock =
+                planned.kind() == OrderKind.LOAD
+                        ? StockChange.applied(member.stock(), planned, 0)
+                        : member.stock();
+        member.setStock(StockChange.idle(stock));
+        mLog.log(
+                FleetEvent.LOAD_FINISHED,
+                field("server", planned.instance()),
+                field("kind", planned.kind()),
+                field("model", planned.model()),
+                field("assumed", true),
+                field("took_ms", (now() - pending.sentNanos()) / 1_000_000));
+        mDirectory.changed();
+        mOnProgress.run();
+    }
+
+    private void refused(FleetMember member, PlannedOrder planned) {
+        PendingOrder assumed = mAssumed.remove(planned.instance());
+        if (assumed != null) {
+            // The unload still waits for calls that run on the model.
+            mPending.put(planned.instance(), assumed);
+            pollLater(member, POLL_INTERVAL);
+            return;
+        }
+        // What is known of the server is wrong, so a report that is newer than all orders decides.
+        mPending.remove(planned.instance());
+        mReported.remove(planned.instance());
+        pollLater(member, REPORT_LAG.plus(POLL_INTERVAL));
+    }
+
+    private void adapterDone(FleetMember member, PlannedOrder planned, int orders) {
+        mPending.remove(planned.instance());
+        member.setStock(StockChange.applied(member.stock(), planned, orders));
+        mDirectory.changed();
+        mOnProgress.run();
+    }
+
+    /** Asks the server for a report after the delay, in place of an earlier plan to do so. */
+    private void pollLater(FleetMember member, Duration delay) {
+        Disposable poll =
+                mLoop.scheduler()
+                        .schedule(
+                                () -> {
+                                    if (mLease.held()) {
+                                        report(member);
+                                    }
+                                },
+                                delay.toNanos(),
+                                TimeUnit.NANOSECONDS);
+        Disposable before = mPolls.put(member.instance(), poll);
+        if (before != null) {
+            before.dispose();
+        }
+    }
+
+    private void report(FleetMember member) {
+        if (!mReporting.add(member.instance())) {
+            return;
+        }
+        mAskedAt.put(member.instance(), now());
+        mEngines.report(member.registered())
+                .publishOn(mLoop.scheduler())
+                .subscribe(
+                        result -> reported(member, result),
+                        error -> reported(member, Either.left(error.toString())));
+    }
+
+    private void reported(FleetMember member, Either<String, ServerLoadReport> result) {
+        String instance = member.instance();
+        mReporting.remove(instance);
+        if (result.isLeft()) {
+            mLog.log(
+                    FleetEvent.REPORT_FAILED,
+                    field("server", instance),
+                    field("cause", result.getLeft()));
+            member.health().unreachable(now());
+            return;
+        }
+        ServerLoadReport report = result.get();
+        PendingOrder pending = mPending.get(instance);
+        long ordered = mOrderedAt.getOrDefault(instance, Long.MIN_VALUE / 2);
+        boolean newer = now() - ordered > REPORT_LAG.toNanos();
+        if (newer) {
+            mReported.add(instance);
+        }
+        mDirectory.report(instance, member.registered().bornMillis(), report, newer);
+        if (pending != null) {
+            settle(member, pending, report);
+        }
+        mOnProgress.run();
+    }
+
+    private void settle(FleetMember member, PendingOrder pending, ServerLoadReport report) {
+        long now = now();
+        boolean current = report.stock().orderCount() >= member.stock().orderCount();
+        if (pending.order().adapter().isPresent() && pending.accepted()) {
+            return;
+        }
+        if (!pending.accepted()) {
+            if (now - pending.sentNanos() > UNKNOWN_FOR.toNanos()) {
+                mPending.remove(member.instance());
+            } else {
+                pollLater(member, POLL_INTERVAL);
+            }
+            return;
+        }
+        boolean done = current && !report.stock().ordered() && shows(report.stock(), pending);
+        if (done || now - pending.doneNanos() > OVERDUE.toNanos()) {
+            mPending.remove(member.instance());
+            mLog.log(
+                    FleetEvent.LOAD_FINISHED,
+                    field("server", member.instance()),
+                    field("kind", pending.order().kind()),
+                    field("model", pending.order().model()),
+                    field("took_ms", (now - pending.sentNanos()) / 1_000_000));
+        } else {
+            long left = pending.doneNanos() - now;
+            pollLater(member, POLL_INTERVAL.plusNanos(Math.max(0, left)));
+        }
+    }
+
+    private static boolean shows(ServerStock stock, PendingOrder pending) {
+        boolean loaded = stock.loaded().containsKey(pending.order().model());
+        return loaded == (pending.order().kind() == OrderKind.LOAD);
+    }
+
+    private long now() {
+        return mLoop.clock().nowNanos();
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -4,6 +4,7 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -68,7 +69,11 @@
     private static final LeaseTimes LEASE_TIMES =
             new LeaseTimes(Duration.ofMillis(2500), 0.01, Duration.ofMillis(150));
 
+    private final SecureRandom mIdentifiers = new SecureRandom();
+    private final DaemonMetrics mMetrics =
+            new DaemonMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
     private final HostSettings mHost;
+    private final ServingSettings mServing;
     private final ServingLoop mServingLoop;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
@@ -98,117 +103,35 @@
             ServingLoop loop,
             EventLog log) {
         mHost = settings.host();
+        mServing = serving;
         mServingLoop = loop;
         mLoop = loop.decisions();
         mLog = log;
         mPorts = ports;
-        SecureRandom seeds = new SecureRandom();
         mRandom =
                 RandomGeneratorFactory.of("L64X128MixRandom")
-                        .create(mHost.randomSeed().orElseGet(seeds::nextLong));
-        DaemonMetrics metrics =
-                new DaemonMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-        mStore = new StoreHealth(new MeteredObjectStore(ports.store(), metrics), mLoop, log);
+                        .create(mHost.randomSeed().orElseGet(mIdentifiers::nextLong));
+        mStore = new StoreHealth(new MeteredObjectStore(ports.store(), mMetrics), mLoop, log);
         mPlans = new PlanFollower(ports.collections(), log);
         mDrains = new DrainFollower(ports.collections(), log);
         mDirectory = new FleetDirectory(ports.collections(), mDrains, mLoop, mStore::wasAway, log);
         mHosts = new HostListWatcher(mStore, new HostCodec(), mLoop, mRandom, log);
-        byte[] incarnation = new byte[INCARNATION_BYTES];
-        seeds.nextBytes(incarnation);
-        mLinks =
-                new NettyPeerLinks(
-                        mHost.name(),
-                        HexFormat.of().formatHex(incarnation),
-                        seeds.nextLong() >>> 1,
-                        mLoop,
-                        loop.group(),
-                        mHost.peerAddress(),
-                        mHosts::hosts,
-                        List.copyOf(settings.peers().bootstrap().values()),
-                        this::heartbeat,
-                        PeerTimes.DEFAULT,
-                        metrics,
-                        log);
-        mRegistration =
-                new HostRegistration(
-                        new Host(
-                                mHost.name(),
-                                mHost.failureDomain(),
-                                mHost.peerAddress().getHostString()
-                                        + ":"
-                                        + mHost.peerAddress().getPort(),
-                                false),
-                        mStore,
-                        mHosts,
-                        mLinks::liveHosts,
-                        mLoop,
-                        log);
-        mLimits =
-                new WorkspaceLimits(
-                        serving.rateSlack() * OVERDRAFT_PART,
-                        mLoop,
-                        mLinks,
-                        this::otherHosts,
-                        mRandom,
-                        log);
+        mLinks = links(List.copyOf(settings.peers().bootstrap().values()));
+        mRegistration = new HostRegistration(self(), mStore, mHosts, mLinks::liveHosts, mLoop, log);
+        double overdraft = serving.rateSlack() * OVERDRAFT_PART;
+        mLimits = new WorkspaceLimits(overdraft, mLoop, mLinks, this::otherHosts, mRandom, log);
         ServerSelector selector =
                 new ServerSelector(
                         mDirectory, mPlans, mHost.failureDomain(), this::hostCount, mLoop, mRandom);
         mRoom = new WaitingRoom(selector, mLoop, settings.admission().maxWaitingRequests());
-        mLease =
-                new FleetLease(
-                        mHost.name(),
-                        mStore,
-                        mLoop,
-                        InstantSource.system(),
-                        LEASE_TIMES,
-                        serving.orderTurn(),
-                        () -> Long.toHexString(seeds.nextLong()),
-                        this::liveHosts,
-                        log);
-        mController =
-                new LoadController(
-                        mHost.name(),
-                        mLease,
-                        mDirectory,
-                        mPlans,
-                        ports.engines(),
-                        settings.placement().weightStoreParallelLoads(),
-                        mLoop,
-                        log);
+        mLease = lease();
+        mController = controller(settings.placement().weightStoreParallelLoads());
         DemandBook book = new DemandBook(mRoom, mDirectory, mLoop);
         mExchange =
                 new FleetExchange(
                         mHost.name(), mLease, mDirectory, mController, book, mRoom, mLinks, mLoop);
-        CallSender sender =
-                new CallSender(
-                        new BackendSend(loop.resources()),
-                        ports.dialect(),
-                        mRoom,
-                        selector,
-                        () -> retryBudget(serving),
-                        mLoop,
-                        log);
-        mRelay =
-                new Relay(
-                        new CallAdmission(mPlans, ports.dialect(), mLimits, mLoop, mRandom),
-                        ports.dialect(),
-                        sender,
-                        book,
-                        new RelayMeter(metrics),
-                        mLoop,
-                        log);
-        mServer =
-                new RelayServer(
-                        mRelay,
-                        loop.resources(),
-                        mHost.gatewayAddress(),
-                        serving.readinessAddress(),
-                        ports.readinessPath(),
-                        this::ready,
-                        serving.metricsAddress(),
-                        metrics::scrape,
-                        log);
+        mRelay = relay(selector, book);
+        mServer = server();
     }
 
     @Override
@@ -244,6 +167,91 @@
         mServingLoop.group().shutdownGracefully();
     }
 
+    private NettyPeerLinks links(List<InetSocketAddress> bootstrap) {
+        byte[] incarnation = new byte[INCARNATION_BYTES];
+        mIdentifiers.nextBytes(incarnation);
+        return new NettyPeerLinks(
+                mHost.name(),
+                HexFormat.of().formatHex(incarnation),
+                mIdentifiers.nextLong() >>> 1,
+                mLoop,
+                mServingLoop.group(),
+                mHost.peerAddress(),
+                mHosts::hosts,
+                bootstrap,
+                this::heartbeat,
+                PeerTimes.DEFAULT,
+                mMetrics,
+                mLog);
+    }
+
+    private Host self() {
+        InetSocketAddress address = mHost.peerAddress();
+        return new Host(
+                mHost.name(),
+                mHost.failureDomain(),
+                address.getHostString() + ":" + address.getPort(),
+                false);
+    }
+
+    private FleetLease lease() {
+        return new FleetLease(
+                mHost.name(),
+                mStore,
+                mLoop,
+                InstantSource.system(),
+                LEASE_TIMES,
+                mServing.orderTurn(),
+                () -> Long.toHexString(mIdentifiers.nextLong()),
+                this::liveHosts,
+                mLog);
+    }
+
+    private LoadController controller(int storeLoads) {
+        return new LoadController(
+                mHost.name(),
+                mLease,
+                mDirectory,
+                mPlans,
+                mPorts.engines(),
+                storeLoads,
+                mLoop,
+                mLog);
+    }
+
+    private Relay relay(ServerSelector selector, DemandBook book) {
+        CallSender sender =
+                new CallSender(
+                        new BackendSend(mServingLoop.resources()),
+                        mPorts.dialect(),
+                        mRoom,
+                        selector,
+                        this::retryBudget,
+                        mLoop,
+                        mLog);
+        return new Relay(
+                new CallAdmission(mPlans, mPorts.dialect(), mLimits, mLoop, mRandom),
+                mPorts.dialect(),
+                sender,
+                book,
+                new RelayMeter(mMetrics),
+                mLoop,
+                mLog);
+    }
+
+    private RelayServer server() {
+        return new RelayServer(
+                mRelay,
+                mServingLoop.resources(),
+                mHost.gatewayAddress(),
+                mServing.readinessAddress(),
+                mPorts.readinessPath(),
+                this::ready,
+                mServing.metricsAddress(),
+                mMetrics::scrape,
+                mLog);
+    }
+
     private Mono<Void> finish(Duration bound) {
         Mono<Long> waitingEnds =
                 Mono.delay(bound.dividedBy(2), mLoop.scheduler())
@@ -295,13 +303,13 @@
     }
 
     /** Each host has an equal part of the sends beyond the ratio. */
-    private RetryBudget retryBudget(ServingSettings serving) {
+    private RetryBudget retryBudget() {
         return new RetryBudget(
                 requests ->
                         (long)
-                                (serving.retryRatio() * requests
-                                        + (double) serving.retryExtra() / hostCount()),
-                serving.retryWindow());
+                                (mServing.retryRatio() * requests
+                                        + (double) mServing.retryExtra() / hostCount()),
+                mServing.retryWindow());
     }
 
     private Heartbeat heartbeat() {
