Refuse calls late in a planned stop, keep the framing of streams

Found by a new test: copying a server's headers dropped 'chunked', so a broken stream ended like a complete one at its close. Change: after the shutdown delay new calls get 503, not run; headers are added to those that frame the answer.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.reactivestreams.Publisher;
@@ -29,6 +30,9 @@
 /** Serves the calls of pass-through routes. */
 final class Relay {
 
+    /** Other hosts take the call at once. */
+    private static final Duration STOPPING_RETRY = Duration.ofMillis(50);
+
     private final CallAdmission mAdmission;
     private final CallDialect mDialect;
     private final CallSender mSender;
@@ -39,6 +43,7 @@
     private final EventLog mLog;
     private final AtomicInteger mActive = new AtomicInteger();
     private volatile boolean mStopping;
+    private volatile boolean mRefusing;
 
     Relay(
             CallAdmission admission,
@@ -68,6 +73,11 @@
         mStopping = true;
     }
 
+    /** Refuses new calls on connections that are still open: no time is left to answer them. */
+    void refuseNew() {
+        mRefusing = true;
+    }
+
     Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         return Mono.defer(
                 () -> {
@@ -111,6 +121,10 @@
             byte[] body,
             long arrived,
             HttpServerResponse response) {
+        if (mRefusing) {
+            throw new RefusedException(
+                    Refusal.retryable(ResultCode.HOST_STOPPING, "", STOPPING_RETRY));
+        }
         RelayCall call = mAdmission.admit(method, uri, headers, body, arrived);
         mBook.arrived(call.target(), call.route().objective());
         Mono<Void> answer =
@@ -143,14 +157,14 @@
     private static Publisher<Void> send(
             HttpServerResponse response, StreamRun run, Flux<byte[]> events) {
         StreamHead head = run.head();
-        response.status(head.status()).headers(head.headers());
+        copy(head.headers(), response.status(head.status()));
         Flux<ByteBuf> buffers = events.map(Unpooled::wrappedBuffer);
         return response.send(buffers, buffer -> true).then();
     }
 
     private static Mono<Void> write(
             HttpServerResponse response, HttpMethod method, WholeAnswer answer) {
-        response.status(answer.status()).headers(answer.headers());
+        copy(answer.headers(), response.status(answer.status()));
         if (method.equals(HttpMethod.HEAD)) {
             return response.send().then();
         }
@@ -158,6 +172,11 @@
         return response.sendByteArray(Mono.just(answer.body())).then();
     }
 
+    /** Headers that the server has set already stay: they say where the answer ends. */
+    private static void copy(HttpHeaders headers, HttpServerResponse response) {
+        headers.forEach(header -> response.addHeader(header.getKey(), header.getValue()));
+    }
+
     private Mono<Void> fail(HttpServerResponse response, RelayCall call, Throwable error) {
         if (!call.hasMaybeRun()) {
             mAdmission.giveBack(call);
@@ -210,7 +229,7 @@
         HttpHeaders answer = new DefaultHttpHeaders();
         answer.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         refusal.retryAfter().ifPresent(wait -> mDialect.retryAfter(answer, wait));
-        response.status(refusal.code().httpStatus()).headers(answer);
+        copy(answer, response.status(refusal.code().httpStatus()));
         if (refusal.code() == ResultCode.BODY_TOO_LARGE) {
             response.keepAlive(false);
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -160,7 +160,11 @@
         Duration rest = mHost.shutdownTimeout();
         mLease.release().subscribe();
         Mono.delay(mHost.shutdownDelay(), mLoop.scheduler())
-                .doOnNext(tick -> mServer.stopAccepting())
+                .doOnNext(
+                        tick -> {
+                            mServer.stopAccepting();
+                            mRelay.refuseNew();
+                        })
                 .then(finish(rest))
                 .then(mRegistration.stop().timeout(RELEASE_TIMEOUT).onErrorComplete())
                 .block(mHost.shutdownDelay().plus(rest).plus(RELEASE_TIMEOUT.multipliedBy(2)));
