Refuse at once what nobody plans, tell refused callers to come back in turn

Change: without a digest for 2.1 s a call whose model no server holds is refused at once; a refused call's time to come back follows the calls refused before it.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
@@ -29,6 +29,9 @@
     private static final Duration DEMAND_INTERVAL = Duration.ofMillis(300);
     private static final Duration DIGEST_INTERVAL = Duration.ofSeconds(1);
 
+    /** Two digests in a row are missing. */
+    private static final Duration LONGEST_SILENCE = Duration.ofMillis(2100);
+
     /** Events that come together are sent together. */
     private static final Duration GATHER = Duration.ofMillis(4);
 
@@ -47,6 +50,7 @@
     private final Map<CallTarget, LoadForecast> mForecasts = new HashMap<>();
     private String mHolder = "";
     private long mHolderTerm;
+    private long mDigestAt = Long.MIN_VALUE;
     private boolean mDemandSoon;
     private boolean mDigestSoon;
 
@@ -75,6 +79,7 @@
         mLinks.handle(Envelope.BodyCase.DEMAND_REPORT, this::demandReceived);
         mLinks.handle(Envelope.BodyCase.FLEET_DIGEST, this::digestReceived);
         mRoom.onMissing(target -> demandSoon());
+        mRoom.plannedWhile(this::planned);
         mDirectory.onChange(this::digestSoon);
         mController.onForecast(this::forecast);
         long demand = DEMAND_INTERVAL.toNanos();
@@ -84,6 +89,15 @@
         mLoop.scheduler().schedulePeriodically(this::sendAll, digest, digest, TimeUnit.NANOSECONDS);
     }
 
+    /** The host that orders loads sends a digest each second. */
+    private boolean planned() {
+        if (mLease.held()) {
+            return mLease.mayOrder();
+        }
+        return mDigestAt != Long.MIN_VALUE
+                && mLoop.clock().nowNanos() - mDigestAt < LONGEST_SILENCE.toNanos();
+    }
+
     private void demandSoon() {
         if (!mDemandSoon) {
             mDemandSoon = true;
@@ -233,6 +247,7 @@
         }
         mHolderTerm = digest.getTerm();
         mHolder = message.getSender();
+        mDigestAt = mLoop.clock().nowNanos();
         digest.getServersList().forEach(this::take);
         for (LoadForecast forecast : digest.getForecastsList()) {
             apply(target(forecast), expected(forecast));
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingRoom.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingRoom.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
@@ -24,6 +25,9 @@
     /** Places become free without an event, so waiting calls are looked at this often. */
     private static final Duration TICK = Duration.ofMillis(25);
 
+    /** By then another host reaches the one that orders loads, or a new one has taken over. */
+    private static final Duration UNPLANNED_RETRY = Duration.ofMillis(1500);
+
     private static final Duration LEAST_RETRY = Duration.ofMillis(250);
 
     private static final Comparator<WaitingCall> ORDER =
@@ -35,6 +39,7 @@
     private final int mMostWaiting;
     private final Map<CallTarget, List<WaitingCall>> mWaiting = new HashMap<>();
     private Consumer<CallTarget> mOnMissing = target -> {};
+    private BooleanSupplier mPlanned = () -> true;
     private int mCount;
     private boolean mTicking;
 
@@ -45,6 +50,11 @@
         mMostWaiting = mostWaiting;
     }
 
+    /** Tells whether a host that orders loads is heard from; otherwise no load can come in time. */
+    public void plannedWhile(BooleanSupplier planned) {
+        mPlanned = planned;
+    }
+
     /** Registers a listener for calls whose model no server in service holds. */
     public void onMissing(Consumer<CallTarget> listener) {
         mOnMissing = listener;
@@ -64,6 +74,16 @@
                 return;
             }
         }
+        boolean missing = wish.target().model().isPresent() && isMissing(wish.target());
+        if (missing && !mPlanned.getAsBoolean()) {
+            sink.error(
+                    new RefusedException(
+                            Refusal.retryable(
+                                    ResultCode.NO_BACKEND_SERVER,
+                                    wish.target().pool(),
+                                    UNPLANNED_RETRY)));
+            return;
+        }
         if (mCount >= mMostWaiting) {
             sink.error(
                     new RefusedException(
@@ -85,7 +105,7 @@
         waiting.sort(ORDER);
         mCount++;
         sink.onCancel(() -> leave(call));
-        if (mSelector.holders(wish.target()).isEmpty()) {
+        if (missing) {
             mOnMissing.accept(wish.target());
         }
         tickLater();
@@ -140,7 +160,7 @@
         Map<CallTarget, Collection<WaitingCall>> missing = new HashMap<>();
         mWaiting.forEach(
                 (target, queue) -> {
-                    if (target.model().isPresent() && mSelector.holders(target).isEmpty()) {
+                    if (target.model().isPresent() && isMissing(target)) {
                         missing.put(target, List.copyOf(queue));
                     }
                 });
@@ -169,6 +189,16 @@
         }
     }
 
+    /** Nobody plans a load for the call: this host is cut off, or no host orders loads now. */
+    private boolean unplanned(WaitingCall call) {
+        CallTarget target = call.wish().target();
+        return target.model().isPresent() && !mPlanned.getAsBoolean() && isMissing(target);
+    }
+
+    private boolean isMissing(CallTarget target) {
+        return mSelector.holders(target).isEmpty();
+    }
+
     private void tickLater() {
         if (!mTicking && mCount > 0) {
             mTicking = true;
@@ -185,6 +215,8 @@
                 WaitingCall call = calls.next();
                 if (now - call.giveUpNanos() >= 0) {
                     refuse(call, ResultCode.DEADLINE_UNREACHABLE, LEAST_RETRY);
+                } else if (unplanned(call)) {
+                    refuse(call, ResultCode.NO_BACKEND_SERVER, UNPLANNED_RETRY);
                 }
             }
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
@@ -100,9 +100,8 @@
             reportSoon(bucket);
             return Optional.empty();
         }
-        Duration wait = bucket.refillTime(units, now);
-        // Callers that were refused together come back spread over as much time again.
-        long spread = mRandom.nextLong(wait.toNanos() + LEAST_RETRY.toNanos());
+        Duration wait = bucket.refuse(units, now);
+        long spread = mRandom.nextLong(LEAST_RETRY.toNanos());
         Duration retry = wait.plus(LEAST_RETRY).plusNanos(spread);
         mLog.log(
                 QuotaEvent.CHARGE_REFUSED,
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
@@ -19,6 +19,9 @@
     /** A host that has not reported for this long has been stopped. */
     private static final long FORGET_NANOS = Duration.ofSeconds(30).toNanos();
 
+    /** Callers do not wait longer, whatever they are told. */
+    private static final double LONGEST_RETRY_NANOS = 10e9;
+
     /** Demand is averaged over this time. */
     private static final double DEMAND_NANOS = 2e9;
 
@@ -36,6 +39,8 @@
     private double mDemand;
     private long mDemandAt;
     private double mTakenSinceReport;
+    private double mRefused;
+    private long mRefusedAt;
 
     /**
      * Creates an empty bucket: what an earlier incarnation of this host took is unknown.
@@ -87,11 +92,19 @@
         mAdmitted -= tokens;
     }
 
-    /** Returns the time until tokens are left again. */
-    public Duration refillTime(long tokens, long nowNanos) {
+    /**
+     * Notes a refused call and returns when there will be room for it, behind the calls that were
+     * refused before it and are expected to come back.
+     */
+    public Duration refuse(long tokens, long nowNanos) {
         refill(nowNanos);
-        double missing = Math.max(0, -mLevel) + tokens;
-        return Duration.ofNanos((long) (missing / Math.max(mRatePerNano, 1e-12)));
+        double ownRate = Math.max(1e-12, mRatePerNano * share(nowNanos));
+        mRefused = Math.max(0, mRefused - (nowNanos - mRefusedAt) * ownRate);
+        mRefusedAt = nowNanos;
+        double missing = Math.max(0, -mLevel - mOverdraft) + tokens;
+        double wait = missing / Math.max(1e-12, mRatePerNano) + mRefused / ownRate;
+        mRefused += tokens;
+        return Duration.ofNanos((long) Math.min(wait, LONGEST_RETRY_NANOS));
     }
 
     /** Returns the part of the burst that this host took since its last report. */
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/ReplicatedBucketTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/ReplicatedBucketTest.java
@@ -88,6 +88,21 @@
         assertThat(bucket.level(mNow)).isEqualTo(before);
     }
 
+    /** Guards against refused callers who all come back at the same moment. */
+    @Test
+    void refusedCallsAreToldToComeBackOneAfterTheOther() {
+        ReplicatedBucket bucket = bucket();
+        while (bucket.tryTake(CALL, mNow)) {
+            mNow++;
+        }
+        Duration first = bucket.refuse(CALL, mNow);
+        Duration second = bucket.refuse(CALL, mNow);
+        Duration third = bucket.refuse(CALL, mNow);
+
+        assertThat(second).isGreaterThan(first);
+        assertThat(third.minus(second).toMillis()).isEqualTo(second.minus(first).toMillis());
+    }
+
     @Test
     void aLoweredRateTakesEffectAtOnce() {
         ReplicatedBucket bucket = bucket();
