Keep a whole turn between holders across a restart of the new holder

Cause: a new test in virtual time (FleetLeaseTest, two suspensions, outages, lost answers, restarts) showed orders of two hosts 0.7 to 2.9 s apart: a holder that restarts takes its own lease back at once, and forgot that it still had to wait for the turn of the holder before it. Change: the stored lease carries the time in which its holder sends no orders.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -33,6 +33,9 @@
     /** Name of the object; there is one holder for all servers of the deployment. */
     static final String NAME = "fleet";
 
+    /** Time after the write in which the holder sends no orders. */
+    private static final String QUIET = "quiet_millis";
+
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration READ_INTERVAL = Duration.ofMillis(400);
 
@@ -53,7 +56,7 @@
     private final EventLog mLog;
     private LeaseState mState;
     private LeaseRecord mRecord = LeaseRecord.NONE;
-    private long mQuietUntil;
+    private long mQuietUntil = Long.MIN_VALUE / 2;
     private long mSentDayMillis;
     private long mReadAt = Long.MIN_VALUE / 2;
     private boolean mCalling;
@@ -191,8 +194,10 @@
         boolean own = mRecord.holder().equals(mHost);
         int rank = LeaseRank.of(NAME, mHost, mHosts.get());
         if (own || mState.mayTake(mTimes, mRecord, rank, now)) {
-            // Only one process runs on a host, so an earlier one of this host sends nothing more.
-            mQuietUntil = own ? Math.max(now, mQuietUntil) : firstOrder(now);
+            // Only one process runs on a host, so an earlier one of this host sends nothing more;
+            // but it may have taken the lease while another host's turn was not over.
+            long quiet = TimeUnit.MILLISECONDS.toNanos(object.spec().path(QUIET).asLong());
+            mQuietUntil = own ? Math.max(now + quiet, mQuietUntil) : firstOrder(now);
             write(mRecord.term() + 1);
         }
     }
@@ -275,13 +280,15 @@
         }
     }
 
-    private static ObjectNode spec(LeaseRecord record) {
+    private ObjectNode spec(LeaseRecord record) {
+        long quiet = TimeUnit.NANOSECONDS.toMillis(Math.max(0, mQuietUntil - now()));
         return JsonNodeFactory.instance
                 .objectNode()
                 .put("holder", record.holder())
                 .put("term", record.term())
                 .put("nonce", record.nonce())
-                .put("validity_millis", record.validityMillis());
+                .put("validity_millis", record.validityMillis())
+                .put(QUIET, quiet);
     }
 
     private static LeaseRecord record(ObjectNode spec) {
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LeaseWorld.java
@@ -0,0 +1,208 @@
+package org.vanillaslip.internal.fleet;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.vanillaslip.internal.lease.LeaseTimes;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** Hosts with clocks of their own that share one store; records when each may send orders. */
+final class LeaseWorld {
+
+    static final Duration TURN = Duration.ofSeconds(3);
+    private static final Duration STEP = Duration.ofMillis(10);
+
+    /** An order that could have been sent. */
+    record Order(long atMillis, String host) {}
+
+    /** One host; its steady clock stands still while it is suspended. */
+    final class TestHost implements ObjectStore {
+        final String mName;
+        VirtualTimeScheduler mScheduler = VirtualTimeScheduler.create(true);
+        FleetLease mLease;
+        boolean mSuspended;
+        boolean mDead;
+        boolean mStoreAway;
+        boolean mAnswersLost;
+        long mDayStepMillis;
+
+        TestHost(String name) {
+            mName = name;
+            mLease = newLease();
+        }
+
+        private FleetLease newLease() {
+            VirtualTimeScheduler scheduler = mScheduler;
+            FleetLease lease =
+                    new FleetLease(
+                            mName,
+                            this,
+                            new DecisionLoop(scheduler, () -> scheduler.now(TimeUnit.NANOSECONDS)),
+                            () -> java.time.Instant.ofEpochMilli(mMillis + mDayStepMillis),
+                            new LeaseTimes(Duration.ofMillis(2500), 0.01, Duration.ofMillis(150)),
+                            TURN,
+                            () -> mName + mNonces.incrementAndGet(),
+                            () -> List.copyOf(mHosts.keySet()),
+                            (event, fields) -> {});
+            lease.start();
+            return lease;
+        }
+
+        /** The timers of the earlier process never run again. */
+        void restart() {
+            mDead = false;
+            mSuspended = false;
+            mScheduler = VirtualTimeScheduler.create(true);
+            mLease = newLease();
+        }
+
+        @Override
+        public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
+            return answer(() -> found(name), false);
+        }
+
+        @Override
+        public Mono<Either<PlatformFailure, StoredObject>> create(
+                String collection, String name, ObjectNode spec) {
+            return answer(
+                    () ->
+                            found(name).isRight()
+                                    ? Either.left(PlatformFailure.CONFLICT)
+                                    : stored(name, spec),
+                    true);
+        }
+
+        @Override
+        public Mono<Either<PlatformFailure, StoredObject>> update(
+                String collection, String name, long expectedVersion, ObjectNode spec) {
+            return answer(
+                    () ->
+                            found(name).map(StoredObject::version).getOrElse(0L) == expectedVersion
+                                    ? stored(name, spec)
+                                    : Either.left(PlatformFailure.CONFLICT),
+                    true);
+        }
+
+        @Override
+        public Mono<Either<PlatformFailure, StoredObject>> delete(
+                String collection, String name, long expectedVersion) {
+            return Mono.just(Either.left(PlatformFailure.UNAVAILABLE));
+        }
+
+        @Override
+        public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
+            return Mono.just(Either.left(PlatformFailure.UNAVAILABLE));
+        }
+
+        @Override
+        public Flux<WatchEvent> watch(String collection, long fromVersion) {
+            return Flux.never();
+        }
+
+        private <T> Mono<Either<PlatformFailure, T>> answer(
+                java.util.function.Supplier<Either<PlatformFailure, T>> call, boolean write) {
+            return Mono.delay(Duration.ofMillis(4), mScheduler)
+                    .map(
+                            tick -> {
+                                if (mStoreAway) {
+                                    return Either.left(PlatformFailure.UNAVAILABLE);
+                                }
+                                Either<PlatformFailure, T> result = call.get();
+                                return write && mAnswersLost
+                                        ? Either.left(PlatformFailure.OUTCOME_UNKNOWN)
+                                        : result;
+                            });
+        }
+    }
+
+    private final Map<String, TestHost> mHosts = new LinkedHashMap<>();
+    private final Map<String, StoredObject> mObjects = new HashMap<>();
+    private final AtomicLong mNonces = new AtomicLong();
+    private final List<Order> mOrders = new ArrayList<>();
+    private long mRevision = 1;
+    private long mMillis;
+
+    LeaseWorld(int hosts) {
+        for (int index = 0; index < hosts; index++) {
+            mHosts.put("h" + index, new TestHost("h" + index));
+        }
+    }
+
+    List<TestHost> hosts() {
+        return List.copyOf(mHosts.values());
+    }
+
+    List<Order> orders() {
+        return mOrders;
+    }
+
+    long millis() {
+        return mMillis;
+    }
+
+    /** Returns the host that could have sent the last order. */
+    TestHost holder() {
+        return mHosts.get(mOrders.get(mOrders.size() - 1).host());
+    }
+
+    /** Lets time pass for all hosts but the suspended and dead ones. */
+    void run(Duration time) {
+        long end = mMillis + time.toMillis();
+        while (mMillis < end) {
+            mMillis += STEP.toMillis();
+            for (TestHost host : mHosts.values()) {
+                // A host that has just woken checks before its timers run.
+                if (!host.mSuspended && !host.mDead) {
+                    record(host);
+                    host.mScheduler.advanceTimeBy(STEP);
+                    record(host);
+                }
+            }
+        }
+    }
+
+    private void record(TestHost host) {
+        if (host.mLease.mayOrder()) {
+            mOrders.add(new Order(mMillis, host.mName));
+        }
+    }
+
+    /** Returns the shortest time between orders of two hosts, in milliseconds. */
+    long shortestTurn() {
+        long shortest = Long.MAX_VALUE;
+        for (int index = 1; index < mOrders.size(); index++) {
+            Order before = mOrders.get(index - 1);
+            Order after = mOrders.get(index);
+            if (!before.host().equals(after.host())) {
+                shortest = Math.min(shortest, after.atMillis() - before.atMillis());
+            }
+        }
+        return shortest;
+    }
+
+    private Either<PlatformFailure, StoredObject> found(String name) {
+        StoredObject object = mObjects.get(name);
+        return object == null ? Either.left(PlatformFailure.NOT_FOUND) : Either.right(object);
+    }
+
+    private Either<PlatformFailure, StoredObject> stored(String name, ObjectNode spec) {
+        StoredObject object = new StoredObject("any", name, ++mRevision, spec);
+        mObjects.put(name, object);
+        return Either.right(object);
+    }
+}
