--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -134,7 +134,9 @@
      * @param shortestRun time that an answer takes at least
      */
     WaitBounds bounds(Duration shortestRun) {
-        long leaves = mArrivedNanos + mRoute.patience().toNanos();
+        // Without a load to wait for, a call that finds no server in time is better off elsewhere.
+        Duration patience = mTarget.model().isEmpty() ? mRoute.objective() : mRoute.patience();
+        long leaves = mArrivedNanos + patience.toNanos();
         return new WaitBounds(
                 priority(),
                 mArrivedNanos + mRoute.objective().toNanos(),
