--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
@@ -190,7 +190,9 @@
                     field("server", call.server()),
                     field("after_ms", millisSince(call.arrivedNanos())),
                     field("cause", String.valueOf(error.getMessage())));
-            return Mono.error(error);
+            // The end of the connection tells the caller that the answer is not complete.
+            response.withConnection(connection -> connection.channel().close());
+            return Mono.never();
         }
         Throwable cause = error instanceof TimeoutException ? expired(call) : error;
         return refuse(response, call.headers(), cause, call.head().id(), call.arrivedNanos());
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineWorld.java
@@ -0,0 +1,162 @@
+package org.vanillaslip.internal.fleet;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.core.publisher.Mono;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** Model engines in virtual time that lose answers, carry orders out late, and restart. */
+final class EngineWorld implements EngineControl {
+
+    static final int PLACES = 3;
+    static final Duration LOAD = Duration.ofMillis(1200);
+    private static final Duration LAG = Duration.ofMillis(200);
+    private static final Duration WAY = Duration.ofMillis(3);
+
+    final VirtualTimeScheduler mScheduler;
+    final DecisionLoop mLoop;
+    final List<String> mViolations = new ArrayList<>();
+    final Map<String, Engine> mEngines = new HashMap<>();
+    private final Random mRandom;
+    double mLostAnswers;
+    double mLateOrders;
+
+    EngineWorld(long seed, VirtualTimeScheduler scheduler) {
+        mRandom = new Random(seed);
+        mScheduler = scheduler;
+        mLoop = new DecisionLoop(scheduler, () -> scheduler.now(TimeUnit.NANOSECONDS));
+    }
+
+    /** One engine. */
+    final class Engine {
+        final String mName;
+        long mBorn = 1;
+        long mOrders;
+        String mLoading = "";
+        Set<String> mLoaded = new HashSet<>();
+        private final Deque<Snapshot> mHistory = new ArrayDeque<>();
+
+        Engine(String name, Set<String> loaded) {
+            mName = name;
+            mLoaded.addAll(loaded);
+        }
+
+        RegisteredServer registered() {
+            return new RegisteredServer(
+                    mName,
+                    mBorn,
+                    "pool",
+                    "10.0.0.1:1",
+                    new FailureDomain("d"),
+                    48,
+                    false,
+                    OptionalLong.empty(),
+                    0,
+                    stock());
+        }
+
+        ServerStock stock() {
+            Map<String, Set<String>> loaded = new HashMap<>();
+            mLoaded.forEach(model -> loaded.put(model, Set.of()));
+            Set<String> disk = new HashSet<>();
+            for (int model = 0; model < 12; model++) {
+                disk.add("m" + model);
+            }
+            return new ServerStock(mOrders, !mLoading.isEmpty(), loaded, Set.of(), disk);
+        }
+
+        void restart() {
+            mBorn++;
+            mOrders = 0;
+            mLoading = "";
+            mLoaded.clear();
+            mHistory.clear();
+        }
+
+        OrderAnswer take(EngineOrder order) {
+            if (!mLoading.isEmpty() || order.expectedOrders() != mOrders) {
+                return OrderAnswer.REFUSED;
+            }
+            if (order.kind() == OrderKind.UNLOAD) {
+                mOrders++;
+                mLoaded.remove(order.model());
+                return OrderAnswer.ACCEPTED;
+            }
+            if (mLoaded.contains(order.model())) {
+                return OrderAnswer.ALREADY;
+            }
+            if (mLoaded.size() >= PLACES) {
+                mViolations.add(mName + " has no room for " + order.model() + " " + mLoaded);
+            }
+            mOrders++;
+            mLoading = order.model();
+            long born = mBorn;
+            mScheduler.schedule(
+                    () -> {
+                        if (mBorn == born) {
+                            mLoaded.add(mLoading);
+                            mLoading = "";
+                        }
+                    },
+                    LOAD.toMillis(),
+                    TimeUnit.MILLISECONDS);
+            return OrderAnswer.ACCEPTED;
+        }
+
+        /** Reports are as of a while ago. */
+        ServerLoadReport report() {
+            long now = mScheduler.now(TimeUnit.MILLISECONDS);
+            mHistory.addLast(new Snapshot(now, stock()));
+            Snapshot oldest = mHistory.getFirst();
+            while (mHistory.size() > 1 && now - mHistory.getFirst().atMillis() > LAG.toMillis()) {
+                oldest = mHistory.removeFirst();
+            }
+            boolean fresh = now - oldest.atMillis() > 2 * LAG.toMillis();
+            return new ServerLoadReport(fresh ? stock() : oldest.stock(), 0, 0);
+        }
+    }
+
+    private record Snapshot(long atMillis, ServerStock stock) {}
+
+    Engine add(String name, Set<String> loaded) {
+        Engine engine = new Engine(name, loaded);
+        mEngines.put(name, engine);
+        return engine;
+    }
+
+    @Override
+    public Mono<OrderAnswer> order(RegisteredServer server, EngineOrder order) {
+        Engine engine = mEngines.get(server.instance());
+        if (mRandom.nextDouble() < mLateOrders) {
+            long delay = 500 + mRandom.nextInt(4000);
+            mScheduler.schedule(() -> engine.take(order), delay, TimeUnit.MILLISECONDS);
+            return Mono.delay(Duration.ofMillis(500), mScheduler).map(tick -> OrderAnswer.UNKNOWN);
+        }
+        boolean lost = mRandom.nextDouble() < mLostAnswers;
+        return Mono.delay(WAY, mScheduler)
+                .map(
+                        tick -> {
+                            OrderAnswer answer = engine.take(order);
+                            return lost ? OrderAnswer.UNKNOWN : answer;
+                        });
+    }
+
+    @Override
+    public Mono<Either<String, ServerLoadReport>> report(RegisteredServer server) {
+        Engine engine = mEngines.get(server.instance());
+        return Mono.delay(WAY, mScheduler).map(tick -> Either.right(engine.report()));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDeskTest.java
@@ -0,0 +1,223 @@
+package org.vanillaslip.internal.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.serving.CallerLimits;
+import org.vanillaslip.internal.serving.EngineProfile;
+import org.vanillaslip.internal.serving.ModelProfile;
+import org.vanillaslip.internal.serving.ServicePool;
+import org.vanillaslip.internal.serving.ServingPlan;
+import org.vanillaslip.messages.DemandReport;
+import org.vanillaslip.messages.ModelDemand;
+
+/** Guards against overcommitted memory and lost wishes when orders and answers go astray. */
+class OrderDeskTest {
+
+    private final LeaseWorld mLeases = new LeaseWorld(1);
+    private final LeaseWorld.TestHost mHost = mLeases.hosts().get(0);
+    private EngineWorld mWorld = new EngineWorld(1, mHost.mScheduler);
+    private FleetDirectory mDirectory = directory();
+    private @Nullable LoadController mController;
+    private long mRevision;
+
+    @Test
+    void loadsWhatCallersWaitFor() {
+        start(1);
+        demandFor("m9");
+        run(Duration.ofSeconds(4));
+
+        assertThat(loadedSomewhere("m9")).isTrue();
+        assertThat(mWorld.mViolations).isEmpty();
+    }
+
+    /** An order without an answer may have been accepted, or not; both are settled. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void lostAnswersDelayButDoNotPreventALoad(long seed) {
+        start(seed);
+        mWorld.mLostAnswers = 0.5;
+        demandFor("m9");
+        run(Duration.ofSeconds(15));
+
+        assertThat(loadedSomewhere("m9")).isTrue();
+        assertThat(mWorld.mViolations).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void noServerIsOvercommittedWhateverHappens(long seed) {
+        Random random = new Random(seed);
+        start(seed);
+        mWorld.mLostAnswers = 0.15;
+        mWorld.mLateOrders = 0.15;
+        for (int round = 0; round < 40; round++) {
+            demandFor("m" + random.nextInt(12), "m" + random.nextInt(12));
+            run(Duration.ofMillis(200 + random.nextInt(1500)));
+            if (random.nextInt(8) == 0) {
+                List<String> names = List.copyOf(mWorld.mEngines.keySet());
+                mWorld.mEngines.get(names.get(random.nextInt(names.size()))).restart();
+                register();
+            }
+        }
+        mWorld.mLostAnswers = 0;
+        mWorld.mLateOrders = 0;
+        run(Duration.ofSeconds(10));
+        demandFor("m11");
+        run(Duration.ofSeconds(10));
+
+        assertThat(mWorld.mViolations).isEmpty();
+        assertThat(loadedSomewhere("m11")).isTrue();
+    }
+
+    private void start(long seed) {
+        mWorld = new EngineWorld(seed, mHost.mScheduler);
+        mWorld.add("a", Set.of("m0", "m1", "m2"));
+        mWorld.add("b", Set.of("m0", "m3", "m4"));
+        mWorld.add("c", Set.of("m5"));
+        mDirectory = directory();
+        register();
+        mController =
+                new LoadController(
+                        mHost.mName,
+                        mHost.mLease,
+                        mDirectory,
+                        () -> Optional.of(plan()),
+                        mWorld,
+                        4,
+                        mWorld.mLoop,
+                        (event, fields) -> {});
+        mController.start();
+        run(Duration.ofSeconds(2));
+    }
+
+    private void run(Duration time) {
+        mLeases.run(time);
+    }
+
+    private void demandFor(String... models) {
+        DemandReport.Builder report = DemandReport.newBuilder();
+        for (String model : models) {
+            report.addModels(
+                    ModelDemand.newBuilder()
+                            .setPool("pool")
+                            .setModel(model)
+                            .setWaiting(1)
+                            .setArrivals(1)
+                            .setObjectiveMillis(3000)
+                            .setObjectiveLeftMillis(2900)
+                            .setDeadlineLeftMillis(20_000));
+        }
+        DemandReport demand = report.build();
+        LoadController controller = Objects.requireNonNull(mController);
+        for (int repeat = 0; repeat < 20; repeat++) {
+            mWorld.mScheduler.schedule(
+                    () -> controller.demand("h", demand), repeat * 300L, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean loadedSomewhere(String model) {
+        return mWorld.mEngines.values().stream().anyMatch(engine -> engine.mLoaded.contains(model));
+    }
+
+    private void register() {
+        mRevision++;
+        List<StoredObject> objects =
+                mWorld.mEngines.keySet().stream()
+                        .map(
+                                name ->
+                                        new StoredObject(
+                                                "servers",
+                                                name,
+                                                mRevision,
+                                                JsonNodeFactory.instance.objectNode()))
+                        .toList();
+        mDirectory.listed(new ObjectList(mRevision, objects));
+    }
+
+    private FleetDirectory directory() {
+        ServingCollections collections = new TestCollections();
+        return new FleetDirectory(
+                collections,
+                new DrainFollower(collections, (event, fields) -> {}),
+                mWorld.mLoop,
+                () -> false,
+                (event, fields) -> {});
+    }
+
+    private static ServingPlan plan() {
+        Map<String, ModelProfile> models = new HashMap<>();
+        for (int model = 0; model < 12; model++) {
+            String name = "m" + model;
+            models.put(
+                    name,
+                    new ModelProfile(
+                            name,
+                            70,
+                            0,
+                            0,
+                            Duration.ofSeconds(6),
+                            EngineWorld.LOAD,
+                            Duration.ofMillis(600)));
+        }
+        EngineProfile engine = new EngineProfile(48, 70 * EngineWorld.PLACES, 8, 4, models);
+        return new ServingPlan(
+                1,
+                List.of(),
+                Map.of("pool", new ServicePool("pool", "/", 0, Optional.of(engine))),
+                List.of(),
+                Map.of(),
+                CallerLimits.DEFAULT);
+    }
+
+    /** Entries are the engines as they are now. */
+    private final class TestCollections implements ServingCollections {
+
+        @Override
+        public String plans() {
+            return "plans";
+        }
+
+        @Override
+        public Optional<Either<String, ServingPlan>> plan(StoredObject object) {
+            return Optional.empty();
+        }
+
+        @Override
+        public String servers() {
+            return "servers";
+        }
+
+        @Override
+        public Either<String, RegisteredServer> server(StoredObject object) {
+            return Either.right(mWorld.mEngines.get(object.name()).registered());
+        }
+
+        @Override
+        public String drains() {
+            return "drains";
+        }
+
+        @Override
+        public FailureDomain drained(StoredObject object) {
+            return new FailureDomain(object.name());
+        }
+    }
+}
--- a/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
@@ -11,6 +11,7 @@
 import org.vanillaslip.RequestClass;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.serving.CallKind;
 
 /** Guards against metrics that are missing from the scrape or carry other names than documented. */
 class DaemonMetricsTest {
@@ -30,6 +31,9 @@
         mMetrics.peerMessage(PeerDirection.SENT, "HEARTBEAT");
         mMetrics.tokensGranted(QuotaLimit.WORKSPACE_RATE, 40_500_000);
         mMetrics.tokensBorrowed(QuotaLimit.OTHER, 2_000_000);
+        mMetrics.relayAnswered(CallKind.STREAM, 2, 300_000_000);
+        mMetrics.relayRefused(ResultCode.RATE_EXCEEDED);
+        mMetrics.relayBroken(CallKind.STREAM);
 
         String scrape = mMetrics.scrape();
 
@@ -43,6 +47,8 @@
                 .contains("vanillaslip_cold_start_seconds_count{kind=\"adapter\"} 1")
                 .contains("{class=\"interactive\",le=\"0.46\"} 1")
                 .contains("{kind=\"update\",result=\"conflict\"} 1.0")
-                .contains("vanillaslip_quota_tokens_granted_total{limit=\"workspace_rate\"} 40.5");
+                .contains("vanillaslip_quota_tokens_granted_total{limit=\"workspace_rate\"} 40.5")
+                .contains("vanillaslip_relay_answers_total{kind=\"stream\",status=\"2xx\"} 1.0")
+                .contains("vanillaslip_relay_refusals_total{code=\"2001\"} 1.0");
     }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/stream/EventFramer.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/stream/EventFramer.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalLong;
 
@@ -12,6 +11,8 @@
 
     private static final String ID = "id:";
 
+    private static final int MOST_DIGITS = 18;
+
     /** An event this long is not one. */
     private static final int MOST_BYTES = 1 << 20;
 
@@ -54,12 +55,32 @@
     }
 
     private static OptionalLong id(byte[] event) {
-        String text = new String(event, StandardCharsets.ISO_8859_1);
-        return Arrays.stream(text.split("\r?\n"))
-                .filter(line -> line.startsWith(ID))
-                .map(line -> line.substring(ID.length()).strip())
-                .filter(value -> value.matches("[0-9]{1,18}"))
-                .mapToLong(Long::parseLong)
-                .findFirst();
+        int line = 0;
+        while (line < event.length) {
+            int end = line;
+            while (end < event.length && event[end] != '\n') {
+                end++;
+            }
+            if (event[line] == 'i' && startsWithId(event, line)) {
+                return number(new String(event, line, end - line, StandardCharsets.ISO_8859_1));
+            }
+            line = end + 1;
+        }
+        return OptionalLong.empty();
+    }
+
+    private static boolean startsWithId(byte[] event, int line) {
+        return event.length - line >= ID.length()
+                && event[line + 1] == 'd'
+                && event[line + 2] == ':';
+    }
+
+    private static OptionalLong number(String line) {
+        String text = line.substring(ID.length()).strip();
+        boolean number =
+                !text.isEmpty()
+                        && text.length() <= MOST_DIGITS
+                        && text.chars().allMatch(letter -> letter >= '0' && letter <= '9');
+        return number ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
     }
 }
