Take silent hosts out of the list and bound what is kept of gone servers

Cause: the list of hosts was never cleaned, though the design says so; versions of gone servers were kept for ever.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -118,6 +118,7 @@
                 .filter(name -> !names.contains(name))
                 .forEach(name -> missing(name, list.version()));
         list.objects().forEach(this::take);
+        mVersions.keySet().removeIf(name -> !names.contains(name) && !mMembers.containsKey(name));
         changed();
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/HostRegistration.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/HostRegistration.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.vanillaslip.Host;
 import org.vanillaslip.internal.control.HostView;
@@ -35,6 +36,7 @@
     private final HostCodec mCodec = new HostCodec();
     private final HostView mHosts;
     private final Supplier<Set<String>> mLive;
+    private final BooleanSupplier mCleans;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
     private final Map<String, Long> mSilentSince = new HashMap<>();
@@ -45,18 +47,21 @@
      * Creates a registration that is not started.
      *
      * @param live hosts that this host hears from
+     * @param cleans whether this host takes out hosts that were silent for too long
      */
     public HostRegistration(
             Host host,
             ObjectStore store,
             HostView hosts,
             Supplier<Set<String>> live,
+            BooleanSupplier cleans,
             DecisionLoop loop,
             EventLog log) {
         mHost = host;
         mStore = store;
         mHosts = hosts;
         mLive = live;
+        mCleans = cleans;
         mLoop = loop;
         mLog = log;
     }
@@ -75,8 +80,7 @@
         return mStore.delete(PlatformCollections.HOSTS, mHost.name(), mVersion).then();
     }
 
-    /** Takes out hosts that were silent for too long; only the host that orders loads does this. */
-    public void clean() {
+    private void clean() {
         long now = mLoop.clock().nowNanos();
         mSilentSince.forEach(
                 (name, since) -> {
@@ -141,6 +145,9 @@
         if (!listed && mVersion > 0 && !mStopped) {
             enter();
         }
+        if (mCleans.getAsBoolean()) {
+            clean();
+        }
     }
 
     private void remove(String name) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -117,7 +117,6 @@
         mDirectory = new FleetDirectory(ports.collections(), mDrains, mLoop, mStore::wasAway, log);
         mHosts = new HostListWatcher(mStore, new HostCodec(), mLoop, mRandom, log);
         mLinks = links(List.copyOf(settings.peers().bootstrap().values()));
-        mRegistration = new HostRegistration(self(), mStore, mHosts, mLinks::liveHosts, mLoop, log);
         double overdraft = serving.rateSlack() * OVERDRAFT_PART;
         mLimits = new WorkspaceLimits(overdraft, mLoop, mLinks, this::otherHosts, mRandom, log);
         ServerSelector selector =
@@ -125,6 +124,9 @@
                         mDirectory, mPlans, mHost.failureDomain(), this::hostCount, mLoop, mRandom);
         mRoom = new WaitingRoom(selector, mLoop, settings.admission().maxWaitingRequests());
         mLease = lease();
+        mRegistration =
+                new HostRegistration(
+                        self(), mStore, mHosts, mLinks::liveHosts, mLease::held, mLoop, log);
         mController = controller(settings.placement().weightStoreParallelLoads());
         DemandBook book = new DemandBook(mRoom, mDirectory, mLoop);
         mExchange =
