--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
@@ -35,6 +35,8 @@
     /** Events that come together are sent together. */
     private static final Duration GATHER = Duration.ofMillis(4);
 
+    private static final Duration GATHER_PER_HOST = Duration.ofNanos(500_000);
+
     /** A refused caller comes back after a load could have been planned. */
     private static final Duration UNPLANNED_RETRY = Duration.ofSeconds(2);
 
@@ -160,7 +162,9 @@
     private void digestSoon() {
         if (mLease.held() && !mDigestSoon) {
             mDigestSoon = true;
-            later(this::sendChanges);
+            // A digest goes to every host, so that many hosts get fewer and larger ones.
+            Duration gather = GATHER.plus(GATHER_PER_HOST.multipliedBy(mLinks.liveHosts().size()));
+            mLoop.scheduler().schedule(this::sendChanges, gather.toNanos(), TimeUnit.NANOSECONDS);
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
@@ -29,6 +29,8 @@
     /** Between two reports the hosts may overdraw a bucket together. */
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(200);
 
+    private static final Duration INTERVAL_PER_HOST = Duration.ofMillis(3);
+
     /** A host reports at least this often, so that it does not count as silent. */
     private static final Duration LONGEST_SILENCE = Duration.ofMillis(600);
 
@@ -71,8 +73,7 @@
     /** Exchanges reports with other hosts from now on. */
     public void start() {
         mLinks.handle(Envelope.BodyCase.USAGE_REPORT, this::received);
-        long period = REPORT_INTERVAL.toNanos();
-        mLoop.scheduler().schedulePeriodically(this::tick, period, period, TimeUnit.NANOSECONDS);
+        tickLater();
     }
 
     /** Takes over rates and bursts. */
@@ -137,7 +138,15 @@
         }
     }
 
+    /** Every host reports to every other, so that many hosts report less often. */
+    private void tickLater() {
+        Duration more = INTERVAL_PER_HOST.multipliedBy(mLinks.liveHosts().size());
+        mLoop.scheduler()
+                .schedule(this::tick, REPORT_INTERVAL.plus(more).toNanos(), TimeUnit.NANOSECONDS);
+    }
+
     private void tick() {
+        tickLater();
         long now = mLoop.clock().nowNanos();
         Collection<String> others = mOtherHosts.get();
         mBuckets.values().forEach(bucket -> bucket.expect(others, now));
