--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/loads/LoadPolicyMeasure.java
@@ -0,0 +1,84 @@
+package org.vanillaslip.internal.proofs.loads;
+
+import java.io.PrintStream;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.vanillaslip.internal.fleet.LoadPlanner;
+import org.vanillaslip.internal.fleet.ModelWish;
+
+/** Compares the planner of loads with plain policies on the same seeded calls. */
+public final class LoadPolicyMeasure {
+
+    /** Rates are those of the smaller deployment, hanbit-tours. */
+    static final List<LoadPattern> PATTERNS =
+            List.of(
+                    new LoadPattern("steady mix", 18, 1.5, 1, 0),
+                    new LoadPattern("busy models moving on", 18, 1.5, 1, 12),
+                    new LoadPattern("rare models at once", 18, 1.0, 4, 0),
+                    new LoadPattern("burst of the patient kind", 18, 1.5, 2.4, 20));
+
+    private static final long SEED = 7;
+
+    private LoadPolicyMeasure() {}
+
+    /** Returns the compared policies by name. */
+    static Map<String, LoadPolicy> policies() {
+        Map<String, LoadPolicy> policies = new LinkedHashMap<>();
+        policies.put("first come, least recently used", new PlainPolicy((one, other) -> 0));
+        policies.put(
+                "most waiting, least recently used",
+                new PlainPolicy(Comparator.comparingInt(ModelWish::waiting).reversed()));
+        policies.put("planner", planner());
+        return policies;
+    }
+
+    /** Returns the policy that the product uses. */
+    static LoadPolicy planner() {
+        return (engines, wishes, history, lastUse, storeFree, now) ->
+                LoadPlanner.plan(
+                                LoadSimulation.profile(),
+                                history,
+                                engines,
+                                wishes,
+                                LoadSimulation.STORE_LOADS,
+                                storeFree,
+                                now)
+                        .orders();
+    }
+
+    /** Prints the table; the seed may be given as an argument. */
+    public static void main(String[] arguments) {
+        long seed = arguments.length > 0 ? Long.parseLong(arguments[0]) : SEED;
+        print(System.out, seed);
+    }
+
+    private static void print(PrintStream output, long seed) {
+        output.println("seed " + seed);
+        output.println("| pattern | policy | urgent on time | patient on time | left | loads |");
+        output.println("|---|---|---|---|---|---|");
+        for (LoadPattern pattern : PATTERNS) {
+            policies()
+                    .forEach(
+                            (name, policy) -> {
+                                LoadResult result = new LoadSimulation(policy, pattern, seed).run();
+                                output.println(row(pattern.name(), name, result));
+                            });
+        }
+    }
+
+    private static String row(String pattern, String policy, LoadResult result) {
+        return String.format(
+                Locale.ROOT,
+                "| %s | %s | %.3f | %.3f | %d | %d disk, %d store |",
+                pattern,
+                policy,
+                result.urgentPart(),
+                result.patientPart(),
+                result.left(),
+                result.diskLoads(),
+                result.storeLoads());
+    }
+}
--- /dev/null
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/loads/LoadSimulation.java
@@ -0,0 +1,208 @@
+package org.vanillaslip.internal.proofs.loads;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.vanillaslip.ModelName;
+import org.vanillaslip.internal.fleet.DemandHistory;
+import org.vanillaslip.internal.fleet.ModelWish;
+import org.vanillaslip.internal.fleet.OrderKind;
+import org.vanillaslip.internal.fleet.PlannedOrder;
+import org.vanillaslip.internal.serving.EngineProfile;
+import org.vanillaslip.internal.serving.ModelProfile;
+
+/** Six engines with three places each, 50 models, and callers who leave when they wait too long. */
+public final class LoadSimulation {
+
+    /** Models that fit on one engine. */
+    static final int PLACES = 3;
+
+    static final long DISK_MILLIS = 1200;
+    static final long STORE_MILLIS = 6000;
+
+    /** Loads that the weight store serves at full speed at once. */
+    static final int STORE_LOADS = 4;
+
+    private static final int ENGINES = 6;
+    private static final int MODELS = 50;
+    private static final int URGENT_MODELS = 5;
+    private static final int BUSY_MODELS = 2;
+    private static final int DISK_MODELS = 18;
+    private static final int SECONDS = 60;
+    private static final long STEP_MILLIS = 20;
+    private static final long RUN_MILLIS = 1600;
+    private static final double WEIGHTS = 70;
+    private static final Objective URGENT = new Objective(500, 2000);
+    private static final Objective PATIENT = new Objective(2500, 10_000);
+
+    private final LoadPolicy mPolicy;
+    private final LoadPattern mPattern;
+    private final Random mRandom;
+    private final List<SimulatedEngine> mEngines = new ArrayList<>();
+    private final List<Call> mWaiting = new ArrayList<>();
+    private final DemandHistory mHistory = new DemandHistory();
+    private final int[] mOnTime = new int[2];
+    private final int[] mCalls = new int[2];
+    private int mLeft;
+    private int mDiskLoads;
+    private int mStoreLoads;
+
+    private record Objective(long millis, long patienceMillis) {}
+
+    private record Call(String model, boolean urgent, long arrived) {
+        Objective objective() {
+            return urgent ? URGENT : PATIENT;
+        }
+    }
+
+    /** Creates a run; the same seed gives the same calls to every policy. */
+    public LoadSimulation(LoadPolicy policy, LoadPattern pattern, long seed) {
+        mPolicy = policy;
+        mPattern = pattern;
+        mRandom = new Random(seed);
+        for (int engine = 0; engine < ENGINES; engine++) {
+            Set<String> disk = new HashSet<>();
+            while (disk.size() < DISK_MODELS) {
+                disk.add(model(mRandom.nextInt(MODELS)));
+            }
+            Set<String> loaded = new HashSet<>();
+            for (int place = 0; place < PLACES; place++) {
+                int number = place < BUSY_MODELS ? place : URGENT_MODELS + engine;
+                loaded.add(model(number));
+            }
+            disk.addAll(loaded);
+            mEngines.add(new SimulatedEngine("e" + engine, loaded, disk));
+        }
+    }
+
+    /** Returns what the pool can hold. */
+    public static EngineProfile profile() {
+        Map<String, ModelProfile> models = new LinkedHashMap<>();
+        for (int number = 0; number < MODELS; number++) {
+            models.put(
+                    model(number),
+                    new ModelProfile(
+                            model(number),
+                            WEIGHTS,
+                            0,
+                            0,
+                            Duration.ofMillis(STORE_MILLIS),
+                            Duration.ofMillis(DISK_MILLIS),
+                            Duration.ofMillis(DISK_MILLIS / 2)));
+        }
+        return new EngineProfile(64, WEIGHTS * PLACES, 8, 3, models);
+    }
+
+    /** Plays the pattern and returns what became of the calls. */
+    public LoadResult run() {
+        for (long now = 0; now < SECONDS * 1000L; now += STEP_MILLIS) {
+            long moment = now;
+            mEngines.forEach(engine -> engine.advance(moment));
+            arrive(now);
+            serve(now);
+            order(now);
+        }
+        return new LoadResult(
+                mOnTime[0], mCalls[0], mOnTime[1], mCalls[1], mLeft, mDiskLoads, mStoreLoads);
+    }
+
+    private void arrive(long now) {
+        double patient = mPattern.patientPerSecond();
+        if (now >= 10_000 && now < 16_000) {
+            patient *= mPattern.burst();
+        }
+        if (mRandom.nextDouble() < mPattern.urgentPerSecond() * STEP_MILLIS / 1000) {
+            int shift =
+                    mPattern.shiftSeconds() == 0 ? 0 : (int) (now / 1000 / mPattern.shiftSeconds());
+            int number = (shift + mRandom.nextInt(BUSY_MODELS)) % URGENT_MODELS;
+            add(new Call(model(number), true, now));
+        }
+        if (mRandom.nextDouble() < patient * STEP_MILLIS / 1000) {
+            int number = URGENT_MODELS + mRandom.nextInt(MODELS - URGENT_MODELS);
+            add(new Call(model(number), false, now));
+        }
+    }
+
+    private void add(Call call) {
+        mWaiting.add(call);
+        mCalls[call.urgent() ? 0 : 1]++;
+        mHistory.note(call.model(), 1, call.urgent(), call.arrived() * 1_000_000);
+    }
+
+    private void serve(long now) {
+        Iterator<Call> calls = mWaiting.iterator();
+        while (calls.hasNext()) {
+            Call call = calls.next();
+            long waited = now - call.arrived();
+            Optional<SimulatedEngine> engine =
+                    mEngines.stream()
+                            .filter(found -> found.holds(call.model()))
+                            .min(Comparator.comparingInt(SimulatedEngine::inUse));
+            if (engine.isPresent()) {
+                engine.get().run(call.model(), now, RUN_MILLIS);
+                mOnTime[call.urgent() ? 0 : 1] += waited <= call.objective().millis() ? 1 : 0;
+                calls.remove();
+            } else if (waited > call.objective().patienceMillis()) {
+                mLeft++;
+                calls.remove();
+            }
+        }
+    }
+
+    private void order(long now) {
+        int storeFree =
+                STORE_LOADS
+                        - (int) mEngines.stream().filter(SimulatedEngine::loadsFromStore).count();
+        List<PlannedOrder> orders =
+                mPolicy.plan(
+                        mEngines.stream().map(engine -> engine.state(now)).toList(),
+                        wishes(now).values(),
+                        mHistory,
+                        (engine, model) -> engine(engine).lastUse(model),
+                        storeFree,
+                        now * 1_000_000);
+        for (PlannedOrder order : orders) {
+            engine(order.instance()).take(order, now);
+            if (order.kind() == OrderKind.LOAD) {
+                mStoreLoads += order.fromStore() ? 1 : 0;
+                mDiskLoads += order.fromStore() ? 0 : 1;
+            }
+        }
+    }
+
+    private Map<ModelName, ModelWish> wishes(long now) {
+        Map<ModelName, ModelWish> wishes = new LinkedHashMap<>();
+        for (Call call : mWaiting) {
+            ModelName name = new ModelName(call.model(), Optional.empty());
+            long waited = now - call.arrived();
+            ModelWish wish =
+                    new ModelWish(
+                            name,
+                            1,
+                            Duration.ofMillis(call.objective().millis() - waited),
+                            Duration.ofMillis(call.objective().patienceMillis() - waited),
+                            0);
+            wishes.merge(name, wish, ModelWish::with);
+        }
+        return wishes;
+    }
+
+    private SimulatedEngine engine(String name) {
+        return mEngines.stream()
+                .filter(engine -> engine.name().equals(name))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static String model(int number) {
+        return "m" + number;
+    }
+}
