Count a pending adapter as taking a place on its server

A server report counted an accepted adapter order while the adapter was still pending, so the planner saw a free place, and accepted orders were counted a second time by the desk. Change: pending adapters count as loaded; accepted orders count by the number the server expects.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDesk.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDesk.java
@@ -138,10 +138,15 @@
         mOrderedAt.put(planned.instance(), now);
         mPending.put(
                 planned.instance(),
-                new PendingOrder(planned, now, now + planned.takes().toNanos(), false));
+                new PendingOrder(
+                        planned,
+                        order.expectedOrders(),
+                        now,
+                        now + planned.takes().toNanos(),
+                        false));
         if (planned.kind() == OrderKind.UNLOAD) {
             // No new call goes to what is about to make way.
-            member.setStock(StockChange.applied(member.stock(), planned, 0));
+            member.setStock(StockChange.applied(member.stock(), planned));
             mDirectory.changed();
         }
         if (!mLease.mayOrder()) {
@@ -173,7 +178,7 @@
                 mPending.remove(instance);
                 if (planned.adapter().isPresent()) {
                     // An unused adapter is unloaded at once, which counts as an order.
-                    adapterDone(member, planned, planned.kind() == OrderKind.UNLOAD ? 1 : 0);
+                    adapterDone(member, pending, planned.kind() == OrderKind.UNLOAD ? 1 : 0);
                 }
                 pollLater(member, POLL_INTERVAL);
             }
@@ -202,13 +207,15 @@
             // Adapter orders do not occupy the engine, and reports of them lag behind their end.
             mLoop.scheduler()
                     .schedule(
-                            () -> adapterDone(member, planned, 1),
+                            () -> adapterDone(member, pending, 1),
                             planned.kind() == OrderKind.LOAD ? ADAPTER_TIME.toNanos() : 0,
                             TimeUnit.NANOSECONDS);
             return;
         }
         ServerStock stock = member.stock();
-        member.setStock(StockChange.accepted(stock, planned));
+        member.setStock(
+                StockChange.counted(
+                        StockChange.accepted(stock, planned), pending.expectedOrders() + 1));
         if (planned.fromStore()) {
             // Loads from the store share its speed, so only a report tells when one is done.
             pollLater(member, planned.takes().plus(POLL_INTERVAL));
@@ -230,7 +237,7 @@
         mAssumed.put(planned.instance(), pending);
         ServerStock stock =
                 planned.kind() == OrderKind.LOAD
-                        ? StockChange.applied(member.stock(), planned, 0)
+                        ? StockChange.applied(member.stock(), planned)
                         : member.stock();
         member.setStock(StockChange.idle(stock));
         mLog.log(
@@ -258,9 +265,11 @@
         pollLater(member, REPORT_LAG.plus(POLL_INTERVAL));
     }
 
-    private void adapterDone(FleetMember member, PlannedOrder planned, int orders) {
-        mPending.remove(planned.instance());
-        member.setStock(StockChange.applied(member.stock(), planned, orders));
+    private void adapterDone(FleetMember member, PendingOrder pending, int orders) {
+        mPending.remove(member.instance());
+        ServerStock done = StockChange.applied(member.stock(), pending.order());
+        // A report may have counted the order already.
+        member.setStock(StockChange.counted(done, pending.expectedOrders() + orders));
         mDirectory.changed();
         mOnProgress.run();
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/StockChange.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/StockChange.java
@@ -12,18 +12,13 @@
 
     /** Returns the stock once the server has accepted the order: a load is not finished then. */
     public static ServerStock accepted(ServerStock stock, PlannedOrder order) {
-        ServerStock changed =
-                order.kind() == OrderKind.UNLOAD ? applied(stock, order, 1) : counted(stock, 1);
+        ServerStock changed = order.kind() == OrderKind.UNLOAD ? applied(stock, order) : stock;
         return new ServerStock(
                 changed.orderCount(), true, changed.loaded(), changed.inMemory(), changed.onDisk());
     }
 
-    /**
-     * Returns the stock once the order is done.
-     *
-     * @param orders accepted orders to count
-     */
-    public static ServerStock applied(ServerStock stock, PlannedOrder order, long orders) {
+    /** Returns the stock once the order is done. */
+    public static ServerStock applied(ServerStock stock, PlannedOrder order) {
         Map<String, Set<String>> loaded = new HashMap<>(stock.loaded());
         if (order.adapter().isPresent()) {
             Set<String> adapters = new HashSet<>(loaded.getOrDefault(order.model(), Set.of()));
@@ -43,11 +38,7 @@
             loaded.put(order.model(), Set.of());
         }
         return new ServerStock(
-                stock.orderCount() + orders,
-                stock.ordered(),
-                loaded,
-                stock.inMemory(),
-                stock.onDisk());
+                stock.orderCount(), stock.ordered(), loaded, stock.inMemory(), stock.onDisk());
     }
 
     /** Returns the stock of a server that can take the next order. */
@@ -56,9 +47,10 @@
                 stock.orderCount(), false, stock.loaded(), stock.inMemory(), stock.onDisk());
     }
 
-    private static ServerStock counted(ServerStock stock, long orders) {
+    /** Returns the stock of a server that has accepted at least the given number of orders. */
+    public static ServerStock counted(ServerStock stock, long orders) {
         return new ServerStock(
-                stock.orderCount() + orders,
+                Math.max(stock.orderCount(), orders),
                 stock.ordered(),
                 stock.loaded(),
                 stock.inMemory(),
