End the wait for a model with its last request

Cause: a host asked the lease holder for a model until the deadline of a request that was refused or gone, and the holder kept it wanted as long. A server that was restored later loaded the model for nobody.

--- a/daemon/src/main/java/org/vanillaslip/internal/control/PlacementView.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/PlacementView.java
@@ -21,6 +21,9 @@
      */
     Mono<Either<Refusal, Duration>> activate(ModelName model, Duration wait);
 
+    /** Ends the wait for the model on this host: no request waits for it any more. */
+    void withdraw(ModelName model);
+
     /** Records an arrival for the keep-alive decision. */
     void recordArrival(ModelName model);
 
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/ActivationService.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/ActivationService.java
@@ -68,7 +68,11 @@
     }
 
     void loaded(ModelName model) {
-        mWanted.loaded(model);
+        mWanted.forget(model);
+    }
+
+    void withdrawn(ModelName model) {
+        mWanted.forget(model);
     }
 
     Mono<Either<Refusal, Duration>> activate(ModelName model, Duration wait) {
@@ -173,8 +177,9 @@
                         .of(shard)
                         .map(context -> runtime.estimate(context, model))
                         .orElseGet(() -> Activations.unreachable(model));
-        // A refused model stays wanted: the reason may end before the request's deadline does.
-        runtime.wanted(model, wait);
+        // A refused model stays wanted for a moment: other requests may wait on, and a refused
+        // caller may come back.
+        runtime.wanted(model, WishPlan.lifetime(wait));
         return estimate;
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/PlacementController.java
@@ -119,7 +119,7 @@
         mPeers.handle(Envelope.BodyCase.PLACEMENT_DIGEST, this::handleDigest);
         every(PollPlan.TICK, this::poll);
         every(Duration.ofMillis(250), this::tick);
-        every(Duration.ofSeconds(2), this::exchange);
+        every(WishPlan.EXCHANGE, this::exchange);
     }
 
     /** Releases the leases of this host; completes when that is done or has taken too long. */
@@ -145,6 +145,11 @@
         return Mono.defer(() -> mActivations.activate(model, wait));
     }
 
+    @Override
+    public void withdraw(ModelName model) {
+        mActivations.withdrawn(model);
+    }
+
     @Override
     public void recordArrival(ModelName model) {
         mActivations.arrived(model);
--- a/daemon/src/main/java/org/vanillaslip/internal/control/placement/WantedModels.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/placement/WantedModels.java
@@ -15,7 +15,8 @@
         mUntilNanos.merge(model, untilNanos, Math::max);
     }
 
-    void loaded(ModelName model) {
+    /** Takes out a model that is loaded or that no request waits for any more. */
+    void forget(ModelName model) {
         mUntilNanos.remove(model);
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/Dispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/Dispatcher.java
@@ -250,6 +250,7 @@
         Replica replica = ticket.mReplica;
         if (replica == null) {
             mQueue.remove(ticket.mRequest.id());
+            withdrawIfLast(ticket.mTarget);
             return;
         }
         mInFlight.add(replica.server().name(), -1);
@@ -262,6 +263,16 @@
         pumpAll();
     }
 
+    // Otherwise a server would load a model later for requests that are gone.
+    private void withdrawIfLast(Target target) {
+        boolean others =
+                mWaiting.values().stream()
+                        .anyMatch(other -> other.mTarget.name().equals(target.name()));
+        if (!others) {
+            target.withdraw().run();
+        }
+    }
+
     private void refuse(Ticket ticket, Refusal refusal) {
         if (ticket.waiting()) {
             closeNow(ticket);
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/ModelFlow.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/ModelFlow.java
@@ -107,6 +107,7 @@
                 "model " + model,
                 () -> mPlacement.replicas(model),
                 wait -> mPlacement.activate(model, wait),
+                () -> mPlacement.withdraw(model),
                 configuration ->
                         PlanCheck.check(configuration, request.route(), request.caller(), model)
                                 .swap()
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/PlainFlow.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/PlainFlow.java
@@ -124,6 +124,7 @@
                 "pool " + route.pool(),
                 () -> replicas(route),
                 wait -> absent(route),
+                () -> {},
                 configuration -> Optional.empty());
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/MeteredPlacement.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/MeteredPlacement.java
@@ -53,6 +53,11 @@
         return mPlacement.activate(model, wait);
     }
 
+    @Override
+    public void withdraw(ModelName model) {
+        mPlacement.withdraw(model);
+    }
+
     @Override
     public void recordArrival(ModelName model) {
         mPlacement.recordArrival(model);
--- a/daemon/src/test/java/org/vanillaslip/internal/control/placement/ControllerFixture.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/placement/ControllerFixture.java
@@ -43,6 +43,7 @@
 import org.vanillaslip.messages.PlacementDigest;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.http.client.HttpClient;
@@ -56,6 +57,8 @@
     final List<Integer> mEvents = new CopyOnWriteArrayList<>();
     final List<PlacementDigest> mDigests = new CopyOnWriteArrayList<>();
     volatile boolean mConfirmationsLost;
+    private final Sinks.Many<Configuration> mChanges = Sinks.many().multicast().directBestEffort();
+    private volatile Configuration mConfiguration = configuration(1, false);
     private final Scheduler mScheduler = Schedulers.newSingle("test-decisions");
     private final DecisionLoop mLoop = new DecisionLoop(mScheduler, System::nanoTime);
     private final Map<String, Map<Envelope.BodyCase, PeerHandler>> mHandlers = new HashMap<>();
@@ -81,7 +84,7 @@
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(10),
                         1),
-                new FixedConfiguration(configuration()),
+                new SetConfiguration(),
                 new FixedHosts(),
                 mStore,
                 new MemoryLinks(host),
@@ -124,7 +127,13 @@
         mEngine.close();
     }
 
-    private Configuration configuration() {
+    /** Puts a configuration in force in which the server is drained, or not. */
+    void drain(boolean drained) {
+        mConfiguration = configuration(mConfiguration.version() + 1, drained);
+        mScheduler.schedule(() -> mChanges.tryEmitNext(mConfiguration));
+    }
+
+    private Configuration configuration(long version, boolean drained) {
         BackendServer server =
                 new BackendServer(
                         "e",
@@ -136,13 +145,13 @@
                         1000,
                         1,
                         true,
-                        false,
+                        drained,
                         new SlowStart(1, 8, Duration.ofSeconds(1)));
         LoadTimes times =
                 new LoadTimes(Duration.ofMillis(1), Duration.ofMillis(2), Duration.ofMillis(5));
         Model model = new Model("m", "1", "p", 100, 10, Map.of("east", 1), times);
         return new Configuration(
-                1,
+                version,
                 Map.of(),
                 Map.of(),
                 Map.of(),
@@ -153,15 +162,15 @@
                 Map.of());
     }
 
-    private record FixedConfiguration(Configuration value) implements ConfigurationView {
+    private final class SetConfiguration implements ConfigurationView {
         @Override
         public Optional<Configuration> current() {
-            return Optional.of(value);
+            return Optional.of(mConfiguration);
         }
 
         @Override
         public Flux<Configuration> changes() {
-            return Flux.never();
+            return mChanges.asFlux();
         }
 
         @Override
--- a/daemon/src/test/java/org/vanillaslip/internal/control/placement/PlacementControllerTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/placement/PlacementControllerTest.java
@@ -35,6 +35,36 @@
         assertThat(mFixture.mEvents).contains(300, 310, 320);
     }
 
+    /**
+     * Guards against a load for nobody: the request was refused while the server was drained, and
+     * the server came back before the request's deadline.
+     */
+    @Test
+    void aReturningServerDoesNotLoadAModelWhoseRequestsWereRefused() {
+        ModelName model = ModelName.parse("m");
+        mFixture.awaitHolder();
+        mFixture.drain(true);
+        mFixture.onLoop(() -> mFixture.mSecond.activate(model, WAIT)).block(WAIT);
+        mFixture.onLoop(() -> Mono.fromRunnable(() -> mFixture.mSecond.withdraw(model)))
+                .block(WAIT);
+        Mono.delay(WishPlan.lifetime(WAIT).plus(WishPlan.EXCHANGE)).block();
+        mFixture.drain(false);
+        Mono.delay(WishPlan.EXCHANGE).block();
+        assertThat(mFixture.mEvents).doesNotContain(310);
+    }
+
+    /** Guards against forgetting a request that still waits when its server returns. */
+    @Test
+    void aReturningServerLoadsAModelThatARequestStillWaitsFor() {
+        ModelName model = ModelName.parse("m");
+        mFixture.awaitHolder();
+        mFixture.drain(true);
+        mFixture.onLoop(() -> mFixture.mSecond.activate(model, WAIT)).block(WAIT);
+        Mono.delay(WishPlan.lifetime(WAIT).plus(WishPlan.EXCHANGE)).block();
+        mFixture.drain(false);
+        assertThat(mFixture.awaitReplica(mFixture.mSecond, model)).isNotNull();
+    }
+
     @Test
     void aPlannedStopReleasesTheLeaseAndTheOtherHostTakesIt() {
         mFixture.awaitHolder();
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
@@ -67,6 +67,7 @@
     final ServiceServer mService = new ServiceServer("orders");
     final List<String> mLog = new CopyOnWriteArrayList<>();
     final List<Long> mSettled = new CopyOnWriteArrayList<>();
+    final List<ModelName> mWithdrawn = new CopyOnWriteArrayList<>();
     final AtomicInteger mStarted = new AtomicInteger();
     final AtomicInteger mSlotsHeld = new AtomicInteger();
     final Map<String, BackendServer> mServers = new HashMap<>();
@@ -357,6 +358,11 @@
             return Mono.just(mActivation);
         }
 
+        @Override
+        public void withdraw(ModelName model) {
+            mWithdrawn.add(model);
+        }
+
         @Override
         public void recordArrival(ModelName model) {}
 
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/ServedOrRefusedInTimeTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/ServedOrRefusedInTimeTest.java
@@ -38,6 +38,26 @@
         }
     }
 
+    /** Guards against loading a model later for a request that was refused long before. */
+    @Test
+    void endsTheWaitForAModelWhenItsLastRequestIsRefused() {
+        try (GatewayHarness harness = new GatewayHarness()) {
+            harness.mModelLoaded = false;
+            var first = harness.quote(false);
+            harness.awaitTrue(() -> harness.waiting() == 1);
+            var second = harness.quote(false);
+            harness.awaitTrue(() -> harness.waiting() == 2);
+            first.cancel(true);
+            harness.awaitTrue(() -> harness.waiting() == 1);
+            assertThat(harness.mWithdrawn).isEmpty();
+            harness.mActivation =
+                    Either.left(Refusal.of(ResultCode.NO_BACKEND_SERVER, "no memory left"));
+            harness.mTime.advanceTimeBy(Duration.ofMillis(1_100));
+            harness.await(second, Duration.ZERO);
+            assertThat(harness.mWithdrawn).hasSize(1);
+        }
+    }
+
     @Test
     void servesAWaitingRequestWhenTheReplicaIsLoaded() {
         try (GatewayHarness harness = new GatewayHarness()) {
--- a/daemon/src/test/java/org/vanillaslip/internal/quota/FakeViews.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/FakeViews.java
@@ -100,6 +100,9 @@
         return Mono.empty();
     }
 
+    @Override
+    public void withdraw(ModelName model) {}
+
     @Override
     public void recordArrival(ModelName model) {}
 
