Keep the place of an adapter until its calls have ended

Cause: a server answers the unload of an adapter with 202 while calls use it, and drops it after them. Change: an accepted unload of an adapter is open until a report that counts the order no longer lists the adapter. Before: OrderDeskTest reports 'no place for a3' in the new test.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDesk.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDesk.java
@@ -203,14 +203,18 @@
         long now = now();
         mAssumed.remove(planned.instance());
         mPending.put(planned.instance(), pending.asAccepted(now));
-        if (planned.adapter().isPresent()) {
+        if (planned.adapter().isPresent() && planned.kind() == OrderKind.LOAD) {
             // Adapter orders do not occupy the engine, and reports of them lag behind their end.
             mLoop.scheduler()
                     .schedule(
                             () -> adapterDone(member, pending, 1),
-                            planned.kind() == OrderKind.LOAD ? ADAPTER_TIME.toNanos() : 0,
+                            ADAPTER_TIME.toNanos(),
                             TimeUnit.NANOSECONDS);
             return;
+        } else if (planned.adapter().isPresent()) {
+            // Calls use the adapter, which keeps its place until they have ended.
+            pollLater(member, POLL_INTERVAL);
+            return;
         }
         ServerStock stock = member.stock();
         member.setStock(
@@ -332,7 +336,8 @@
     private void settle(FleetMember member, PendingOrder pending, ServerLoadReport report) {
         long now = now();
         boolean current = report.stock().orderCount() >= member.stock().orderCount();
-        if (pending.order().adapter().isPresent() && pending.accepted()) {
+        boolean adapter = pending.order().adapter().isPresent();
+        if (adapter && pending.accepted() && pending.order().kind() == OrderKind.LOAD) {
             return;
         }
         if (!pending.accepted()) {
@@ -343,7 +348,9 @@
             }
             return;
         }
-        boolean done = current && !report.stock().ordered() && shows(report.stock(), pending);
+        boolean counted = report.stock().orderCount() > pending.expectedOrders();
+        boolean done =
+                current && counted && !report.stock().ordered() && shows(report.stock(), pending);
         if (done || now - pending.doneNanos() > OVERDUE.toNanos()) {
             mPending.remove(member.instance());
             mLog.log(
@@ -359,7 +366,9 @@
     }
 
     private static boolean shows(ServerStock stock, PendingOrder pending) {
-        boolean loaded = stock.loaded().containsKey(pending.order().model());
+        PlannedOrder order = pending.order();
+        Set<String> adapters = stock.loaded().get(order.model());
+        boolean loaded = adapters != null && order.adapter().map(adapters::contains).orElse(true);
         return loaded == (pending.order().kind() == OrderKind.LOAD);
     }
 
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineWorld.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineWorld.java
@@ -18,11 +18,16 @@
 import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
-/** Model engines in virtual time that lose answers, carry orders out late, and restart. */
+/**
+ * Model engines in virtual time that lose answers, carry orders out late, and restart. An adapter
+ * takes a place from the order to load it until the last call that uses it has ended.
+ */
 final class EngineWorld implements EngineControl {
 
     static final int PLACES = 3;
+    static final int ADAPTER_PLACES = 2;
     static final Duration LOAD = Duration.ofMillis(1200);
+    private static final Duration ADAPTER_LOAD = Duration.ofMillis(10);
     private static final Duration LAG = Duration.ofMillis(200);
     private static final Duration WAY = Duration.ofMillis(3);
 
@@ -47,6 +52,9 @@
         long mOrders;
         String mLoading = "";
         Set<String> mLoaded = new HashSet<>();
+        final Map<String, Set<String>> mAdapters = new HashMap<>();
+        final Set<String> mPendingAdapters = new HashSet<>();
+        final Set<String> mAdaptersInUse = new HashSet<>();
         private final Deque<Snapshot> mHistory = new ArrayDeque<>();
 
         Engine(String name, Set<String> loaded) {
@@ -70,7 +78,7 @@
 
         ServerStock stock() {
             Map<String, Set<String>> loaded = new HashMap<>();
-            mLoaded.forEach(model -> loaded.put(model, Set.of()));
+            mLoaded.forEach(model -> loaded.put(model, mAdapters.getOrDefault(model, Set.of())));
             Set<String> disk = new HashSet<>();
             for (int model = 0; model < 12; model++) {
                 disk.add("m" + model);
@@ -83,6 +91,9 @@
             mOrders = 0;
             mLoading = "";
             mLoaded.clear();
+            mAdapters.clear();
+            mPendingAdapters.clear();
+            mAdaptersInUse.clear();
             mHistory.clear();
         }
 
@@ -90,9 +101,13 @@
             if (!mLoading.isEmpty() || order.expectedOrders() != mOrders) {
                 return OrderAnswer.REFUSED;
             }
+            if (order.adapter().isPresent()) {
+                return takeAdapter(order, order.adapter().get());
+            }
             if (order.kind() == OrderKind.UNLOAD) {
                 mOrders++;
                 mLoaded.remove(order.model());
+                mAdapters.remove(order.model());
                 return OrderAnswer.ACCEPTED;
             }
             if (mLoaded.contains(order.model())) {
@@ -116,6 +131,44 @@
             return OrderAnswer.ACCEPTED;
         }
 
+        private OrderAnswer takeAdapter(EngineOrder order, String adapter) {
+            Set<String> held = mAdapters.computeIfAbsent(order.model(), name -> new HashSet<>());
+            if (held.contains(adapter) == (order.kind() == OrderKind.LOAD)) {
+                return OrderAnswer.ALREADY;
+            }
+            mOrders++;
+            if (order.kind() == OrderKind.UNLOAD) {
+                if (mAdaptersInUse.contains(adapter)) {
+                    return OrderAnswer.ACCEPTED;
+                }
+                held.remove(adapter);
+                return OrderAnswer.ALREADY;
+            }
+            int places = mPendingAdapters.size();
+            places += mAdapters.values().stream().mapToInt(Set::size).sum();
+            if (places >= ADAPTER_PLACES) {
+                mViolations.add(mName + " has no place for " + adapter + " " + mAdapters);
+            }
+            mPendingAdapters.add(adapter);
+            long born = mBorn;
+            mScheduler.schedule(
+                    () -> {
+                        if (mBorn == born) {
+                            mPendingAdapters.remove(adapter);
+                            held.add(adapter);
+                        }
+                    },
+                    ADAPTER_LOAD.toMillis(),
+                    TimeUnit.MILLISECONDS);
+            return OrderAnswer.ACCEPTED;
+        }
+
+        /** Ends the calls on an adapter, which is then dropped. */
+        void endCalls(String model, String adapter) {
+            mAdaptersInUse.remove(adapter);
+            mAdapters.get(model).remove(adapter);
+        }
+
         /** Reports are as of a while ago. */
         ServerLoadReport report() {
             long now = mScheduler.now(TimeUnit.MILLISECONDS);
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDeskTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDeskTest.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -87,6 +88,27 @@
         assertThat(loadedSomewhere("m11")).isTrue();
     }
 
+    /**
+     * Guards against a load into a place that is still taken: an adapter that calls use is only
+     * unloaded after them, though the order to do so is accepted at once.
+     */
+    @Test
+    void anAdapterInUseKeepsItsPlaceUntilItsCallsHaveEnded() {
+        start(1);
+        EngineWorld.Engine engine = mWorld.mEngines.get("c");
+        engine.mAdapters.put("m5", new HashSet<>(Set.of("a1", "a2")));
+        engine.mAdaptersInUse.addAll(Set.of("a1", "a2"));
+        run(Duration.ofSeconds(3));
+        demandForAdapter("m5", "a3");
+        run(Duration.ofSeconds(2));
+        assertThat(mWorld.mViolations).isEmpty();
+
+        engine.endCalls("m5", "a1");
+        run(Duration.ofSeconds(3));
+        assertThat(mWorld.mViolations).isEmpty();
+        assertThat(engine.mAdapters.get("m5")).contains("a3");
+    }
+
     private void start(long seed) {
         mWorld = new EngineWorld(seed, mHost.mScheduler);
         mWorld.add("a", Set.of("m0", "m1", "m2"));
@@ -115,17 +137,27 @@
     private void demandFor(String... models) {
         DemandReport.Builder report = DemandReport.newBuilder();
         for (String model : models) {
-            report.addModels(
-                    ModelDemand.newBuilder()
-                            .setPool("pool")
-                            .setModel(model)
-                            .setWaiting(1)
-                            .setArrivals(1)
-                            .setObjectiveMillis(3000)
-                            .setObjectiveLeftMillis(2900)
-                            .setDeadlineLeftMillis(20_000));
+            report.addModels(demandOf(model));
         }
-        DemandReport demand = report.build();
+        repeat(report.build());
+    }
+
+    private void demandForAdapter(String model, String adapter) {
+        repeat(DemandReport.newBuilder().addModels(demandOf(model).setAdapter(adapter)).build());
+    }
+
+    private static ModelDemand.Builder demandOf(String model) {
+        return ModelDemand.newBuilder()
+                .setPool("pool")
+                .setModel(model)
+                .setWaiting(1)
+                .setArrivals(1)
+                .setObjectiveMillis(3000)
+                .setObjectiveLeftMillis(2900)
+                .setDeadlineLeftMillis(20_000);
+    }
+
+    private void repeat(DemandReport demand) {
         LoadController controller = Objects.requireNonNull(mController);
         for (int repeat = 0; repeat < 20; repeat++) {
             mWorld.mScheduler.schedule(
@@ -171,13 +203,15 @@
                     new ModelProfile(
                             name,
                             70,
-                            0,
+                            3,
                             0,
                             Duration.ofSeconds(6),
                             EngineWorld.LOAD,
                             Duration.ofMillis(600)));
         }
-        EngineProfile engine = new EngineProfile(48, 70 * EngineWorld.PLACES, 8, 4, models);
+        EngineProfile engine =
+                new EngineProfile(
+                        48, 70 * EngineWorld.PLACES, EngineWorld.ADAPTER_PLACES, 4, models);
         return new ServingPlan(
                 1,
                 List.of(),
