--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -30,7 +30,8 @@
             548,
             WARNING,
             "The clocks of this host advanced differently; the lease waits for a renewal."),
-    REGISTRATION_FAILED(549, WARNING, "This host could not be entered into the host list.");
+    REGISTRATION_FAILED(549, WARNING, "This host could not be entered into the host list."),
+    ORDER_UNANSWERED(550, DEBUG, "A backend server did not answer an order.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDesk.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDesk.java
@@ -22,7 +22,10 @@
  */
 final class OrderDesk {
 
+    /** Reports are paid for; other holders and restarts change a stock more rarely than this. */
     private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
+
+    /** A shorter interval than the lag of reports would ask for the same report again. */
     private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
 
     /** A report lags, so an order without an answer is open until reports are newer than it. */
@@ -40,6 +43,7 @@
     /** A load from disk or memory takes its usual time; a little more for the way of the order. */
     private static final Duration LOAD_MARGIN = Duration.ofMillis(30);
 
+    /** An adapter takes up to 14 ms from the store, as the deployments state; and its way. */
     private static final Duration ADAPTER_TIME = Duration.ofMillis(25);
 
     private final String mHost;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -22,6 +22,7 @@
 import org.vanillaslip.internal.fleet.DemandBook;
 import org.vanillaslip.internal.fleet.DrainFollower;
 import org.vanillaslip.internal.fleet.FleetDirectory;
+import org.vanillaslip.internal.fleet.FleetEvent;
 import org.vanillaslip.internal.fleet.FleetExchange;
 import org.vanillaslip.internal.fleet.FleetLease;
 import org.vanillaslip.internal.fleet.HostRegistration;
@@ -168,11 +169,17 @@
                             mRelay.refuseNew();
                         })
                 .then(finish(rest))
-                .then(mRegistration.stop().timeout(RELEASE_TIMEOUT).onErrorComplete())
+                .then(mRegistration.stop().timeout(RELEASE_TIMEOUT).onErrorComplete(this::noteStop))
                 .block(mHost.shutdownDelay().plus(rest).plus(RELEASE_TIMEOUT.multipliedBy(2)));
         mServingLoop.group().shutdownGracefully();
     }
 
+    /** Other hosts take a silent host out of the list, so a failed stop ends all the same. */
+    private boolean noteStop(Throwable error) {
+        mLog.log(FleetEvent.REGISTRATION_FAILED, field("cause", error.toString()));
+        return true;
+    }
+
     private NettyPeerLinks links(List<InetSocketAddress> bootstrap) {
         byte[] incarnation = new byte[INCARNATION_BYTES];
         mIdentifiers.nextBytes(incarnation);
