--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeCodec.java
@@ -0,0 +1,88 @@
+package org.vanillaslip.internal.changes;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.platform.WatchEventType;
+import org.vanillaslip.messages.ConfigurationObject;
+import org.vanillaslip.messages.ObjectChange;
+
+/** Writes changes for other hosts and reads them. */
+final class ChangeCodec {
+
+    /** Smaller objects are not worth the time to compress them. */
+    private static final int LEAST_COMPRESSED_BYTES = 2048;
+
+    /** The platform holds values up to a megabyte. */
+    private static final int LARGEST_OBJECT_BYTES = 4 * 1024 * 1024;
+
+    private final ObjectMapper mMapper = new ObjectMapper();
+
+    ObjectChange encode(WatchEvent event) {
+        StoredObject object = event.object();
+        boolean deleted = event.type() == WatchEventType.DELETED;
+        ConfigurationObject.Builder content =
+                ConfigurationObject.newBuilder()
+                        .setName(object.name())
+                        .setVersion(object.version());
+        boolean compressed = false;
+        try {
+            byte[] json = mMapper.writeValueAsBytes(object.spec());
+            compressed = json.length >= LEAST_COMPRESSED_BYTES;
+            content.setSpecJson(ByteString.copyFrom(compressed ? compress(json) : json));
+        } catch (IOException e) {
+            throw new UncheckedIOException("The object cannot be written as JSON.", e);
+        }
+        return ObjectChange.newBuilder()
+                .setDeleted(deleted)
+                .setObject(content)
+                .setCompressed(compressed)
+                .build();
+    }
+
+    /** Returns the change, or throws {@link IOException} when its content cannot be read. */
+    WatchEvent decode(String collection, ObjectChange change) throws IOException {
+        byte[] bytes = change.getObject().getSpecJson().toByteArray();
+        byte[] json = change.getCompressed() ? decompress(bytes) : bytes;
+        ObjectNode spec =
+                mMapper.readTree(json) instanceof ObjectNode object
+                        ? object
+                        : JsonNodeFactory.instance.objectNode();
+        return new WatchEvent(
+                change.getDeleted() ? WatchEventType.DELETED : WatchEventType.MODIFIED,
+                new StoredObject(
+                        collection,
+                        change.getObject().getName(),
+                        change.getObject().getVersion(),
+                        spec));
+    }
+
+    private static byte[] compress(byte[] bytes) throws IOException {
+        ByteArrayOutputStream compressed = new ByteArrayOutputStream(bytes.length / 4);
+        try (OutputStream stream = new DeflaterOutputStream(compressed)) {
+            stream.write(bytes);
+        }
+        return compressed.toByteArray();
+    }
+
+    private static byte[] decompress(byte[] bytes) throws IOException {
+        try (InputStream stream = new InflaterInputStream(new ByteArrayInputStream(bytes))) {
+            byte[] content = stream.readNBytes(LARGEST_OBJECT_BYTES + 1);
+            if (content.length > LARGEST_OBJECT_BYTES) {
+                throw new IOException("An object is larger than " + LARGEST_OBJECT_BYTES + " B.");
+            }
+            return content;
+        }
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
@@ -35,7 +35,7 @@
     /** Events that come together are sent together. */
     private static final Duration GATHER = Duration.ofMillis(4);
 
-    private static final Duration GATHER_PER_HOST = Duration.ofNanos(500_000);
+    private static final Duration GATHER_PER_LINK = Duration.ofNanos(500_000);
 
     /** A refused caller comes back after a load could have been planned. */
     private static final Duration UNPLANNED_RETRY = Duration.ofSeconds(2);
@@ -91,8 +91,8 @@
         mLoop.scheduler().schedulePeriodically(this::sendAll, digest, digest, TimeUnit.NANOSECONDS);
     }
 
-    /** The host that orders loads sends a digest each second. */
-    private boolean planned() {
+    /** Returns whether a host that orders loads is heard from; it sends a digest each second. */
+    public boolean planned() {
         if (mLease.held()) {
             return mLease.mayOrder();
         }
@@ -162,8 +162,8 @@
     private void digestSoon() {
         if (mLease.held() && !mDigestSoon) {
             mDigestSoon = true;
-            // A digest goes to every host, so that many hosts get fewer and larger ones.
-            Duration gather = GATHER.plus(GATHER_PER_HOST.multipliedBy(mLinks.liveHosts().size()));
+            // More links get fewer and larger digests.
+            Duration gather = GATHER.plus(GATHER_PER_LINK.multipliedBy(mLinks.liveHosts().size()));
             mLoop.scheduler().schedule(this::sendChanges, gather.toNanos(), TimeUnit.NANOSECONDS);
         }
     }
@@ -220,8 +220,7 @@
     }
 
     private void broadcast(FleetDigest.Builder digest) {
-        Envelope.Builder message = Envelope.newBuilder().setFleetDigest(digest);
-        mLinks.liveHosts().forEach(host -> mLinks.send(host, message));
+        mLinks.broadcast(Envelope.newBuilder().setFleetDigest(digest));
     }
 
     private static ServerState state(FleetMember member) {
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -10,6 +10,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.vanillaslip.internal.lease.LeaseRank;
 import org.vanillaslip.internal.lease.LeaseRecord;
@@ -42,6 +43,9 @@
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration READ_INTERVAL = Duration.ofMillis(400);
 
+    /** A host that others go before looks at the lease this rarely. */
+    private static final Duration RARE_READ_INTERVAL = Duration.ofSeconds(5);
+
     /** Orders of the old holder may be this long on their way. */
     private static final Duration DELIVERY = Duration.ofMillis(300);
 
@@ -56,6 +60,7 @@
     private final Duration mTurn;
     private final Supplier<String> mNonces;
     private final Supplier<Collection<String>> mHosts;
+    private final BooleanSupplier mCandidate;
     private final EventLog mLog;
     private LeaseState mState;
     private LeaseRecord mRecord = LeaseRecord.NONE;
@@ -71,7 +76,8 @@
      *
      * @param timeOfDay second clock, which runs on while a suspended host's first one stands still
      * @param turn time between the last order of one holder and the first of the next
-     * @param hosts live hosts, this host included
+     * @param hosts live candidates and this host
+     * @param candidate whether this host is among the first to take the lease
      */
     public FleetLease(
             String host,
@@ -82,6 +88,7 @@
             Duration turn,
             Supplier<String> nonces,
             Supplier<Collection<String>> hosts,
+            BooleanSupplier candidate,
             EventLog log) {
         mHost = host;
         mStore = store;
@@ -91,6 +98,7 @@
         mTurn = turn;
         mNonces = nonces;
         mHosts = hosts;
+        mCandidate = candidate;
         mLog = log;
         mState = LeaseState.unknown(loop.clock().nowNanos());
     }
@@ -165,11 +173,15 @@
             } else if (mState.renewalDue(mTimes, now)) {
                 write(mState.term());
             }
-        } else if (now - mReadAt >= READ_INTERVAL.toNanos()) {
+        } else if (now - mReadAt >= readInterval().toNanos()) {
             read();
         }
     }
 
+    private Duration readInterval() {
+        return mCandidate.getAsBoolean() ? READ_INTERVAL : RARE_READ_INTERVAL;
+    }
+
     private void read() {
         mCalling = true;
         mReadAt = now();
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
@@ -32,8 +32,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Peer links over TCP. Of two hosts the one with the smaller name connects, so that there is one
- * connection per pair; bootstrap addresses are tried until a link to them exists.
+ * Peer links over TCP, one connection per pair of hosts. A policy names the hosts to connect to;
+ * bootstrap addresses are tried until a link to them exists.
  */
 public final class NettyPeerLinks implements PeerLinks {
 
@@ -48,6 +48,7 @@
     private final InetSocketAddress mBindAddress;
     private final Supplier<List<Host>> mHosts;
     private final List<InetSocketAddress> mBootstrap;
+    private final LinkPolicy mPolicy;
     private final Supplier<Heartbeat> mHeartbeat;
     private final PeerTimes mTimes;
     private final DaemonMetrics mMetrics;
@@ -66,6 +67,7 @@
      * @param firstRequestId a random number
      * @param hosts the platform's list as last read
      * @param bootstrap addresses to try while the list is unknown
+     * @param policy the links that this host opens and keeps
      * @param heartbeat content of the next heartbeat
      */
     public NettyPeerLinks(
@@ -77,6 +79,7 @@
             InetSocketAddress bindAddress,
             Supplier<List<Host>> hosts,
             List<InetSocketAddress> bootstrap,
+            LinkPolicy policy,
             Supplier<Heartbeat> heartbeat,
             PeerTimes times,
             DaemonMetrics metrics,
@@ -87,6 +90,7 @@
         mBindAddress = bindAddress;
         mHosts = hosts;
         mBootstrap = List.copyOf(bootstrap);
+        mPolicy = policy;
         mHeartbeat = heartbeat;
         mTimes = times;
         mMetrics = metrics;
@@ -145,6 +149,14 @@
         return mExchange.liveHosts();
     }
 
+    /** Called on the decision loop. */
+    @Override
+    public Set<String> linkedHosts() {
+        Set<String> linked = new HashSet<>(mExchange.liveHosts());
+        linked.retainAll(mLinks.keySet());
+        return linked;
+    }
+
     private InetSocketAddress started(Channel server) {
         mServer = Optional.of(server);
         InetSocketAddress address = (InetSocketAddress) server.localAddress();
@@ -180,6 +192,9 @@
                 mLog.log(PeerEvent.LINK_SILENT, field("host", link.peer().orElse("")));
                 link.channel().close();
                 closed(link);
+            } else if (isUnwanted(link)) {
+                link.channel().close();
+                closed(link);
             } else {
                 sendHeartbeat(link);
             }
@@ -188,9 +203,16 @@
         dialMissing();
     }
 
+    private boolean isUnwanted(PeerLink link) {
+        return link.dialled().isPresent()
+                && link.peer().isPresent()
+                && !mPolicy.keeps(link.peer().get());
+    }
+
     private void dialMissing() {
         for (Host host : mHosts.get()) {
-            if (mHost.compareTo(host.name()) < 0 && !mLinks.containsKey(host.name())) {
+            boolean missing = !host.name().equals(mHost) && !mLinks.containsKey(host.name());
+            if (missing && mPolicy.opens(host)) {
                 PeerAddress.parse(host.peerAddress()).ifPresent(this::dial);
             }
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/PeerEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerEvent.java
@@ -9,7 +9,13 @@
     LINK_DOWN(482, System.Logger.Level.INFO, "A link to another host is down."),
     LINK_SILENT(
             483, System.Logger.Level.WARNING, "A link was silent for too long and was dropped."),
-    LINK_FAILED(484, System.Logger.Level.DEBUG, "A link to another host could not be opened.");
+    LINK_FAILED(484, System.Logger.Level.DEBUG, "A link to another host could not be opened."),
+    ROLE_CHANGED(485, System.Logger.Level.INFO, "The relays that this host knows have changed."),
+    NO_PATH(486, System.Logger.Level.DEBUG, "No path to a host is known; a message was dropped."),
+    CHANGES_FROM(
+            487,
+            System.Logger.Level.INFO,
+            "Changes of a collection come from another source from now on.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/PeerLinks.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerLinks.java
@@ -16,9 +16,19 @@
     /** Sends a message that needs no reply; it may be lost. */
     void send(String host, Envelope.Builder message);
 
+    /** Sends a message that needs no reply to all hosts in reach; it may be lost. */
+    default void broadcast(Envelope.Builder message) {
+        liveHosts().forEach(host -> send(host, message));
+    }
+
     /** Registers the handler for one body type. */
     void handle(Envelope.BodyCase bodyCase, PeerHandler handler);
 
     /** Returns the names of hosts whose heartbeat is current, without this host. */
     Set<String> liveHosts();
+
+    /** Returns the live hosts that a message reaches without a detour. */
+    default Set<String> linkedHosts() {
+        return liveHosts();
+    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/RelayNetwork.java
@@ -0,0 +1,251 @@
+package org.vanillaslip.internal.peer;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.Host;
+import org.vanillaslip.MonotonicClock;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.membership.RelayRoles;
+import org.vanillaslip.internal.membership.RendezvousRanking;
+import org.vanillaslip.messages.Membership;
+
+/**
+ * What this host knows of relays and neighbours. Hosts keep links to the relays of their own
+ * failure domain only, relays also to those of the other ones, so that links and messages of a host
+ * do not grow with the number of hosts. Nothing of this is stored; used on the decision loop only.
+ */
+public final class RelayNetwork implements LinkPolicy {
+
+    /** A host without a link for this long is lost; two attempts to connect fit into it. */
+    private static final long LOST_NANOS = Duration.ofMillis(2500).toNanos();
+
+    /** The host with the larger name connects as well when the other one has not for this long. */
+    private static final long UNANSWERED_NANOS = Duration.ofMillis(1500).toNanos();
+
+    /** A link is kept for this long after it was last wanted. */
+    private static final long KEEP_NANOS = Duration.ofSeconds(10).toNanos();
+
+    /** A relay sends something at least each half second; another one is preferred after this. */
+    private static final long QUIET_NANOS = Duration.ofMillis(1200).toNanos();
+
+    private final Host mSelf;
+    private final Supplier<List<Host>> mHosts;
+    private final MonotonicClock mClock;
+    private final EventLog mLog;
+    private final RendezvousRanking mRanking = new RendezvousRanking();
+    private final Map<String, Long> mAbsentSince = new HashMap<>();
+    private final Map<String, Long> mWantedAt = new HashMap<>();
+    private final Map<String, Long> mHeardAt = new HashMap<>();
+    private final Map<String, Membership> mMemberships = new HashMap<>();
+    private Set<String> mLinked = Set.of();
+    private RelayRoles mRoles;
+
+    /**
+     * Creates a network in which this host is alone.
+     *
+     * @param hosts the list of hosts as last read
+     */
+    public RelayNetwork(Host self, Supplier<List<Host>> hosts, MonotonicClock clock, EventLog log) {
+        mSelf = self;
+        mHosts = hosts;
+        mClock = clock;
+        mLog = log;
+        mRoles = RelayRoles.of(self, List.of(), mRanking, host -> false);
+    }
+
+    /** Works out the roles again from the list and from the hosts that are linked now. */
+    public void refresh(Set<String> linked) {
+        long now = mClock.nowNanos();
+        mLinked = Set.copyOf(linked);
+        mMemberships.keySet().retainAll(mLinked);
+        mHeardAt.keySet().retainAll(mLinked);
+        mAbsentSince.keySet().removeAll(mLinked);
+        RelayRoles roles = RelayRoles.of(mSelf, mHosts.get(), mRanking, host -> isLost(host, now));
+        mAbsentSince.keySet().retainAll(roles.wanted());
+        for (String host : roles.wanted()) {
+            mWantedAt.put(host, now);
+            if (!mLinked.contains(host)) {
+                mAbsentSince.putIfAbsent(host, now);
+            }
+        }
+        mWantedAt.values().removeIf(wantedAt -> now - wantedAt > KEEP_NANOS);
+        logChange(roles);
+        mRoles = roles;
+    }
+
+    private void logChange(RelayRoles roles) {
+        boolean changed =
+                roles.relay() != mRoles.relay()
+                        || !roles.ownRelays().equals(mRoles.ownRelays())
+                        || (roles.relay() && !roles.farRelays().equals(mRoles.farRelays()));
+        if (changed) {
+            mLog.log(
+                    PeerEvent.ROLE_CHANGED,
+                    field("relay", roles.relay()),
+                    field("own_relays", roles.ownRelays()),
+                    field("far_relays", roles.relay() ? roles.farRelays().size() : 0),
+                    field("linked", mLinked.size()));
+        }
+    }
+
+    /** Returns whether this host passes messages on. */
+    public boolean relay() {
+        return mRoles.relay();
+    }
+
+    /** Returns the linked relays of this host's failure domain, without this host. */
+    public List<String> ownRelays() {
+        return linked(mRoles.ownRelays());
+    }
+
+    /** Returns the linked relays of the other failure domains; empty unless this is a relay. */
+    public List<String> farRelays() {
+        return relay() ? linked(mRoles.farRelays()) : List.of();
+    }
+
+    /** Returns the linked hosts of this relay's failure domain that are no relays. */
+    public List<String> members() {
+        return relay()
+                ? mLinked.stream()
+                        .filter(host -> isNear(host) && !mRoles.ownRelays().contains(host))
+                        .sorted()
+                        .toList()
+                : List.of();
+    }
+
+    /** Returns the members to which this relay passes on what goes to all hosts. */
+    public List<String> preferringMembers() {
+        return members().stream()
+                .filter(host -> membership(host).map(Membership::getPreferred).orElse(false))
+                .toList();
+    }
+
+    /** Returns the linked relays of the failure domain. */
+    public List<String> relaysOf(FailureDomain domain) {
+        return linked(mRoles.relaysOf(domain));
+    }
+
+    /** Returns the relay through which this host reaches the others, unless it is one itself. */
+    public Optional<String> preferredRelay() {
+        if (relay()) {
+            return Optional.empty();
+        }
+        List<String> relays = ownRelays();
+        long now = mClock.nowNanos();
+        return relays.stream()
+                .filter(host -> now - mHeardAt.getOrDefault(host, now) <= QUIET_NANOS)
+                .findFirst()
+                .or(() -> relays.stream().findFirst());
+    }
+
+    /** Returns the failure domain of a host, as listed or as it has said itself. */
+    public Optional<FailureDomain> domainOf(String host) {
+        return mRoles.domainOf(host)
+                .or(
+                        () ->
+                                membership(host)
+                                        .map(Membership::getFailureDomain)
+                                        .map(FailureDomain::new));
+    }
+
+    /** Returns whether the host is in this host's failure domain. */
+    public boolean isNear(String host) {
+        return domainOf(host).equals(Optional.of(mSelf.failureDomain()));
+    }
+
+    /** Returns whether this is the failure domain of this host. */
+    public boolean isOwnDomain(FailureDomain domain) {
+        return domain.equals(mSelf.failureDomain());
+    }
+
+    /** Returns the other listed hosts of this host's failure domain. */
+    public List<String> nearHosts() {
+        return mHosts.get().stream()
+                .filter(host -> isOwnDomain(host.failureDomain()))
+                .map(Host::name)
+                .filter(name -> !name.equals(mSelf.name()))
+                .toList();
+    }
+
+    /** Returns the number of listed hosts of each failure domain, this host included. */
+    public Map<FailureDomain, Long> hostsByDomain() {
+        return mRoles.hostsByDomain();
+    }
+
+    /** Returns the linked relays and this host. */
+    public Collection<String> liveRelays() {
+        Set<String> live = new HashSet<>(ownRelays());
+        live.addAll(farRelays());
+        live.add(mSelf.name());
+        return live;
+    }
+
+    /** Returns the hosts that this host or a relay hears from, without this host. */
+    public Set<String> liveHosts() {
+        Set<String> live = new HashSet<>(mLinked);
+        mMemberships.values().forEach(membership -> live.addAll(membership.getLiveHostsList()));
+        live.remove(mSelf.name());
+        return live;
+    }
+
+    /** Notes that something has arrived from a linked host. */
+    void heard(String host) {
+        mHeardAt.put(host, mClock.nowNanos());
+    }
+
+    /** Takes over what a linked host says of itself. */
+    void joined(String host, Membership membership) {
+        mMemberships.put(host, membership);
+    }
+
+    /** Returns what this host tells a linked one about itself. */
+    Membership membershipFor(String host) {
+        Membership.Builder membership =
+                Membership.newBuilder()
+                        .setFailureDomain(mSelf.failureDomain().name())
+                        .setRelay(relay())
+                        .setPreferred(preferredRelay().equals(Optional.of(host)));
+        if (relay() && (mRoles.farRelays().contains(host) || mRoles.ownRelays().contains(host))) {
+            mLinked.stream().filter(this::isNear).sorted().forEach(membership::addLiveHosts);
+        }
+        return membership.build();
+    }
+
+    @Override
+    public boolean opens(Host host) {
+        String name = host.name();
+        if (!mRoles.wanted().contains(name)) {
+            return false;
+        }
+        long absent = mClock.nowNanos() - mAbsentSince.getOrDefault(name, mClock.nowNanos());
+        return !relay() || mSelf.name().compareTo(name) < 0 || absent >= UNANSWERED_NANOS;
+    }
+
+    @Override
+    public boolean keeps(String host) {
+        return mWantedAt.containsKey(host);
+    }
+
+    private boolean isLost(String host, long nowNanos) {
+        Long since = mAbsentSince.get(host);
+        return since != null && nowNanos - since >= LOST_NANOS;
+    }
+
+    private List<String> linked(List<String> hosts) {
+        return hosts.stream().filter(mLinked::contains).toList();
+    }
+
+    private Optional<Membership> membership(String host) {
+        return Optional.ofNullable(mMemberships.get(host));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/RelayedLinks.java
@@ -0,0 +1,251 @@
+package org.vanillaslip.internal.peer;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.messages.Envelope;
+import org.vanillaslip.messages.Membership;
+import org.vanillaslip.messages.Relayed;
+import reactor.core.publisher.Mono;
+
+/**
+ * Reaches all hosts over the links of a {@link RelayNetwork}: from a host to its preferred relay,
+ * from relay to relay, and from there to the hosts that prefer that relay. Messages may be lost and
+ * are delivered at most once.
+ */
+public final class RelayedLinks implements PeerLinks {
+
+    private static final Duration TICK = Duration.ofMillis(500);
+
+    /** Neighbours are told about this host again after this many ticks without a change. */
+    private static final int TICKS_PER_MEMBERSHIP = 6;
+
+    /** Host, relay, relay, host, and one detour around a broken link. */
+    private static final int MOST_HOPS = 4;
+
+    private final String mHost;
+    private final String mIncarnation;
+    private final PeerLinks mLinks;
+    private final RelayNetwork mNetwork;
+    private final DecisionLoop mLoop;
+    private final EventLog mLog;
+    private final Map<Envelope.BodyCase, PeerHandler> mHandlers =
+            new EnumMap<>(Envelope.BodyCase.class);
+    private final Map<String, SeenRequests> mSeen = new HashMap<>();
+    private final Map<String, Membership> mTold = new HashMap<>();
+    private long mSequence;
+    private int mTicks;
+
+    /**
+     * Creates links that are not started.
+     *
+     * @param incarnation changes with each start of this process
+     * @param links to neighbours
+     */
+    public RelayedLinks(
+            String host,
+            String incarnation,
+            PeerLinks links,
+            RelayNetwork network,
+            DecisionLoop loop,
+            EventLog log) {
+        mHost = host;
+        mIncarnation = incarnation;
+        mLinks = links;
+        mNetwork = network;
+        mLoop = loop;
+        mLog = log;
+    }
+
+    /** Begins to pass messages on. */
+    public void start() {
+        mLinks.handle(Envelope.BodyCase.RELAYED, this::received);
+        mLinks.handle(Envelope.BodyCase.MEMBERSHIP, this::joined);
+        mLinks.handle(
+                Envelope.BodyCase.HEARTBEAT,
+                message -> {
+                    mNetwork.heard(message.getSender());
+                    return Mono.empty();
+                });
+        long period = TICK.toNanos();
+        mLoop.scheduler().schedulePeriodically(this::tick, 0, period, TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public Mono<Either<PeerFailure, Envelope>> request(
+            String host, Envelope.Builder request, Duration timeout) {
+        return mLinks.request(host, request, timeout);
+    }
+
+    @Override
+    public void send(String host, Envelope.Builder message) {
+        if (mLinks.linkedHosts().contains(host)) {
+            mLinks.send(host, message);
+        } else {
+            pass(relayed(message).setDestination(host).build(), mHost);
+        }
+    }
+
+    @Override
+    public void broadcast(Envelope.Builder message) {
+        spread(relayed(message).build(), mHost);
+    }
+
+    @Override
+    public void handle(Envelope.BodyCase bodyCase, PeerHandler handler) {
+        mHandlers.put(bodyCase, handler);
+        mLinks.handle(
+                bodyCase,
+                message -> {
+                    mNetwork.heard(message.getSender());
+                    return handler.handle(message);
+                });
+    }
+
+    @Override
+    public Set<String> liveHosts() {
+        return mLinks.liveHosts();
+    }
+
+    @Override
+    public Set<String> linkedHosts() {
+        return mLinks.linkedHosts();
+    }
+
+    private void tick() {
+        mNetwork.refresh(mLinks.linkedHosts());
+        boolean all = mTicks++ % TICKS_PER_MEMBERSHIP == 0;
+        Set<String> linked = mLinks.linkedHosts();
+        mTold.keySet().retainAll(linked);
+        mSeen.keySet().removeIf(origin -> mNetwork.domainOf(origin).isEmpty());
+        for (String host : linked) {
+            Membership membership = mNetwork.membershipFor(host);
+            Membership told = mTold.put(host, membership);
+            if (all || told == null || !membership.equals(told)) {
+                mLinks.send(host, Envelope.newBuilder().setMembership(membership));
+            }
+        }
+    }
+
+    private Mono<Envelope.Builder> joined(Envelope message) {
+        mNetwork.heard(message.getSender());
+        mNetwork.joined(message.getSender(), message.getMembership());
+        return Mono.empty();
+    }
+
+    private Relayed.Builder relayed(Envelope.Builder payload) {
+        return Relayed.newBuilder()
+                .setOrigin(mHost)
+                .setOriginIncarnation(mIncarnation)
+                .setSequence(++mSequence)
+                .setPayload(payload);
+    }
+
+    private Mono<Envelope.Builder> received(Envelope message) {
+        String neighbour = message.getSender();
+        mNetwork.heard(neighbour);
+        Relayed relayed = message.getRelayed();
+        if (relayed.getOrigin().equals(mHost)) {
+            return Mono.empty();
+        }
+        if (relayed.getDestination().equals(mHost)) {
+            return deliver(relayed);
+        }
+        if (!relayed.getDestination().isEmpty()) {
+            pass(relayed, neighbour);
+            return Mono.empty();
+        }
+        if (isFirst(relayed)) {
+            spread(relayed, neighbour);
+            return deliver(relayed);
+        }
+        return Mono.empty();
+    }
+
+    private Mono<Envelope.Builder> deliver(Relayed relayed) {
+        Envelope payload =
+                relayed.getPayload().toBuilder()
+                        .setSender(relayed.getOrigin())
+                        .setSenderIncarnation(relayed.getOriginIncarnation())
+                        .build();
+        PeerHandler handler = mHandlers.get(payload.getBodyCase());
+        // Only messages without a reply travel over relays.
+        return handler == null ? Mono.empty() : handler.handle(payload).then(Mono.empty());
+    }
+
+    /** Passes a message for one host on to the next hop. */
+    private void pass(Relayed relayed, String from) {
+        Optional<String> next = nextHop(relayed.getDestination(), from);
+        if (next.isEmpty() || relayed.getHops() >= MOST_HOPS) {
+            mLog.log(
+                    PeerEvent.NO_PATH,
+                    field("host", relayed.getDestination()),
+                    field("body", relayed.getPayload().getBodyCase()),
+                    field("hops", relayed.getHops()));
+            return;
+        }
+        mLinks.send(next.get(), forwarded(relayed));
+    }
+
+    private Optional<String> nextHop(String destination, String from) {
+        if (mLinks.linkedHosts().contains(destination)) {
+            return Optional.of(destination);
+        }
+        if (!mNetwork.relay()) {
+            return mNetwork.preferredRelay().filter(host -> !host.equals(from));
+        }
+        List<String> relays =
+                mNetwork.domainOf(destination).map(mNetwork::relaysOf).orElse(List.of());
+        return first(relays, from)
+                .or(() -> first(mNetwork.farRelays(), from))
+                .or(() -> first(mNetwork.ownRelays(), from));
+    }
+
+    private static Optional<String> first(List<String> hosts, String except) {
+        return hosts.stream().filter(host -> !host.equals(except)).findFirst();
+    }
+
+    /** Passes a message to all hosts on to those that do not get it from the neighbour. */
+    private void spread(Relayed relayed, String from) {
+        Set<String> next = new HashSet<>();
+        if (mNetwork.relay()) {
+            next.addAll(mNetwork.preferringMembers());
+            boolean fromRelay =
+                    mNetwork.ownRelays().contains(from) || mNetwork.farRelays().contains(from);
+            if (!fromRelay) {
+                next.addAll(mNetwork.ownRelays());
+                next.addAll(mNetwork.farRelays());
+            }
+        } else if (from.equals(mHost)) {
+            mNetwork.preferredRelay().ifPresent(next::add);
+        }
+        next.remove(from);
+        next.remove(relayed.getOrigin());
+        Envelope.Builder message = forwarded(relayed);
+        next.forEach(host -> mLinks.send(host, message));
+    }
+
+    private static Envelope.Builder forwarded(Relayed relayed) {
+        return Envelope.newBuilder().setRelayed(relayed.toBuilder().setHops(relayed.getHops() + 1));
+    }
+
+    private boolean isFirst(Relayed relayed) {
+        SeenRequests seen = mSeen.get(relayed.getOrigin());
+        if (seen == null || !seen.isOf(relayed.getOriginIncarnation())) {
+            seen = new SeenRequests(relayed.getOriginIncarnation());
+            mSeen.put(relayed.getOrigin(), seen);
+        }
+        return seen.isFirst(relayed.getSequence());
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
@@ -3,70 +3,83 @@
 import static org.vanillaslip.internal.logging.LogField.field;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.vanillaslip.FailureDomain;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.peer.PeerLinks;
+import org.vanillaslip.internal.peer.RelayNetwork;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.ServingPlan;
 import org.vanillaslip.internal.serving.WorkspaceTerms;
 import org.vanillaslip.messages.Envelope;
 import org.vanillaslip.messages.UsageReport;
+import org.vanillaslip.messages.UsageSummary;
+import org.vanillaslip.messages.WorkspaceSummary;
 import org.vanillaslip.messages.WorkspaceUsage;
 import reactor.core.publisher.Mono;
 
-/** Charges calls to the rate and burst of their workspace, replicated over all hosts. */
+/**
+ * Charges calls to the rate and burst of their workspace, replicated over all hosts. Each host
+ * reports its use to the relays of its failure domain, which sum it up for all others.
+ */
 public final class WorkspaceLimits {
 
     /** Between two reports the hosts may overdraw a bucket together. */
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(200);
 
-    private static final Duration INTERVAL_PER_HOST = Duration.ofMillis(3);
+    /** What a host that is no relay learns from its relays about all other hosts. */
+    private static final String OTHER_HOSTS = "other-hosts";
+
+    private static final String DOMAIN_PREFIX = "domain:";
 
     private static final Duration LEAST_RETRY = Duration.ofMillis(200);
 
     private final double mOverdraft;
     private final DecisionLoop mLoop;
     private final PeerLinks mLinks;
-    private final Supplier<Collection<String>> mOtherHosts;
+    private final RelayNetwork mNetwork;
     private final RandomGenerator mRandom;
     private final EventLog mLog;
     private final Map<String, ReplicatedBucket> mBuckets = new HashMap<>();
     private boolean mUrgent;
+    private boolean mSumUrgent;
+    private boolean mRelay;
 
     /**
      * Creates limits without any workspace.
      *
      * @param overdraft units that a workspace may use beyond its burst, because reports lag
-     * @param otherHosts all listed hosts but this one
+     * @param network the relays over which hosts learn of each other's use
      */
     public WorkspaceLimits(
             double overdraft,
             DecisionLoop loop,
             PeerLinks links,
-            Supplier<Collection<String>> otherHosts,
+            RelayNetwork network,
             RandomGenerator random,
             EventLog log) {
         mOverdraft = overdraft;
         mLoop = loop;
         mLinks = links;
-        mOtherHosts = otherHosts;
+        mNetwork = network;
         mRandom = random;
         mLog = log;
     }
 
     /** Exchanges reports with other hosts from now on. */
     public void start() {
-        mLinks.handle(Envelope.BodyCase.USAGE_REPORT, this::received);
-        tickLater();
+        mLinks.handle(Envelope.BodyCase.USAGE_REPORT, this::reported);
+        mLinks.handle(Envelope.BodyCase.USAGE_SUMMARY, this::summed);
+        long period = REPORT_INTERVAL.toNanos();
+        mLoop.scheduler().schedulePeriodically(this::tick, period, period, TimeUnit.NANOSECONDS);
     }
 
     /** Takes over rates and bursts. */
@@ -101,6 +114,11 @@
                 field("workspace", terms.workspace().name()),
                 field("tokens", units),
                 field("level", (long) bucket.level(now)),
+                field("rate", (long) terms.ratePerSecond()),
+                field("burst", (long) terms.burst()),
+                field("demand", (long) bucket.knownDemand(now)),
+                field("unheard", (long) bucket.unheardDemand(now)),
+                field("admitted", bucket.admittedByAll()),
                 field("retry_after", retry));
         return Optional.of(Refusal.retryable(ResultCode.RATE_EXCEEDED, units + " units", retry));
     }
@@ -130,19 +148,36 @@
         }
     }
 
-    /** Every host reports to every other, so that many hosts report less often. */
-    private void tickLater() {
-        Duration more = INTERVAL_PER_HOST.multipliedBy(mLinks.liveHosts().size());
-        mLoop.scheduler()
-                .schedule(this::tick, REPORT_INTERVAL.plus(more).toNanos(), TimeUnit.NANOSECONDS);
-    }
-
     private void tick() {
-        tickLater();
         long now = mLoop.clock().nowNanos();
-        Collection<String> others = mOtherHosts.get();
-        mBuckets.values().forEach(bucket -> bucket.expect(others, now));
+        if (mRelay != mNetwork.relay()) {
+            mRelay = mNetwork.relay();
+            mBuckets.values().forEach(bucket -> bucket.forgetSources(now));
+        }
+        Map<String, Integer> sources = sources();
+        mBuckets.values().forEach(bucket -> bucket.expect(sources, now));
         report();
+        sendSums();
+    }
+
+    /** Names the sources from which this host learns of the others, with their hosts. */
+    private Map<String, Integer> sources() {
+        Map<String, Integer> sources = new HashMap<>();
+        mNetwork.hostsByDomain()
+                .forEach(
+                        (domain, hosts) -> {
+                            if (mRelay && !mNetwork.isOwnDomain(domain)) {
+                                sources.put(DOMAIN_PREFIX + domain.name(), hosts.intValue());
+                            } else if (!mRelay) {
+                                sources.merge(OTHER_HOSTS, hosts.intValue(), Integer::sum);
+                            }
+                        });
+        if (mRelay) {
+            mNetwork.nearHosts().forEach(host -> sources.put(host, 1));
+        } else {
+            sources.computeIfPresent(OTHER_HOSTS, (name, hosts) -> hosts > 1 ? hosts - 1 : null);
+        }
+        return sources;
     }
 
     private void report() {
@@ -157,8 +192,51 @@
                 });
         if (report.getWorkspacesCount() > 0) {
             Envelope.Builder message = Envelope.newBuilder().setUsageReport(report);
-            mLinks.liveHosts().forEach(host -> mLinks.send(host, message));
+            mNetwork.ownRelays().forEach(relay -> mLinks.send(relay, message));
+        }
+    }
+
+    /** Tells the members of this relay about all others, and the other domains about this one. */
+    private void sendSums() {
+        mSumUrgent = false;
+        long now = mLoop.clock().nowNanos();
+        if (!mRelay) {
+            return;
         }
+        Map<String, ReplicatedBucket> due = new HashMap<>();
+        mBuckets.forEach(
+                (name, bucket) -> {
+                    if (bucket.isSumDue(now)) {
+                        due.put(name, bucket);
+                        bucket.summed(now);
+                    }
+                });
+        if (due.isEmpty()) {
+            return;
+        }
+        for (String member : mNetwork.members()) {
+            mLinks.send(member, summary(due, source -> !source.equals(member), now));
+        }
+        Envelope.Builder near = summary(due, source -> !source.startsWith(DOMAIN_PREFIX), now);
+        mNetwork.farRelays().forEach(relay -> mLinks.send(relay, near));
+    }
+
+    private static Envelope.Builder summary(
+            Map<String, ReplicatedBucket> buckets, Predicate<String> includes, long nowNanos) {
+        UsageSummary.Builder summary = UsageSummary.newBuilder();
+        buckets.forEach(
+                (name, bucket) -> {
+                    UsageSum sum = bucket.sum(includes, nowNanos);
+                    summary.addWorkspaces(
+                            WorkspaceSummary.newBuilder()
+                                    .setWorkspace(name)
+                                    .setAdmittedTokens(sum.admitted())
+                                    .setDemandTokensPerSecond(sum.demandPerSecond())
+                                    .setLevelTokens(sum.level())
+                                    .setHosts(sum.hosts())
+                                    .setUnheardTokensPerSecond(sum.unheardPerSecond()));
+                });
+        return Envelope.newBuilder().setUsageSummary(summary);
     }
 
     private static WorkspaceUsage usage(String name, BucketUse use) {
@@ -170,7 +248,11 @@
                 .build();
     }
 
-    private Mono<Envelope.Builder> received(Envelope message) {
+    private Mono<Envelope.Builder> reported(Envelope message) {
+        if (!mRelay) {
+            // The sender takes this host for a relay; its own relays count what it uses.
+            return Mono.empty();
+        }
         long now = mLoop.clock().nowNanos();
         for (WorkspaceUsage usage : message.getUsageReport().getWorkspacesList()) {
             ReplicatedBucket bucket = mBuckets.get(usage.getWorkspace());
@@ -183,8 +265,51 @@
                                 usage.getDemandTokensPerSecond(),
                                 usage.getLevelTokens()),
                         now);
+                sumSoon(bucket);
+            }
+        }
+        return Mono.empty();
+    }
+
+    private void sumSoon(ReplicatedBucket bucket) {
+        if (!mSumUrgent && bucket.isSumUrgent()) {
+            mSumUrgent = true;
+            mLoop.scheduler()
+                    .schedule(this::sendSums, REPORT_INTERVAL.toNanos() / 4, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private Mono<Envelope.Builder> summed(Envelope message) {
+        boolean near = mNetwork.isNear(message.getSender());
+        if (near == mRelay) {
+            // The sender and this host differ about who is a relay.
+            return Mono.empty();
+        }
+        String source =
+                near
+                        ? OTHER_HOSTS
+                        : DOMAIN_PREFIX
+                                + mNetwork.domainOf(message.getSender())
+                                        .map(FailureDomain::name)
+                                        .orElse("");
+        String relay = message.getSender() + '/' + message.getSenderIncarnation();
+        long now = mLoop.clock().nowNanos();
+        for (WorkspaceSummary summary : message.getUsageSummary().getWorkspacesList()) {
+            ReplicatedBucket bucket = mBuckets.get(summary.getWorkspace());
+            if (bucket != null) {
+                bucket.apply(source, relay, sum(summary), now);
+                sumSoon(bucket);
             }
         }
         return Mono.empty();
     }
+
+    private static UsageSum sum(WorkspaceSummary summary) {
+        return new UsageSum(
+                summary.getAdmittedTokens(),
+                summary.getDemandTokensPerSecond(),
+                summary.getLevelTokens(),
+                summary.getHosts(),
+                summary.getUnheardTokensPerSecond());
+    }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -8,14 +8,13 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.vanillaslip.Host;
+import org.vanillaslip.internal.changes.RelayedStore;
 import org.vanillaslip.internal.control.configuration.CollectionFollower;
 import org.vanillaslip.internal.control.configuration.CollectionListener;
 import org.vanillaslip.internal.control.configuration.HostListWatcher;
@@ -38,6 +37,8 @@
 import org.vanillaslip.internal.metrics.MeteredObjectStore;
 import org.vanillaslip.internal.peer.NettyPeerLinks;
 import org.vanillaslip.internal.peer.PeerTimes;
+import org.vanillaslip.internal.peer.RelayNetwork;
+import org.vanillaslip.internal.peer.RelayedLinks;
 import org.vanillaslip.internal.platform.HostCodec;
 import org.vanillaslip.internal.quota.WorkspaceLimits;
 import org.vanillaslip.internal.routing.RetryBudget;
@@ -90,7 +91,11 @@
     private final DrainFollower mDrains;
     private final FleetDirectory mDirectory;
     private final HostListWatcher mHosts;
-    private final NettyPeerLinks mLinks;
+    private final String mIncarnation;
+    private final NettyPeerLinks mNeighbours;
+    private final RelayNetwork mNetwork;
+    private final RelayedLinks mLinks;
+    private final RelayedStore mChanges;
     private final HostRegistration mRegistration;
     private final WorkspaceLimits mLimits;
     private final WaitingRoom mRoom;
@@ -117,14 +122,19 @@
         mRandom =
                 RandomGeneratorFactory.of("L64X128MixRandom")
                         .create(mHost.randomSeed().orElseGet(mIdentifiers::nextLong));
+        mIncarnation = incarnation();
         mStore = new StoreHealth(new MeteredObjectStore(ports.store(), mMetrics), mLoop, log);
+        mNetwork = new RelayNetwork(self(), this::listedHosts, mLoop.clock(), log);
+        mNeighbours = neighbours(List.copyOf(settings.peers().bootstrap().values()));
+        mLinks = new RelayedLinks(mHost.name(), mIncarnation, mNeighbours, mNetwork, mLoop, log);
+        mChanges = new RelayedStore(mStore, mStore::wasAway, mNetwork, mLinks, mLoop, log);
+        mHosts = new HostListWatcher(mChanges, new HostCodec(), mLoop, mRandom, log);
         mPlans = new PlanFollower(ports.collections(), log);
         mDrains = new DrainFollower(ports.collections(), log);
-        mDirectory = new FleetDirectory(ports.collections(), mDrains, mLoop, mStore::wasAway, log);
-        mHosts = new HostListWatcher(mStore, new HostCodec(), mLoop, mRandom, log);
-        mLinks = links(List.copyOf(settings.peers().bootstrap().values()));
+        mDirectory =
+                new FleetDirectory(ports.collections(), mDrains, mLoop, mChanges::wasAway, log);
         double overdraft = serving.rateSlack() * OVERDRAFT_PART;
-        mLimits = new WorkspaceLimits(overdraft, mLoop, mLinks, this::otherHosts, mRandom, log);
+        mLimits = new WorkspaceLimits(overdraft, mLoop, mLinks, mNetwork, mRandom, log);
         ServerSelector selector =
                 new ServerSelector(
                         mDirectory, mPlans, mHost.failureDomain(), this::hostCount, mLoop, mRandom);
@@ -132,7 +142,7 @@
         mLease = lease();
         mRegistration =
                 new HostRegistration(
-                        self(), mStore, mHosts, mLinks::liveHosts, mLease::held, mLoop, log);
+                        self(), mStore, mHosts, mNetwork::liveHosts, this::cleans, mLoop, log);
         mController = controller(settings.placement().weightStoreParallelLoads());
         DemandBook book = new DemandBook(mRoom, mDirectory, mLoop);
         mExchange =
@@ -145,7 +155,9 @@
     @Override
     public void start() {
         mServer.start().block(START_TIMEOUT);
-        mLinks.start().block(START_TIMEOUT);
+        mNeighbours.start().block(START_TIMEOUT);
+        mLinks.start();
+        mChanges.start();
         mPlans.onChange(mLimits::apply);
         mDirectory.onChange(mRoom::pump);
         follow(mPorts.collections().plans(), mPlans);
@@ -186,18 +198,23 @@
         return true;
     }
 
-    private NettyPeerLinks links(List<InetSocketAddress> bootstrap) {
+    private String incarnation() {
         byte[] incarnation = new byte[INCARNATION_BYTES];
         mIdentifiers.nextBytes(incarnation);
+        return HexFormat.of().formatHex(incarnation);
+    }
+
+    private NettyPeerLinks neighbours(List<InetSocketAddress> bootstrap) {
         return new NettyPeerLinks(
                 mHost.name(),
-                HexFormat.of().formatHex(incarnation),
+                mIncarnation,
                 mIdentifiers.nextLong() >>> 1,
                 mLoop,
                 mServingLoop.group(),
                 mHost.peerAddress(),
-                mHosts::hosts,
+                this::listedHosts,
                 bootstrap,
+                mNetwork,
                 this::heartbeat,
                 PeerTimes.DEFAULT,
                 mMetrics,
@@ -222,10 +239,21 @@
                 LEASE_TIMES,
                 mServing.orderTurn(),
                 () -> Long.toHexString(mIdentifiers.nextLong()),
-                this::liveHosts,
+                mNetwork::liveRelays,
+                this::ordersNext,
                 mLog);
     }
 
+    /** The relays go first; the others look at the lease when no holder is heard from. */
+    private boolean ordersNext() {
+        return mNetwork.relay() || !mExchange.planned();
+    }
+
+    /** Only a relay hears of all hosts. */
+    private boolean cleans() {
+        return mLease.held() && mNetwork.relay();
+    }
+
     private LoadController controller(int storeLoads) {
         return new LoadController(
                 mHost.name(),
@@ -300,7 +328,7 @@
     }
 
     private void follow(String collection, CollectionListener listener) {
-        new CollectionFollower(mStore, collection, mLoop, mRandom, mLog, listener, LONGEST_RETRY)
+        new CollectionFollower(mChanges, collection, mLoop, mRandom, mLog, listener, LONGEST_RETRY)
                 .start();
     }
 
@@ -308,21 +336,14 @@
         return !mLeaving && mPlans.current().isPresent() && mDirectory.listed() && mDrains.listed();
     }
 
-    private List<String> otherHosts() {
-        return mHosts.hosts().stream()
-                .map(Host::name)
-                .filter(name -> !name.equals(mHost.name()))
-                .toList();
-    }
-
-    private Collection<String> liveHosts() {
-        List<String> live = new ArrayList<>(mLinks.liveHosts());
-        live.add(mHost.name());
-        return live;
+    private List<Host> listedHosts() {
+        return mHosts.hosts();
     }
 
     private int hostCount() {
-        return otherHosts().size() + 1;
+        long others =
+                mHosts.hosts().stream().filter(host -> !host.name().equals(mHost.name())).count();
+        return (int) others + 1;
     }
 
     /** Each host has an equal part of the sends beyond the ratio. */
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -29,6 +29,7 @@
 import org.vanillaslip.internal.metrics.MeteredObjectStore;
 import org.vanillaslip.internal.metrics.MeteredPeerLinks;
 import org.vanillaslip.internal.metrics.MeteredPlacement;
+import org.vanillaslip.internal.peer.LinkPolicy;
 import org.vanillaslip.internal.peer.NettyPeerLinks;
 import org.vanillaslip.internal.peer.PeerLinks;
 import org.vanillaslip.internal.peer.PeerTimes;
@@ -175,6 +176,7 @@
                 mSettings.host().peerAddress(),
                 mHosts::hosts,
                 List.copyOf(mSettings.peers().bootstrap().values()),
+                LinkPolicy.mesh(context.name()),
                 this::heartbeat,
                 PeerTimes.DEFAULT,
                 context.metrics(),
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/changes/ChangingStore.java
@@ -0,0 +1,150 @@
+package org.vanillaslip.internal.changes;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformException;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.platform.WatchEventType;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Scheduler;
+
+/** One host's access to a collection that a test changes; it may be silent or away. */
+final class ChangingStore implements ObjectStore {
+
+    /** The collection that all hosts share. */
+    static final class Shared {
+        private final List<WatchEvent> mEvents = new ArrayList<>();
+        private final Sinks.Many<WatchEvent> mChanges = Sinks.many().multicast().directBestEffort();
+        private long mRevision = 10;
+
+        void change(String collection, String name, WatchEventType type) {
+            mRevision++;
+            ObjectNode spec =
+                    JsonNodeFactory.instance
+                            .objectNode()
+                            .put("revision", mRevision)
+                            .put("text", "x".repeat(4000));
+            WatchEvent event =
+                    new WatchEvent(type, new StoredObject(collection, name, mRevision, spec));
+            mEvents.add(event);
+            mChanges.tryEmitNext(event);
+        }
+
+        long revision() {
+            return mRevision;
+        }
+    }
+
+    private static final Duration SILENCE = Duration.ofMillis(2600);
+
+    private final Shared mShared;
+    private final Scheduler mScheduler;
+    private boolean mAway;
+    private boolean mSilent;
+    private int mWatches;
+    private int mLists;
+
+    ChangingStore(Shared shared, Scheduler scheduler) {
+        mShared = shared;
+        mScheduler = scheduler;
+    }
+
+    /** Refuses all calls, or answers again. */
+    void setAway(boolean away) {
+        mAway = away;
+    }
+
+    /** Open watches stay silent without an end, as after a lost connection. */
+    void setSilent(boolean silent) {
+        mSilent = silent;
+    }
+
+    int watches() {
+        return mWatches;
+    }
+
+    int lists() {
+        return mLists;
+    }
+
+    boolean isAway() {
+        return mAway;
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
+        mLists++;
+        return Mono.delay(Duration.ofMillis(4), mScheduler)
+                .map(
+                        tick ->
+                                mAway
+                                        ? Either.left(PlatformFailure.UNAVAILABLE)
+                                        : Either.right(
+                                                new ObjectList(
+                                                        mShared.mRevision,
+                                                        mShared.mEvents.stream()
+                                                                .map(WatchEvent::object)
+                                                                .toList())));
+    }
+
+    @Override
+    public Flux<WatchEvent> watch(String collection, long fromVersion) {
+        return Flux.defer(
+                () -> {
+                    mWatches++;
+                    if (mAway) {
+                        return Flux.error(
+                                new PlatformException(PlatformFailure.UNAVAILABLE, "away"));
+                    }
+                    List<WatchEvent> missed =
+                            mShared.mEvents.stream()
+                                    .filter(event -> event.object().version() > fromVersion)
+                                    .toList();
+                    Flux<WatchEvent> changes =
+                            Flux.fromIterable(missed).concatWith(mShared.mChanges.asFlux());
+                    Flux<WatchEvent> ends =
+                            Flux.interval(SILENCE, mScheduler)
+                                    .filter(tick -> mSilent || mAway)
+                                    .flatMap(
+                                            tick ->
+                                                    Flux.error(
+                                                            new PlatformException(
+                                                                    PlatformFailure.SILENT,
+                                                                    "silent")));
+                    return changes.filter(event -> !mSilent && !mAway).mergeWith(ends);
+                });
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
+        return Mono.just(Either.left(PlatformFailure.NOT_FOUND));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> create(
+            String collection, String name, ObjectNode spec) {
+        return Mono.just(Either.left(PlatformFailure.UNAVAILABLE));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> update(
+            String collection, String name, long expectedVersion, ObjectNode spec) {
+        return Mono.just(Either.left(PlatformFailure.UNAVAILABLE));
+    }
+
+    @Override
+    public Mono<Either<PlatformFailure, StoredObject>> delete(
+            String collection, String name, long expectedVersion) {
+        return Mono.just(Either.left(PlatformFailure.UNAVAILABLE));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/changes/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.vanillaslip.internal.changes;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LeaseWorld.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LeaseWorld.java
@@ -58,6 +58,7 @@
                             TURN,
                             () -> mName + mNonces.incrementAndGet(),
                             () -> List.copyOf(mHosts.keySet()),
+                            () -> true,
                             (event, fields) -> {});
             lease.start();
             return lease;
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/RelayedUsageTest.java
@@ -0,0 +1,161 @@
+package org.vanillaslip.internal.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.vanillaslip.Workspace;
+import org.vanillaslip.internal.peer.RelayWorld;
+import org.vanillaslip.internal.serving.WorkspaceTerms;
+
+/** Guards the rate of a workspace when hosts learn of each other's use from relays only. */
+class RelayedUsageTest {
+
+    private static final Duration SETTLED = Duration.ofSeconds(14);
+    private static final Duration STEP = Duration.ofMillis(10);
+    private static final int STEPS_PER_SECOND = 100;
+    private static final double RATE = 40_000;
+    private static final double OVERDRAFT = 6_800;
+    private static final long CALL = 1_100;
+    private static final int WINDOW_STEPS = 8 * STEPS_PER_SECOND;
+
+    /** What the platform allows: rate and burst, a tenth more, and a fixed number of tokens. */
+    private static final long BOUND = (long) ((RATE * 8 + RATE) * 1.1 + 17_000);
+
+    private final Map<String, WorkspaceLimits> mLimits = new LinkedHashMap<>();
+    private final List<long[]> mAdmitted = new ArrayList<>();
+    private RelayWorld mWorld = new RelayWorld(1, 1, 1);
+    private final WorkspaceTerms mTerms =
+            new WorkspaceTerms(new Workspace("one"), OptionalInt.empty(), RATE, RATE, true, CALL);
+    private int mStep;
+    private int mAsked;
+    private int mRefused;
+
+    /**
+     * Pattern: few calls a host, in pairs, unevenly spread. Guards against refusals inside the rate
+     * by a share of less than one call.
+     */
+    @ParameterizedTest
+    @CsvSource({"6, 3", "17, 5", "95, 5", "300, 7"})
+    void fewCallsAHostInsideTheRateAreAdmitted(int hosts, int domains) {
+        start(hosts, domains);
+        run(3, 0, 1);
+        run(12, 0.7 * RATE, 1);
+
+        assertThat(mRefused * 100).isLessThan(mAsked);
+        assertThat(largestWindow()).isLessThanOrEqualTo(BOUND);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"6, 3, 4.6", "17, 5, 4.6", "95, 5, 4.6", "300, 7, 4.6", "95, 5, 8"})
+    void aWorkspaceFarAboveItsRateStaysWithinTheBound(int hosts, int domains, double times) {
+        start(hosts, domains);
+        run(10, 0.7 * RATE, 2);
+        run(12, times * RATE, 2);
+
+        assertThat(largestWindow()).isLessThanOrEqualTo(BOUND);
+        assertThat(total()).isGreaterThan((long) (RATE * 10));
+    }
+
+    /** Each part goes on with its share, and nothing is counted twice when they meet again. */
+    @Test
+    void aDomainThatIsCutOffKeepsItsPart() {
+        start(95, 5);
+        run(10, 4.6 * RATE, 3);
+        mWorld.connect(
+                (one, other) ->
+                        one.domain().name().equals("d0") == other.domain().name().equals("d0"));
+        run(12, 4.6 * RATE, 3);
+        mWorld.connect((one, other) -> true);
+        run(12, 4.6 * RATE, 3);
+
+        assertThat(largestWindow()).isLessThanOrEqualTo(BOUND);
+        assertThat(total()).isGreaterThan((long) (RATE * 28));
+    }
+
+    /** Guards against use that is counted twice, or not at all, by the relay that takes over. */
+    @Test
+    void theLossOfRelaysKeepsTheBoundAndTheRate() {
+        start(95, 5);
+        run(10, 4.6 * RATE, 4);
+        mWorld.kill(mWorld.relays().get(0));
+        mWorld.freeze(mWorld.relays().get(3));
+        run(15, 4.6 * RATE, 4);
+
+        assertThat(largestWindow()).isLessThanOrEqualTo(BOUND);
+        assertThat(total()).isGreaterThan((long) (RATE * 22));
+    }
+
+    private void start(int hosts, int domains) {
+        mWorld = new RelayWorld(hosts, domains, 1);
+        mWorld.run(SETTLED);
+        for (RelayWorld.Member member : mWorld.members()) {
+            WorkspaceLimits limits =
+                    new WorkspaceLimits(
+                            OVERDRAFT,
+                            mWorld.loop(),
+                            member.links(),
+                            member.network(),
+                            new Random(member.name().hashCode()),
+                            (event, fields) -> {});
+            limits.start();
+            limits.charge(mTerms, 0);
+            mLimits.put(member.name(), limits);
+        }
+    }
+
+    private void run(int seconds, double tokensPerSecond, long seed) {
+        Random random = new Random(seed);
+        double pairsPerStep = tokensPerSecond / CALL / STEPS_PER_SECOND / 2;
+        List<RelayWorld.Member> live = mWorld.live();
+        for (int step = 0; step < seconds * STEPS_PER_SECOND; step++) {
+            mStep++;
+            mWorld.run(STEP);
+            double pairs = pairsPerStep;
+            while (random.nextDouble() < pairs) {
+                pairs--;
+                double place = random.nextDouble();
+                String host = live.get((int) (place * place * live.size())).name();
+                call(host);
+                call(host);
+            }
+        }
+    }
+
+    private void call(String host) {
+        mAsked++;
+        WorkspaceLimits limits = Optional.ofNullable(mLimits.get(host)).orElseThrow();
+        if (limits.charge(mTerms, CALL).isEmpty()) {
+            mAdmitted.add(new long[] {mStep, CALL});
+        } else {
+            mRefused++;
+        }
+    }
+
+    private long total() {
+        return mAdmitted.stream().mapToLong(call -> call[1]).sum();
+    }
+
+    private long largestWindow() {
+        long largest = 0;
+        long sum = 0;
+        int first = 0;
+        for (long[] call : mAdmitted) {
+            sum += call[1];
+            while (call[0] - mAdmitted.get(first)[0] >= WINDOW_STEPS) {
+                sum -= mAdmitted.get(first++)[1];
+            }
+            largest = Math.max(largest, sum);
+        }
+        return largest;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/membership/RelayRoles.java
@@ -0,0 +1,150 @@
+package org.vanillaslip.internal.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.Host;
+
+/**
+ * Which hosts pass messages on for the others, as one host sees it. The relays of a failure domain
+ * are its first hosts by rendezvous hashing that are not lost, so that all hosts that know the same
+ * list agree without a vote. A wrong belief costs messages, not safety.
+ */
+public final class RelayRoles {
+
+    /** One relay may be lost without a gap. */
+    public static final int RELAYS_PER_DOMAIN = 2;
+
+    /** Lost hosts that are tried again beside the relays of a failure domain. */
+    private static final int MOST_LOST_TRIED = 4;
+
+    private final Host mSelf;
+    private final Map<String, FailureDomain> mDomains;
+    private final Map<FailureDomain, List<String>> mRelays;
+    private final Set<String> mWanted;
+
+    private RelayRoles(
+            Host self,
+            Map<String, FailureDomain> domains,
+            Map<FailureDomain, List<String>> relays,
+            Set<String> wanted) {
+        mSelf = self;
+        mDomains = domains;
+        mRelays = relays;
+        mWanted = wanted;
+    }
+
+    /**
+     * Returns the roles that follow from the list.
+     *
+     * @param ranking ranks the hosts of a failure domain
+     * @param lost hosts that were tried and not heard from
+     */
+    public static RelayRoles of(
+            Host self, Collection<Host> hosts, RendezvousRanking ranking, Predicate<String> lost) {
+        Map<String, FailureDomain> domains =
+                hosts.stream()
+                        .collect(
+                                Collectors.toMap(
+                                        Host::name, Host::failureDomain, (one, other) -> one));
+        domains.put(self.name(), self.failureDomain());
+        Map<FailureDomain, List<String>> byDomain = new TreeMap<>(RelayRoles::byName);
+        domains.forEach(
+                (host, domain) ->
+                        byDomain.computeIfAbsent(domain, name -> new ArrayList<>()).add(host));
+        Map<FailureDomain, List<String>> ranked = new TreeMap<>(RelayRoles::byName);
+        byDomain.forEach((domain, names) -> ranked.put(domain, ranking.rank(domain.name(), names)));
+        Map<FailureDomain, List<String>> relays = new TreeMap<>(RelayRoles::byName);
+        ranked.forEach((domain, names) -> relays.put(domain, relays(self, names, lost)));
+        boolean relay = relays.getOrDefault(self.failureDomain(), List.of()).contains(self.name());
+        Set<String> wanted = new LinkedHashSet<>();
+        ranked.forEach(
+                (domain, names) -> {
+                    if (relay || domain.equals(self.failureDomain())) {
+                        wanted.addAll(wanted(self, names, lost));
+                    }
+                });
+        return new RelayRoles(self, Map.copyOf(domains), relays, wanted);
+    }
+
+    /** Returns whether this host passes messages on. */
+    public boolean relay() {
+        return relaysOf(mSelf.failureDomain()).contains(mSelf.name());
+    }
+
+    /** Returns the relays of the failure domain, the preferred one first. */
+    public List<String> relaysOf(FailureDomain domain) {
+        return mRelays.getOrDefault(domain, List.of());
+    }
+
+    /** Returns the relays of this host's failure domain without this host. */
+    public List<String> ownRelays() {
+        return relaysOf(mSelf.failureDomain()).stream()
+                .filter(host -> !host.equals(mSelf.name()))
+                .toList();
+    }
+
+    /** Returns the relays of all other failure domains. */
+    public List<String> farRelays() {
+        return mRelays.entrySet().stream()
+                .filter(entry -> !entry.getKey().equals(mSelf.failureDomain()))
+                .flatMap(entry -> entry.getValue().stream())
+                .toList();
+    }
+
+    /** Returns the hosts to which this host keeps links, lost ones that it tries again included. */
+    public Set<String> wanted() {
+        return mWanted;
+    }
+
+    /** Returns the failure domain of a listed host. */
+    public Optional<FailureDomain> domainOf(String host) {
+        return Optional.ofNullable(mDomains.get(host));
+    }
+
+    /** Returns the listed hosts of each failure domain, this host included. */
+    public Map<FailureDomain, Long> hostsByDomain() {
+        return mDomains.values().stream()
+                .collect(Collectors.groupingBy(domain -> domain, Collectors.counting()));
+    }
+
+    private static List<String> relays(Host self, List<String> ranked, Predicate<String> lost) {
+        return ranked.stream()
+                .filter(host -> host.equals(self.name()) || !lost.test(host))
+                .limit(RELAYS_PER_DOMAIN)
+                .toList();
+    }
+
+    private static List<String> wanted(Host self, List<String> ranked, Predicate<String> lost) {
+        List<String> wanted = new ArrayList<>();
+        int present = 0;
+        int absent = 0;
+        for (String host : ranked) {
+            if (present == RELAYS_PER_DOMAIN) {
+                break;
+            }
+            if (host.equals(self.name())) {
+                present++;
+            } else if (!lost.test(host)) {
+                present++;
+                wanted.add(host);
+            } else if (absent < MOST_LOST_TRIED) {
+                absent++;
+                wanted.add(host);
+            }
+        }
+        return wanted;
+    }
+
+    private static int byName(FailureDomain one, FailureDomain other) {
+        return one.name().compareTo(other.name());
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/MergedCount.java
@@ -0,0 +1,54 @@
+package org.vanillaslip.internal.quota;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * One growing count that several relays report, each from a start of its own. The relay that is
+ * ahead decides, so that a repeated or late report, a restarted relay or a change of relay counts
+ * nothing twice.
+ */
+final class MergedCount {
+
+    private final Map<String, RelayCount> mRelays = new HashMap<>();
+    private long mTotal;
+
+    /**
+     * Takes over a report and returns the count since this host began to listen.
+     *
+     * @param relay name and incarnation of the relay, which counts from zero after a restart
+     */
+    long accept(String relay, long reported, long nowNanos) {
+        RelayCount count = mRelays.get(relay);
+        if (count == null) {
+            mRelays.put(relay, new RelayCount(mTotal - reported, reported, nowNanos));
+            return mTotal;
+        }
+        count.mReported = reported;
+        count.mHeardAt = nowNanos;
+        mTotal =
+                mRelays.values().stream()
+                        .mapToLong(known -> known.mOffset + known.mReported)
+                        .max()
+                        .orElse(mTotal);
+        return mTotal;
+    }
+
+    /** Forgets relays that were not heard from since the given time. */
+    void forgetBefore(long nanos) {
+        mRelays.values().removeIf(count -> count.mHeardAt - nanos < 0);
+    }
+
+    /** What one relay has reported, and where it stood when it was first heard. */
+    private static final class RelayCount {
+        private final long mOffset;
+        private long mReported;
+        private long mHeardAt;
+
+        RelayCount(long offset, long reported, long heardAt) {
+            mOffset = offset;
+            mReported = reported;
+            mHeardAt = heardAt;
+        }
+    }
+}
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
@@ -4,12 +4,16 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Rate and burst of one workspace, replicated on every host. Each host takes tokens from its own
- * replica at once and learns what the others took from their reports. Between two reports a host
- * takes at most its share of what is left, by recent demand; the overdraft of one report interval
- * is paid back before anything else is admitted.
+ * replica at once and learns what the others took from reports. A report comes from one host or
+ * from a relay that sums up several; each is a source. Between two reports a host takes at most its
+ * share of what is left, by recent demand, or a few calls while much more is left than all hosts
+ * use between reports; the overdraft of one report interval is paid back before anything else is
+ * admitted.
  */
 public final class ReplicatedBucket {
 
@@ -39,16 +43,23 @@
     /** Part of the rate that idle hosts count as asking for, so that each has a share. */
     private static final double IDLE_DEMAND = 0.1;
 
+    /**
+     * While more is left than all hosts ask for in this time, a host may take a few calls beyond
+     * its share. News of what the others took is younger.
+     */
+    private static final double AMPLE_SECONDS = 1;
+
     /** Part of the burst after which a host reports without waiting for its next turn. */
     private static final double URGENT_PART = 0.05;
 
-    private final Map<String, PeerUse> mPeers = new HashMap<>();
+    private final Map<String, SourceUse> mSources = new HashMap<>();
     private final double mOverdraft;
     private double mRatePerNano;
     private double mBurst;
     private double mLevel;
     private long mUpdatedAt;
     private boolean mFresh = true;
+    private int mHosts = 1;
     private long mAdmitted;
     private double mDemand;
     private long mDemandAt;
@@ -57,6 +68,10 @@
     private long mRefusedAt;
     private long mReportedAt;
     private boolean mReportedIdle;
+    private long mSummedAt;
+    private double mUsedSinceSum;
+    private boolean mChangedSinceSum;
+    private long mAdmittedAtSum;
 
     /**
      * Creates an empty bucket: what an earlier incarnation of this host took is unknown.
@@ -80,9 +95,33 @@
 
     /** Names the other hosts, so that those that were never heard from have a share, too. */
     public void expect(Collection<String> hosts, long nowNanos) {
+        expect(hosts.stream().collect(Collectors.toMap(host -> host, host -> 1)), nowNanos);
+    }
+
+    /** Names all sources with their numbers of hosts. */
+    public void expect(Map<String, Integer> sources, long nowNanos) {
+        refill(nowNanos);
+        sources.forEach(
+                (source, hosts) ->
+                        mSources.computeIfAbsent(source, name -> new SourceUse(hosts, nowNanos))
+                                .expect(hosts));
+        mSources.values().removeIf(source -> nowNanos - source.heardAt() > FORGET_NANOS);
+        mSources.values().forEach(source -> source.forgetRelaysBefore(nowNanos - FORGET_NANOS));
+        countHosts();
+    }
+
+    /** Forgets all sources, because this host learns of the others in another way from now on. */
+    public void forgetSources(long nowNanos) {
         refill(nowNanos);
-        hosts.forEach(host -> mPeers.computeIfAbsent(host, name -> new PeerUse(nowNanos)));
-        mPeers.values().removeIf(peer -> nowNanos - peer.mHeardAt > FORGET_NANOS);
+        mSources.clear();
+        countHosts();
+    }
+
+    private void countHosts() {
+        mHosts = 1;
+        for (SourceUse source : mSources.values()) {
+            mHosts += source.hosts();
+        }
     }
 
     /** Takes the tokens if the workspace has any left for this host. */
@@ -92,7 +131,7 @@
         mDemandAt = nowNanos;
         double left = mLevel + mOverdraft;
         double mine = share(nowNanos) * (left + mTakenSinceReport);
-        if (left <= 0 || mTakenSinceReport >= mine) {
+        if (left <= 0 || (mTakenSinceReport >= mine && !ample(tokens, nowNanos))) {
             return false;
         }
         mLevel -= tokens;
@@ -101,6 +140,15 @@
         return true;
     }
 
+    /**
+     * A host that gets few of the calls has a share of less than one call. Together the hosts take
+     * what callers ask for, which the level covers until the next reports.
+     */
+    private boolean ample(long tokens, long nowNanos) {
+        double ample = AMPLE_SECONDS * totalDemand(nowNanos);
+        return mTakenSinceReport + tokens <= mOverdraft && mLevel - tokens >= ample;
+    }
+
     /** Returns tokens of a call that did not run. */
     public void giveBack(long tokens, long nowNanos) {
         refill(nowNanos);
@@ -127,7 +175,7 @@
     /** Returns whether the other hosts should hear from this one in their next turn. */
     public boolean isReportDue(long nowNanos) {
         boolean unreported = mBurst > 0 && mTakenSinceReport > 0;
-        boolean idle = mReportedIdle && isIdle(demandPerSecond(nowNanos));
+        boolean idle = mReportedIdle && isIdle(demandPerSecond(nowNanos), 1);
         long age = nowNanos - mReportedAt;
         return unreported || age >= (idle ? IDLE_REPORT_NANOS : BUSY_REPORT_NANOS);
     }
@@ -142,29 +190,91 @@
         refill(nowNanos);
         mTakenSinceReport = 0;
         mReportedAt = nowNanos;
-        mReportedIdle = isIdle(demandPerSecond(nowNanos));
+        mReportedIdle = isIdle(demandPerSecond(nowNanos), 1);
         return new BucketUse(mAdmitted, demandPerSecond(nowNanos), (long) mLevel);
     }
 
     /** Takes over the report of another host. */
     public void apply(String host, String incarnation, BucketUse use, long nowNanos) {
         refill(nowNanos);
-        PeerUse peer = mPeers.computeIfAbsent(host, name -> new PeerUse(nowNanos));
+        SourceUse source = source(host, 1, nowNanos);
+        taken(source.apply(incarnation, use, nowNanos), use.level());
+    }
+
+    /**
+     * Takes over the report of a relay.
+     *
+     * @param source what the relay sums up; several relays may report the same source
+     * @param relay name and incarnation of the relay
+     */
+    public void apply(String source, String relay, UsageSum sum, long nowNanos) {
+        refill(nowNanos);
+        SourceUse known = source(source, sum.hosts(), nowNanos);
+        taken(known.apply(relay, sum, nowNanos), sum.level());
+    }
+
+    private SourceUse source(String name, int hosts, long nowNanos) {
+        return mSources.computeIfAbsent(name, added -> new SourceUse(hosts, nowNanos));
+    }
+
+    private void taken(double change, long reportedLevel) {
         if (mFresh) {
-            mLevel = Math.min(mBurst, use.level());
+            mLevel = reportedLevel;
             mFresh = false;
-        } else if (peer.mIncarnation.equals(incarnation)) {
-            mLevel += peer.mAssumed - (use.admitted() - peer.mAdmitted);
-        } else if (!peer.mIncarnation.isEmpty()) {
-            mLevel += peer.mAssumed - use.admitted();
+        } else {
+            mLevel += change;
         }
         mLevel = Math.min(mBurst, mLevel);
-        peer.mIncarnation = incarnation;
-        peer.mAdmitted = use.admitted();
-        peer.mDemand = use.demandPerSecond();
-        peer.mHeardAt = nowNanos;
-        peer.mHeard = true;
-        peer.mAssumed = 0;
+        mChangedSinceSum |= change != 0;
+        mUsedSinceSum += Math.max(0, -change);
+        countHosts();
+    }
+
+    /**
+     * Returns what the named sources and this host have admitted, for hosts that do not hear them.
+     */
+    public UsageSum sum(Predicate<String> includes, long nowNanos) {
+        refill(nowNanos);
+        long admitted = mAdmitted;
+        double demand = demandPerSecond(nowNanos);
+        int hosts = 1;
+        double unheard = 0;
+        for (Map.Entry<String, SourceUse> entry : mSources.entrySet()) {
+            if (includes.test(entry.getKey())) {
+                SourceUse source = entry.getValue();
+                admitted += source.counted();
+                demand += source.demand();
+                hosts += source.hosts();
+                unheard += isHeard(source, nowNanos) ? source.unheard() : weight(source);
+            }
+        }
+        return new UsageSum(admitted, (long) demand, (long) mLevel, hosts, (long) unheard);
+    }
+
+    /** Returns whether the hosts behind a relay should hear a new sum. */
+    public boolean isSumDue(long nowNanos) {
+        boolean idle = isIdle(knownDemand(nowNanos), 1);
+        long age = nowNanos - mSummedAt;
+        return mChangedSinceSum
+                || takenSinceSum() > 0
+                || age >= (idle ? IDLE_REPORT_NANOS : BUSY_REPORT_NANOS);
+    }
+
+    /** Returns whether a new sum should not wait for its turn. */
+    public boolean isSumUrgent() {
+        return mBurst > 0 && mUsedSinceSum / mBurst > URGENT_PART;
+    }
+
+    /** Notes that the sums were sent. */
+    public void summed(long nowNanos) {
+        mSummedAt = nowNanos;
+        mUsedSinceSum = 0;
+        mChangedSinceSum = false;
+        mAdmittedAtSum = mAdmitted;
+    }
+
+    private long takenSinceSum() {
+        return mAdmitted - mAdmittedAtSum;
     }
 
     /** Returns the level as this host knows it. */
@@ -173,6 +283,29 @@
         return mLevel;
     }
 
+    /** Returns the tokens per second that callers ask of all hosts, as this host knows it. */
+    public double knownDemand(long nowNanos) {
+        double demand = demandPerSecond(nowNanos);
+        for (SourceUse source : mSources.values()) {
+            demand += source.demand();
+        }
+        return demand;
+    }
+
+    /** Returns the part of the demand that belongs to hosts that this host does not hear of. */
+    public double unheardDemand(long nowNanos) {
+        double unheard = 0;
+        for (SourceUse source : mSources.values()) {
+            unheard += isHeard(source, nowNanos) ? source.unheard() : weight(source);
+        }
+        return unheard;
+    }
+
+    /** Returns the tokens that this host and all others have admitted since it knows of them. */
+    public long admittedByAll() {
+        return mAdmitted + mSources.values().stream().mapToLong(SourceUse::counted).sum();
+    }
+
     private void refill(long nowNanos) {
         double elapsed = nowNanos - mUpdatedAt;
         mUpdatedAt = nowNanos;
@@ -181,10 +314,14 @@
         }
         double gained = elapsed * mRatePerNano;
         double total = totalDemand(nowNanos);
-        for (PeerUse peer : mPeers.values()) {
-            if (!isHeard(peer, nowNanos)) {
-                double used = gained * weight(peer.mDemand) / total;
-                peer.mAssumed += used;
+        for (SourceUse source : mSources.values()) {
+            if (!isHeard(source, nowNanos)) {
+                double used = gained * weight(source) / total;
+                source.assume(used);
+                mLevel -= used;
+            } else if (source.unheard() > 0) {
+                double used = gained * source.unheard() / total;
+                source.assumeUnheard(used);
                 mLevel -= used;
             }
         }
@@ -192,33 +329,37 @@
     }
 
     private double share(long nowNanos) {
-        return weight(demandPerSecond(nowNanos)) / totalDemand(nowNanos);
+        return weight(demandPerSecond(nowNanos), 1) / totalDemand(nowNanos);
     }
 
     private double totalDemand(long nowNanos) {
-        double total = weight(demandPerSecond(nowNanos));
-        for (PeerUse peer : mPeers.values()) {
-            total += weight(peer.mDemand);
+        double total = weight(demandPerSecond(nowNanos), 1);
+        for (SourceUse source : mSources.values()) {
+            total += weight(source);
         }
         return total;
     }
 
-    private double weight(double demandPerSecond) {
-        return Math.max(1, demandPerSecond + idleDemand());
+    private double weight(SourceUse source) {
+        return weight(source.demand(), source.hosts());
+    }
+
+    private double weight(double demandPerSecond, int hosts) {
+        return Math.max(hosts, demandPerSecond + idleDemand() * hosts);
     }
 
     /** Demand per second that each host counts as asking for. */
     private double idleDemand() {
-        return IDLE_DEMAND * mRatePerNano * 1e9 / (mPeers.size() + 1);
+        return IDLE_DEMAND * mRatePerNano * 1e9 / mHosts;
     }
 
-    private boolean isIdle(double demandPerSecond) {
-        return demandPerSecond <= idleDemand();
+    private boolean isIdle(double demandPerSecond, int hosts) {
+        return demandPerSecond <= idleDemand() * hosts;
     }
 
-    private boolean isHeard(PeerUse peer, long nowNanos) {
-        long bound = isIdle(peer.mDemand) ? IDLE_HEARD_NANOS : HEARD_NANOS;
-        return peer.mHeard && nowNanos - peer.mHeardAt <= bound;
+    private boolean isHeard(SourceUse source, long nowNanos) {
+        boolean idle = isIdle(source.demand(), source.hosts());
+        return source.heardWithin(idle ? IDLE_HEARD_NANOS : HEARD_NANOS, nowNanos);
     }
 
     private long demandPerSecond(long nowNanos) {
@@ -228,18 +369,4 @@
     private double demand(long nowNanos) {
         return mDemand * Math.exp(-(nowNanos - mDemandAt) / DEMAND_NANOS);
     }
-
-    /** What is known of another host. */
-    private static final class PeerUse {
-        private String mIncarnation = "";
-        private long mAdmitted;
-        private double mDemand;
-        private long mHeardAt;
-        private boolean mHeard;
-        private double mAssumed;
-
-        PeerUse(long nowNanos) {
-            mHeardAt = nowNanos;
-        }
-    }
 }
