Bound answers without an end, skip calls whose callers left, keep room for late orders only where they can come

Cause: interim answers were read until the deadline, and each call could hold a megabyte of an event or eight of an answer with no bound on all together. After a change of holder room for unknown orders was kept on servers whose name had no earlier life, where none can come. Change: 32 KiB until the head of an answer is complete, 32 MiB for all unfinished answers and events; after a pause of the event loop a call waits 4 ms, in which the end of its connection is read; a name that was not listed for 20 s keeps no room.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -30,6 +30,12 @@
      */
     static final Duration RETURN_GRACE = Duration.ofMillis(1800);
 
+    /**
+     * A name that was not listed for this long has no orders on their way; a server is listed for
+     * some seconds after its end.
+     */
+    private static final long NAME_NANOS = LateOrders.LONGEST_DELAY.plusSeconds(7).toNanos();
+
     private final ServingCollections mCollections;
     private final DrainFollower mDrains;
     private final DecisionLoop mLoop;
@@ -38,7 +44,9 @@
     private final Map<String, FleetMember> mMembers = new HashMap<>();
     private final Map<String, Long> mVersions = new HashMap<>();
     private final List<Runnable> mListeners = new ArrayList<>();
+    private final Map<String, Long> mNamesListedAt = new HashMap<>();
     private boolean mListed;
+    private long mListedAt;
 
     /**
      * Creates an empty directory.
@@ -111,7 +119,10 @@
 
     @Override
     public void listed(ObjectList list) {
-        mListed = true;
+        if (!mListed) {
+            mListed = true;
+            mListedAt = mLoop.clock().nowNanos();
+        }
         Set<String> names =
                 list.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
         List.copyOf(mMembers.keySet()).stream()
@@ -160,7 +171,8 @@
         if (known != null && sameLife(known.registered(), server)) {
             known.register(server, now);
         } else {
-            mMembers.put(server.instance(), new FleetMember(server, now));
+            boolean firstLife = isFirstLife(server.instance(), now);
+            mMembers.put(server.instance(), new FleetMember(server, firstLife, now));
             logListed(server);
         }
         if (wasInService && server.leaving()) {
@@ -168,6 +180,13 @@
         }
     }
 
+    /** What was listed before this host was there is not known to it. */
+    private boolean isFirstLife(String name, long nowNanos) {
+        mNamesListedAt.values().removeIf(listedAt -> nowNanos - listedAt > NAME_NANOS);
+        boolean before = mMembers.containsKey(name) || mNamesListedAt.containsKey(name);
+        return !before && mListed && nowNanos - mListedAt > NAME_NANOS;
+    }
+
     private static boolean sameLife(RegisteredServer one, RegisteredServer other) {
         return one.bornMillis() == other.bornMillis() && one.address().equals(other.address());
     }
@@ -199,6 +218,7 @@
 
     private void remove(String name, String reason) {
         if (mMembers.remove(name) != null) {
+            mNamesListedAt.put(name, mLoop.clock().nowNanos());
             logLeft(name, reason);
         }
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -28,6 +28,7 @@
     private final ColdGate mColdGate = new ColdGate();
     private final Map<String, Integer> mOwnByModel = new HashMap<>();
     private final Map<ModelName, Long> mDeniedAt = new HashMap<>();
+    private final boolean mFirstLife;
     private RegisteredServer mRegistered;
     private ServerStock mStock;
     private long mReportedAt = Long.MIN_VALUE;
@@ -38,8 +39,9 @@
     private long mFullAt = Long.MIN_VALUE;
     private boolean mOtherServerThere;
 
-    FleetMember(RegisteredServer registered, long nowNanos) {
+    FleetMember(RegisteredServer registered, boolean firstLife, long nowNanos) {
         mRegistered = registered;
+        mFirstLife = firstLife;
         mStock = registered.stock();
         mColdUntil = nowNanos + Duration.ofMillis(registered.coldMillis()).toNanos();
     }
@@ -49,6 +51,11 @@
         return mRegistered;
     }
 
+    /** Returns whether no server of this name was listed before, as far as late orders go back. */
+    public boolean firstLife() {
+        return mFirstLife;
+    }
+
     /** Returns the name of the server. */
     public String instance() {
         return mRegistered.instance();
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDesk.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDesk.java
@@ -127,7 +127,12 @@
                 Duration.ofMillis(mTimeOfDay.millis() - member.registered().bornMillis())
                         .minus(CLOCK_ERROR);
         return mLateOrders.after(
-                member.instance(), member.stock().orderCount() + 1, age, profile, now());
+                member.instance(),
+                member.stock().orderCount() + 1,
+                age,
+                member.firstLife(),
+                profile,
+                now());
     }
 
     /** Returns the order that the engine carries out. */
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/AnswerHeadBound.java
@@ -0,0 +1,51 @@
+package org.vanillaslip.internal.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Bounds what a server may send before the head of its answer is complete, interim answers and
+ * blank lines included, which the codec would read without an end.
+ */
+final class AnswerHeadBound extends ChannelInboundHandlerAdapter {
+
+    /** The codec bounds the lines of one head by 12 KiB. */
+    static final int MOST_BYTES = 32 * 1024;
+
+    private static final String NAME = "answer-head-bound";
+
+    private int mBytes;
+
+    /** Puts a bound in front of the codec. */
+    static void add(Channel channel) {
+        channel.pipeline().addFirst(NAME, new AnswerHeadBound());
+    }
+
+    /** Takes the bound out, because the head is complete. */
+    static void remove(Channel channel) {
+        if (channel.pipeline().get(NAME) != null) {
+            channel.pipeline().remove(NAME);
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (message instanceof ByteBuf bytes) {
+            mBytes += bytes.readableBytes();
+            // The read that completes the head may hold a part of the body.
+            if (mBytes - bytes.readableBytes() > MOST_BYTES) {
+                ReferenceCountUtil.release(message);
+                context.fireExceptionCaught(
+                        new TooLongFrameException(
+                                "no complete head within " + MOST_BYTES + " bytes"));
+                context.close();
+                return;
+            }
+        }
+        context.fireChannelRead(message);
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BackendSend.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BackendSend.java
@@ -33,7 +33,9 @@
                         .disableRetry(true)
                         .followRedirect(false)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .option(ChannelOption.TCP_NODELAY, true);
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .doOnChannelInit(
+                                (observer, channel, address) -> AnswerHeadBound.add(channel));
     }
 
     /**
@@ -62,10 +64,12 @@
                                     : sender.send(
                                             Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)));
                     return receiver.responseConnection(
-                                    (response, connection) ->
-                                            onAnswer.apply(
-                                                    response,
-                                                    connection.inbound().receive().asByteArray()))
+                                    (response, connection) -> {
+                                        AnswerHeadBound.remove(connection.channel());
+                                        return onAnswer.apply(
+                                                response,
+                                                connection.inbound().receive().asByteArray());
+                                    })
                             .onErrorMap(error -> failure(error, sent.get()));
                 });
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeoutException;
-import org.vanillaslip.internal.backend.forward.BoundedBody;
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.CallKind;
@@ -24,10 +23,12 @@
     private static final int PARTS_OF_TIME = 3;
 
     private final CallSender mSender;
+    private final AnswerMemory mMemory;
     private final DecisionLoop mLoop;
 
-    PlainRelay(CallSender sender, DecisionLoop loop) {
+    PlainRelay(CallSender sender, AnswerMemory memory, DecisionLoop loop) {
         mSender = sender;
+        mMemory = memory;
         mLoop = loop;
     }
 
@@ -84,7 +85,7 @@
     private Mono<WholeAnswer> whole(
             RelayCall call, FleetMember member, HttpClientResponse response, Flux<byte[]> parts) {
         int status = response.status().code();
-        return BoundedBody.collect(
+        return mMemory.collect(
                         parts,
                         LARGEST_ANSWER_BYTES,
                         () ->
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
@@ -10,7 +10,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.reactivestreams.Publisher;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
@@ -34,12 +36,20 @@
     /** Other hosts take the call at once. */
     private static final Duration STOPPING_RETRY = Duration.ofMillis(50);
 
+    /** Part of the heap that is left for calls, of 160 MB as deployed; the rest is for all else. */
+    private static final long MOST_HELD_BYTES = 32L * 1024 * 1024;
+
+    /** Two rounds of the event loop. */
+    private static final Duration CATCH_UP = Duration.ofMillis(4);
+
+    private final AnswerMemory mMemory = new AnswerMemory(MOST_HELD_BYTES);
     private final CallAdmission mAdmission;
     private final CallDialect mDialect;
     private final CallSender mSender;
     private final DemandBook mBook;
     private final PlainRelay mPlain;
     private final RelayMeter mMeter;
+    private final BooleanSupplier mBehind;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
     private final AtomicInteger mActive = new AtomicInteger();
@@ -47,20 +57,27 @@
     private volatile boolean mStopping;
     private volatile boolean mRefusing;
 
+    /**
+     * Creates a relay without calls.
+     *
+     * @param behind whether the event loop stands still, or has done so a short while ago
+     */
     Relay(
             CallAdmission admission,
             CallDialect dialect,
             CallSender sender,
             DemandBook book,
             RelayMeter meter,
+            BooleanSupplier behind,
             DecisionLoop loop,
             EventLog log) {
         mAdmission = admission;
         mDialect = dialect;
         mSender = sender;
         mBook = book;
-        mPlain = new PlainRelay(sender, loop);
+        mPlain = new PlainRelay(sender, mMemory, loop);
         mMeter = meter;
+        mBehind = behind;
         mLoop = loop;
         mLog = log;
     }
@@ -95,12 +112,37 @@
                     String uri = request.uri();
                     response.keepAlive(!mStopping);
                     return body(request)
+                            .flatMap(this::caughtUp)
+                            .filter(body -> callerIsThere(response, headers, arrived))
                             .flatMap(body -> serve(method, uri, headers, body, arrived, response))
                             .onErrorResume(error -> refuse(response, headers, error, "", arrived))
                             .doFinally(signal -> mActive.decrementAndGet());
                 });
     }
 
+    /**
+     * Lets the loop read what came after the call, such as the end of its connection: a host that
+     * stood still reads calls whose callers left long ago.
+     */
+    private Mono<byte[]> caughtUp(byte[] body) {
+        return mBehind.getAsBoolean()
+                ? Mono.just(body).delayElement(CATCH_UP, mLoop.scheduler())
+                : Mono.just(body);
+    }
+
+    private boolean callerIsThere(HttpServerResponse response, HttpHeaders headers, long arrived) {
+        AtomicBoolean there = new AtomicBoolean();
+        response.withConnection(connection -> there.set(connection.channel().isActive()));
+        if (!there.get()) {
+            mLog.log(
+                    RelayEvent.CALLER_LEFT,
+                    field("request", mDialect.read(headers).fold(x -> "", CallHead::id)),
+                    field("server", ""),
+                    field("after_ms", millisSince(arrived)));
+        }
+        return there.get();
+    }
+
     private Mono<byte[]> body(HttpServerRequest request) {
         int largest = largestBody();
         return BoundedBody.collect(
@@ -167,7 +209,7 @@
     }
 
     private Mono<Void> stream(RelayCall call, HttpServerResponse response) {
-        StreamRun run = new StreamRun(call, mSender, mLoop, mLog);
+        StreamRun run = new StreamRun(call, mSender, mMemory, mLoop, mLog);
         return run.events()
                 .takeUntilOther(interruption(call))
                 .switchOnFirst(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -93,6 +93,7 @@
     private final HostListWatcher mHosts;
     private final String mIncarnation;
     private final NettyPeerLinks mNeighbours;
+    private final LoopWatch mWatch;
     private final RelayNetwork mNetwork;
     private final RelayedLinks mLinks;
     private final RelayedStore mChanges;
@@ -123,6 +124,7 @@
                 RandomGeneratorFactory.of("L64X128MixRandom")
                         .create(mHost.randomSeed().orElseGet(mIdentifiers::nextLong));
         mIncarnation = incarnation();
+        mWatch = new LoopWatch(mLoop, log);
         mStore = new StoreHealth(new MeteredObjectStore(ports.store(), mMetrics), mLoop, log);
         mNetwork = new RelayNetwork(self(), this::listedHosts, mLoop.clock(), log);
         mNeighbours = neighbours(List.copyOf(settings.peers().bootstrap().values()));
@@ -169,7 +171,7 @@
         mExchange.start();
         mController.start();
         mLease.start();
-        new LoopWatch(mLoop, mLog).start();
+        mWatch.start();
     }
 
     /** Readiness first, then new connections, then waiting and running calls. */
@@ -283,6 +285,7 @@
                 sender,
                 book,
                 new RelayMeter(mMetrics),
+                mWatch::behind,
                 mLoop,
                 mLog);
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRun.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRun.java
@@ -3,6 +3,7 @@
 import static org.vanillaslip.internal.logging.LogField.field;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -31,6 +32,7 @@
 
     private final RelayCall mCall;
     private final CallSender mSender;
+    private final AnswerMemory mMemory;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
     private @Nullable StreamHead mHead;
@@ -38,9 +40,15 @@
     private boolean mStarted;
     private long mFirstEventNanos;
 
-    StreamRun(RelayCall call, CallSender sender, DecisionLoop loop, EventLog log) {
+    StreamRun(
+            RelayCall call,
+            CallSender sender,
+            AnswerMemory memory,
+            DecisionLoop loop,
+            EventLog log) {
         mCall = call;
         mSender = sender;
+        mMemory = memory;
         mLoop = loop;
         mLog = log;
         mLastEvent = call.head().resumeAfter();
@@ -111,12 +119,24 @@
             member.health().failed(mLoop.clock().nowNanos());
             return parts;
         }
+        AnswerMemory.HeldBytes held = mMemory.hold();
         return bounded(parts)
-                .concatMapIterable(framer::accept, 1)
+                .concatMapIterable(part -> framed(framer, held, part), 1)
                 .filter(this::isNew)
                 .doOnNext(event -> arrived(member, event))
                 .map(StreamEvent::bytes)
-                .concatWith(Flux.defer(() -> rest(framer)));
+                .concatWith(Flux.defer(() -> rest(framer)))
+                .doFinally(signal -> held.release());
+    }
+
+    private static List<StreamEvent> framed(
+            EventFramer framer, AnswerMemory.HeldBytes held, byte[] part) {
+        List<StreamEvent> events = framer.accept(part);
+        if (!held.resize(framer.openBytes())) {
+            throw new SendFailedException(
+                    SendFailureKind.UNKNOWN, "too many bytes of events that do not end are held");
+        }
+        return events;
     }
 
     private boolean mayTryAnother() {
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/FleetMemberTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/FleetMemberTest.java
@@ -14,7 +14,7 @@
 
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-    private final FleetMember mMember = new FleetMember(registered(0, "m1"), 0);
+    private final FleetMember mMember = new FleetMember(registered(0, "m1"), false, 0);
 
     /** An order that names a count which no report has shown may meet a server without room. */
     @Test
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/relay/AnswerMemoryTest.java
@@ -0,0 +1,71 @@
+package org.vanillaslip.internal.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Sinks;
+
+/** Guards the memory of a host against many answers that do not end, each within its own bound. */
+class AnswerMemoryTest {
+
+    private static final int BOUND = 1000;
+    private static final long MOST = 5000;
+
+    private final AnswerMemory mMemory = new AnswerMemory(MOST);
+
+    @Test
+    void answersThatAreLargeTogetherAreRefusedThoughEachIsWithinItsBound() {
+        List<Sinks.Many<byte[]>> servers = new ArrayList<>();
+        List<String> failed = new ArrayList<>();
+        for (int call = 0; call < 10; call++) {
+            Sinks.Many<byte[]> server = Sinks.many().unicast().onBackpressureBuffer();
+            servers.add(server);
+            collect(server.asFlux(), failed);
+        }
+        servers.forEach(server -> server.tryEmitNext(new byte[900]));
+
+        assertThat(mMemory.heldBytes()).isLessThanOrEqualTo(MOST);
+        assertThat(failed).hasSize(5);
+    }
+
+    @Test
+    void anEndedAnswerGivesItsRoomBack() {
+        List<String> failed = new ArrayList<>();
+        for (int call = 0; call < 20; call++) {
+            collect(Flux.just(new byte[500], new byte[400]), failed);
+        }
+
+        assertThat(failed).isEmpty();
+        assertThat(mMemory.heldBytes()).isZero();
+    }
+
+    @Test
+    void aCallerThatLeavesGivesTheRoomBack() {
+        Sinks.Many<byte[]> server = Sinks.many().unicast().onBackpressureBuffer();
+        Disposable call = collect(server.asFlux(), new ArrayList<>());
+        server.tryEmitNext(new byte[800]);
+        assertThat(mMemory.heldBytes()).isEqualTo(800);
+        call.dispose();
+
+        assertThat(mMemory.heldBytes()).isZero();
+    }
+
+    @Test
+    void aLargeAnswerIsRefusedByItsOwnBound() {
+        List<String> failed = new ArrayList<>();
+        collect(Flux.just(new byte[BOUND], new byte[1]), failed);
+
+        assertThat(failed).hasSize(1);
+        assertThat(mMemory.heldBytes()).isZero();
+    }
+
+    private Disposable collect(Flux<byte[]> parts, List<String> failed) {
+        return mMemory.collect(parts, BOUND, () -> new IllegalStateException("too large"))
+                .subscribe(
+                        bytes -> {}, error -> failed.add(String.valueOf(error.getMessage())));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/relay/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.vanillaslip.internal.relay;
+
+import org.jspecify.annotations.NullMarked;
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LateOrders.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LateOrders.java
@@ -53,10 +53,17 @@
      * Returns what late orders may load on an engine that has accepted the given number of orders.
      *
      * @param age time since the engine has started
+     * @param firstLife whether no engine of this name was there before, so that no late order names
+     *     it but those of its present life
      */
     public LateLoads after(
-            String instance, long orders, Duration age, EngineProfile profile, long nowNanos) {
-        LateLoads late = unknown(age, profile, nowNanos);
+            String instance,
+            long orders,
+            Duration age,
+            boolean firstLife,
+            EngineProfile profile,
+            long nowNanos) {
+        LateLoads late = firstLife ? LateLoads.NONE : unknown(age, profile, nowNanos);
         List<Sent> open = open(instance, nowNanos);
         // One late order raises the number, and may let the next one in.
         for (long expected = orders; ; expected++) {
--- a/decisions/src/main/java/org/vanillaslip/internal/stream/EventFramer.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/stream/EventFramer.java
@@ -36,13 +36,18 @@
                 mLineEmpty = false;
             }
         }
-        mOpen.write(chunk, start, chunk.length - start);
-        if (mOpen.size() > MOST_BYTES) {
+        if (mOpen.size() + chunk.length - start > MOST_BYTES) {
             throw new IllegalStateException("An event has more than " + MOST_BYTES + " bytes.");
         }
+        mOpen.write(chunk, start, chunk.length - start);
         return events;
     }
 
+    /** Returns the number of bytes of an event that has not ended. */
+    public int openBytes() {
+        return mOpen.size();
+    }
+
     /** Returns the bytes of an event that has not ended. */
     public byte[] rest() {
         return mOpen.toByteArray();
--- a/decisions/src/test/java/org/vanillaslip/internal/fleet/LateOrdersTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/fleet/LateOrdersTest.java
@@ -72,7 +72,7 @@
         mOrders.sent(load("m1"), 5, START);
         long later = START + LateOrders.LONGEST_DELAY.toNanos() + 1;
 
-        assertThat(mOrders.after("a", 5, OLD, mProfile, later)).isEqualTo(LateLoads.NONE);
+        assertThat(mOrders.after("a", 5, OLD, false, mProfile, later)).isEqualTo(LateLoads.NONE);
     }
 
     /** Guards against orders of a holder before, which this host does not know. */
@@ -81,13 +81,21 @@
         mOrders.takenOver(START);
         long later = START + LateOrders.LONGEST_DELAY.toNanos() + 1;
 
-        assertThat(mOrders.after("a", 0, YOUNG, mProfile, START).megabytes()).isPositive();
-        assertThat(mOrders.after("a", 0, OLD, mProfile, START)).isEqualTo(LateLoads.NONE);
-        assertThat(mOrders.after("a", 0, YOUNG, mProfile, later)).isEqualTo(LateLoads.NONE);
+        assertThat(mOrders.after("a", 0, YOUNG, false, mProfile, START).megabytes()).isPositive();
+        assertThat(mOrders.after("a", 0, OLD, false, mProfile, START)).isEqualTo(LateLoads.NONE);
+        assertThat(mOrders.after("a", 0, YOUNG, false, mProfile, later)).isEqualTo(LateLoads.NONE);
+    }
+
+    /** Guards against room that is kept on new engines, which no earlier order can name. */
+    @Test
+    void anEngineWhoseNameIsNewKeepsNoRoomForOrdersBefore() {
+        mOrders.takenOver(START);
+
+        assertThat(mOrders.after("a", 0, YOUNG, true, mProfile, START)).isEqualTo(LateLoads.NONE);
     }
 
     private LateLoads after(long orders) {
-        return mOrders.after("a", orders, OLD, mProfile, START);
+        return mOrders.after("a", orders, OLD, false, mProfile, START);
     }
 
     private static PlannedOrder load(String model) {
