Avoid the servers of a domain of which two are out of reach, and play two feature files side by side

Change: after two connections to a failure domain were not made, its other servers that have not answered for 1.5 s count like half full. Feature files run on two threads, each with a deployment and ports of its own.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -8,6 +8,7 @@
 import org.vanillaslip.internal.membership.RendezvousRanking;
 import org.vanillaslip.internal.routing.RankedServer;
 import org.vanillaslip.internal.routing.ServerRanking;
+import org.vanillaslip.internal.routing.SuspectedDomains;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.ServicePool;
 
@@ -48,6 +49,10 @@
     /** Returns a server with a place that is now reserved, or empty when there is none. */
     public Optional<FleetMember> choose(ServerWish wish) {
         long now = mLoop.clock().nowNanos();
+        SuspectedDomains suspected = new SuspectedDomains();
+        for (FleetMember member : mDirectory.inService(wish.target().pool())) {
+            suspected.add(member.registered().failureDomain(), member.health(), now);
+        }
         List<FleetMember> open =
                 holders(wish.target()).stream()
                         .filter(member -> !wish.tried().contains(member.instance()))
@@ -62,7 +67,10 @@
                                                 open.stream().map(FleetMember::instance).toList()));
         Optional<FleetMember> chosen =
                 ServerRanking.best(
-                                open.stream().map(member -> choice(member, kept)).toList(), mRandom)
+                                open.stream()
+                                        .map(member -> choice(member, kept, suspected, now))
+                                        .toList(),
+                                mRandom)
                         .flatMap(choice -> mDirectory.member(choice.instance()));
         chosen.ifPresent(
                 member ->
@@ -89,13 +97,15 @@
         return places && member.open(nowNanos);
     }
 
-    private RankedServer choice(FleetMember member, Optional<String> kept) {
+    private RankedServer choice(
+            FleetMember member, Optional<String> kept, SuspectedDomains suspected, long nowNanos) {
         return new RankedServer(
                 member.instance(),
                 member.inUse(),
                 member.registered().places(),
                 member.registered().failureDomain().equals(mFailureDomain),
-                kept.equals(Optional.of(member.instance())));
+                kept.equals(Optional.of(member.instance())),
+                suspected.suspects(member.registered().failureDomain(), member.health(), nowNanos));
     }
 
     private double coldRate(String pool) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
@@ -102,7 +102,7 @@
                             if (failed) {
                                 member.health().failed(mLoop.clock().nowNanos());
                             } else {
-                                member.health().succeeded();
+                                member.health().succeeded(mLoop.clock().nowNanos());
                             }
                             return Mono.just(
                                     new WholeAnswer(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRun.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRun.java
@@ -165,7 +165,7 @@
             mStarted = true;
             mFirstEventNanos = mLoop.clock().nowNanos() - mCall.arrivedNanos();
         }
-        member.health().succeeded();
+        member.health().succeeded(mLoop.clock().nowNanos());
         if (event.id().isPresent()) {
             mLastEvent = event.id();
         }
--- a/daemon/src/test/java/org/vanillaslip/internal/relay/AnswerMemoryTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/relay/AnswerMemoryTest.java
@@ -65,7 +65,6 @@
 
     private Disposable collect(Flux<byte[]> parts, List<String> failed) {
         return mMemory.collect(parts, BOUND, () -> new IllegalStateException("too large"))
-                .subscribe(
-                        bytes -> {}, error -> failed.add(String.valueOf(error.getMessage())));
+                .subscribe(bytes -> {}, error -> failed.add(String.valueOf(error.getMessage())));
     }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/ServerHealth.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/ServerHealth.java
@@ -19,11 +19,16 @@
 
     private static final double HIGHEST_RATE = 0.45;
 
+    /** What a failed connection says about the servers beside it holds for this long. */
+    private static final long UNREACHABLE_NANOS = Duration.ofMillis(1500).toNanos();
+
     private int mFailuresInRow;
     private double mFailureRate;
     private long mPauseNanos = FIRST_PAUSE_NANOS;
     private long mPausedUntil = Long.MIN_VALUE;
     private boolean mTrial;
+    private long mUnreachableAt = Long.MIN_VALUE;
+    private long mSucceededAt = Long.MIN_VALUE;
 
     /** Returns whether the server takes calls. */
     public boolean usable(long nowNanos) {
@@ -38,14 +43,28 @@
         return mPausedUntil != Long.MIN_VALUE && mFailuresInRow >= FAILURES;
     }
 
+    /**
+     * Returns whether no connection could be made a short while ago, and no call succeeded since.
+     */
+    public boolean unreachableAt(long nowNanos) {
+        return mUnreachableAt != Long.MIN_VALUE && nowNanos - mUnreachableAt < UNREACHABLE_NANOS;
+    }
+
+    /** Returns whether a call succeeded a short while ago. */
+    public boolean succeededAt(long nowNanos) {
+        return mSucceededAt != Long.MIN_VALUE && nowNanos - mSucceededAt < UNREACHABLE_NANOS;
+    }
+
     /** Notes that a call is sent. */
     public void sent() {
         mTrial = mPausedUntil != Long.MIN_VALUE;
     }
 
     /** Notes an answer. */
-    public void succeeded() {
+    public void succeeded(long nowNanos) {
+        mSucceededAt = nowNanos;
         mTrial = false;
+        mUnreachableAt = Long.MIN_VALUE;
         mFailuresInRow = 0;
         mFailureRate *= 1 - RATE_WEIGHT;
         if (mFailureRate < HIGHEST_RATE) {
@@ -73,6 +92,7 @@
     public void unreachable(long nowNanos) {
         mFailuresInRow++;
         mTrial = false;
+        mUnreachableAt = nowNanos;
         pause(nowNanos);
     }
 
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/ServerRanking.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/ServerRanking.java
@@ -13,6 +13,9 @@
     /** A kept prompt saves a few milliseconds of reading. */
     private static final double KEPT_PROMPT = 0.08;
 
+    /** A connection that is not made costs a call 250 ms, more than half a server's load does. */
+    private static final double SUSPECTED = 0.5;
+
     /** Spreads calls over servers that look alike to every host. */
     private static final double JITTER = 0.01;
 
@@ -37,6 +40,9 @@
         if (!choice.near()) {
             cost += FAR;
         }
+        if (choice.suspected()) {
+            cost += SUSPECTED;
+        }
         if (choice.preferred()) {
             cost -= KEPT_PROMPT;
         }
--- a/decisions/src/test/java/org/vanillaslip/internal/routing/ServerChoiceTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/routing/ServerChoiceTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.vanillaslip.FailureDomain;
 
 /** Guards against calls that go to servers which cannot or should not take them. */
 class ServerChoiceTest {
@@ -43,7 +44,7 @@
         assertThat(mHealth.usable(500 * MILLI)).isTrue();
         mHealth.sent();
         assertThat(mHealth.usable(501 * MILLI)).isFalse();
-        mHealth.succeeded();
+        mHealth.succeeded(0);
         assertThat(mHealth.usable(502 * MILLI)).isTrue();
     }
 
@@ -59,9 +60,9 @@
 
     @Test
     void oneFailureAmongSuccessesLeavesAServerIn() {
-        mHealth.succeeded();
+        mHealth.succeeded(0);
         mHealth.failed(0);
-        mHealth.succeeded();
+        mHealth.succeeded(0);
 
         assertThat(mHealth.usable(1)).isTrue();
     }
@@ -96,11 +97,38 @@
         assertThat(budget.tryRetry(Duration.ofSeconds(11).toNanos())).isTrue();
     }
 
+    /** Pattern: a whole domain is gone. Guards against a call that tries its servers in turn. */
+    @Test
+    void afterTwoServersOfADomainAreOutOfReachTheOthersThereComeLast() {
+        FailureDomain lost = new FailureDomain("lost");
+        FailureDomain sound = new FailureDomain("sound");
+        ServerHealth first = new ServerHealth();
+        ServerHealth second = new ServerHealth();
+        ServerHealth untried = new ServerHealth();
+        ServerHealth alive = new ServerHealth();
+        first.unreachable(MILLI);
+        second.unreachable(MILLI);
+        alive.succeeded(MILLI);
+        SuspectedDomains domains = new SuspectedDomains();
+        domains.add(lost, first, MILLI);
+        assertThat(domains.suspects(lost, untried, MILLI)).isFalse();
+        domains.add(lost, second, MILLI);
+
+        assertThat(domains.suspects(lost, untried, MILLI)).isTrue();
+        assertThat(domains.suspects(lost, alive, MILLI)).isFalse();
+        assertThat(domains.suspects(sound, untried, MILLI)).isFalse();
+        assertThat(
+                        best(
+                                new RankedServer("near", 0, 48, true, false, true),
+                                new RankedServer("far", 10, 48, false, false, false)))
+                .isEqualTo("far");
+    }
+
     private static String best(RankedServer... servers) {
         return ServerRanking.best(List.of(servers), new Random(1)).orElseThrow().instance();
     }
 
     private static RankedServer server(String name, int inUse, boolean near, boolean preferred) {
-        return new RankedServer(name, inUse, 48, near, preferred);
+        return new RankedServer(name, inUse, 48, near, preferred, false);
     }
 }
--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/GracefulStopSteps.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/GracefulStopSteps.java
@@ -32,7 +32,7 @@
         Observations observations = SharedDeployment.observations();
         for (int i = 0; i < count; i++) {
             String prompt = "graceful-" + i;
-            mStreams.add(CompletableFuture.supplyAsync(() -> postUntilServed(host, prompt, 250)));
+            mStreams.add(SharedDeployment.async(() -> postUntilServed(host, prompt, 250)));
         }
         for (int i = 0; i < count; i++) {
             String prompt = "graceful-" + i;
--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/KeySteps.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/KeySteps.java
@@ -76,7 +76,7 @@
         for (HostProcess host : mDeployment.hosts()) {
             String prompt = "long-stream-" + host.name();
             mStreams.add(
-                    CompletableFuture.supplyAsync(
+                    SharedDeployment.async(
                             () ->
                                     mDeployment
                                             .caller()
--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/PlacementSteps.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/PlacementSteps.java
@@ -43,7 +43,7 @@
                         .filter(host -> !host.name().equals(mFormerHolder))
                         .findFirst()
                         .orElseThrow();
-        mRequest = CompletableFuture.supplyAsync(() -> post(asked.name(), model));
+        mRequest = SharedDeployment.async(() -> post(asked.name(), model));
     }
 
     /** Waits for the middle of a load. */
--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/SharedDeployment.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/SharedDeployment.java
@@ -12,35 +12,57 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.vanillaslip.internal.proofs.processes.Deployment;
 import org.vanillaslip.internal.proofs.processes.Faults;
 import org.vanillaslip.internal.proofs.processes.HostProcess;
 import org.vanillaslip.internal.proofs.processes.Observations;
 
-/** The deployment of the current feature file; at most one runs at a time. */
+/** The deployment of the feature file that the current thread plays. */
 public final class SharedDeployment {
 
     static final String WORKSPACE = "maderas-sol";
 
     private static final Path LISTS = Path.of("..", "examples", "mostrador.json");
 
-    private static @Nullable Deployment sDeployment;
-    private static @Nullable URI sFeature;
-    private static String sKey = "";
+    /** Feature files run side by side, each of them on one thread. */
+    private static final ThreadLocal<Feature> sFeature = ThreadLocal.withInitial(Feature::new);
+
+    private static final Set<Feature> sOpen = ConcurrentHashMap.newKeySet();
+
+    /** What belongs to one feature file. */
+    private static final class Feature {
+        private @Nullable Deployment mDeployment;
+        private @Nullable URI mUri;
+        private String mKey = "";
+
+        private void close() {
+            if (mDeployment != null) {
+                mDeployment.close();
+                mDeployment = null;
+            }
+            sOpen.remove(this);
+        }
+    }
 
     /** Starts the deployment before the first scenario of a feature file. */
     @Before(order = 0)
     public static void startForFeature(Scenario scenario) throws IOException {
-        if (scenario.getUri().equals(sFeature)) {
+        Feature feature = sFeature.get();
+        if (scenario.getUri().equals(feature.mUri)) {
             return;
         }
-        close();
+        feature.close();
         Path directory = Files.createTempDirectory("vanillaslip-scenarios");
         System.out.println(scenario.getUri() + ", logs in " + directory);
-        sDeployment = Deployment.start(LISTS, directory);
-        sFeature = scenario.getUri();
-        sKey = addKey();
+        sOpen.add(feature);
+        feature.mDeployment = Deployment.start(LISTS, directory);
+        feature.mUri = scenario.getUri();
+        feature.mKey = addKey();
         deployment().hosts().forEach(SharedDeployment::warmUp);
     }
 
@@ -50,17 +72,28 @@
         faults().heal();
     }
 
-    /** Stops the last deployment. */
+    /** Stops the last deployment of each thread. */
     @AfterAll
     public static void close() {
-        if (sDeployment != null) {
-            sDeployment.close();
-            sDeployment = null;
-        }
+        Set.copyOf(sOpen).forEach(Feature::close);
+    }
+
+    /** Runs the action on another thread, for the feature file of this one. */
+    static <T> CompletableFuture<T> async(Supplier<T> action) {
+        Feature feature = sFeature.get();
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    sFeature.set(feature);
+                    try {
+                        return action.get();
+                    } finally {
+                        sFeature.remove();
+                    }
+                });
     }
 
     static Deployment deployment() {
-        return Objects.requireNonNull(sDeployment);
+        return Objects.requireNonNull(sFeature.get().mDeployment);
     }
 
     static Faults faults() {
@@ -72,7 +105,7 @@
     }
 
     static String key() {
-        return sKey;
+        return sFeature.get().mKey;
     }
 
     static String gateway(String host) {
@@ -99,7 +132,7 @@
                                         .postWithRetry(
                                                 host.gatewayAddress(),
                                                 "/press-slots",
-                                                Map.of("Authorization", "Bearer " + sKey),
+                                                Map.of("Authorization", "Bearer " + key()),
                                                 "{\"booking_reference\": \"warm-up\"}")
                                         .status()
                                 == 200);
