--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
@@ -49,7 +49,7 @@
         if (mNetwork.relay()) {
             CollectionChanges.Builder changes = changes();
             mFollows.values().stream()
-                    .filter(follow -> follow.mReading.isPresent())
+                    .filter(CollectionFollow::reads)
                     .forEach(
                             follow ->
                                     changes.addRanges(
@@ -89,11 +89,20 @@
         }
     }
 
+    /** Says that this relay may miss changes of the collection from now on. */
+    void lost(CollectionFollow follow) {
+        ChangeRange.Builder range =
+                ChangeRange.newBuilder().setCollection(follow.mName).setLost(true);
+        Envelope.Builder message =
+                Envelope.newBuilder().setCollectionChanges(changes().addRanges(range));
+        mNetwork.members().forEach(member -> mLinks.send(member, message));
+    }
+
     /** Answers a host that misses changes. */
     Mono<Envelope.Builder> asked(Envelope message) {
         ChangesRequest request = message.getChangesRequest();
         CollectionFollow follow = mFollows.get(request.getCollection());
-        if (follow == null || follow.mReading.isEmpty()) {
+        if (follow == null || !follow.reads()) {
             return Mono.empty();
         }
         long position = request.getPosition();
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
@@ -113,7 +113,10 @@
 
     @Override
     public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
-        return mStore.list(collection);
+        CollectionFollow follow = follow(collection);
+        return mStore.list(collection)
+                .publishOn(mLoop.scheduler())
+                .doOnNext(result -> answered(follow, result.isRight()));
     }
 
     @Override
@@ -139,20 +142,31 @@
     public Flux<WatchEvent> watch(String collection, long fromVersion) {
         return Flux.defer(
                 () -> {
-                    CollectionFollow follow =
-                            mFollows.computeIfAbsent(collection, CollectionFollow::new);
+                    CollectionFollow follow = follow(collection);
                     return relaysServe(follow)
                             ? listen(follow, fromVersion)
                             : readStore(follow, fromVersion);
                 });
     }
 
+    private CollectionFollow follow(String collection) {
+        return mFollows.computeIfAbsent(collection, CollectionFollow::new);
+    }
+
+    /** The members hear at once that this relay may miss changes. */
+    private void answered(CollectionFollow follow, boolean answered) {
+        if (follow.mAnswered && !answered) {
+            mRelay.lost(follow);
+        }
+        follow.mAnswered = answered;
+    }
+
     private boolean relaysServe(CollectionFollow follow) {
         return !mNetwork.relay() && isConfirmed(follow);
     }
 
     private boolean isConfirmed(CollectionFollow follow) {
-        return now() - follow.mConfirmedAt <= SILENCE_NANOS;
+        return follow.isConfirmed(now(), SILENCE_NANOS);
     }
 
     private Flux<WatchEvent> readStore(CollectionFollow follow, long fromVersion) {
@@ -165,9 +179,11 @@
                 .publishOn(mLoop.scheduler())
                 .doOnNext(
                         event -> {
+                            answered(follow, true);
                             follow.mFeed.add(event);
                             mRelay.passSoon();
                         })
+                .doOnError(error -> answered(follow, isOnlyOld(error)))
                 .takeUntilOther(end.asMono())
                 .doFinally(
                         signal -> {
@@ -177,6 +193,12 @@
                         });
     }
 
+    /** The platform answers, but no longer knows the changes after the position. */
+    private static boolean isOnlyOld(Throwable error) {
+        return error instanceof PlatformException failure
+                && failure.failure() == PlatformFailure.GONE;
+    }
+
     private Flux<WatchEvent> listen(CollectionFollow follow, long fromVersion) {
         return Flux.create(
                 sink -> {
@@ -205,8 +227,9 @@
             logSource(follow, "store", "this host is a relay");
             listener.complete();
         } else if (!isConfirmed(follow)) {
-            logSource(follow, "store", "the relays are silent");
-            listener.error(new PlatformException(PlatformFailure.SILENT, "The relays are silent."));
+            logSource(follow, "store", "no relay reads the platform");
+            listener.error(
+                    new PlatformException(PlatformFailure.SILENT, "No relay reads the platform."));
         }
     }
 
@@ -232,8 +255,11 @@
         }
         for (ChangeRange range : changes.getRangesList()) {
             CollectionFollow follow = mFollows.get(range.getCollection());
-            if (follow != null) {
-                follow.confirmed(now(), SILENCE_NANOS);
+            if (follow != null && range.getLost()) {
+                follow.lost(message.getSender());
+                follow.mListener.ifPresent(listener -> check(follow, listener));
+            } else if (follow != null) {
+                follow.confirmed(message.getSender(), now(), SILENCE_NANOS);
                 follow.mListener.ifPresentOrElse(
                         listener -> take(message.getSender(), follow, listener, range),
                         () -> leaveStore(follow));
--- a/daemon/src/test/java/org/vanillaslip/internal/changes/ChangingStore.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/changes/ChangingStore.java
@@ -45,10 +45,17 @@
         }
     }
 
-    private static final Duration SILENCE = Duration.ofMillis(2600);
+    /** As deployed where relays read for others: one second, and the time of an answer. */
+    private static final Duration SILENCE = Duration.ofMillis(1600);
+
+    private static final Duration ANSWER = Duration.ofMillis(4);
+
+    /** A call that the store does not take fails after this time. */
+    private static final Duration FAILURE = Duration.ofMillis(300);
 
     private final Shared mShared;
     private final Scheduler mScheduler;
+    private final Sinks.Many<Boolean> mCut = Sinks.many().multicast().directBestEffort();
     private boolean mAway;
     private boolean mSilent;
     private int mWatches;
@@ -62,6 +69,9 @@
     /** Refuses all calls, or answers again. */
     void setAway(boolean away) {
         mAway = away;
+        if (away) {
+            mCut.tryEmitNext(true);
+        }
     }
 
     /** Open watches stay silent without an end, as after a lost connection. */
@@ -84,10 +94,10 @@
     @Override
     public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
         mLists++;
-        return Mono.delay(Duration.ofMillis(4), mScheduler)
+        return Mono.delay(mAway || mSilent ? FAILURE : ANSWER, mScheduler)
                 .map(
                         tick ->
-                                mAway
+                                mAway || mSilent
                                         ? Either.left(PlatformFailure.UNAVAILABLE)
                                         : Either.right(
                                                 new ObjectList(
@@ -103,8 +113,13 @@
                 () -> {
                     mWatches++;
                     if (mAway) {
-                        return Flux.error(
-                                new PlatformException(PlatformFailure.UNAVAILABLE, "away"));
+                        return Mono.delay(FAILURE, mScheduler)
+                                .flatMapMany(
+                                        tick ->
+                                                Flux.error(
+                                                        new PlatformException(
+                                                                PlatformFailure.UNAVAILABLE,
+                                                                "away")));
                     }
                     List<WatchEvent> missed =
                             mShared.mEvents.stream()
@@ -114,13 +129,15 @@
                             Flux.fromIterable(missed).concatWith(mShared.mChanges.asFlux());
                     Flux<WatchEvent> ends =
                             Flux.interval(SILENCE, mScheduler)
-                                    .filter(tick -> mSilent || mAway)
+                                    .filter(tick -> mSilent)
+                                    .map(tick -> PlatformFailure.SILENT)
+                                    .mergeWith(
+                                            mCut.asFlux().map(cut -> PlatformFailure.UNAVAILABLE))
                                     .flatMap(
-                                            tick ->
+                                            failure ->
                                                     Flux.error(
                                                             new PlatformException(
-                                                                    PlatformFailure.SILENT,
-                                                                    "silent")));
+                                                                    failure, "away")));
                     return changes.filter(event -> !mSilent && !mAway).mergeWith(ends);
                 });
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/changes/RelayedStoreTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/changes/RelayedStoreTest.java
@@ -117,6 +117,31 @@
                                 .toList());
     }
 
+    /** Guards against relays that confirm old news while each new watch of theirs fails. */
+    @Test
+    void aChangeJustAfterBothRelaysLostTheStoreReachesTheirMembersInTime() {
+        List<RelayWorld.Member> relays = relaysOf("d1");
+        relays.forEach(relay -> store(relay).setAway(true));
+        mWorld.run(Duration.ofMillis(20));
+        mShared.change(COLLECTION, "one", WatchEventType.MODIFIED);
+        mWorld.run(BOUND);
+
+        assertThat(uninformed("one"))
+                .isSubsetOf(relays.stream().map(RelayWorld.Member::name).toList());
+    }
+
+    /** The watches of both relays are open and silent from now on. */
+    @Test
+    void aChangeThatTheSilentWatchesOfBothRelaysMissReachesTheirMembersInTime() {
+        List<RelayWorld.Member> relays = relaysOf("d1");
+        relays.forEach(relay -> store(relay).setSilent(true));
+        mShared.change(COLLECTION, "one", WatchEventType.MODIFIED);
+        mWorld.run(BOUND);
+
+        assertThat(uninformed("one"))
+                .isSubsetOf(relays.stream().map(RelayWorld.Member::name).toList());
+    }
+
     /** A relay that was suspended wakes up with old news; nothing that is known is taken back. */
     @Test
     void manyChangesDuringLossesLeaveNoHostBehind() {
@@ -151,6 +176,12 @@
         }
     }
 
+    private List<RelayWorld.Member> relaysOf(String domain) {
+        return mWorld.relays().stream()
+                .filter(relay -> relay.domain().name().equals(domain))
+                .toList();
+    }
+
     private void start(RelayWorld.Member member) {
         ChangingStore store = new ChangingStore(mShared, mWorld.loop().scheduler());
         RelayedStore relayed =
--- /dev/null
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/dissemination/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.vanillaslip.internal.proofs.dissemination;
+
+import org.jspecify.annotations.NullMarked;
