Add vanillaslip explain: a request's way through saved logs, and its cause

Cause: operators had to search the logs of several hosts by hand for the way of one request. Change: the command reads logs in both formats, follows the request, adds the events around it and names the cause. Result: ExplainTest covers the three failures on OPERATIONS.md, a request that no log names, and lines that are no events.

--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/Commands.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/Commands.java
@@ -14,7 +14,13 @@
     static Cli<OperatorCommand> cli() {
         CliBuilder<OperatorCommand> builder = Cli.builder("vanillaslip");
         builder.withDescription("Changes and shows the operators' lists and drains")
-                .withCommands(List.of(Drain.class, Restore.class, Status.class, Validate.class));
+                .withCommands(
+                        List.of(
+                                Drain.class,
+                                Explain.class,
+                                Restore.class,
+                                Status.class,
+                                Validate.class));
         builder.withGroup("plans")
                 .withDescription("Plans that workspaces hold")
                 .withCommands(List.of(ListPlans.class, ShowPlan.class, ApplyPlans.class));
--- /dev/null
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/LogLine.java
@@ -0,0 +1,89 @@
+package org.vanillaslip.internal.commandline;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.time.OffsetDateTime;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One event in a saved log, in either format of the daemon.
+ *
+ * @param source the host or file that the line is from
+ * @param event number in docs/LOG-EVENTS.md
+ * @param fields all named values but the number
+ */
+record LogLine(Instant time, String source, int event, String text, Map<String, String> fields) {
+
+    private static final ObjectMapper sMapper = new ObjectMapper();
+
+    private static final Pattern TIME =
+            Pattern.compile(
+                    "(\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d\\.\\d+(?:Z|[+-]\\d\\d:\\d\\d))");
+
+    private static final Pattern FIELD = Pattern.compile("(\\w+)=(?:\"([^\"]*)\"|(\\S*))");
+
+    /** Returns the event in the line, or empty when the line holds none, such as a stack trace. */
+    static Optional<LogLine> parse(String line, String source) {
+        return line.startsWith("{") ? parseJson(line, source) : parsePlain(line, source);
+    }
+
+    String field(String name) {
+        return fields.getOrDefault(name, "");
+    }
+
+    private static Optional<LogLine> parsePlain(String line, String source) {
+        Matcher time = TIME.matcher(line);
+        int fieldsAt = line.indexOf(" event=");
+        if (!time.find() || fieldsAt < time.end()) {
+            return Optional.empty();
+        }
+        Map<String, String> fields = new LinkedHashMap<>();
+        Matcher field = FIELD.matcher(line.substring(fieldsAt));
+        while (field.find()) {
+            fields.put(field.group(1), field.group(2) == null ? field.group(3) : field.group(2));
+        }
+        String[] words = line.substring(time.end(), fieldsAt).strip().split("\\s+", 3);
+        return of(time.group(1), source, words[words.length - 1], fields);
+    }
+
+    private static Optional<LogLine> parseJson(String line, String source) {
+        try {
+            JsonNode node = sMapper.readTree(line);
+            Map<String, String> fields = new LinkedHashMap<>();
+            node.fields().forEachRemaining(entry -> fields.put(entry.getKey(), text(entry)));
+            return of(
+                    fields.getOrDefault("@timestamp", ""),
+                    source,
+                    fields.getOrDefault("message", ""),
+                    fields);
+        } catch (JsonProcessingException notJson) {
+            return Optional.empty();
+        }
+    }
+
+    private static String text(Map.Entry<String, JsonNode> entry) {
+        return entry.getValue().isValueNode()
+                ? entry.getValue().asText()
+                : entry.getValue().toString();
+    }
+
+    private static Optional<LogLine> of(
+            String time, String source, String text, Map<String, String> fields) {
+        try {
+            int event = Integer.parseInt(fields.getOrDefault("event", ""));
+            fields.remove("event");
+            return Optional.of(
+                    new LogLine(
+                            OffsetDateTime.parse(time).toInstant(), source, event, text, fields));
+        } catch (DateTimeException | NumberFormatException noEvent) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/command-line/src/test/java/org/vanillaslip/internal/commandline/ExplainTest.java
@@ -0,0 +1,116 @@
+package org.vanillaslip.internal.commandline;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards the way from a request's id to the cause, for the failures on OPERATIONS.md. */
+class ExplainTest {
+
+    private static final String DAY = "2026-09-13T14:31:";
+
+    private final OperatorFixture mOperator = new OperatorFixture();
+
+    @TempDir private Path mDirectory;
+
+    @Test
+    void aRefusalInsideTheRateNamesTheLostLease() throws IOException {
+        String one =
+                line("01.000Z", "The daemon starts.", "event=100 host=h1")
+                        + line(
+                                "09.500Z",
+                                "A call was refused or failed.",
+                                "event=563 request=a1 code=3003 detail=m7 not_run=true"
+                                        + " retry_after_ms=2000 after_ms=3");
+        String other =
+                line("01.000Z", "The daemon starts.", "event=100 host=h2")
+                        + line("08.000Z", "This host no longer orders loads.", "event=541 term=3");
+
+        assertThat(explain("a1", one, other)).isZero();
+        assertThat(mOperator.mOutput)
+                .contains("h1 563")
+                .contains("h2 541")
+                .contains("No host ordered loads: the lease was lost shortly before.")
+                .contains("It has not run.");
+    }
+
+    @Test
+    void aBookingWithAnUnknownOutcomeNamesTheServer() throws IOException {
+        String log =
+                line("01.000Z", "The daemon starts.", "event=100 host=h1")
+                        + line(
+                                "02.000Z",
+                                "A backend server was chosen for a call.",
+                                "event=560 request=b2 server=i-1 send=1 waited_ms=0")
+                        + line(
+                                "02.100Z",
+                                "A backend server did not answer a call as it should.",
+                                "event=561 request=b2 server=i-1 send=1 outcome=UNKNOWN"
+                                        + " cause=\"SocketException: Connection reset\"")
+                        + line(
+                                "02.101Z",
+                                "A call was refused or failed.",
+                                "event=563 request=b2 code=3006 not_run=false after_ms=101");
+
+        assertThat(explain("b2", log)).isZero();
+        assertThat(mOperator.mOutput)
+                .contains(
+                        "Server i-1 did not answer the last send (SocketException: Connection"
+                                + " reset). Whether it has run is not known to the host.");
+    }
+
+    @Test
+    void aStreamThatBrokeOffNamesTheCauseInJsonLogsToo() throws IOException {
+        String log =
+                "{\"@timestamp\":\"2026-09-13T14:31:02.000Z\",\"message\":\"A backend server was"
+                        + " chosen for a call.\",\"event\":560,\"request\":\"c3\","
+                        + "\"server\":\"i-1\",\"waited_ms\":1726}\n"
+                        + "{\"@timestamp\":\"2026-09-13T14:31:04.000Z\",\"message\":\"A stream ended"
+                        + " before it was complete.\",\"event\":566,\"request\":\"c3\","
+                        + "\"server\":\"i-1\",\"after_ms\":2120,\"cause\":\"closed\"}\n";
+
+        assertThat(explain("c3", log)).isZero();
+        assertThat(mOperator.mOutput).contains("The stream broke off after 2120 ms: closed.");
+    }
+
+    /** Guards against an empty answer that looks like a request without a fault. */
+    @Test
+    void anUnknownRequestIsAnError() throws IOException {
+        assertThat(explain("none", line("01.000Z", "The daemon starts.", "event=100 host=h1")))
+                .isEqualTo(2);
+        assertThat(mOperator.mErrors).contains("Request none");
+    }
+
+    @Test
+    void linesThatAreNoEventsAreSkipped() throws IOException {
+        String log =
+                "java.net.SocketException: reset\n\tat a.B.c(B.java:1)\n{\"half\":\n"
+                        + line(
+                                "02.101Z",
+                                "A caller closed its connection before the answer ended.",
+                                "event=564 request=d4 server= after_ms=12");
+
+        assertThat(explain("d4", log)).isZero();
+        assertThat(mOperator.mOutput).contains("The caller closed its connection after 12 ms.");
+    }
+
+    private int explain(String request, String... logs) throws IOException {
+        String[] arguments = new String[logs.length + 2];
+        arguments[0] = "explain";
+        arguments[1] = request;
+        for (int log = 0; log < logs.length; log++) {
+            Path file = mDirectory.resolve("host-" + log + ".log");
+            Files.writeString(file, logs[log]);
+            arguments[log + 2] = file.toString();
+        }
+        return mOperator.run(arguments);
+    }
+
+    private static String line(String time, String text, String fields) {
+        return DAY + time + " INFO  org.vanillaslip " + text + " " + fields + "\n";
+    }
+}
