Read what came after a late call before it is sent on, whatever the load of the event loop

One timer of 4 ms may run out while the loop is busy, and then runs before the loop reads. Change: two timers, the second set by the first, so that the loop reads between them.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Relay.java
@@ -39,8 +39,8 @@
     /** Part of the heap that is left for calls, of 160 MB as deployed; the rest is for all else. */
     private static final long MOST_HELD_BYTES = 32L * 1024 * 1024;
 
-    /** Two rounds of the event loop. */
-    private static final Duration CATCH_UP = Duration.ofMillis(4);
+    /** Any time that the event loop sleeps for. */
+    private static final Duration CATCH_UP = Duration.ofMillis(1);
 
     private final AnswerMemory mMemory = new AnswerMemory(MOST_HELD_BYTES);
     private final CallAdmission mAdmission;
@@ -125,9 +125,14 @@
      * stood still reads calls whose callers left long ago.
      */
     private Mono<byte[]> caughtUp(byte[] body) {
-        return mBehind.getAsBoolean()
-                ? Mono.just(body).delayElement(CATCH_UP, mLoop.scheduler())
-                : Mono.just(body);
+        if (!mBehind.getAsBoolean()) {
+            return Mono.just(body);
+        }
+        // A timer that has run out while the loop was busy runs before the loop reads; one that is
+        // set by it does not.
+        return Mono.just(body)
+                .delayElement(CATCH_UP, mLoop.scheduler())
+                .delayElement(CATCH_UP, mLoop.scheduler());
     }
 
     private boolean callerIsThere(HttpServerResponse response, HttpHeaders headers, long arrived) {
