--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/Explain.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/Explain.java
@@ -53,8 +53,8 @@
         String source = String.valueOf(file.getFileName());
         List<LogLine> lines = new ArrayList<>();
         // A daemon that was killed may have left half a character at the end.
-        for (String line :
-                new String(Files.readAllBytes(file), StandardCharsets.UTF_8).split("\n")) {
+        String text = new String(Files.readAllBytes(file), StandardCharsets.UTF_8);
+        for (String line : text.lines().toList()) {
             Optional<LogLine> parsed = LogLine.parse(line, source);
             if (parsed.isPresent()) {
                 if (parsed.get().event() == HOST_STARTED && !parsed.get().field("host").isEmpty()) {
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/LogLine.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/LogLine.java
@@ -21,7 +21,7 @@
  */
 record LogLine(Instant time, String source, int event, String text, Map<String, String> fields) {
 
-    private static final ObjectMapper sMapper = new ObjectMapper();
+    private static final ObjectMapper JSON = new ObjectMapper();
 
     private static final Pattern TIME =
             Pattern.compile(
@@ -55,7 +55,7 @@
 
     private static Optional<LogLine> parseJson(String line, String source) {
         try {
-            JsonNode node = sMapper.readTree(line);
+            JsonNode node = JSON.readTree(line);
             Map<String, String> fields = new LinkedHashMap<>();
             node.fields().forEachRemaining(entry -> fields.put(entry.getKey(), text(entry)));
             return of(
--- a/command-line/src/test/java/org/vanillaslip/internal/commandline/ExplainTest.java
+++ b/command-line/src/test/java/org/vanillaslip/internal/commandline/ExplainTest.java
@@ -69,8 +69,8 @@
                 "{\"@timestamp\":\"2026-09-13T14:31:02.000Z\",\"message\":\"A backend server was"
                         + " chosen for a call.\",\"event\":560,\"request\":\"c3\","
                         + "\"server\":\"i-1\",\"waited_ms\":1726}\n"
-                        + "{\"@timestamp\":\"2026-09-13T14:31:04.000Z\",\"message\":\"A stream ended"
-                        + " before it was complete.\",\"event\":566,\"request\":\"c3\","
+                        + "{\"@timestamp\":\"2026-09-13T14:31:04.000Z\",\"message\":\"A stream"
+                        + " ended before it was complete.\",\"event\":566,\"request\":\"c3\","
                         + "\"server\":\"i-1\",\"after_ms\":2120,\"cause\":\"closed\"}\n";
 
         assertThat(explain("c3", log)).isZero();
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
@@ -44,10 +44,11 @@
     private static final double IDLE_DEMAND = 0.1;
 
     /**
-     * While more is left than all hosts ask for in this time, a host may take a few calls beyond
-     * its share. News of what the others took is younger.
+     * While more is left than callers ask of all hosts in this time, a host may take a few calls
+     * beyond its share. What others took is known after three report intervals of 200 ms: of the
+     * host, of its relay, and of the relay of the receiver.
      */
-    private static final double AMPLE_SECONDS = 1;
+    private static final double AMPLE_SECONDS = 0.6;
 
     /** Part of the burst after which a host reports without waiting for its next turn. */
     private static final double URGENT_PART = 0.05;
@@ -145,7 +146,7 @@
      * what callers ask for, which the level covers until the next reports.
      */
     private boolean ample(long tokens, long nowNanos) {
-        double ample = AMPLE_SECONDS * totalDemand(nowNanos);
+        double ample = AMPLE_SECONDS * knownDemand(nowNanos);
         return mTakenSinceReport + tokens <= mOverdraft && mLevel - tokens >= ample;
     }
 
