Let sums of use never go back, and let a relay that is behind count once it is alone

Cause: found while reading the layer again. When a relay forgot a host after 30 s of silence, or changed its role, the host's use left the sum; the relays of other domains took that for tokens given back, up to the whole burst. A relay whose sum was behind the other's counted for nothing after the loss of that one, until it had caught up or 30 s had passed. Change: forgotten sources stay in the sum; a relay that reports while the others are silent for 1 s counts from where the total is.

--- a/decisions/src/main/java/org/vanillaslip/internal/quota/MergedCount.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/MergedCount.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.quota;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -10,6 +11,9 @@
  */
 final class MergedCount {
 
+    /** A relay that has changes to report does so within this time. */
+    private static final long SILENT_NANOS = Duration.ofSeconds(1).toNanos();
+
     private final Map<String, RelayCount> mRelays = new HashMap<>();
     private long mTotal;
 
@@ -24,6 +28,10 @@
             mRelays.put(relay, new RelayCount(mTotal - reported, reported, nowNanos));
             return mTotal;
         }
+        if (isAlone(count, nowNanos)) {
+            // A relay that is behind counts from here on, since the one ahead no longer does.
+            count.mOffset = mTotal - count.mReported;
+        }
         count.mReported = reported;
         count.mHeardAt = nowNanos;
         mTotal =
@@ -34,6 +42,12 @@
         return mTotal;
     }
 
+    private boolean isAlone(RelayCount count, long nowNanos) {
+        return mRelays.values().stream()
+                .filter(other -> other != count)
+                .allMatch(other -> nowNanos - other.mHeardAt > SILENT_NANOS);
+    }
+
     /** Forgets relays that were not heard from since the given time. */
     void forgetBefore(long nanos) {
         mRelays.values().removeIf(count -> count.mHeardAt - nanos < 0);
@@ -41,7 +55,7 @@
 
     /** What one relay has reported, and where it stood when it was first heard. */
     private static final class RelayCount {
-        private final long mOffset;
+        private long mOffset;
         private long mReported;
         private long mHeardAt;
 
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
@@ -54,6 +54,10 @@
     private static final double URGENT_PART = 0.05;
 
     private final Map<String, SourceUse> mSources = new HashMap<>();
+
+    /** What forgotten sources had used, so that the sums for other hosts never go back. */
+    private final Map<String, Long> mForgotten = new HashMap<>();
+
     private final double mOverdraft;
     private double mRatePerNano;
     private double mBurst;
@@ -106,7 +110,7 @@
                 (source, hosts) ->
                         mSources.computeIfAbsent(source, name -> new SourceUse(hosts, nowNanos))
                                 .expect(hosts));
-        mSources.values().removeIf(source -> nowNanos - source.heardAt() > FORGET_NANOS);
+        forget(source -> nowNanos - source.heardAt() > FORGET_NANOS);
         mSources.values().forEach(source -> source.forgetRelaysBefore(nowNanos - FORGET_NANOS));
         countHosts();
     }
@@ -114,10 +118,23 @@
     /** Forgets all sources, because this host learns of the others in another way from now on. */
     public void forgetSources(long nowNanos) {
         refill(nowNanos);
-        mSources.clear();
+        forget(source -> true);
         countHosts();
     }
 
+    private void forget(Predicate<SourceUse> condition) {
+        mSources.entrySet()
+                .removeIf(
+                        entry -> {
+                            boolean forgotten = condition.test(entry.getValue());
+                            if (forgotten) {
+                                mForgotten.merge(
+                                        entry.getKey(), entry.getValue().counted(), Long::sum);
+                            }
+                            return forgotten;
+                        });
+    }
+
     private void countHosts() {
         mHosts = 1;
         for (SourceUse source : mSources.values()) {
@@ -237,6 +254,11 @@
     public UsageSum sum(Predicate<String> includes, long nowNanos) {
         refill(nowNanos);
         long admitted = mAdmitted;
+        for (Map.Entry<String, Long> entry : mForgotten.entrySet()) {
+            if (includes.test(entry.getKey())) {
+                admitted += entry.getValue();
+            }
+        }
         double demand = demandPerSecond(nowNanos);
         int hosts = 1;
         double unheard = 0;
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/ReplicatedBucketTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/ReplicatedBucketTest.java
@@ -146,6 +146,22 @@
         assertThat(bucket.level(mNow)).isLessThanOrEqualTo(RATE / 10);
     }
 
+    /** Guards against a sum that goes back, which others would take for tokens given back. */
+    @Test
+    void theUseOfAForgottenHostStaysInTheSum() {
+        ReplicatedBucket relay = bucket();
+        relay.apply("h1", "i1", new BucketUse(0, 0, 0), mNow);
+        relay.apply("h1", "i1", new BucketUse(50_000, 0, 0), mNow + 1);
+        long before = relay.sum(source -> true, mNow + 1).admitted();
+        relay.expect(List.of(), mNow + 31 * SECOND);
+        relay.forgetSources(mNow + 31 * SECOND);
+
+        assertThat(before).isEqualTo(50_000);
+        assertThat(relay.sum(source -> true, mNow + 31 * SECOND).admitted()).isEqualTo(before);
+        assertThat(relay.sum(source -> !source.equals("h1"), mNow + 31 * SECOND).admitted())
+                .isZero();
+    }
+
     private void start() {
         mHosts.clear();
         for (int host = 0; host < mHostCount; host++) {
