--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/SharedDeployment.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/SharedDeployment.java
@@ -30,9 +30,9 @@
     private static final Path LISTS = Path.of("..", "examples", "mostrador.json");
 
     /** Feature files run side by side, each of them on one thread. */
-    private static final ThreadLocal<Feature> sFeature = ThreadLocal.withInitial(Feature::new);
+    private static final ThreadLocal<Feature> FEATURE = ThreadLocal.withInitial(Feature::new);
 
-    private static final Set<Feature> sOpen = ConcurrentHashMap.newKeySet();
+    private static final Set<Feature> OPEN = ConcurrentHashMap.newKeySet();
 
     /** What belongs to one feature file. */
     private static final class Feature {
@@ -45,21 +45,21 @@
                 mDeployment.close();
                 mDeployment = null;
             }
-            sOpen.remove(this);
+            OPEN.remove(this);
         }
     }
 
     /** Starts the deployment before the first scenario of a feature file. */
     @Before(order = 0)
     public static void startForFeature(Scenario scenario) throws IOException {
-        Feature feature = sFeature.get();
+        Feature feature = FEATURE.get();
         if (scenario.getUri().equals(feature.mUri)) {
             return;
         }
         feature.close();
         Path directory = Files.createTempDirectory("vanillaslip-scenarios");
         System.out.println(scenario.getUri() + ", logs in " + directory);
-        sOpen.add(feature);
+        OPEN.add(feature);
         feature.mDeployment = Deployment.start(LISTS, directory);
         feature.mUri = scenario.getUri();
         feature.mKey = addKey();
@@ -75,25 +75,25 @@
     /** Stops the last deployment of each thread. */
     @AfterAll
     public static void close() {
-        Set.copyOf(sOpen).forEach(Feature::close);
+        Set.copyOf(OPEN).forEach(Feature::close);
     }
 
     /** Runs the action on another thread, for the feature file of this one. */
     static <T> CompletableFuture<T> async(Supplier<T> action) {
-        Feature feature = sFeature.get();
+        Feature feature = FEATURE.get();
         return CompletableFuture.supplyAsync(
                 () -> {
-                    sFeature.set(feature);
+                    FEATURE.set(feature);
                     try {
                         return action.get();
                     } finally {
-                        sFeature.remove();
+                        FEATURE.remove();
                     }
                 });
     }
 
     static Deployment deployment() {
-        return Objects.requireNonNull(sFeature.get().mDeployment);
+        return Objects.requireNonNull(FEATURE.get().mDeployment);
     }
 
     static Faults faults() {
@@ -105,7 +105,7 @@
     }
 
     static String key() {
-        return sFeature.get().mKey;
+        return FEATURE.get().mKey;
     }
 
     static String gateway(String host) {
