--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/PartitionSteps.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/PartitionSteps.java
@@ -18,11 +18,14 @@
 
     private final Deployment mDeployment = SharedDeployment.deployment();
     private final Observations mObservations = SharedDeployment.observations();
+    private long mLostTerm;
 
     /** Waits until the holder of a cut-off domain has lost its lease. */
     @When("the lease of {string} is lost")
     public void leaseLost(String shard) {
         String holder = mObservations.leaseHolder(shard);
+        // The domain may take the next term while the fault is still being removed.
+        mLostTerm = mObservations.leaseTerm(shard);
         await(
                 "the loss of the lease of " + shard,
                 () ->
@@ -64,8 +67,7 @@
     /** Waits until the domain takes part again. */
     @When("{string} has a lease holder again that reaches the platform")
     public void rejoined(String shard) {
-        long term = mObservations.leaseTerm(shard);
-        await("a new term of " + shard, () -> mObservations.leaseTerm(shard) > term);
+        await("a new term of " + shard, () -> mObservations.leaseTerm(shard) > mLostTerm);
     }
 
     private CallerResponse post(HostProcess host, String model, long deadlineMillis) {
