Do not send a booking whose caller left while no server had it

Cause: a call that runs at most once goes on when its caller leaves. That held as well while it waited for a server, or for a second send after a server had not run it, so it reached a server after its caller had left and may have booked elsewhere. Change: such a call ends with its caller unless a server has it, and is not sent again later.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -104,7 +104,7 @@
 
     /** Returns whether the failed call is sent once more, and takes that out of the budget. */
     boolean mayRepeat(RelayCall call, SendFailedException failure) {
-        if (!call.maySendAgain(failure.kind())) {
+        if (call.callerHasLeft() || !call.maySendAgain(failure.kind())) {
             return false;
         }
         // Nothing has arrived anywhere, so no server bears a repeat.
@@ -162,6 +162,7 @@
     }
 
     private void failed(RelayCall call, FleetMember member, Throwable error) {
+        call.sendEnded();
         if (!(error instanceof SendFailedException failure)) {
             member.health().undecided();
             return;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/PlainRelay.java
@@ -6,8 +6,10 @@
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.CallKind;
+import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.http.client.HttpClientResponse;
 
 /** Calls whose answers are passed on as a whole. */
@@ -36,14 +38,30 @@
     Mono<WholeAnswer> run(RelayCall call) {
         Mono<WholeAnswer> answer =
                 attempt(call).timeout(call.left(mLoop.clock().nowNanos()), mLoop.scheduler());
-        if (call.route().kind() != CallKind.AT_MOST_ONCE) {
-            return answer;
-        }
+        return call.route().kind() == CallKind.AT_MOST_ONCE ? detached(call, answer) : answer;
+    }
+
+    /** A call that no server has when its caller leaves ends with it. */
+    private static Mono<WholeAnswer> detached(RelayCall call, Mono<WholeAnswer> answer) {
         return Mono.defer(
                 () -> {
-                    Mono<WholeAnswer> detached = answer.cache();
-                    detached.subscribe(done -> {}, failed -> {});
-                    return detached;
+                    Sinks.One<WholeAnswer> result = Sinks.one();
+                    Disposable running =
+                            answer.subscribe(
+                                    whole ->
+                                            result.emitValue(
+                                                    whole, Sinks.EmitFailureHandler.FAIL_FAST),
+                                    error ->
+                                            result.emitError(
+                                                    error, Sinks.EmitFailureHandler.FAIL_FAST));
+                    return result.asMono()
+                            .doOnCancel(
+                                    () -> {
+                                        call.callerLeft();
+                                        if (!call.underWay()) {
+                                            running.dispose();
+                                        }
+                                    });
                 });
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -32,6 +32,8 @@
     private int mSends;
     private int mRuns;
     private boolean mMayHaveRun;
+    private boolean mUnderWay;
+    private boolean mCallerHasLeft;
     private String mServer = "";
 
     RelayCall(
@@ -146,6 +148,26 @@
     void sending(String instance) {
         mSends++;
         mServer = instance;
+        mUnderWay = true;
+    }
+
+    /** Notes that the send has failed, so that no server has the call now. */
+    void sendEnded() {
+        mUnderWay = false;
+    }
+
+    /** Returns whether the call is with a server. */
+    boolean underWay() {
+        return mUnderWay;
+    }
+
+    /** Notes that nobody waits for the answer. */
+    void callerLeft() {
+        mCallerHasLeft = true;
+    }
+
+    boolean callerHasLeft() {
+        return mCallerHasLeft;
     }
 
     /** Notes that a send may have run. */
