Leave out library warnings that events of this project tell

Change: the two loggers that warn of what is no fault here log errors only; other warnings stay. Result: the test fails before the change and passes with it. Effect on processor time not measured apart.

--- a/daemon/src/main/java/org/vanillaslip/internal/logging/LogOutput.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/logging/LogOutput.java
@@ -11,6 +11,7 @@
 import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.List;
 import net.logstash.logback.encoder.LogstashEncoder;
 import org.slf4j.LoggerFactory;
 import org.vanillaslip.internal.settings.LogFormat;
@@ -21,6 +22,15 @@
     private static final String PLAIN_PATTERN =
             "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %logger{20} %msg %fields%n%ex";
 
+    /**
+     * Libraries that warn of what is no fault here: a failed call to another process, with a stack
+     * trace, though the caller logs an event of its own; and a machine without a hardware address.
+     */
+    private static final List<String> NEEDLESS_WARNINGS =
+            List.of(
+                    "reactor.netty.http.client.HttpClientConnect",
+                    "io.netty.util.internal.MacAddressUtil");
+
     private LogOutput() {}
 
     /** Sends all log lines to the stream, in place of any earlier set-up. */
@@ -36,6 +46,9 @@
         root.addAppender(appender);
         root.setLevel(libraryLevel(settings.level()));
         context.getLogger(SystemEventLog.LOGGER_NAME).setLevel(level(settings.level()));
+        if (libraryLevel(settings.level()) == Level.WARN) {
+            NEEDLESS_WARNINGS.forEach(name -> context.getLogger(name).setLevel(Level.ERROR));
+        }
     }
 
     /** A later set-up stops the appender, which would close the output of the process. */
--- a/daemon/src/test/java/org/vanillaslip/internal/logging/SystemEventLogTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/logging/SystemEventLogTest.java
@@ -6,9 +6,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
 import org.vanillaslip.internal.settings.LogFormat;
 import org.vanillaslip.internal.settings.LogSettings;
 
@@ -66,6 +68,19 @@
         assertThat(text()).hasLineCount(1).contains("event=107");
     }
 
+    /** Guards against a stack trace for each reset connection, which slow hosts pay dearly for. */
+    @Test
+    void leavesOutWarningsOfLibrariesThatEventsTell() {
+        logOn(LogFormat.PLAIN, System.Logger.Level.INFO);
+
+        LoggerFactory.getLogger("reactor.netty.http.client.HttpClientConnect")
+                .warn("The connection observed an error", new IOException("Connection reset"));
+        LoggerFactory.getLogger("io.netty.util.internal.MacAddressUtil").warn("No address");
+        LoggerFactory.getLogger("io.netty.channel").warn("A warning that no event tells");
+
+        assertThat(text()).hasLineCount(1).contains("A warning that no event tells");
+    }
+
     private EventLog logOn(LogFormat format, System.Logger.Level level) {
         LogOutput.configure(new LogSettings(format, level), mOutput);
         return new SystemEventLog(System.getLogger(SystemEventLog.LOGGER_NAME));
