--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -105,13 +105,31 @@
      * @param newer whether the report is newer than all that is known of the server's orders
      */
     public void report(String instance, long bornMillis, ServerLoadReport report, boolean newer) {
-        FleetMember member = mMembers.get(instance);
-        if (member != null && member.registered().bornMillis() == bornMillis) {
-            member.report(report, newer, mLoop.clock().nowNanos());
+        if (take(instance, bornMillis, report, newer)) {
+            changed();
+        }
+    }
+
+    /** Takes reports of several servers over, about which the listeners are told once. */
+    void reports(List<ServerReport> reports) {
+        boolean taken = false;
+        for (ServerReport report : reports) {
+            taken |= take(report.instance(), report.bornMillis(), report.load(), true);
+        }
+        if (taken) {
             changed();
         }
     }
 
+    private boolean take(String instance, long bornMillis, ServerLoadReport report, boolean newer) {
+        FleetMember member = mMembers.get(instance);
+        if (member == null || member.registered().bornMillis() != bornMillis) {
+            return false;
+        }
+        member.report(report, newer, mLoop.clock().nowNanos());
+        return true;
+    }
+
     /** Tells the listeners that a server has changed. */
     public void changed() {
         mListeners.forEach(Runnable::run);
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
@@ -251,40 +251,34 @@
         mHolderTerm = digest.getTerm();
         mHolder = message.getSender();
         mDigestAt = mLoop.clock().nowNanos();
-        digest.getServersList().forEach(this::take);
+        mDirectory.reports(
+                digest.getServersList().stream()
+                        .map(this::report)
+                        .flatMap(Optional::stream)
+                        .toList());
         for (LoadForecast forecast : digest.getForecastsList()) {
             apply(target(forecast), expected(forecast));
         }
         return Mono.empty();
     }
 
-    private void take(ServerState state) {
-        mDirectory
-                .member(state.getServer())
-                .ifPresent(
-                        member -> {
-                            Map<String, Set<String>> loaded = new HashMap<>();
-                            state.getModelsList()
-                                    .forEach(
-                                            model ->
-                                                    loaded.put(
-                                                            model.getModel(),
-                                                            Set.copyOf(model.getAdaptersList())));
-                            ServerStock known = member.stock();
-                            ServerStock stock =
-                                    new ServerStock(
-                                            state.getOrderCount(),
-                                            false,
-                                            loaded,
-                                            known.inMemory(),
-                                            known.onDisk());
-                            mDirectory.report(
-                                    state.getServer(),
-                                    state.getBornMillis(),
-                                    new ServerLoadReport(
-                                            stock, state.getRunning(), state.getQueued()),
-                                    true);
-                        });
+    private Optional<ServerReport> report(ServerState state) {
+        return mDirectory.member(state.getServer()).map(member -> report(state, member.stock()));
+    }
+
+    /** A digest does not tell what is in memory or on disk. */
+    private static ServerReport report(ServerState state, ServerStock known) {
+        Map<String, Set<String>> loaded = new HashMap<>();
+        state.getModelsList()
+                .forEach(
+                        model -> loaded.put(model.getModel(), Set.copyOf(model.getAdaptersList())));
+        ServerStock stock =
+                new ServerStock(
+                        state.getOrderCount(), false, loaded, known.inMemory(), known.onDisk());
+        return new ServerReport(
+                state.getServer(),
+                state.getBornMillis(),
+                new ServerLoadReport(stock, state.getRunning(), state.getQueued()));
     }
 
     private static CallTarget target(LoadForecast forecast) {
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/RelayNetwork.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/RelayNetwork.java
@@ -15,6 +15,7 @@
 import org.vanillaslip.Host;
 import org.vanillaslip.MonotonicClock;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.membership.RankedHosts;
 import org.vanillaslip.internal.membership.RelayRoles;
 import org.vanillaslip.internal.membership.RendezvousRanking;
 import org.vanillaslip.messages.Membership;
@@ -48,6 +49,8 @@
     private final Map<String, Long> mHeardAt = new HashMap<>();
     private final Map<String, Membership> mMemberships = new HashMap<>();
     private Set<String> mLinked = Set.of();
+    private List<Host> mListed = List.of();
+    private RankedHosts mRanked;
     private RelayRoles mRoles;
 
     /**
@@ -60,7 +63,8 @@
         mHosts = hosts;
         mClock = clock;
         mLog = log;
-        mRoles = RelayRoles.of(self, List.of(), mRanking, host -> false);
+        mRanked = RankedHosts.of(self, mListed, mRanking);
+        mRoles = RelayRoles.of(self, mRanked, host -> false);
     }
 
     /** Works out the roles again from the list and from the hosts that are linked now. */
@@ -70,7 +74,7 @@
         mMemberships.keySet().retainAll(mLinked);
         mHeardAt.keySet().retainAll(mLinked);
         mAbsentSince.keySet().removeAll(mLinked);
-        RelayRoles roles = RelayRoles.of(mSelf, mHosts.get(), mRanking, host -> isLost(host, now));
+        RelayRoles roles = RelayRoles.of(mSelf, ranked(), host -> isLost(host, now));
         mAbsentSince.keySet().retainAll(roles.wanted());
         for (String host : roles.wanted()) {
             mWantedAt.put(host, now);
@@ -83,6 +87,15 @@
         mRoles = roles;
     }
 
+    private RankedHosts ranked() {
+        List<Host> listed = mHosts.get();
+        if (!listed.equals(mListed)) {
+            mListed = List.copyOf(listed);
+            mRanked = RankedHosts.of(mSelf, mListed, mRanking);
+        }
+        return mRanked;
+    }
+
     private void logChange(RelayRoles roles) {
         boolean changed =
                 roles.relay() != mRoles.relay()
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingRoomTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingRoomTest.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.vanillaslip.FailureDomain;
@@ -103,6 +104,22 @@
         assertThat(mEnds).isEmpty();
     }
 
+    /** Guards against a look at all waiting calls for each server of a digest. */
+    @Test
+    void aDigestOfManyServersLooksAtTheWaitingCallsOnce() {
+        AtomicInteger looks = new AtomicInteger();
+        mDirectory.onChange(looks::incrementAndGet);
+        ServerLoadReport load = new ServerLoadReport(ServerStock.EMPTY, 0, 0);
+
+        mDirectory.reports(
+                List.of(
+                        new ServerReport("s1", 1, load),
+                        new ServerReport("s1", 1, load),
+                        new ServerReport("an earlier life", 0, load)));
+
+        assertThat(looks).hasValue(1);
+    }
+
     /** One failure does not tell that the holder is out of reach. */
     @Test
     void aCallWaitsForAHolderThatFailedOnce() {
--- a/decisions/src/main/java/org/vanillaslip/internal/membership/RelayRoles.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/membership/RelayRoles.java
@@ -1,7 +1,6 @@
 package org.vanillaslip.internal.membership;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -45,24 +44,11 @@
     /**
      * Returns the roles that follow from the list.
      *
-     * @param ranking ranks the hosts of a failure domain
      * @param lost hosts that were tried and not heard from
      */
-    public static RelayRoles of(
-            Host self, Collection<Host> hosts, RendezvousRanking ranking, Predicate<String> lost) {
-        Map<String, FailureDomain> domains =
-                hosts.stream()
-                        .collect(
-                                Collectors.toMap(
-                                        Host::name, Host::failureDomain, (one, other) -> one));
-        domains.put(self.name(), self.failureDomain());
-        Map<FailureDomain, List<String>> byDomain = new TreeMap<>(RelayRoles::byName);
-        domains.forEach(
-                (host, domain) ->
-                        byDomain.computeIfAbsent(domain, name -> new ArrayList<>()).add(host));
-        Map<FailureDomain, List<String>> ranked = new TreeMap<>(RelayRoles::byName);
-        byDomain.forEach((domain, names) -> ranked.put(domain, ranking.rank(domain.name(), names)));
-        Map<FailureDomain, List<String>> relays = new TreeMap<>(RelayRoles::byName);
+    public static RelayRoles of(Host self, RankedHosts hosts, Predicate<String> lost) {
+        Map<FailureDomain, List<String>> ranked = hosts.byDomain();
+        Map<FailureDomain, List<String>> relays = new TreeMap<>(RankedHosts.BY_NAME);
         ranked.forEach((domain, names) -> relays.put(domain, relays(self, names, lost)));
         boolean relay = relays.getOrDefault(self.failureDomain(), List.of()).contains(self.name());
         Set<String> wanted = new LinkedHashSet<>();
@@ -72,7 +58,7 @@
                         wanted.addAll(wanted(self, names, lost));
                     }
                 });
-        return new RelayRoles(self, Map.copyOf(domains), relays, wanted);
+        return new RelayRoles(self, hosts.domains(), relays, wanted);
     }
 
     /** Returns whether this host passes messages on. */
@@ -143,8 +129,4 @@
         }
         return wanted;
     }
-
-    private static int byName(FailureDomain one, FailureDomain other) {
-        return one.name().compareTo(other.name());
-    }
 }
