Doubt old news of servers in proportion to the hosts that may have sent calls since

Hosts hear once a second how many calls others have sent to a server. With 95 hosts all send to the server that looked emptiest, some twenty calls within 0.1 s, while copies of the model stand free. Change: the choice of a server adds a random doubt of up to one call for each other host, at most all places of a server. Suspected servers stay behind all others.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -70,6 +70,7 @@
                                 open.stream()
                                         .map(member -> choice(member, kept, suspected, now))
                                         .toList(),
+                                mHosts.getAsInt(),
                                 mRandom)
                         .flatMap(choice -> mDirectory.member(choice.instance()));
         chosen.ifPresent(
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/ServerRanking.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/ServerRanking.java
@@ -19,14 +19,30 @@
     /** Spreads calls over servers that look alike to every host. */
     private static final double JITTER = 0.01;
 
+    /**
+     * Calls that another host may have sent to a server since this host last heard of it. Without
+     * this doubt, many hosts with the same old news send to one server until the next news.
+     */
+    private static final double UNSEEN_CALLS_PER_HOST = 1;
+
     private ServerRanking() {}
 
-    /** Returns the best server, or empty when there is none. */
-    public static Optional<RankedServer> best(List<RankedServer> choices, RandomGenerator random) {
+    /**
+     * Returns the best server, or empty when there is none.
+     *
+     * @param hosts number of hosts that may send calls, this host included
+     */
+    public static Optional<RankedServer> best(
+            List<RankedServer> choices, int hosts, RandomGenerator random) {
+        double unseen = (hosts - 1) * UNSEEN_CALLS_PER_HOST;
         RankedServer best = null;
         double lowest = Double.MAX_VALUE;
         for (RankedServer choice : choices) {
-            double cost = cost(choice) + random.nextDouble() * JITTER;
+            double doubt = Math.max(JITTER, Math.min(1, unseen / Math.max(1, choice.places())));
+            double cost = cost(choice) + random.nextDouble() * doubt;
+            if (choice.suspected()) {
+                cost += SUSPECTED + doubt;
+            }
             if (cost < lowest) {
                 lowest = cost;
                 best = choice;
@@ -40,9 +56,6 @@
         if (!choice.near()) {
             cost += FAR;
         }
-        if (choice.suspected()) {
-            cost += SUSPECTED;
-        }
         if (choice.preferred()) {
             cost -= KEPT_PROMPT;
         }
--- a/decisions/src/test/java/org/vanillaslip/internal/routing/ServerChoiceTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/routing/ServerChoiceTest.java
@@ -125,7 +125,7 @@
     }
 
     private static String best(RankedServer... servers) {
-        return ServerRanking.best(List.of(servers), new Random(1)).orElseThrow().instance();
+        return ServerRanking.best(List.of(servers), 1, new Random(1)).orElseThrow().instance();
     }
 
     private static RankedServer server(String name, int inUse, boolean near, boolean preferred) {
