Copy a model whose calls take most places of its servers

Copies followed the rate of urgent calls only, 12 a second a copy, whatever a call takes, and calls with more than the time of a disk load did not count. Change: a model also gets a copy for each 0.4 of a server's places that its running calls take.

--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -36,6 +36,9 @@
     /** Urgent calls that one copy serves per second. */
     private static final double CALLS_PER_COPY = 12;
 
+    /** Part of a server's places that calls of one model take before it gets another copy. */
+    private static final double COPY_LOAD = 0.4;
+
     /** Calls per second above which only one load at a time seeds disks. */
     private static final double QUIET_RATE = 0.5;
 
@@ -199,20 +202,28 @@
     /** Keeps busy models on more than one server, as far as nothing else is lost by that. */
     private void copyBusyModels() {
         Map<String, Integer> replicas = replicas();
-        int places = Math.max(1, mEngines.size()) * placesOfOne();
+        Map<String, Integer> running = running();
+        Map<String, Integer> targets = new HashMap<>();
+        for (String name : mProfile.models().keySet()) {
+            int target = Math.min(mEngines.size(), copies(name, running.getOrDefault(name, 0)));
+            if (target > 1) {
+                targets.put(name, target);
+            }
+        }
         List<String> busy =
-                mProfile.models().keySet().stream()
-                        .filter(name -> mHistory.urgentRate(name, mNowNanos) >= BUSY_RATE)
+                targets.keySet().stream()
                         .sorted(
                                 Comparator.comparingDouble(
-                                        name -> -mHistory.urgentRate(name, mNowNanos)))
+                                                (String name) ->
+                                                        -mHistory.urgentRate(name, mNowNanos))
+                                        .thenComparing(name -> -running.getOrDefault(name, 0))
+                                        .thenComparing(Comparator.naturalOrder()))
                         .toList();
+        int places = Math.max(1, mEngines.size()) * placesOfOne();
         int copies = busy.stream().mapToInt(name -> replicas.getOrDefault(name, 0)).sum();
         for (String name : busy) {
-            double rate = mHistory.urgentRate(name, mNowNanos);
-            int target =
-                    Math.min(mEngines.size(), Math.max(2, (int) Math.ceil(rate / CALLS_PER_COPY)));
-            if (replicas.getOrDefault(name, 0) < target && copies < places * COPIES_PART) {
+            boolean missing = replicas.getOrDefault(name, 0) < targets.getOrDefault(name, 0);
+            if (missing && copies < places * COPIES_PART) {
                 ModelProfile model = mProfile.models().get(name);
                 if (model != null && copy(model)) {
                     copies++;
@@ -221,6 +232,23 @@
         }
     }
 
+    /** Returns on how many servers the model is to stand. */
+    private int copies(String name, int running) {
+        int byLoad = (int) Math.ceil(running / (mProfile.places() * COPY_LOAD));
+        double rate = mHistory.urgentRate(name, mNowNanos);
+        return rate < BUSY_RATE
+                ? byLoad
+                : Math.max(byLoad, Math.max(2, (int) Math.ceil(rate / CALLS_PER_COPY)));
+    }
+
+    private Map<String, Integer> running() {
+        Map<String, Integer> running = new HashMap<>();
+        for (EngineState engine : mEngines) {
+            engine.running().forEach((name, calls) -> running.merge(name, calls, Integer::sum));
+        }
+        return running;
+    }
+
     private boolean copy(ModelProfile model) {
         Optional<LoadOption> best =
                 best(model, COPY_LOSS_MILLIS).filter(option -> !option.fromStore());
--- a/decisions/src/test/java/org/vanillaslip/internal/fleet/LoadPlannerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/fleet/LoadPlannerTest.java
@@ -316,6 +316,40 @@
         assertThat(mPool.plan().orders()).isEmpty();
     }
 
+    /** Pattern "long calls": few calls a second of one model fill the places of its server. */
+    @Test
+    void copiesAModelWhoseCallsTakeMostPlacesOfItsServer() {
+        mPool.engine(
+                        "a",
+                        Set.of("m1"),
+                        Set.of("m1"),
+                        Map.of("m1", 30),
+                        Duration.ZERO,
+                        Optional.empty())
+                .engine("b", Set.of(), Set.of("m1"))
+                .patientCalls("m1", 30);
+
+        assertThat(mPool.plan().orders())
+                .singleElement()
+                .matches(order -> order.instance().equals("b") && order.model().equals("m1"));
+    }
+
+    /** Guards against copies of models whose server has places left. */
+    @Test
+    void leavesAModelWhoseCallsTakeFewPlacesOnOneServer() {
+        mPool.engine(
+                        "a",
+                        Set.of("m1"),
+                        Set.of("m1"),
+                        Map.of("m1", 15),
+                        Duration.ZERO,
+                        Optional.empty())
+                .engine("b", Set.of(), allModels())
+                .patientCalls("m1", 30);
+
+        assertThat(mPool.plan().orders()).isEmpty();
+    }
+
     @Test
     void theIdleStoreSeedsModelsThatNoServerHas() {
         mPool.engine("a", Set.of(), Set.of("m0", "m1"))
