Send digests of the servers and plan loads at a pace that fits the number of hosts

The pace of digests followed the number of the holder's links, which relays have cut from 94 to ten. The holder also planned 150 times a second, after each report of demand, for 0.11 s of processor time. Change: the pause in which changes are gathered follows the number of hosts: 51 ms at 95 hosts for digests, 22 ms for plans.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/DemandLedger.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/DemandLedger.java
@@ -47,6 +47,11 @@
                 .removeIf(demand -> nowNanos - demand.receivedNanos() > DEMAND_AGE.toNanos());
     }
 
+    /** Returns the number of hosts that have reported demand a short while ago. */
+    int hosts() {
+        return mDemands.size();
+    }
+
     /** Returns the recent calls of a pool. */
     DemandHistory history(String pool) {
         return mHistories.computeIfAbsent(pool, name -> new DemandHistory());
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.vanillaslip.ModelName;
@@ -35,7 +36,11 @@
     /** Events that come together are sent together. */
     private static final Duration GATHER = Duration.ofMillis(4);
 
-    private static final Duration GATHER_PER_LINK = Duration.ofNanos(500_000);
+    /** Relays pass each digest on to all hosts. */
+    private static final Duration GATHER_PER_HOST = Duration.ofNanos(500_000);
+
+    /** A load that has ended is known to all hosts soon after this. */
+    private static final Duration LONGEST_GATHER = Duration.ofMillis(200);
 
     /** A refused caller comes back after a load could have been planned. */
     private static final Duration UNPLANNED_RETRY = Duration.ofSeconds(2);
@@ -48,15 +53,19 @@
     private final WaitingRoom mRoom;
     private final PeerLinks mLinks;
     private final DecisionLoop mLoop;
+    private final Gathering mChanges;
     private final Map<String, ServerState> mSent = new HashMap<>();
     private final Map<CallTarget, LoadForecast> mForecasts = new HashMap<>();
     private String mHolder = "";
     private long mHolderTerm;
     private long mDigestAt = Long.MIN_VALUE;
     private boolean mDemandSoon;
-    private boolean mDigestSoon;
 
-    /** Creates an exchange that is not started. */
+    /**
+     * Creates an exchange that is not started.
+     *
+     * @param hosts number of hosts, this one included
+     */
     public FleetExchange(
             String host,
             FleetLease lease,
@@ -65,6 +74,7 @@
             DemandBook book,
             WaitingRoom room,
             PeerLinks links,
+            IntSupplier hosts,
             DecisionLoop loop) {
         mHost = host;
         mLease = lease;
@@ -74,6 +84,11 @@
         mRoom = room;
         mLinks = links;
         mLoop = loop;
+        mChanges = digests(hosts, this::sendChanges, loop);
+    }
+
+    static Gathering digests(IntSupplier hosts, Runnable send, DecisionLoop loop) {
+        return new Gathering(GATHER, GATHER_PER_HOST, LONGEST_GATHER, hosts, send, loop);
     }
 
     /** Starts to exchange messages. */
@@ -160,16 +175,12 @@
     }
 
     private void digestSoon() {
-        if (mLease.held() && !mDigestSoon) {
-            mDigestSoon = true;
-            // More links get fewer and larger digests.
-            Duration gather = GATHER.plus(GATHER_PER_LINK.multipliedBy(mLinks.liveHosts().size()));
-            mLoop.scheduler().schedule(this::sendChanges, gather.toNanos(), TimeUnit.NANOSECONDS);
+        if (mLease.held()) {
+            mChanges.soon();
         }
     }
 
     private void sendChanges() {
-        mDigestSoon = false;
         if (!mLease.held()) {
             return;
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.IntSupplier;
 import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.runtime.DecisionLoop;
@@ -25,6 +26,12 @@
     /** Events that come together are planned together. */
     private static final Duration GATHER = Duration.ofMillis(3);
 
+    /** Each host reports its demand a few times a second. */
+    private static final Duration GATHER_PER_HOST = Duration.ofNanos(200_000);
+
+    /** Small against the time of a load from memory, the shortest one. */
+    private static final Duration LONGEST_GATHER = Duration.ofMillis(60);
+
     private final FleetLease mLease;
     private final FleetDirectory mDirectory;
     private final PlanView mPlans;
@@ -33,9 +40,9 @@
     private final DecisionLoop mLoop;
     private final DemandLedger mDemand;
     private final OrderDesk mDesk;
+    private final Gathering mPlanning;
     private BiConsumer<CallTarget, Optional<Duration>> mForecasts = (target, expected) -> {};
     private final Map<String, RefusedWishes> mRefused = new HashMap<>();
-    private boolean mPlanning;
 
     /**
      * Creates a controller that sends nothing until its host holds the lease.
@@ -59,9 +66,14 @@
         mStoreSpeed = new StoreSpeed(storeLoads);
         mLoop = loop;
         mDemand = new DemandLedger(plans);
+        mPlanning = plans(mDemand::hosts, this::plan, loop);
         mDesk = new OrderDesk(host, lease, directory, engines, mStoreSpeed, loop, timeOfDay, log);
     }
 
+    static Gathering plans(IntSupplier hosts, Runnable plan, DecisionLoop loop) {
+        return new Gathering(GATHER, GATHER_PER_HOST, LONGEST_GATHER, hosts, plan, loop);
+    }
+
     /** Registers a listener for the time at which a wanted model is expected, if it is planned. */
     public void onForecast(BiConsumer<CallTarget, Optional<Duration>> listener) {
         mForecasts = listener;
@@ -117,14 +129,12 @@
     }
 
     private void planSoon() {
-        if (!mPlanning && mLease.held()) {
-            mPlanning = true;
-            mLoop.scheduler().schedule(this::plan, GATHER.toNanos(), TimeUnit.NANOSECONDS);
+        if (mLease.held()) {
+            mPlanning.soon();
         }
     }
 
     private void plan() {
-        mPlanning = false;
         if (!mLease.mayOrder()) {
             return;
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -149,7 +149,15 @@
         DemandBook book = new DemandBook(mRoom, mDirectory, mLoop);
         mExchange =
                 new FleetExchange(
-                        mHost.name(), mLease, mDirectory, mController, book, mRoom, mLinks, mLoop);
+                        mHost.name(),
+                        mLease,
+                        mDirectory,
+                        mController,
+                        book,
+                        mRoom,
+                        mLinks,
+                        this::hostCount,
+                        mLoop);
         mRelay = relay(selector, book);
         mServer = server();
     }
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/GatheringTest.java
@@ -0,0 +1,61 @@
+package org.vanillaslip.internal.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** Guards against relays that spend their processor time on digests and pass them on late. */
+class GatheringTest {
+
+    private final VirtualTimeScheduler mScheduler = VirtualTimeScheduler.create();
+    private final DecisionLoop mLoop =
+            new DecisionLoop(mScheduler, () -> mScheduler.now(TimeUnit.NANOSECONDS));
+
+    /** Messages a second that the digests of a busy holder cost all hosts together. */
+    @ParameterizedTest
+    @CsvSource({"6, 900", "95, 2000", "600, 3000"})
+    void aBusyHolderCostsTheFleetFewMessages(int hosts, int most) {
+        AtomicInteger digests = new AtomicInteger();
+        Gathering pace = FleetExchange.digests(() -> hosts, digests::incrementAndGet, mLoop);
+
+        for (int millis = 0; millis < 1000; millis++) {
+            pace.soon();
+            mScheduler.advanceTimeBy(Duration.ofMillis(1));
+        }
+
+        assertThat(digests.get() * hosts).isLessThanOrEqualTo(most);
+    }
+
+    /** Guards against a holder that plans whenever one of many hosts reports its demand. */
+    @ParameterizedTest
+    @CsvSource({"6, 250", "95, 50", "600, 20"})
+    void demandOfManyHostsIsPlannedTogether(int hosts, int most) {
+        AtomicInteger plans = new AtomicInteger();
+        Gathering pace = LoadController.plans(() -> hosts, plans::incrementAndGet, mLoop);
+
+        for (int millis = 0; millis < 1000; millis++) {
+            pace.soon();
+            mScheduler.advanceTimeBy(Duration.ofMillis(1));
+        }
+
+        assertThat(plans).hasValueLessThanOrEqualTo(most);
+    }
+
+    /** Callers wait for a load until their host has heard of its end. */
+    @ParameterizedTest
+    @CsvSource({"6, 10", "95, 60", "600, 200"})
+    void aChangeIsToldSoon(int hosts, int mostMillis) {
+        AtomicInteger digests = new AtomicInteger();
+        FleetExchange.digests(() -> hosts, digests::incrementAndGet, mLoop).soon();
+
+        mScheduler.advanceTimeBy(Duration.ofMillis(mostMillis));
+
+        assertThat(digests).hasValue(1);
+    }
+}
