Count and log the bytes that hosts send each other

Messages were counted, bytes were not, so that nothing told whether the links of relays (7 Mbit/s there) were full, or with what.

Change: metric vanillaslip_peer_bytes_total by direction and content, and event 488 every five seconds with the largest contents. Each host writes one line in five seconds.

--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -41,6 +41,13 @@
             "Messages between hosts by body type.",
             "direction",
             "body"),
+    PEER_BYTES(
+            "vanillaslip.peer.bytes",
+            "vanillaslip_peer_bytes_total",
+            "Bytes of messages between hosts by body type; a forwarded message counts as what it"
+                    + " contains.",
+            "direction",
+            "body"),
     QUOTA_TOKENS_GRANTED(
             "vanillaslip.quota.tokens.granted",
             "vanillaslip_quota_tokens_granted_total",
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -92,6 +92,11 @@
         count(DaemonMetric.PEER_MESSAGES, 1, label(direction), body.toLowerCase(Locale.ROOT));
     }
 
+    /** Counts the bytes of a message between hosts by the name of its content. */
+    public void peerBytes(PeerDirection direction, String body, int bytes) {
+        count(DaemonMetric.PEER_BYTES, bytes, label(direction), body.toLowerCase(Locale.ROOT));
+    }
+
     /** Counts tokens that this host has lent to another host. */
     public void tokensGranted(QuotaLimitKind limit, long microTokens) {
         count(
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
@@ -42,6 +42,8 @@
 
     private static final int CONNECT_TIMEOUT_MILLIS = 2000;
 
+    private static final Duration TRAFFIC_LOG_INTERVAL = Duration.ofSeconds(5);
+
     private final String mHost;
     private final DecisionLoop mLoop;
     private final EventLoopGroup mGroup;
@@ -51,7 +53,7 @@
     private final LinkPolicy mPolicy;
     private final Supplier<Heartbeat> mHeartbeat;
     private final PeerTimes mTimes;
-    private final DaemonMetrics mMetrics;
+    private final LinkTraffic mTraffic;
     private final EventLog mLog;
     private final PeerExchange mExchange;
     private final Map<String, PeerLink> mLinksByHost = new HashMap<>();
@@ -59,6 +61,7 @@
     private final Set<InetSocketAddress> mConnecting = new HashSet<>();
     private volatile Optional<Channel> mServerChannel = Optional.empty();
     private volatile Optional<Disposable> mTickTask = Optional.empty();
+    private volatile Optional<Disposable> mTrafficLogTask = Optional.empty();
 
     /**
      * Creates the links without listening or connecting.
@@ -93,7 +96,7 @@
         mPolicy = policy;
         mHeartbeat = heartbeat;
         mTimes = times;
-        mMetrics = metrics;
+        mTraffic = new LinkTraffic(metrics, log);
         mLog = log;
         mExchange =
                 new PeerExchange(
@@ -131,6 +134,7 @@
     /** Stops listening and closes all connections. */
     public void stop() {
         mTickTask.ifPresent(Disposable::dispose);
+        mTrafficLogTask.ifPresent(Disposable::dispose);
         mServerChannel.ifPresent(Channel::close);
         mLoop.scheduler().schedule(() -> mOpenLinks.forEach(link -> link.channel().close()));
     }
@@ -173,6 +177,15 @@
                         mLoop.scheduler()
                                 .schedulePeriodically(
                                         this::tick, 0, periodNanos, TimeUnit.NANOSECONDS));
+        long logNanos = TRAFFIC_LOG_INTERVAL.toNanos();
+        mTrafficLogTask =
+                Optional.of(
+                        mLoop.scheduler()
+                                .schedulePeriodically(
+                                        mTraffic::logAndReset,
+                                        logNanos,
+                                        logNanos,
+                                        TimeUnit.NANOSECONDS));
         mLog.log(PeerEvent.LISTENING, field("address", address));
         return address;
     }
@@ -183,7 +196,7 @@
             protected void initChannel(Channel channel) {
                 PeerLink link = new PeerLink(channel, outboundAddress, mLoop.clock().nowNanos());
                 channel.pipeline().addLast(new EnvelopeCodec());
-                channel.pipeline().addLast(new PeerMessageCounter(mMetrics));
+                channel.pipeline().addLast(new PeerMessageCounter(mTraffic));
                 channel.pipeline().addLast(new PeerLinkHandler(link, NettyPeerLinks.this, mLoop));
             }
         };
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/PeerEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerEvent.java
@@ -20,7 +20,11 @@
     CHANGES_FROM(
             487,
             System.Logger.Level.INFO,
-            "Changes of a collection are now received from another source.");
+            "Changes of a collection are now received from another source."),
+    LINK_TRAFFIC(
+            488,
+            System.Logger.Level.INFO,
+            "Bytes exchanged with other hosts in the last five seconds.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/PeerMessageCounter.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerMessageCounter.java
@@ -3,17 +3,16 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
-import org.vanillaslip.internal.metrics.DaemonMetrics;
 import org.vanillaslip.internal.metrics.PeerDirection;
 import org.vanillaslip.messages.Envelope;
 
 /** Counts the messages sent and received on a connection, including heartbeats. */
 final class PeerMessageCounter extends ChannelDuplexHandler {
 
-    private final DaemonMetrics mMetrics;
+    private final LinkTraffic mTraffic;
 
-    PeerMessageCounter(DaemonMetrics metrics) {
-        mMetrics = metrics;
+    PeerMessageCounter(LinkTraffic traffic) {
+        mTraffic = traffic;
     }
 
     @Override
@@ -30,7 +29,7 @@
 
     private void count(PeerDirection direction, Object message) {
         if (message instanceof Envelope envelope) {
-            mMetrics.peerMessage(direction, envelope.getBodyCase().name());
+            mTraffic.record(direction, envelope);
         }
     }
 }
--- a/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
@@ -31,6 +31,7 @@
         mMetrics.coldStart(ModelName.parse("edge:oak"), Duration.ofSeconds(3));
         mMetrics.platformCall("update", Optional.of(PlatformFailure.CONFLICT));
         mMetrics.peerMessage(PeerDirection.SENT, "HEARTBEAT");
+        mMetrics.peerBytes(PeerDirection.SENT, "HEARTBEAT", 40);
         mMetrics.tokensGranted(QuotaLimitKind.WORKSPACE_RATE, 40_500_000);
         mMetrics.tokensBorrowed(QuotaLimitKind.OTHER, 2_000_000);
         mMetrics.relayAnswered(CallKind.STREAM, 2, 300_000_000);
@@ -49,6 +50,8 @@
                 .contains("vanillaslip_cold_start_seconds_count{kind=\"adapter\"} 1")
                 .contains("{class=\"interactive\",le=\"0.46\"} 1")
                 .contains("{kind=\"update\",result=\"conflict\"} 1.0")
+                .contains(
+                        "vanillaslip_peer_bytes_total{body=\"heartbeat\",direction=\"sent\"} 40.0")
                 .contains("vanillaslip_quota_tokens_granted_total{limit=\"workspace_rate\"} 40.5")
                 .contains("vanillaslip_relay_answers_total{kind=\"stream\",status=\"2xx\"} 1.0")
                 .contains("vanillaslip_relay_refusals_total{code=\"2001\"} 1.0");
