Keep a server out of service once it has announced its shutdown

Callers' requests could reach a server after it had announced its shutdown: the directory took every newer entry, so that an entry which says that the server is in service, written before the announcement and stored after it, put it back. The same held for an entry that appears again after its removal.

Evidence: aServerThatAnnouncedItsShutdownDoesNotReturnInTheSameProcess failed before on all 66 hosts.

Event 530 tells when an entry says otherwise.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.vanillaslip.internal.control.configuration.CollectionListener;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.platform.ObjectList;
@@ -46,6 +47,10 @@
     private final Map<String, Long> mVersions = new HashMap<>();
     private final List<Runnable> mListeners = new ArrayList<>();
     private final Map<String, Long> mRemovedAt = new HashMap<>();
+
+    /** Start times of the removed servers that had announced their shutdown. */
+    private final Map<String, Long> mStoppedStartTimes = new HashMap<>();
+
     private boolean mListed;
     private long mFirstListedAt;
 
@@ -186,9 +191,10 @@
                         });
     }
 
-    private void register(RegisteredServer server) {
+    private void register(RegisteredServer entry) {
         long now = mLoop.clock().nowNanos();
-        FleetMember known = mMembers.get(server.instance());
+        FleetMember known = mMembers.get(entry.instance());
+        RegisteredServer server = withKnownAnnouncement(entry, known);
         boolean wasInService = known != null && known.inService();
         if (known != null && isSameProcess(known.registered(), server)) {
             known.updateRegistration(server, now);
@@ -202,12 +208,34 @@
         }
     }
 
+    /**
+     * Returns the entry as leaving if this process of the server has announced its shutdown before:
+     * an entry that was written earlier may arrive later.
+     */
+    private RegisteredServer withKnownAnnouncement(
+            RegisteredServer entry, @Nullable FleetMember known) {
+        boolean announced =
+                known != null
+                        ? isSameProcess(known.registered(), entry) && known.registered().leaving()
+                        : Long.valueOf(entry.startedAtMillis())
+                                .equals(mStoppedStartTimes.get(entry.instance()));
+        if (!announced || entry.leaving()) {
+            return entry;
+        }
+        mLog.log(
+                FleetEvent.ANNOUNCEMENT_KEPT,
+                field("server", entry.instance()),
+                field("version", mVersions.getOrDefault(entry.instance(), 0L)));
+        return entry.asLeaving();
+    }
+
     /**
      * Returns whether no server of this name can have been listed recently. Names that were listed
      * before this host read the list for the first time are unknown to it.
      */
     private boolean isFirstStart(String name, long nowNanos) {
         mRemovedAt.values().removeIf(removedAt -> nowNanos - removedAt > NAME_RETENTION_NANOS);
+        mStoppedStartTimes.keySet().retainAll(mRemovedAt.keySet());
         boolean knownBefore = mMembers.containsKey(name) || mRemovedAt.containsKey(name);
         return !knownBefore && mListed && nowNanos - mFirstListedAt > NAME_RETENTION_NANOS;
     }
@@ -243,8 +271,12 @@
     }
 
     private void remove(String name, String reason) {
-        if (mMembers.remove(name) != null) {
+        FleetMember removed = mMembers.remove(name);
+        if (removed != null) {
             mRemovedAt.put(name, mLoop.clock().nowNanos());
+            if (removed.registered().leaving()) {
+                mStoppedStartTimes.put(name, removed.registered().startedAtMillis());
+            }
             logLeft(name, reason);
         }
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -18,6 +18,11 @@
     SERVER_PAUSED(527, INFO, "Calls to a backend server failed; it gets no calls for a while."),
     STORE_LOST(528, WARNING, "The platform's store does not answer; the last known state is used."),
     STORE_REGAINED(529, INFO, "The platform's store answers again."),
+    ANNOUNCEMENT_KEPT(
+            530,
+            INFO,
+            "An entry shows a server in service that announced its shutdown before; it gets no new"
+                    + " calls."),
     LEASE_TAKEN(540, INFO, "This host acquired the lease and orders loads from now on."),
     LEASE_LOST(541, WARNING, "This host lost the lease and no longer orders loads."),
     LEASE_WRITE_FAILED(542, WARNING, "The lease on orders could not be written."),
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LeavingServerPropagationTest.java
@@ -0,0 +1,202 @@
+package org.vanillaslip.internal.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.vanillaslip.FailureDomain;
+import org.vanillaslip.internal.changes.RelayedStore;
+import org.vanillaslip.internal.control.configuration.CollectionFollower;
+import org.vanillaslip.internal.peer.RelaySimulation;
+import org.vanillaslip.internal.peer.RelaySimulation.SimulatedHost;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.serving.ServingPlan;
+
+/**
+ * Guards that hosts stop sending to a leaving server in time although few of them watch the store.
+ */
+class LeavingServerPropagationTest {
+
+    private static final String COLLECTION = "servers";
+    private static final int HOSTS = 66;
+    private static final int SERVERS = 45;
+    private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(400);
+    private static final Duration STARTUP_TIME = Duration.ofSeconds(14);
+
+    /** Pause of a watch with 66 hosts. */
+    private static final Duration WATCH_PAUSE = Duration.ofMillis(1392);
+
+    /** With as many hosts, a server serves for this long after it has announced its shutdown. */
+    private static final Duration DRAIN_BOUND = Duration.ofMillis(3000);
+
+    private static final String LEAVING = "server-0";
+
+    /**
+     * Guards against an entry that puts a server back in service after it announced its shutdown.
+     */
+    @Test
+    void aServerThatAnnouncedItsShutdownDoesNotReturnInTheSameProcess() {
+        World world = new World(1);
+        world.announce(LEAVING);
+        world.runWithOtherChanges(DRAIN_BOUND);
+        world.mStore.put(COLLECTION, LEAVING, World.entry(false, 1));
+        world.runWithOtherChanges(DRAIN_BOUND);
+
+        assertThat(world.hostsSendingTo(LEAVING)).isEmpty();
+    }
+
+    /** Guards against hosts that miss an announcement which the store's watches never deliver. */
+    @Test
+    void anAnnouncementWithheldUntilTheHistoryIsDroppedIsInForceInTime() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(seed);
+            world.runWithOtherChanges(Duration.ofMillis(2000 + seed * 75L));
+            world.mStore.muteWatches();
+            world.announce(LEAVING);
+            world.runWithOtherChanges(Duration.ofMillis(1000));
+            world.mStore.dropHistory();
+            world.runWithOtherChanges(DRAIN_BOUND.minusMillis(1000));
+
+            assertThat(world.hostsSendingTo(LEAVING)).as("seed " + seed).isEmpty();
+        }
+    }
+
+    /** 66 hosts in three failure domains, and 45 servers whose entries change now and then. */
+    private static final class World {
+        final RelaySimulation mHosts;
+        final SimulatedStore mStore;
+        final Map<String, FleetDirectory> mDirectories = new LinkedHashMap<>();
+        final Random mRandom;
+
+        World(long seed) {
+            mHosts = new RelaySimulation(HOSTS, 3, seed);
+            mRandom = new Random(seed);
+            mStore = new SimulatedStore(mHosts.loop().scheduler(), WATCH_PAUSE);
+            IntStream.range(0, SERVERS)
+                    .forEach(server -> mStore.put(COLLECTION, "server-" + server, entry(false, 1)));
+            mHosts.hosts().forEach(this::start);
+            mHosts.advanceTime(STARTUP_TIME);
+        }
+
+        private void start(SimulatedHost host) {
+            SimulatedStore.Access access = mStore.new Access();
+            HealthTrackingObjectStore health =
+                    new HealthTrackingObjectStore(access, mHosts.loop(), (event, fields) -> {});
+            RelayedStore store =
+                    new RelayedStore(
+                            health,
+                            health::wasRecentlyUnavailable,
+                            host.network(),
+                            host.relayedLinks(),
+                            mHosts.loop(),
+                            (event, fields) -> {});
+            store.start();
+            FleetDirectory directory =
+                    new FleetDirectory(
+                            new ServerCollection(),
+                            new DrainFollower(new ServerCollection(), (event, fields) -> {}),
+                            mHosts.loop(),
+                            store::wasRecentlyUnavailable,
+                            (event, fields) -> {});
+            new CollectionFollower(
+                            store,
+                            COLLECTION,
+                            mHosts.loop(),
+                            new Random(host.name().hashCode()),
+                            (event, fields) -> {},
+                            directory,
+                            MAX_RETRY_DELAY)
+                    .start();
+            mDirectories.put(host.name(), directory);
+        }
+
+        void announce(String server) {
+            mStore.put(COLLECTION, server, entry(true, 1));
+        }
+
+        /** Advances the time while entries of other servers change about five times a second. */
+        void runWithOtherChanges(Duration time) {
+            Duration left = time;
+            while (left.compareTo(Duration.ZERO) > 0) {
+                Duration step = Duration.ofMillis(Math.min(left.toMillis(), mRandom.nextInt(400)));
+                mHosts.advanceTime(step);
+                left = left.minus(step);
+                String server = "server-" + (1 + mRandom.nextInt(SERVERS - 1));
+                mStore.put(COLLECTION, server, entry(false, 1));
+            }
+        }
+
+        /** Returns the running hosts that would still send calls to the server. */
+        List<String> hostsSendingTo(String server) {
+            return mHosts.runningHosts().stream()
+                    .map(SimulatedHost::name)
+                    .filter(
+                            host ->
+                                    mDirectories.get(host).inService("pool").stream()
+                                            .anyMatch(member -> member.instance().equals(server)))
+                    .toList();
+        }
+
+        static ObjectNode entry(boolean leaving, long startedAt) {
+            return JsonNodeFactory.instance
+                    .objectNode()
+                    .put("leaving", leaving)
+                    .put("startedAt", startedAt);
+        }
+    }
+
+    /** Decodes the entries of the simulated servers. */
+    private static final class ServerCollection implements ServingCollections {
+
+        @Override
+        public String plans() {
+            return "plans";
+        }
+
+        @Override
+        public Optional<Either<String, ServingPlan>> plan(StoredObject object) {
+            return Optional.empty();
+        }
+
+        @Override
+        public String servers() {
+            return COLLECTION;
+        }
+
+        @Override
+        public Either<String, RegisteredServer> server(StoredObject object) {
+            return Either.right(
+                    new RegisteredServer(
+                            object.name(),
+                            object.spec().path("startedAt").asLong(),
+                            "pool",
+                            object.name(),
+                            new FailureDomain("d0"),
+                            32,
+                            object.spec().path("leaving").asBoolean(),
+                            OptionalLong.empty(),
+                            0,
+                            ServerModelState.EMPTY));
+        }
+
+        @Override
+        public String drains() {
+            return "drains";
+        }
+
+        @Override
+        public FailureDomain drained(StoredObject object) {
+            return new FailureDomain(object.name());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/SimulatedStore.java
@@ -0,0 +1,218 @@
+package org.vanillaslip.internal.fleet;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformException;
+import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.platform.WatchEventType;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * One collection of the platform's store in virtual time. Hosts watch it by long polls and pause
+ * after each poll that returned changes, as on the users' platform.
+ */
+final class SimulatedStore {
+
+    private static final Duration RESPONSE_DELAY = Duration.ofMillis(4);
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(10);
+    private static final Duration POLL_TIME = Duration.ofMillis(1000);
+
+    /** Time after which a call without a response fails. */
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(600);
+
+    private final Scheduler mScheduler;
+    private final Duration mWatchPause;
+    private final Map<String, StoredObject> mObjects = new LinkedHashMap<>();
+    private final List<WatchEvent> mHistory = new ArrayList<>();
+    private long mRevision = 10;
+    private long mHistoryStart;
+    private long mMutedSince = Long.MAX_VALUE;
+    private long mCutCount;
+
+    /** How the store treats the calls of one host. */
+    enum Treatment {
+        ANSWERED,
+        REFUSED,
+        SILENT
+    }
+
+    SimulatedStore(Scheduler scheduler, Duration watchPause) {
+        mScheduler = scheduler;
+        mWatchPause = watchPause;
+    }
+
+    void put(String collection, String name, ObjectNode spec) {
+        StoredObject object = new StoredObject(collection, name, ++mRevision, spec);
+        mObjects.put(name, object);
+        mHistory.add(new WatchEvent(WatchEventType.MODIFIED, object));
+    }
+
+    void remove(String collection, String name) {
+        mObjects.remove(name);
+        mHistory.add(
+                new WatchEvent(
+                        WatchEventType.DELETED,
+                        new StoredObject(
+                                collection,
+                                name,
+                                ++mRevision,
+                                JsonNodeFactory.instance.objectNode())));
+    }
+
+    /** Withholds all changes from now on from open and new watches. */
+    void muteWatches() {
+        mMutedSince = mRevision;
+    }
+
+    /** Drops the history and cuts all open watches, which then deliver changes again. */
+    void dropHistory() {
+        mHistory.clear();
+        mHistoryStart = mRevision;
+        mMutedSince = Long.MAX_VALUE;
+        mCutCount++;
+    }
+
+    /** The store as seen by one host. */
+    final class Access implements ObjectStore {
+
+        private Treatment mTreatment = Treatment.ANSWERED;
+
+        void setTreatment(Treatment treatment) {
+            mTreatment = treatment;
+        }
+
+        @Override
+        public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
+            return respond(
+                    () ->
+                            mObjects.containsKey(name)
+                                    ? Either.right(mObjects.get(name))
+                                    : Either.left(PlatformFailure.NOT_FOUND));
+        }
+
+        @Override
+        public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
+            return respond(
+                    () -> Either.right(new ObjectList(mRevision, List.copyOf(mObjects.values()))));
+        }
+
+        @Override
+        public Mono<Either<PlatformFailure, StoredObject>> create(
+                String collection, String name, ObjectNode spec) {
+            return respond(() -> Either.left(PlatformFailure.CONFLICT));
+        }
+
+        @Override
+        public Mono<Either<PlatformFailure, StoredObject>> update(
+                String collection, String name, long expectedVersion, ObjectNode spec) {
+            return respond(() -> Either.left(PlatformFailure.CONFLICT));
+        }
+
+        @Override
+        public Mono<Either<PlatformFailure, StoredObject>> delete(
+                String collection, String name, long expectedVersion) {
+            return respond(() -> Either.left(PlatformFailure.CONFLICT));
+        }
+
+        @Override
+        public Flux<WatchEvent> watch(String collection, long fromVersion) {
+            AtomicLong position = new AtomicLong(fromVersion);
+            return Flux.defer(() -> poll(collection, position))
+                    .repeatWhen(
+                            polls ->
+                                    polls.concatMap(
+                                            events ->
+                                                    Mono.delay(
+                                                            events > 1
+                                                                    ? mWatchPause
+                                                                    : Duration.ZERO,
+                                                            mScheduler)));
+        }
+
+        private Flux<WatchEvent> poll(String collection, AtomicLong position) {
+            long started = now();
+            long cuts = mCutCount;
+            return Flux.interval(RESPONSE_DELAY, CHECK_INTERVAL, mScheduler)
+                    .concatMap(tick -> answer(collection, position.get(), started, cuts))
+                    .next()
+                    .flatMapIterable(events -> events)
+                    .doOnNext(
+                            event ->
+                                    position.accumulateAndGet(event.object().version(), Math::max));
+        }
+
+        /** Returns the answer to a poll, or empty while the poll is still waiting. */
+        private Mono<List<WatchEvent>> answer(
+                String collection, long position, long startedMillis, long cuts) {
+            long waited = now() - startedMillis;
+            if (mTreatment == Treatment.REFUSED || cuts != mCutCount) {
+                return failure(PlatformFailure.UNAVAILABLE);
+            }
+            if (mTreatment == Treatment.SILENT) {
+                return waited >= POLL_TIME.plus(RESPONSE_TIMEOUT).toMillis()
+                        ? failure(PlatformFailure.UNAVAILABLE)
+                        : Mono.empty();
+            }
+            if (position < mHistoryStart) {
+                return failure(PlatformFailure.GONE);
+            }
+            List<WatchEvent> changes =
+                    mHistory.stream()
+                            .filter(event -> event.object().version() > position)
+                            .filter(event -> event.object().version() <= mMutedSince)
+                            .toList();
+            if (changes.isEmpty() && waited < POLL_TIME.toMillis()) {
+                return Mono.empty();
+            }
+            List<WatchEvent> events = new ArrayList<>(changes);
+            events.add(bookmark(collection, Math.max(position, Math.min(mRevision, mMutedSince))));
+            return Mono.just(events);
+        }
+
+        private <T> Mono<Either<PlatformFailure, T>> respond(
+                Supplier<Either<PlatformFailure, T>> answer) {
+            return Mono.defer(
+                    () ->
+                            Mono.delay(
+                                            mTreatment == Treatment.SILENT
+                                                    ? RESPONSE_TIMEOUT
+                                                    : RESPONSE_DELAY,
+                                            mScheduler)
+                                    .map(
+                                            tick ->
+                                                    mTreatment == Treatment.ANSWERED
+                                                            ? answer.get()
+                                                            : Either.left(
+                                                                    PlatformFailure.UNAVAILABLE)));
+        }
+    }
+
+    private static WatchEvent bookmark(String collection, long revision) {
+        return new WatchEvent(
+                WatchEventType.BOOKMARK,
+                new StoredObject(collection, "", revision, JsonNodeFactory.instance.objectNode()));
+    }
+
+    private static Mono<List<WatchEvent>> failure(PlatformFailure failure) {
+        return Mono.error(new PlatformException(failure, "The poll failed: " + failure));
+    }
+
+    private long now() {
+        return mScheduler.now(TimeUnit.MILLISECONDS);
+    }
+}
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/RegisteredServer.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/RegisteredServer.java
@@ -24,4 +24,20 @@
         boolean leaving,
         OptionalLong stopsInMillis,
         long remainingColdMillis,
-        ServerModelState modelState) {}
+        ServerModelState modelState) {
+
+    /** Returns this registration with an announced shutdown. */
+    public RegisteredServer asLeaving() {
+        return new RegisteredServer(
+                instance,
+                startedAtMillis,
+                pool,
+                address,
+                failureDomain,
+                requestSlots,
+                true,
+                stopsInMillis,
+                remainingColdMillis,
+                modelState);
+    }
+}
