Do not keep removed servers in service after a single failed call

Requests still reached servers whose entry was gone: for 2.5 s after any failed call of a host or its relay to the store, a removed entry counted as expired in an outage and its server stayed in service for another 1.8 s. With the pause of 1.4 s between polls of a relay this is more than the 3 s for which a server that leaves without an announcement serves on.

An outage is now a time of at least 500 ms in which calls fail and none is answered. The store removes an entry after 3.6 s of silence, so no shorter outage can hide a live server.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/HealthTrackingObjectStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/HealthTrackingObjectStore.java
@@ -24,11 +24,19 @@
     /** Entries that expired during an outage are listed again within this time after it. */
     private static final long RECOVERY_NANOS = Duration.ofMillis(2500).toNanos();
 
+    /**
+     * Calls must fail for this long for an outage. Shorter than the silence after which the store
+     * removes the entry of a live server, but longer than a single failed call and its repetition.
+     */
+    private static final long MIN_OUTAGE_NANOS = Duration.ofMillis(500).toNanos();
+
     private final ObjectStore mStore;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
     private final StoreGate mGate;
-    private long mFailedAt = Long.MIN_VALUE;
+    private long mFirstFailedAt;
+    private long mLastFailedAt;
+    private long mOutageEndedAt = Long.MIN_VALUE;
     private boolean mUnavailable;
 
     /** Creates a store that forwards calls to the given one. */
@@ -46,9 +54,19 @@
                         loop);
     }
 
-    /** Returns whether a call to the store has recently failed. */
+    /**
+     * Returns whether there is or recently was an outage in which entries of live servers may have
+     * expired. Single failed calls are no outage.
+     */
     public boolean wasRecentlyUnavailable() {
-        return mFailedAt != Long.MIN_VALUE && mLoop.clock().nowNanos() - mFailedAt < RECOVERY_NANOS;
+        return mUnavailable
+                ? isOutage()
+                : mOutageEndedAt != Long.MIN_VALUE
+                        && mLoop.clock().nowNanos() - mOutageEndedAt < RECOVERY_NANOS;
+    }
+
+    private boolean isOutage() {
+        return mLastFailedAt - mFirstFailedAt >= MIN_OUTAGE_NANOS;
     }
 
     @Override
@@ -107,9 +125,10 @@
         switch (failure) {
             case NOT_FOUND, CONFLICT, GONE -> recordAnswer();
             case THROTTLED, UNAVAILABLE, OUTCOME_UNKNOWN, SILENT -> {
-                mFailedAt = mLoop.clock().nowNanos();
+                mLastFailedAt = mLoop.clock().nowNanos();
                 if (!mUnavailable) {
                     mUnavailable = true;
+                    mFirstFailedAt = mLastFailedAt;
                     mGate.close();
                     mLog.log(FleetEvent.STORE_LOST);
                 }
@@ -120,6 +139,9 @@
     private void recordAnswer() {
         if (mUnavailable) {
             mUnavailable = false;
+            if (isOutage()) {
+                mOutageEndedAt = mLoop.clock().nowNanos();
+            }
             mGate.open();
             mLog.log(FleetEvent.STORE_REGAINED);
         }
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LeavingServerPropagationTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LeavingServerPropagationTest.java
@@ -41,6 +41,35 @@
 
     private static final String LEAVING = "server-0";
 
+    /** Guards against members that trust relays which stopped before they read the announcement. */
+    @Test
+    void anAnnouncementJustBeforeBothRelaysStopReachesTheirMembersInTime() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(seed);
+            world.runWithOtherChanges(Duration.ofMillis(2000));
+            world.announce(LEAVING);
+            world.runWithOtherChanges(Duration.ofMillis(seed * 75L));
+            world.relaysOf("d1").forEach(world.mHosts::suspend);
+            world.runWithOtherChanges(DRAIN_BOUND.minusMillis(seed * 75L));
+
+            assertThat(world.hostsSendingTo(LEAVING)).as("seed " + seed).isEmpty();
+        }
+    }
+
+    /** Guards against a failed call of one host that prolongs the service of a removed server. */
+    @Test
+    void aRemovalAfterAFailedCallOfAHostIsInForceInTime() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(seed);
+            world.runWithOtherChanges(Duration.ofMillis(2000 + seed * 75L));
+            world.failOneCall("h005");
+            world.mStore.remove(COLLECTION, LEAVING);
+            world.runWithOtherChanges(DRAIN_BOUND);
+
+            assertThat(world.hostsSendingTo(LEAVING)).as("seed " + seed).isEmpty();
+        }
+    }
+
     /**
      * Guards against an entry that puts a server back in service after it announced its shutdown.
      */
@@ -75,6 +104,8 @@
     private static final class World {
         final RelaySimulation mHosts;
         final SimulatedStore mStore;
+        final Map<String, SimulatedStore.Access> mAccess = new LinkedHashMap<>();
+        final Map<String, HealthTrackingObjectStore> mHealth = new LinkedHashMap<>();
         final Map<String, FleetDirectory> mDirectories = new LinkedHashMap<>();
         final Random mRandom;
 
@@ -117,6 +148,8 @@
                             directory,
                             MAX_RETRY_DELAY)
                     .start();
+            mAccess.put(host.name(), access);
+            mHealth.put(host.name(), health);
             mDirectories.put(host.name(), directory);
         }
 
@@ -124,6 +157,15 @@
             mStore.put(COLLECTION, server, entry(true, 1));
         }
 
+        /** Lets one read of the host fail, as after a lost packet. */
+        void failOneCall(String host) {
+            mAccess.get(host).setTreatment(SimulatedStore.Treatment.REFUSED);
+            mHealth.get(host).read("control-shards", "fleet").subscribe();
+            mHosts.advanceTime(Duration.ofMillis(5));
+            mAccess.get(host).setTreatment(SimulatedStore.Treatment.ANSWERED);
+            mHealth.get(host).read("control-shards", "fleet").subscribe();
+        }
+
         /** Advances the time while entries of other servers change about five times a second. */
         void runWithOtherChanges(Duration time) {
             Duration left = time;
@@ -136,6 +178,12 @@
             }
         }
 
+        List<SimulatedHost> relaysOf(String domain) {
+            return mHosts.relays().stream()
+                    .filter(relay -> relay.domain().name().equals(domain))
+                    .toList();
+        }
+
         /** Returns the running hosts that would still send calls to the server. */
         List<String> hostsSendingTo(String server) {
             return mHosts.runningHosts().stream()
