Send only the last change of each object to hosts that are behind

Members learned of leaving servers after more than three seconds, one after another: a relay that returned after an outage sent each of them all versions of the configuration since their position.

Cause: the buffer of changes kept and sent every version, of which only the last counts.

Test: ChangeBufferTest.returnsOnlyTheLastChangeOfEachObject; before, the list held five changes in place of three.

--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeBuffer.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeBuffer.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.vanillaslip.internal.platform.WatchEvent;
 import org.vanillaslip.internal.platform.WatchEventType;
@@ -44,12 +46,21 @@
         return mPosition;
     }
 
-    /** Returns the changes after the position, or empty if some of them are no longer buffered. */
+    /**
+     * Returns the last change of each object after the position, or empty if some changes are no
+     * longer buffered.
+     */
     Optional<List<WatchEvent>> changesAfter(long position) {
         if (position < mDroppedUpTo) {
             return Optional.empty();
         }
-        return Optional.of(
-                mChanges.stream().filter(event -> event.object().version() > position).toList());
+        Map<String, WatchEvent> lastChanges = new LinkedHashMap<>();
+        for (WatchEvent event : mChanges) {
+            if (event.object().version() > position) {
+                lastChanges.remove(event.object().name());
+                lastChanges.put(event.object().name(), event);
+            }
+        }
+        return Optional.of(List.copyOf(lastChanges.values()));
     }
 }
