Make hosts with the largest network links relays first

Members learned late of leaving servers because the links of their relays were full.

Change: a host states its bandwidth in the list of hosts (setting link_megabits, from the platform's limits); the ranking puts larger links first and falls back to rendezvous hashing. Hosts that state none rank as before.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -251,7 +251,8 @@
                 mHost.name(),
                 mHost.failureDomain(),
                 address.getHostString() + ":" + address.getPort(),
-                false);
+                false,
+                mHost.linkMegabits());
     }
 
     private FleetLease fleetLease() {
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/HostSettings.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/HostSettings.java
@@ -12,6 +12,7 @@
  * @param peerAddress address on which the host accepts connections from other hosts
  * @param shutdownDelay time between failing the readiness check and refusing new requests
  * @param shutdownTimeout maximum duration of a graceful shutdown after the delay
+ * @param linkMegabits bandwidth of the network link in Mbit/s; 0 if unknown
  * @param randomSeed seed of all random choices; if empty, each start uses a new seed
  */
 public record HostSettings(
@@ -21,4 +22,5 @@
         InetSocketAddress peerAddress,
         Duration shutdownDelay,
         Duration shutdownTimeout,
+        double linkMegabits,
         OptionalLong randomSeed) {}
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
@@ -48,6 +48,14 @@
                             SettingTypes.duration(1, 3600, Duration::ofSeconds),
                             "Longest time of a planned stop after the delay.")
                     .orDefault("30");
+    static final Setting<Double> LINK_MEGABITS =
+            optional(
+                            "host",
+                            "link_megabits",
+                            SettingTypes.decimal(0, 1e6),
+                            "Bandwidth of the host's network link in Mbit/s; hosts with larger ones"
+                                    + " become relays first. 0 if unknown.")
+                    .orDefault("0");
     static final Setting<Long> RANDOM_SEED =
             optional(
                     "host",
@@ -233,6 +241,7 @@
                     PEER_ADDRESS,
                     SHUTDOWN_DELAY,
                     SHUTDOWN_TIMEOUT,
+                    LINK_MEGABITS,
                     RANDOM_SEED,
                     PLATFORM_ADDRESS,
                     CALLS_PER_SECOND,
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsValidator.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsValidator.java
@@ -130,6 +130,7 @@
                 value(SettingsCatalogue.PEER_ADDRESS),
                 value(SettingsCatalogue.SHUTDOWN_DELAY),
                 value(SettingsCatalogue.SHUTDOWN_TIMEOUT),
+                value(SettingsCatalogue.LINK_MEGABITS),
                 seed == null ? OptionalLong.empty() : OptionalLong.of(seed));
     }
 
--- a/decisions/src/main/java/org/vanillaslip/internal/membership/RankedHosts.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/membership/RankedHosts.java
@@ -11,7 +11,8 @@
 import org.vanillaslip.Host;
 
 /**
- * The listed hosts of each failure domain in rank order; depends only on the list.
+ * The listed hosts of each failure domain in rank order: those with the largest network links
+ * first, as relays send what the others receive. Depends only on the list.
  *
  * @param domainsByHost the failure domain of each host
  * @param hostsByDomain the hosts of each failure domain, the preferred one first
@@ -33,9 +34,23 @@
         domainsByHost.forEach(
                 (host, domain) ->
                         hostsByDomain.computeIfAbsent(domain, name -> new ArrayList<>()).add(host));
+        Map<String, Double> linkMegabits =
+                hosts.stream()
+                        .collect(
+                                Collectors.toMap(
+                                        Host::name, Host::linkMegabits, (first, second) -> first));
+        linkMegabits.put(self.name(), self.linkMegabits());
+        Comparator<String> byLink =
+                Comparator.comparing((String host) -> linkMegabits.getOrDefault(host, 0.0))
+                        .reversed();
         Map<FailureDomain, List<String>> rankedByDomain = new TreeMap<>(BY_NAME);
         hostsByDomain.forEach(
-                (domain, names) -> rankedByDomain.put(domain, ranking.rank(domain.name(), names)));
+                (domain, names) ->
+                        rankedByDomain.put(
+                                domain,
+                                ranking.rank(domain.name(), names).stream()
+                                        .sorted(byLink)
+                                        .toList()));
         return new RankedHosts(Map.copyOf(domainsByHost), rankedByDomain);
     }
 }
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HostCodec.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HostCodec.java
@@ -19,7 +19,8 @@
                         object.name(),
                         new FailureDomain(fields.string("failureDomain")),
                         fields.string("peerAddress"),
-                        fields.bool("leaving"));
+                        fields.bool("leaving"),
+                        object.spec().path("linkMegabits").asDouble(0));
         // Unknown fields are ignored, because the platform writes this collection and may add some.
         return fields.faults().isEmpty()
                 ? Either.right(host)
@@ -32,6 +33,7 @@
                 .objectNode()
                 .put("failureDomain", host.failureDomain().name())
                 .put("peerAddress", host.peerAddress())
-                .put("leaving", host.leaving());
+                .put("leaving", host.leaving())
+                .put("linkMegabits", host.linkMegabits());
     }
 }
