--- a/daemon/src/main/java/org/vanillaslip/internal/changes/CollectionSubscription.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/CollectionSubscription.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.vanillaslip.internal.platform.PlatformCollections;
 import org.vanillaslip.internal.platform.WatchEvent;
 import reactor.core.publisher.FluxSink;
 import reactor.core.publisher.Sinks;
@@ -11,6 +12,19 @@
 /** Where this host receives the changes of one collection from. Confined to the decision loop. */
 final class CollectionSubscription {
 
+    /** The time of two missed confirmations and some delay. */
+    private static final long RELAY_TIMEOUT_NANOS = Duration.ofMillis(1300).toNanos();
+
+    /**
+     * What relays know may be this old. Their watches are answered at least once a second, and an
+     * answer may take 600 ms. A server that stops serves for at least two seconds after its
+     * announcement, so the rest is left for reading the store.
+     */
+    private static final Duration MAX_AGE = Duration.ofMillis(1750);
+
+    /** The watch of the collection of hosts is answered every ten seconds; it is not urgent. */
+    private static final Duration MAX_AGE_OF_HOSTS = Duration.ofSeconds(12);
+
     final String mCollection;
     final ChangeBuffer mBuffer = new ChangeBuffer();
 
@@ -50,13 +64,10 @@
     private final long mMaxAgeNanos;
     private final Map<String, Confirmation> mConfirmationsByRelay = new HashMap<>();
 
-    /**
-     * Creates a subscription without a source.
-     *
-     * @param maxAge age of what relays know of the collection, above which they are not trusted
-     */
-    CollectionSubscription(String name, Duration maxAge) {
+    /** Creates a subscription without a source. */
+    CollectionSubscription(String name) {
         mCollection = name;
+        Duration maxAge = name.equals(PlatformCollections.HOSTS) ? MAX_AGE_OF_HOSTS : MAX_AGE;
         mMaxAgeNanos = maxAge.toNanos();
     }
 
@@ -70,9 +81,8 @@
      *
      * @param knownUntilNanos time of the platform's last answer to the relay
      */
-    void recordConfirmation(
-            String relay, long knownUntilNanos, long nowNanos, long silenceTimeoutNanos) {
-        if (!hasActiveRelay(nowNanos, silenceTimeoutNanos)) {
+    void recordConfirmation(String relay, long knownUntilNanos, long nowNanos) {
+        if (!hasActiveRelay(nowNanos)) {
             mActiveSince = nowNanos;
         }
         mConfirmationsByRelay.put(relay, new Confirmation(nowNanos, knownUntilNanos));
@@ -87,12 +97,12 @@
      * Returns whether a relay has sent a confirmation within the timeout, and what it knows is not
      * too old.
      */
-    boolean hasActiveRelay(long nowNanos, long silenceTimeoutNanos) {
+    boolean hasActiveRelay(long nowNanos) {
         mConfirmationsByRelay
                 .values()
                 .removeIf(
                         confirmation ->
-                                nowNanos - confirmation.receivedNanos() > silenceTimeoutNanos
+                                nowNanos - confirmation.receivedNanos() > RELAY_TIMEOUT_NANOS
                                         || nowNanos - confirmation.knownUntilNanos()
                                                 > mMaxAgeNanos);
         return !mConfirmationsByRelay.isEmpty();
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
@@ -2,12 +2,10 @@
 
 import static org.vanillaslip.internal.logging.LogField.field;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +18,6 @@
 import org.vanillaslip.internal.peer.RelayNetwork;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.ObjectStore;
-import org.vanillaslip.internal.platform.PlatformCollections;
 import org.vanillaslip.internal.platform.PlatformException;
 import org.vanillaslip.internal.platform.PlatformFailure;
 import org.vanillaslip.internal.platform.StoredObject;
@@ -28,10 +25,8 @@
 import org.vanillaslip.internal.platform.WatchEventType;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.messages.ChangeRange;
-import org.vanillaslip.messages.ChangesRequest;
 import org.vanillaslip.messages.CollectionChanges;
 import org.vanillaslip.messages.Envelope;
-import org.vanillaslip.messages.ObjectChange;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxSink;
 import reactor.core.publisher.Mono;
@@ -48,27 +43,12 @@
 
     private static final Duration CONFIRM_INTERVAL = Duration.ofMillis(500);
 
-    /** The time of two missed confirmations and some delay. */
-    private static final long RELAY_TIMEOUT_NANOS = Duration.ofMillis(1300).toNanos();
-
-    /**
-     * What relays know may be this old. Their watches are answered at least once a second, and an
-     * answer may take 600 ms. A server that stops serves for at least two seconds after its
-     * announcement, so the rest is left for reading the store.
-     */
-    private static final Duration MAX_AGE = Duration.ofMillis(1750);
-
-    /** The watch of the collection of hosts is answered every ten seconds; it is not urgent. */
-    private static final Duration MAX_AGE_OF_HOSTS = Duration.ofSeconds(12);
-
     /** A host ends its own watch of the store once its relays have been active for this long. */
     private static final long STABLE_RELAY_NANOS = Duration.ofMillis(1500).toNanos();
 
     /** Added to a check's time, since timers may fire early by less than this. */
     private static final long AGE_CHECK_DELAY_NANOS = Duration.ofMillis(5).toNanos();
 
-    private static final long REQUEST_INTERVAL_NANOS = Duration.ofMillis(150).toNanos();
-
     /** An outage of the store that a relay reported counts as recent for this long. */
     private static final long OUTAGE_VALIDITY_NANOS = Duration.ofMillis(1000).toNanos();
 
@@ -78,8 +58,8 @@
     private final PeerLinks mLinks;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
-    private final ChangeCodec mCodec = new ChangeCodec();
     private final ChangeRelay mRelay;
+    private final ReceivedChanges mReceivedChanges;
     private final Map<String, CollectionSubscription> mSubscriptions = new HashMap<>();
     private long mOutageReportedAt = Long.MIN_VALUE / 2;
 
@@ -103,7 +83,9 @@
         mLinks = links;
         mLoop = loop;
         mLog = log;
-        mRelay = new ChangeRelay(mSubscriptions, mCodec, storeWasUnavailable, network, links, loop);
+        ChangeCodec codec = new ChangeCodec();
+        mRelay = new ChangeRelay(mSubscriptions, codec, storeWasUnavailable, network, links, loop);
+        mReceivedChanges = new ReceivedChanges(codec, links, loop);
     }
 
     /** Starts exchanging changes with other hosts. */
@@ -178,14 +160,7 @@
     }
 
     private CollectionSubscription subscription(String collection) {
-        return mSubscriptions.computeIfAbsent(
-                collection,
-                name ->
-                        new CollectionSubscription(
-                                name,
-                                name.equals(PlatformCollections.HOSTS)
-                                        ? MAX_AGE_OF_HOSTS
-                                        : MAX_AGE));
+        return mSubscriptions.computeIfAbsent(collection, CollectionSubscription::new);
     }
 
     /** On the first unanswered call, notifies the members that this relay may miss changes. */
@@ -204,7 +179,7 @@
     }
 
     private boolean hasActiveRelay(CollectionSubscription subscription) {
-        return subscription.hasActiveRelay(now(), RELAY_TIMEOUT_NANOS);
+        return subscription.hasActiveRelay(now());
     }
 
     private Flux<WatchEvent> watchStore(CollectionSubscription subscription) {
@@ -265,7 +240,7 @@
                                 }
                             });
                     mNetwork.preferredRelay()
-                            .ifPresent(relay -> requestChanges(relay, subscription));
+                            .ifPresent(relay -> mReceivedChanges.request(relay, subscription));
                 });
     }
 
@@ -315,17 +290,6 @@
                 });
     }
 
-    private void requestChanges(String relay, CollectionSubscription subscription) {
-        subscription.mRequestedAt = now();
-        mLinks.send(
-                relay,
-                Envelope.newBuilder()
-                        .setChangesRequest(
-                                ChangesRequest.newBuilder()
-                                        .setCollection(subscription.mCollection)
-                                        .setPosition(subscription.mBuffer.position())));
-    }
-
     private Mono<Envelope.Builder> handleChanges(Envelope message) {
         String sender = message.getSender();
         if (!mNetwork.isInOwnDomain(sender)) {
@@ -349,7 +313,7 @@
 
     private void handleRange(String relay, CollectionSubscription subscription, ChangeRange range) {
         long knownUntil = now() - TimeUnit.MILLISECONDS.toNanos(range.getAgeMillis());
-        subscription.recordConfirmation(relay, knownUntil, now(), RELAY_TIMEOUT_NANOS);
+        subscription.recordConfirmation(relay, knownUntil, now());
         if (subscription.mRelaySink.isPresent()) {
             scheduleAgeCheck(subscription);
             subscription.mRelaySink.ifPresent(sink -> applyRange(relay, subscription, sink, range));
@@ -387,7 +351,7 @@
             return;
         }
         try {
-            newEvents(relay, subscription, range).forEach(sink::next);
+            mReceivedChanges.add(relay, subscription, range).forEach(sink::next);
         } catch (IOException e) {
             logSource(subscription, "store", String.valueOf(e.getMessage()));
             sink.error(
@@ -403,7 +367,7 @@
             FluxSink<WatchEvent> sink,
             ChangeRange range) {
         try {
-            List<WatchEvent> events = newEvents(relay, subscription, range);
+            List<WatchEvent> events = mReceivedChanges.add(relay, subscription, range);
             if (!events.isEmpty()) {
                 events.forEach(sink::next);
                 mRelay.scheduleForward();
@@ -414,49 +378,6 @@
         }
     }
 
-    /**
-     * Adds the changes that this host does not have to its buffer and returns them. If some before
-     * them are missing, requests those.
-     */
-    private List<WatchEvent> newEvents(
-            String relay, CollectionSubscription subscription, ChangeRange range)
-            throws IOException {
-        long position = subscription.mBuffer.position();
-        if (range.getGone() || range.getPosition() <= position) {
-            return List.of();
-        }
-        if (range.getAfter() > position) {
-            if (now() - subscription.mRequestedAt >= REQUEST_INTERVAL_NANOS) {
-                requestChanges(relay, subscription);
-            }
-            return List.of();
-        }
-        List<WatchEvent> events = decode(subscription, range, position);
-        events.forEach(subscription.mBuffer::add);
-        subscription.mReceivedPosition = range.getPosition();
-        return events;
-    }
-
-    private List<WatchEvent> decode(
-            CollectionSubscription subscription, ChangeRange range, long position)
-            throws IOException {
-        List<WatchEvent> events = new ArrayList<>();
-        for (ObjectChange change : range.getChangesList()) {
-            if (change.getObject().getVersion() > position) {
-                events.add(mCodec.decode(subscription.mCollection, change));
-            }
-        }
-        events.add(
-                new WatchEvent(
-                        WatchEventType.BOOKMARK,
-                        new StoredObject(
-                                subscription.mCollection,
-                                "",
-                                range.getPosition(),
-                                JsonNodeFactory.instance.objectNode())));
-        return events;
-    }
-
     private void logSource(CollectionSubscription subscription, String source, String reason) {
         mLog.log(
                 PeerEvent.CHANGES_FROM,
