--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LeavingServerPropagationTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LeavingServerPropagationTest.java
@@ -33,7 +33,7 @@
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(400);
     private static final Duration STARTUP_TIME = Duration.ofSeconds(14);
 
-    /** Longest pause of a watch in the deployment in which calls reached leaving servers. */
+    /** Above the longest pause of a watch in any deployment. */
     private static final Duration WATCH_PAUSE = Duration.ofMillis(1392);
 
     /** With as many hosts, a server serves for this long after it has announced its shutdown. */
