Log the framing of answers and streams that end within an event

Change: event 562 has the field framing; event 569 says that a server's stream ended within an event, with its framing, the last complete event and the number of bytes left over. No logic has changed.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -133,6 +133,7 @@
                                     new BufferedResponse(
                                             status,
                                             HopByHopHeaders.endToEnd(response.responseHeaders()),
+                                            BodyFraming.of(response.responseHeaders()),
                                             body));
                         });
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -225,7 +225,7 @@
                 .takeUntilOther(interruption(call))
                 .flatMap(
                         buffered -> {
-                            recordAnswered(call, buffered.status(), 0);
+                            recordAnswered(call, buffered.status(), buffered.framing(), 0);
                             return sendResponse(response, call.method(), buffered);
                         });
     }
@@ -245,6 +245,7 @@
                                 recordAnswered(
                                         call,
                                         stream.responseHead().status(),
+                                        stream.responseHead().framing(),
                                         stream.firstEventNanos()));
     }
 
@@ -348,7 +349,8 @@
         return Refusal.of(ResultCode.INTERNAL_ERROR, "see the log");
     }
 
-    private void recordAnswered(RelayCall call, int status, long firstEventNanos) {
+    private void recordAnswered(
+            RelayCall call, int status, BodyFraming framing, long firstEventNanos) {
         mMetrics.recordAnswered(call.route(), status, firstEventNanos);
         mLog.log(
                 RelayEvent.CALL_ANSWERED,
@@ -360,6 +362,7 @@
                 field("model", call.target().model().map(Object::toString).orElse("")),
                 field("server", call.lastServer()),
                 field("status", status),
+                field("framing", framing),
                 field("sends", call.sendCount()),
                 field("first_event_ms", firstEventNanos / 1_000_000),
                 field("after_ms", millisSince(call.arrivedNanos())));
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -115,7 +115,10 @@
         }
         if (mResponseHead == null) {
             mResponseHead =
-                    new ResponseHead(status, HopByHopHeaders.endToEnd(response.responseHeaders()));
+                    new ResponseHead(
+                            status,
+                            HopByHopHeaders.endToEnd(response.responseHeaders()),
+                            BodyFraming.of(response.responseHeaders()));
         }
         if (!success) {
             server.health().recordFailure(mLoop.clock().nowNanos());
@@ -127,7 +130,7 @@
                 .filter(this::isNew)
                 .doOnNext(event -> recordEvent(server, event))
                 .map(StreamEvent::bytes)
-                .concatWith(Flux.defer(() -> incompleteEvent(framer)))
+                .concatWith(Flux.defer(() -> incompleteEvent(server, response, framer)))
                 .doFinally(signal -> reservation.release());
     }
 
@@ -175,9 +178,20 @@
         }
     }
 
-    private static Flux<byte[]> incompleteEvent(EventFramer framer) {
+    private Flux<byte[]> incompleteEvent(
+            FleetMember server, HttpClientResponse response, EventFramer framer) {
         byte[] bytes = framer.incompleteEvent();
-        return bytes.length == 0 ? Flux.empty() : Flux.just(bytes);
+        if (bytes.length == 0) {
+            return Flux.empty();
+        }
+        mLog.log(
+                RelayEvent.STREAM_TRUNCATED,
+                field("request", mCall.head().id()),
+                field("server", server.instance()),
+                field("framing", BodyFraming.of(response.responseHeaders())),
+                field("after_event", mLastEventId.orElse(-1)),
+                field("incomplete_bytes", bytes.length));
+        return Flux.just(bytes);
     }
 
     private Flux<byte[]> resumeOrFail(SendFailedException failure) {
