Fail streams that end within an event

Callers received a part of a stream, framed as complete. Cause: when a server's stream ended, StreamRelay passed on the bytes of an unfinished event and completed the response, whatever the end was. A response with neither a length nor chunks ends with its connection, so a crash that closes the connection in order looks like a normal end to the HTTP client. Change: a stream that ends within an event is a failed send: it continues on another server if the route allows it, otherwise the connection to the caller is closed without an end. The unfinished bytes are dropped, so that a continued stream has no part of an event in front of the next one. EventFramer.incompleteEvent() had no other use; its tests now check the size.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -130,7 +130,7 @@
                 .filter(this::isNew)
                 .doOnNext(event -> recordEvent(server, event))
                 .map(StreamEvent::bytes)
-                .concatWith(Flux.defer(() -> incompleteEvent(server, response, framer)))
+                .concatWith(Flux.defer(() -> checkEnd(server, response, framer)))
                 .doFinally(signal -> reservation.release());
     }
 
@@ -178,10 +178,11 @@
         }
     }
 
-    private Flux<byte[]> incompleteEvent(
+    /** Fails a stream that ends within an event, however its connection ended. */
+    private Flux<byte[]> checkEnd(
             FleetMember server, HttpClientResponse response, EventFramer framer) {
-        byte[] bytes = framer.incompleteEvent();
-        if (bytes.length == 0) {
+        int incompleteBytes = framer.incompleteEventSize();
+        if (incompleteBytes == 0) {
             return Flux.empty();
         }
         mLog.log(
@@ -190,8 +191,10 @@
                 field("server", server.instance()),
                 field("framing", BodyFraming.of(response.responseHeaders())),
                 field("after_event", mLastEventId.orElse(-1)),
-                field("incomplete_bytes", bytes.length));
-        return Flux.just(bytes);
+                field("incomplete_bytes", incompleteBytes));
+        return Flux.error(
+                new SendFailedException(
+                        SendFailureKind.UNKNOWN, "the stream ended within an event"));
     }
 
     private Flux<byte[]> resumeOrFail(SendFailedException failure) {
--- a/decisions/src/test/java/org/vanillaslip/internal/stream/EventFramerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/stream/EventFramerTest.java
@@ -29,7 +29,7 @@
                     .extracting(StreamEvent::id)
                     .containsExactly(OptionalLong.of(7), OptionalLong.of(8));
             assertThat(joined(events)).isEqualTo(TWO_EVENTS);
-            assertThat(framer.incompleteEvent()).isEmpty();
+            assertThat(framer.incompleteEventSize()).isZero();
         }
     }
 
@@ -38,7 +38,7 @@
         EventFramer framer = new EventFramer();
 
         assertThat(framer.accept("id: 1\ndata: x\n".getBytes(StandardCharsets.UTF_8))).isEmpty();
-        assertThat(framer.incompleteEvent()).isNotEmpty();
+        assertThat(framer.incompleteEventSize()).isPositive();
     }
 
     @Test
