Fail a stream without a length that ends before its first event

Callers received an empty stream, framed as complete, when a server closed the connection after the head of a response with neither a length nor chunks. Change: such a stream is a failed send unless the caller has events of it; a stream that is continued after its last event may be empty.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -178,23 +178,32 @@
         }
     }
 
-    /** Fails a stream that ends within an event, however its connection ended. */
+    /** Fails a stream that ends within an event or that broke off before its first event. */
     private Flux<byte[]> checkEnd(
             FleetMember server, HttpClientResponse response, EventFramer framer) {
+        BodyFraming framing = BodyFraming.of(response.responseHeaders());
         int incompleteBytes = framer.incompleteEventSize();
-        if (incompleteBytes == 0) {
+        if (incompleteBytes == 0 && (framing != BodyFraming.CONNECTION_END || hasEvents())) {
             return Flux.empty();
         }
         mLog.log(
                 RelayEvent.STREAM_TRUNCATED,
                 field("request", mCall.head().id()),
                 field("server", server.instance()),
-                field("framing", BodyFraming.of(response.responseHeaders())),
+                field("framing", framing),
                 field("after_event", mLastEventId.orElse(-1)),
                 field("incomplete_bytes", incompleteBytes));
         return Flux.error(
                 new SendFailedException(
-                        SendFailureKind.UNKNOWN, "the stream ended within an event"));
+                        SendFailureKind.UNKNOWN,
+                        incompleteBytes == 0
+                                ? "the stream ended before its first event"
+                                : "the stream ended within an event"));
+    }
+
+    /** Returns whether the caller has events of this stream, from this call or an earlier one. */
+    private boolean hasEvents() {
+        return mEventReceived || mLastEventId.isPresent();
     }
 
     private Flux<byte[]> resumeOrFail(SendFailedException failure) {
