Log what a failed send says of a crashed server

Change: event 561 says whether the server ended the connection, whether its answer had begun, and which parts of the prompt the call shares with others. Result: BrokenOffResponseTest, PassThroughRoutesTest and DocumentationTest pass.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
 import org.reactivestreams.Publisher;
@@ -88,8 +89,11 @@
         if (error instanceof SendFailedException) {
             return error;
         }
-        SendFailureKind kind = sent ? SendFailureKind.UNKNOWN : SendFailureKind.UNREACHED;
+        String message = error.getClass().getSimpleName() + ": " + error.getMessage();
+        if (sent && error instanceof IOException) {
+            return SendFailedException.connectionLost(message);
+        }
         return new SendFailedException(
-                kind, error.getClass().getSimpleName() + ": " + error.getMessage());
+                sent ? SendFailureKind.UNKNOWN : SendFailureKind.UNREACHED, message);
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -189,6 +189,9 @@
                 field("server", server.instance()),
                 field("send", call.sendCount()),
                 field("outcome", failure.kind()),
+                field("connection_lost", failure.isConnectionLost()),
+                field("answer_begun", call.hasAnswerBegun()),
+                field("prompt_parts", String.join(",", call.sharedPromptParts())),
                 field("cause", String.valueOf(failure.getMessage())));
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.vanillaslip.internal.fleet.CallTarget;
@@ -33,6 +34,7 @@
     private int mPossibleRuns;
     private boolean mPossiblyRun;
     private boolean mSendInProgress;
+    private boolean mAnswerBegun;
     private boolean mCallerDisconnected;
     private String mLastServer = "";
 
@@ -126,6 +128,12 @@
         return parts == 0 ? Optional.empty() : Optional.of(mHead.promptParts().get(parts - 1));
     }
 
+    /** Returns the ids of the prompt parts that calls of other sessions may share, in order. */
+    List<String> sharedPromptParts() {
+        int parts = mHead.promptParts().size();
+        return parts == 0 ? List.of() : mHead.promptParts().subList(0, parts - 1);
+    }
+
     ServerRequest serverRequest() {
         return new ServerRequest(mHead.id(), mTarget, sessionPrefix(), Set.copyOf(mTriedServers));
     }
@@ -149,6 +157,17 @@
         mSendCount++;
         mLastServer = instance;
         mSendInProgress = true;
+        mAnswerBegun = false;
+    }
+
+    /** Records that the server of the last send has sent part of its answer. */
+    void recordAnswerBegun() {
+        mAnswerBegun = true;
+    }
+
+    /** Returns whether the server of the last send has sent part of its answer. */
+    boolean hasAnswerBegun() {
+        return mAnswerBegun;
     }
 
     /** Records that the send failed, so that no server is processing the call. */
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -168,6 +168,7 @@
     }
 
     private void recordEvent(FleetMember server, StreamEvent event) {
+        mCall.recordAnswerBegun();
         if (!mEventReceived) {
             mEventReceived = true;
             mFirstEventNanos = mLoop.clock().nowNanos() - mCall.arrivedNanos();
@@ -193,12 +194,14 @@
                 field("framing", framing),
                 field("after_event", mLastEventId.orElse(-1)),
                 field("incomplete_bytes", incompleteBytes));
+        String message =
+                incompleteBytes == 0
+                        ? "the stream ended before its first event"
+                        : "the stream ended within an event";
         return Flux.error(
-                new SendFailedException(
-                        SendFailureKind.UNKNOWN,
-                        incompleteBytes == 0
-                                ? "the stream ended before its first event"
-                                : "the stream ended within an event"));
+                framing == BodyFraming.CONNECTION_END
+                        ? SendFailedException.connectionLost(message)
+                        : new SendFailedException(SendFailureKind.UNKNOWN, message));
     }
 
     /** Returns whether the caller has events of this stream, from this call or an earlier one. */
