Do not refuse as not run what a server may have run

Callers of a repeatable call received 503, which promises that the call has not run and never will, although an earlier send had reached a server. Cause: the queue of waiting calls refuses with codes that say not run, and a call waits there again after a failed send. Evidence: aCallThatMayHaveRunIsNotRefusedAsNotRun fails before this change (503 instead of 502). Change: where a call fails, a code that says not run becomes BACKEND_FAILED if a server may have run the call; the detail names the original code. Result: the test passes with PassThroughRoutesTest, BrokenOffResponseTest and DisconnectedCallersTest.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -290,7 +290,23 @@
             return Mono.never();
         }
         Throwable cause = error instanceof TimeoutException ? deadlineRefusal(call) : error;
-        return refuse(response, call.headers(), cause, call.head().id(), call.arrivedNanos());
+        return refuse(
+                response,
+                call.headers(),
+                withTrueOutcome(call, cause),
+                call.head().id(),
+                call.arrivedNanos());
+    }
+
+    /** A refusal while the call waits for another server does not undo its earlier sends. */
+    private static Throwable withTrueOutcome(RelayCall call, Throwable error) {
+        if (call.mayHaveRun()
+                && error instanceof RefusedException refused
+                && refused.refusal().code().notRun()) {
+            String detail = refused.refusal().code() + " " + refused.refusal().detail();
+            return new RefusedException(Refusal.of(ResultCode.BACKEND_FAILED, detail.strip()));
+        }
+        return error;
     }
 
     private static RefusedException deadlineRefusal(RelayCall call) {
