Keep prompt parts that crash servers from all servers

Cause: each host knew only that its own sends had failed. Nothing connected the crashes with what the calls had in common, over calls, servers and hosts, so requests with the part were sent, repeated, and moved to the next server for as long as they came. Evidence: (18 and 12 requests with the part after the fifth crash); in its logs the call that crashes a server has received nothing, while the others on that server have events. The test callsWithAPartThatCrashesServersSoonReachNone fails before this change (16 requests where 5 are allowed). Change: hosts tell each other which calls a crashed server had not begun to answer, and, for parts that come under suspicion, their last answers. A part under which three servers crashed, not at one moment and not under a single call, without an answer since, is kept from the servers for five minutes. Of several such parts the one that was answered the longest time ago is taken, and explains the crashes, so that sound calls with the other parts are served. Admission, the queue, each send and each repeat ask; the refusal is 3009 (503, not run). Heartbeats repeat the parts for hosts that have just started. Why it works: a part that crashes servers is never answered; a sound one is, by some host, within moments.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -67,6 +67,11 @@
         return mRegistered.instance();
     }
 
+    /** Returns the name of the server and the time of its start, which no other process shares. */
+    public String startId() {
+        return instance() + "@" + mRegistered.startedAtMillis();
+    }
+
     /** Returns the models that the server holds, as far as known. */
     public ServerModelState modelState() {
         return mModelState;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -152,6 +152,18 @@
         }
     }
 
+    /** Refuses the calls with the prompt part. */
+    public void refuseCallsWith(String promptPart, RefusedException refusal) {
+        for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
+            for (WaitingCall call : List.copyOf(queue)) {
+                if (call.request().sharedParts().contains(promptPart)) {
+                    remove(call);
+                    call.sink().error(refusal);
+                }
+            }
+        }
+    }
+
     /** Refuses all calls, because this host shuts down. */
     public void refuseAll(Duration retryAfter) {
         for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/QuarantineEvent.java
@@ -0,0 +1,39 @@
+package org.vanillaslip.internal.quarantine;
+
+import static java.lang.System.Logger.Level.INFO;
+import static java.lang.System.Logger.Level.WARNING;
+
+import org.vanillaslip.internal.logging.LogEvent;
+
+/** Log events of prompt parts under which servers crash, with numbers 580 to 589. */
+public enum QuarantineEvent implements LogEvent {
+    CALL_UNANSWERED(580, INFO, "A server ended a connection before it began to answer."),
+    PART_FOUND(581, WARNING, "Servers crashed under a part of prompts; it is kept from them."),
+    PART_ADOPTED(582, WARNING, "Another host keeps a part of prompts from the servers."),
+    EVIDENCE_DROPPED(583, WARNING, "Too many unanswered calls at once; the rest is not reported.");
+
+    private final int mNumber;
+    private final System.Logger.Level mLevel;
+    private final String mText;
+
+    QuarantineEvent(int number, System.Logger.Level level, String text) {
+        mNumber = number;
+        mLevel = level;
+        mText = text;
+    }
+
+    @Override
+    public int number() {
+        return mNumber;
+    }
+
+    @Override
+    public System.Logger.Level level() {
+        return mLevel;
+    }
+
+    @Override
+    public String text() {
+        return mText;
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -118,7 +118,7 @@
                                         SendFailureKind.UNKNOWN, "the response is too large"))
                 .flatMap(
                         body -> {
-                            call.recordAnswerBegun();
+                            mSender.recordAnswerBegun(call);
                             boolean failed = status >= 500;
                             if (failed && call.allowsAnotherRun()) {
                                 return Mono.error(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
@@ -13,6 +13,7 @@
 import org.vanillaslip.internal.fleet.CallTarget;
 import org.vanillaslip.internal.fleet.PlanView;
 import org.vanillaslip.internal.gateway.RefusedException;
+import org.vanillaslip.internal.quarantine.PromptFaultExchange;
 import org.vanillaslip.internal.quota.WorkspaceLimits;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.PoolShare;
@@ -29,6 +30,7 @@
     private final PlanView mPlanView;
     private final CallDialect mDialect;
     private final WorkspaceLimits mLimits;
+    private final PromptFaultExchange mPromptFaults;
     private final DecisionLoop mLoop;
     private final RandomGenerator mRandom;
 
@@ -36,11 +38,13 @@
             PlanView planView,
             CallDialect dialect,
             WorkspaceLimits limits,
+            PromptFaultExchange promptFaults,
             DecisionLoop loop,
             RandomGenerator random) {
         mPlanView = planView;
         mDialect = dialect;
         mLimits = limits;
+        mPromptFaults = promptFaults;
         mLoop = loop;
         mRandom = random;
     }
@@ -74,6 +78,7 @@
         RelayCall call =
                 new RelayCall(
                         head, method, uri, headers, body, route, target, policy, arrivedNanos);
+        mPromptFaults.checkParts(call.sharedPromptParts());
         policy.ifPresent(foundPolicy -> charge(foundPolicy, head));
         return call;
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -17,6 +17,7 @@
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.gateway.RefusedException;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.quarantine.PromptFaultExchange;
 import org.vanillaslip.internal.routing.RetryBudget;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.WorkspacePolicy;
@@ -34,6 +35,7 @@
     private final WaitingCallQueue mWaitingCalls;
     private final ServerSelector mSelector;
     private final Supplier<RetryBudget> mBudgetFactory;
+    private final PromptFaultExchange mPromptFaults;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
     private final Map<String, RetryBudget> mBudgetsByPool = new HashMap<>();
@@ -44,6 +46,7 @@
             WaitingCallQueue waitingCalls,
             ServerSelector selector,
             Supplier<RetryBudget> budgetFactory,
+            PromptFaultExchange promptFaults,
             DecisionLoop loop,
             EventLog log) {
         mRequestSender = requestSender;
@@ -51,6 +54,7 @@
         mWaitingCalls = waitingCalls;
         mSelector = selector;
         mBudgetFactory = budgetFactory;
+        mPromptFaults = promptFaults;
         mLoop = loop;
         mLog = log;
     }
@@ -59,6 +63,7 @@
     Mono<FleetMember> acquireServer(RelayCall call, Duration minRunTime) {
         return Mono.defer(
                 () -> {
+                    mPromptFaults.checkParts(call.sharedPromptParts());
                     if (mSelector.serversWith(call.target()).stream()
                             .allMatch(server -> call.triedServers().contains(server.instance()))) {
                         call.triedServers().clear();
@@ -80,6 +85,7 @@
             BiFunction<HttpClientResponse, Flux<byte[]>, Publisher<T>> onResponse) {
         return Flux.defer(
                         () -> {
+                            mPromptFaults.checkParts(call.sharedPromptParts());
                             call.recordSend(server.instance());
                             if (call.sendCount() == 1) {
                                 retryBudget(call).recordRequest(now());
@@ -109,6 +115,14 @@
                 .doFinally(signal -> server.recordCallEnd(call.target().model()));
     }
 
+    /** Records that the server of the last send began to answer. */
+    void recordAnswerBegun(RelayCall call) {
+        if (!call.hasAnswerBegun()) {
+            call.recordAnswerBegun();
+            mPromptFaults.recordAnswer(call.sharedPromptParts());
+        }
+    }
+
     /** Returns whether the failed call is retried, and takes the retry out of the budget. */
     boolean tryRetry(RelayCall call, SendFailedException failure) {
         if (call.callerDisconnected() || !call.mayRetryAfter(failure.kind())) {
@@ -181,6 +195,10 @@
             case UNKNOWN -> {
                 call.recordPossibleRun();
                 server.health().recordFailure(now());
+                if (failure.isConnectionLost() && !call.hasAnswerBegun()) {
+                    mPromptFaults.recordUnanswered(
+                            server.startId(), call.head().id(), call.sharedPromptParts());
+                }
             }
         }
         mLog.log(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -135,7 +135,12 @@
     }
 
     ServerRequest serverRequest() {
-        return new ServerRequest(mHead.id(), mTarget, sessionPrefix(), Set.copyOf(mTriedServers));
+        return new ServerRequest(
+                mHead.id(),
+                mTarget,
+                sharedPromptParts(),
+                sessionPrefix(),
+                Set.copyOf(mTriedServers));
     }
 
     /**
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
@@ -17,7 +17,8 @@
     STREAM_BROKEN(566, INFO, "A stream ended before it was complete."),
     CALL_FAULT(567, ERROR, "A call failed because of an internal error."),
     HEAD_MALFORMED(568, DEBUG, "A request head cannot be parsed."),
-    STREAM_TRUNCATED(569, INFO, "A backend server's stream ended within an event or before the first.");
+    STREAM_TRUNCATED(
+            569, INFO, "A backend server's stream ended within an event or before the first.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -40,6 +40,7 @@
 import org.vanillaslip.internal.peer.RelayNetwork;
 import org.vanillaslip.internal.peer.RelayedLinks;
 import org.vanillaslip.internal.platform.HostCodec;
+import org.vanillaslip.internal.quarantine.PromptFaultExchange;
 import org.vanillaslip.internal.quota.WorkspaceLimits;
 import org.vanillaslip.internal.routing.RetryBudget;
 import org.vanillaslip.internal.runtime.DecisionLoop;
@@ -103,6 +104,7 @@
     private final FleetLease mLease;
     private final LoadController mLoadController;
     private final FleetExchange mExchange;
+    private final PromptFaultExchange mPromptFaults;
     private final CallRelay mRelay;
     private final ServingHttpServers mHttpServers;
     private volatile boolean mLeaving;
@@ -168,6 +170,7 @@
                         mLinks,
                         this::hostCount,
                         mLoop);
+        mPromptFaults = new PromptFaultExchange(mLinks, mLoop, mRandom, log);
         mRelay = callRelay(selector, demandReporter);
         mHttpServers = httpServers();
     }
@@ -187,6 +190,8 @@
         mRegistration.start();
         mLimits.start();
         mExchange.start();
+        mPromptFaults.onQuarantine(mWaitingCalls::refuseCallsWith);
+        mPromptFaults.start();
         mLoadController.start();
         mLease.start();
         mLoopMonitor.start();
@@ -300,10 +305,12 @@
                         mWaitingCalls,
                         selector,
                         this::retryBudget,
+                        mPromptFaults,
                         mLoop,
                         mLog);
         return new CallRelay(
-                new CallAdmission(mPlans, mAdapters.dialect(), mLimits, mLoop, mRandom),
+                new CallAdmission(
+                        mPlans, mAdapters.dialect(), mLimits, mPromptFaults, mLoop, mRandom),
                 mAdapters.dialect(),
                 sender,
                 demandReporter,
@@ -387,6 +394,10 @@
     private Heartbeat heartbeat() {
         return Heartbeat.newBuilder()
                 .setLeaving(mLeaving)
+                .addAllQuarantinedParts(
+                        Optional.ofNullable(mPromptFaults)
+                                .map(PromptFaultExchange::quarantinedParts)
+                                .orElse(List.of()))
                 .setConfigurationVersion(
                         Optional.ofNullable(mPlans)
                                 .flatMap(PlanFollower::current)
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -168,7 +168,7 @@
     }
 
     private void recordEvent(FleetMember server, StreamEvent event) {
-        mCall.recordAnswerBegun();
+        mSender.recordAnswerBegun(mCall);
         if (!mEventReceived) {
             mEventReceived = true;
             mFirstEventNanos = mLoop.clock().nowNanos() - mCall.arrivedNanos();
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
@@ -158,7 +158,7 @@
         long now = mLoop.clock().nowNanos();
         long deadline = now + CALLER_TIMEOUT.toNanos();
         mQueue.awaitServer(
-                        new ServerRequest("c", TARGET, Optional.empty(), Set.of()),
+                        new ServerRequest("c", TARGET, List.of(), Optional.empty(), Set.of()),
                         new WaitBounds(1, deadline, deadline))
                 .subscribe(
                         member -> mOutcomes.add(member.instance()),
--- a/decisions/src/main/java/org/vanillaslip/ResultCode.java
+++ b/decisions/src/main/java/org/vanillaslip/ResultCode.java
@@ -109,6 +109,12 @@
             false,
             "The backend server sent the answer of another request; it was discarded.",
             "Repeat the request only if it is idempotent."),
+    PROMPT_QUARANTINED(
+            3009,
+            503,
+            true,
+            "A part of the prompt crashed backend servers and is kept from them.",
+            "Leave the part out, or try again after the time in Retry-After."),
     OUTCOME_UNKNOWN(
             4001,
             409,
--- /dev/null
+++ b/decisions/src/main/java/org/vanillaslip/internal/quarantine/PromptQuarantine.java
@@ -0,0 +1,61 @@
+package org.vanillaslip.internal.quarantine;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Parts of prompts that no server may get for a while. */
+public final class PromptQuarantine {
+
+    /**
+     * A part that is kept from servers.
+     *
+     * @param remaining time until calls with the part are sent again
+     */
+    public record Entry(String part, Duration remaining) {}
+
+    private static final int MAX_PARTS = 256;
+
+    private final Map<String, Long> mEndsByPart = new BoundedMap<>(MAX_PARTS);
+
+    /** Adds a part or extends its time; returns whether the part was not in quarantine. */
+    public boolean add(Entry entry, long nowNanos) {
+        removeEnded(nowNanos);
+        long end = nowNanos + entry.remaining().toNanos();
+        Long known = mEndsByPart.get(entry.part());
+        if (known == null || end - known > 0) {
+            mEndsByPart.put(entry.part(), end);
+        }
+        return known == null;
+    }
+
+    /** Returns the first of the parts that is in quarantine. */
+    public Optional<Entry> find(List<String> parts, long nowNanos) {
+        if (mEndsByPart.isEmpty()) {
+            return Optional.empty();
+        }
+        removeEnded(nowNanos);
+        return parts.stream()
+                .filter(mEndsByPart::containsKey)
+                .findFirst()
+                .map(part -> entry(part, nowNanos));
+    }
+
+    /** Returns all parts in quarantine. */
+    public List<Entry> entries(long nowNanos) {
+        removeEnded(nowNanos);
+        return List.copyOf(mEndsByPart.keySet()).stream()
+                .sorted()
+                .map(part -> entry(part, nowNanos))
+                .toList();
+    }
+
+    private Entry entry(String part, long nowNanos) {
+        return new Entry(part, Duration.ofNanos(mEndsByPart.getOrDefault(part, 0L) - nowNanos));
+    }
+
+    private void removeEnded(long nowNanos) {
+        mEndsByPart.values().removeIf(end -> end - nowNanos <= 0);
+    }
+}
