Bound the length of tracked prompt parts

Callers choose the ids of prompt parts, up to the limit of a request's head; 8,192 remembered ids of that size would not fit into the memory of a host. Ids of more than 128 characters are not tracked. Result: longIdsAreNotTracked and the other tests of PromptFaultExchangeTest pass; it was not run without the bound.

--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
@@ -47,6 +47,10 @@
 
     private static final int MAX_CALLS_PER_REPORT = 64;
     private static final int MAX_PARTS_PER_CALL = 16;
+
+    /** In characters; longer ids are not tracked. */
+    private static final int MAX_PART_LENGTH = 128;
+
     private static final int MAX_ANSWERED_PARTS = 8192;
 
     private final PeerLinks mLinks;
@@ -109,7 +113,7 @@
 
     /** Records that a server began to answer a call with the parts. */
     public void recordAnswer(List<String> parts) {
-        for (String part : parts) {
+        for (String part : tracked(parts)) {
             mOwnAnswers.put(part, now());
             if (mSuspects.contains(part)) {
                 scheduleAnnouncement();
@@ -119,10 +123,10 @@
 
     /** Records a call whose server ended the connection before it began to answer. */
     public void recordUnanswered(String server, String callId, List<String> parts) {
-        if (parts.isEmpty()) {
+        List<String> reportedParts = tracked(parts);
+        if (reportedParts.isEmpty()) {
             return;
         }
-        List<String> reportedParts = parts.subList(0, Math.min(parts.size(), MAX_PARTS_PER_CALL));
         mLog.log(
                 QuarantineEvent.CALL_UNANSWERED,
                 field("request", callId),
@@ -145,6 +149,14 @@
         considerEvidence();
     }
 
+    /** Callers choose the ids, so their number and length are bounded. */
+    private static List<String> tracked(List<String> parts) {
+        return parts.stream()
+                .filter(part -> part.length() <= MAX_PART_LENGTH)
+                .limit(MAX_PARTS_PER_CALL)
+                .toList();
+    }
+
     private void report() {
         mLinks.broadcast(
                 Envelope.newBuilder()
--- a/daemon/src/test/java/org/vanillaslip/internal/quarantine/PromptFaultExchangeTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quarantine/PromptFaultExchangeTest.java
@@ -104,6 +104,18 @@
         assertThat(exchange.quarantinedParts()).isEmpty();
     }
 
+    /** Guards against callers that fill the memory of all hosts with long ids. */
+    @Test
+    void longIdsAreNotTracked() {
+        FakePeerNetwork network = new FakePeerNetwork(3);
+        PromptFaultExchange exchange = newExchange(network, network.addHost("h"));
+        List<String> parts = List.of("a".repeat(129));
+        crashServers(network, exchange, parts);
+
+        exchange.checkParts(parts);
+        assertThat(exchange.quarantinedParts()).isEmpty();
+    }
+
     private static void crashServers(
             FakePeerNetwork network, PromptFaultExchange exchange, List<String> parts) {
         for (int server = 0; server < 3; server++) {
