Check the ends of event streams only

Callers of a streaming route received 502 for a complete body with a length that is not an event stream, since took its end for the middle of an event; and its server counted as failing. Change: a body whose framing shows its end is checked for whole events only if its type is text/event-stream.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -2,8 +2,10 @@
 
 import static org.vanillaslip.internal.logging.LogField.field;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -30,6 +32,8 @@
 
     private static final Duration MIN_SILENCE_TIMEOUT = Duration.ofMillis(1000);
 
+    private static final String EVENT_STREAM = "text/event-stream";
+
     private final RelayCall mCall;
     private final CallSender mSender;
     private final ResponseMemoryLimit mMemoryLimit;
@@ -184,9 +188,13 @@
             FleetMember server, HttpClientResponse response, EventFramer framer) {
         BodyFraming framing = BodyFraming.of(response.responseHeaders());
         int incompleteBytes = framer.incompleteEventSize();
-        if (incompleteBytes == 0 && (framing != BodyFraming.CONNECTION_END || hasEvents())) {
+        boolean endIsCertain = framing != BodyFraming.CONNECTION_END;
+        if (incompleteBytes == 0 && (endIsCertain || hasEvents())) {
             return Flux.empty();
         }
+        if (endIsCertain && !isEventStream(response)) {
+            return Flux.just(framer.incompleteEvent());
+        }
         mLog.log(
                 RelayEvent.STREAM_TRUNCATED,
                 field("request", mCall.head().id()),
@@ -204,6 +212,13 @@
                         : new SendFailedException(SendFailureKind.UNKNOWN, message));
     }
 
+    private static boolean isEventStream(HttpClientResponse response) {
+        return response.responseHeaders()
+                .get(HttpHeaderNames.CONTENT_TYPE, "")
+                .toLowerCase(Locale.ROOT)
+                .startsWith(EVENT_STREAM);
+    }
+
     /** Returns whether the caller has events of this stream, from this call or an earlier one. */
     private boolean hasEvents() {
         return mEventReceived || mLastEventId.isPresent();
--- a/decisions/src/main/java/org/vanillaslip/internal/stream/EventFramer.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/stream/EventFramer.java
@@ -48,6 +48,11 @@
         return mIncompleteEvent.size();
     }
 
+    /** Returns the bytes of the incomplete event. */
+    public byte[] incompleteEvent() {
+        return mIncompleteEvent.toByteArray();
+    }
+
     private void completeEvent(List<StreamEvent> events) {
         byte[] bytes = mIncompleteEvent.toByteArray();
         mIncompleteEvent.reset();
