Record quarantined prompt parts in the platform's store

All hosts kept the quarantined parts in memory only. After a loss of power of all hosts at once, none would have known them, and the part would have crashed three servers again before it was found again: four requests where the platform allows three. Cause: state that has to outlast the hosts was not on the users' platform. Change: the host that finds a part writes it to promptquarantines/fleet, with the end as a time of day; a host reads the object once when it starts, with retries until the store answers.

--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
@@ -55,6 +55,7 @@
 
     private final PeerLinks mLinks;
     private final DecisionLoop mLoop;
+    private final QuarantineRecord mRecord;
     private final RandomGenerator mRandom;
     private final EventLog mLog;
     private final CrashingPartDetector mDetector = new CrashingPartDetector();
@@ -68,8 +69,13 @@
 
     /** Creates an exchange that is not started. */
     public PromptFaultExchange(
-            PeerLinks links, DecisionLoop loop, RandomGenerator random, EventLog log) {
+            PeerLinks links,
+            QuarantineRecord record,
+            DecisionLoop loop,
+            RandomGenerator random,
+            EventLog log) {
         mLinks = links;
+        mRecord = record;
         mLoop = loop;
         mRandom = random;
         mLog = log;
@@ -77,13 +83,16 @@
 
     /** Starts to receive what other hosts have seen. */
     public void start() {
+        mRecord.load(this::adopt);
         mLinks.handle(Envelope.BodyCase.PROMPT_FAULTS, this::onPromptFaults);
-        mLinks.handle(
-                Envelope.BodyCase.HEARTBEAT,
-                message -> {
-                    message.getHeartbeat().getQuarantinedPartsList().forEach(this::adopt);
-                    return Mono.empty();
-                });
+        mLinks.handle(Envelope.BodyCase.HEARTBEAT, this::onHeartbeat);
+    }
+
+    private Mono<Envelope.Builder> onHeartbeat(Envelope message) {
+        for (QuarantinedPart part : message.getHeartbeat().getQuarantinedPartsList()) {
+            adopt(part);
+        }
+        return Mono.empty();
     }
 
     /** Registers a listener for parts that no server may get from now on, and the refusal. */
@@ -174,7 +183,9 @@
         for (UnansweredCall call : faults.getUnansweredCallsList()) {
             addEvidence(call.getServer(), call.getCallId(), call.getPromptPartsList());
         }
-        faults.getQuarantinedPartsList().forEach(this::adopt);
+        for (QuarantinedPart part : faults.getQuarantinedPartsList()) {
+            adopt(part);
+        }
         considerEvidence();
         return Mono.empty();
     }
@@ -242,33 +253,43 @@
     private void scheduleDecision() {
         if (!mDecisionScheduled) {
             mDecisionScheduled = true;
-            schedule(this::decide, CONFIRMATION_DELAY);
+            // The first host to decide spares the others their messages and writes.
+            long jitter = mRandom.nextLong(MAX_ANNOUNCEMENT_DELAY.toNanos());
+            schedule(this::decide, CONFIRMATION_DELAY.plusNanos(jitter));
         }
     }
 
     private void decide() {
         mDecisionScheduled = false;
-        PromptFaults.Builder faults = PromptFaults.newBuilder();
+        List<PromptQuarantine.Entry> entries = new ArrayList<>();
         long confirmedUntil = now() - CONFIRMATION_DELAY.toNanos();
         Optional<String> found = mDetector.findCrashingPart(confirmedUntil);
         while (found.isPresent()) {
             PromptQuarantine.Entry entry = new PromptQuarantine.Entry(found.get(), QUARANTINE_TIME);
             if (quarantine(entry, QuarantineEvent.PART_FOUND)) {
-                faults.addQuarantinedParts(toMessage(entry));
+                entries.add(entry);
             }
             found = mDetector.findCrashingPart(confirmedUntil);
         }
-        if (faults.getQuarantinedPartsCount() > 0) {
+        if (!entries.isEmpty()) {
+            PromptFaults.Builder faults = PromptFaults.newBuilder();
+            entries.forEach(entry -> faults.addQuarantinedParts(toMessage(entry)));
             mLinks.broadcast(Envelope.newBuilder().setPromptFaults(faults));
+            mRecord.save(entries);
         }
         considerEvidence();
     }
 
     private void adopt(QuarantinedPart part) {
-        Duration remaining = Duration.ofMillis(part.getRemainingMillis());
-        boolean tooLong = remaining.compareTo(QUARANTINE_TIME) > 0;
+        adopt(
+                new PromptQuarantine.Entry(
+                        part.getPart(), Duration.ofMillis(part.getRemainingMillis())));
+    }
+
+    private void adopt(PromptQuarantine.Entry entry) {
+        boolean tooLong = entry.remaining().compareTo(QUARANTINE_TIME) > 0;
         quarantine(
-                new PromptQuarantine.Entry(part.getPart(), tooLong ? QUARANTINE_TIME : remaining),
+                tooLong ? new PromptQuarantine.Entry(entry.part(), QUARANTINE_TIME) : entry,
                 QuarantineEvent.PART_ADOPTED);
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/QuarantineEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/QuarantineEvent.java
@@ -10,7 +10,8 @@
     CALL_UNANSWERED(580, INFO, "A server ended a connection before it began to answer."),
     PART_FOUND(581, WARNING, "Servers crashed under a part of prompts; it is kept from them."),
     PART_ADOPTED(582, WARNING, "Another host keeps a part of prompts from the servers."),
-    EVIDENCE_DROPPED(583, WARNING, "Too many unanswered calls at once; the rest is not reported.");
+    EVIDENCE_DROPPED(583, WARNING, "Too many unanswered calls at once; the rest is not reported."),
+    RECORD_FAILED(584, WARNING, "The record of quarantined prompt parts cannot be used.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -41,6 +41,7 @@
 import org.vanillaslip.internal.peer.RelayedLinks;
 import org.vanillaslip.internal.platform.HostCodec;
 import org.vanillaslip.internal.quarantine.PromptFaultExchange;
+import org.vanillaslip.internal.quarantine.QuarantineRecord;
 import org.vanillaslip.internal.quota.WorkspaceLimits;
 import org.vanillaslip.internal.routing.RetryBudget;
 import org.vanillaslip.internal.runtime.DecisionLoop;
@@ -170,7 +171,13 @@
                         mLinks,
                         this::hostCount,
                         mLoop);
-        mPromptFaults = new PromptFaultExchange(mLinks, mLoop, mRandom, log);
+        mPromptFaults =
+                new PromptFaultExchange(
+                        mLinks,
+                        new QuarantineRecord(mStore, InstantSource.system(), mLoop, log),
+                        mLoop,
+                        mRandom,
+                        log);
         mRelay = callRelay(selector, demandReporter);
         mHttpServers = httpServers();
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/quarantine/CrashSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quarantine/CrashSimulation.java
@@ -1,6 +1,7 @@
 package org.vanillaslip.internal.quarantine;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -27,6 +28,7 @@
 
     private final RelaySimulation mNetwork;
     private final SplittableRandom mRandom;
+    private final OneObjectStore mStore = new OneObjectStore();
     private final List<PromptFaultExchange> mHosts = new ArrayList<>();
     private final List<Server> mServers = new ArrayList<>();
     private final List<Long> mCrashTimes = new ArrayList<>();
@@ -43,6 +45,11 @@
             PromptFaultExchange exchange =
                     new PromptFaultExchange(
                             host.relayedLinks(),
+                            new QuarantineRecord(
+                                    mStore,
+                                    () -> Instant.EPOCH.plusNanos(now()),
+                                    mNetwork.loop(),
+                                    (event, fields) -> {}),
                             mNetwork.loop(),
                             mRandom.split(),
                             (event, fields) -> {});
@@ -117,6 +124,10 @@
         return mQuarantined;
     }
 
+    int storeWrites() {
+        return mStore.writeCount();
+    }
+
     int informedHosts() {
         return mHostsInformed.size();
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/quarantine/PromptFaultExchangeTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quarantine/PromptFaultExchangeTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -45,6 +46,7 @@
                     .as("seed %d", seed)
                     .isLessThanOrEqualTo(MAX_LATER_SENDS);
             assertThat(simulation.soundCallsRefused()).as("seed %d", seed).isZero();
+            assertThat(simulation.storeWrites()).as("seed %d", seed).isEqualTo(1);
         }
     }
 
@@ -89,6 +91,48 @@
         assertThatThrownBy(() -> started.checkParts(parts)).isInstanceOf(RefusedException.class);
     }
 
+    /** Guards against a known part that is sent again after all hosts have lost their power. */
+    @Test
+    void aHostThatStartsAloneLearnsOfKnownPartsFromTheStore() {
+        FakePeerNetwork network = new FakePeerNetwork(4);
+        OneObjectStore store = new OneObjectStore();
+        PromptFaultExchange before = newExchange(network, network.addHost("before"), store);
+        List<String> parts = List.of("bad");
+        store.setUnavailable(true);
+        crashServers(network, before, parts);
+        store.setUnavailable(false);
+        network.advanceTime(Duration.ofSeconds(1));
+        assertThat(store.writeCount()).isEqualTo(1);
+        store.setUnavailable(true);
+
+        PromptFaultExchange after = newExchange(network, network.addHost("after"), store);
+        after.start();
+        after.checkParts(parts);
+        store.setUnavailable(false);
+        network.advanceTime(Duration.ofSeconds(1));
+
+        assertThatThrownBy(() -> after.checkParts(parts)).isInstanceOf(RefusedException.class);
+    }
+
+    /** Guards against a quarantine that a starting host takes from the store after its end. */
+    @Test
+    void aHostDoesNotTakeUpAnEndedQuarantine() {
+        FakePeerNetwork network = new FakePeerNetwork(5);
+        OneObjectStore store = new OneObjectStore();
+        PromptFaultExchange before = newExchange(network, network.addHost("before"), store);
+        List<String> parts = List.of("bad");
+        crashServers(network, before, parts);
+        assertThat(store.writeCount()).isEqualTo(1);
+        network.advanceTime(PromptFaultExchange.QUARANTINE_TIME);
+
+        PromptFaultExchange after = newExchange(network, network.addHost("after"), store);
+        after.start();
+        network.advanceTime(Duration.ofSeconds(1));
+
+        after.checkParts(parts);
+        assertThat(after.quarantinedParts()).isEmpty();
+    }
+
     /** Guards against a part that is kept from the servers for ever. */
     @Test
     void callsWithThePartAreSentAgainAfterTheQuarantine() {
@@ -125,7 +169,18 @@
     }
 
     private static PromptFaultExchange newExchange(FakePeerNetwork network, PeerLinks links) {
+        return newExchange(network, links, new OneObjectStore());
+    }
+
+    private static PromptFaultExchange newExchange(
+            FakePeerNetwork network, PeerLinks links, OneObjectStore store) {
+        QuarantineRecord record =
+                new QuarantineRecord(
+                        store,
+                        () -> Instant.EPOCH.plusNanos(network.loop().clock().nowNanos()),
+                        network.loop(),
+                        (event, fields) -> {});
         return new PromptFaultExchange(
-                links, network.loop(), new SplittableRandom(1), (event, fields) -> {});
+                links, record, network.loop(), new SplittableRandom(1), (event, fields) -> {});
     }
 }
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformCollections.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformCollections.java
@@ -18,5 +18,8 @@
     /** Attempts of calls that are not repeatable. */
     public static final String ATTEMPTS = "attempts";
 
+    /** Prompt parts under which servers crashed; one object. */
+    public static final String PROMPT_QUARANTINES = "promptquarantines";
+
     private PlatformCollections() {}
 }
