Ask once for each send whether a prompt part is quarantined

CallSender asked when a call looked for a server and again when it was sent. Nothing can happen between the two: calls that wait are refused when a part is found, and a free server is taken in the same turn of the loop. The second check would have kept the probe of a paused server open, had it ever refused a call.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -85,7 +85,6 @@
             BiFunction<HttpClientResponse, Flux<byte[]>, Publisher<T>> onResponse) {
         return Flux.defer(
                         () -> {
-                            mPromptFaults.checkParts(call.sharedPromptParts());
                             call.recordSend(server.instance());
                             if (call.sendCount() == 1) {
                                 retryBudget(call).recordRequest(now());
