Keep the retry delay of a refusal whose call may have run

Since a call that may have run is answered 502 where it was refused while it waited for its next server. The time at which its model is expected was lost with that, so callers that repeat had nothing to go by and came back at once. Change: the answer keeps the Retry-After of the refusal. Result: aCallThatMayHaveRunIsNotRefusedAsNotRun asks for the header and passes, with the other tests of PassThroughRoutesTest and CrashingPromptTest; the check was not run on the code before.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -303,8 +303,10 @@
         if (call.mayHaveRun()
                 && error instanceof RefusedException refused
                 && refused.refusal().code().notRun()) {
-            String detail = refused.refusal().code() + " " + refused.refusal().detail();
-            return new RefusedException(Refusal.of(ResultCode.BACKEND_FAILED, detail.strip()));
+            Refusal refusal = refused.refusal();
+            String detail = (refusal.code() + " " + refusal.detail()).strip();
+            return new RefusedException(
+                    new Refusal(ResultCode.BACKEND_FAILED, detail, refusal.retryAfter()));
         }
         return error;
     }
