--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -210,13 +210,7 @@
         return mInterrupted
                 .asMono()
                 .publishOn(mLoop.scheduler())
-                .then(Mono.error(() -> interruptionRefusal(call)));
-    }
-
-    private static RefusedException interruptionRefusal(RelayCall call) {
-        boolean sent = call.mayHaveRun() || call.sendCount() > 0;
-        ResultCode code = sent ? ResultCode.BACKEND_FAILED : ResultCode.HOST_STOPPING;
-        return new RefusedException(Refusal.of(code, "this host is stopping"));
+                .then(Mono.error(() -> CallOutcomes.interruptionRefusal(call)));
     }
 
     private Mono<Void> relayBuffered(RelayCall call, HttpServerResponse response) {
@@ -289,34 +283,16 @@
             response.withConnection(connection -> connection.channel().close());
             return Mono.never();
         }
-        Throwable cause = error instanceof TimeoutException ? deadlineRefusal(call) : error;
+        Throwable cause =
+                error instanceof TimeoutException ? CallOutcomes.deadlineRefusal(call) : error;
         return refuse(
                 response,
                 call.headers(),
-                withTrueOutcome(call, cause),
+                CallOutcomes.withTrueOutcome(call, cause),
                 call.head().id(),
                 call.arrivedNanos());
     }
 
-    /** A refusal while the call waits for another server does not undo its earlier sends. */
-    private static Throwable withTrueOutcome(RelayCall call, Throwable error) {
-        if (call.mayHaveRun()
-                && error instanceof RefusedException refused
-                && refused.refusal().code().notRun()) {
-            Refusal refusal = refused.refusal();
-            String detail = (refusal.code() + " " + refusal.detail()).strip();
-            return new RefusedException(
-                    new Refusal(ResultCode.BACKEND_FAILED, detail, refusal.retryAfter()));
-        }
-        return error;
-    }
-
-    private static RefusedException deadlineRefusal(RelayCall call) {
-        boolean sent = call.mayHaveRun() || call.sendCount() > 0;
-        ResultCode code = sent ? ResultCode.DEADLINE_EXPIRED : ResultCode.DEADLINE_UNREACHABLE;
-        return new RefusedException(Refusal.of(code, call.route().name()));
-    }
-
     private Mono<Void> refuse(
             HttpServerResponse response,
             HttpHeaders headers,
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -8,7 +8,6 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -69,7 +68,6 @@
 
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(100);
     private static final Duration REMOVAL_TIMEOUT = Duration.ofMillis(500);
-    private static final int INCARNATION_BYTES = 8;
 
     /** Part of the rate slack; the rest covers calls that hosts admit at the same time. */
     private static final double OVERDRAFT_FRACTION = 0.4;
@@ -126,12 +124,13 @@
         mRandom =
                 RandomGeneratorFactory.of("L64X128MixRandom")
                         .create(mHost.randomSeed().orElseGet(mSecureRandom::nextLong));
-        mIncarnation = newIncarnation();
+        mIncarnation = ProcessIncarnation.create(mSecureRandom);
         mLoopMonitor = new DecisionLoopMonitor(mLoop, log);
         mStore =
                 new HealthTrackingObjectStore(
                         new MeteredObjectStore(adapters.store(), mMetrics), mLoop, log);
-        mNetwork = new RelayNetwork(self(), this::listedHosts, mLoop.clock(), log);
+        Host self = mHost.toHost();
+        mNetwork = new RelayNetwork(self, this::listedHosts, mLoop.clock(), log);
         mPeerLinks = peerLinks(List.copyOf(settings.peers().bootstrap().values()));
         mLinks = new RelayedLinks(mHost.name(), mIncarnation, mPeerLinks, mNetwork, mLoop, log);
         mRelayedStore =
@@ -157,7 +156,7 @@
         mLease = fleetLease();
         mRegistration =
                 new HostRegistration(
-                        self(), mStore, mHosts, mNetwork::liveHosts, this::evictsHosts, mLoop, log);
+                        self, mStore, mHosts, mNetwork::liveHosts, this::evictsHosts, mLoop, log);
         mLoadController = loadController(settings.placement().weightStoreParallelLoads());
         DemandReporter demandReporter = new DemandReporter(mWaitingCalls, mDirectory, mLoop);
         mExchange =
@@ -171,13 +170,7 @@
                         mLinks,
                         this::hostCount,
                         mLoop);
-        mPromptFaults =
-                new PromptFaultExchange(
-                        mLinks,
-                        new QuarantineRecord(mStore, InstantSource.system(), mLoop, log),
-                        mLoop,
-                        mRandom,
-                        log);
+        mPromptFaults = promptFaults();
         mRelay = callRelay(selector, demandReporter);
         mHttpServers = httpServers();
     }
@@ -234,12 +227,6 @@
         return true;
     }
 
-    private String newIncarnation() {
-        byte[] incarnation = new byte[INCARNATION_BYTES];
-        mSecureRandom.nextBytes(incarnation);
-        return HexFormat.of().formatHex(incarnation);
-    }
-
     private NettyPeerLinks peerLinks(List<InetSocketAddress> bootstrap) {
         return new NettyPeerLinks(
                 mHost.name(),
@@ -257,16 +244,6 @@
                 mLog);
     }
 
-    private Host self() {
-        InetSocketAddress address = mHost.peerAddress();
-        return new Host(
-                mHost.name(),
-                mHost.failureDomain(),
-                address.getHostString() + ":" + address.getPort(),
-                false,
-                mHost.linkMegabits());
-    }
-
     private FleetLease fleetLease() {
         return new FleetLease(
                 mHost.name(),
@@ -304,6 +281,12 @@
                 mLog);
     }
 
+    private PromptFaultExchange promptFaults() {
+        QuarantineRecord quarantined =
+                new QuarantineRecord(mStore, InstantSource.system(), mLoop, mLog);
+        return new PromptFaultExchange(mLinks, quarantined, mLoop, mRandom, mLog);
+    }
+
     private CallRelay callRelay(ServerSelector selector, DemandReporter demandReporter) {
         CallSender sender =
                 new CallSender(
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/HostSettings.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/HostSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.OptionalLong;
 import org.vanillaslip.FailureDomain;
+import org.vanillaslip.Host;
 
 /**
  * Section {@code [host]}.
@@ -23,4 +24,11 @@
         Duration shutdownDelay,
         Duration shutdownTimeout,
         double linkMegabits,
-        OptionalLong randomSeed) {}
+        OptionalLong randomSeed) {
+
+    /** Returns this host as other hosts see it while it runs. */
+    public Host toHost() {
+        String address = peerAddress.getHostString() + ":" + peerAddress.getPort();
+        return new Host(name, failureDomain, address, false, linkMegabits);
+    }
+}
