--- a/review/standins/Run.java
+++ b/review/standins/Run.java
@@ -142,6 +142,15 @@
         }
     }
 
+    /** Starts a stand-in as a process of its own. */
+    Process process(String mainClass, String... arguments) throws IOException {
+        List<String> words = new ArrayList<>(List.of("java", "-Xmx64m", "-cp", System.getProperty("java.class.path"), mainClass));
+        words.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(words).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+        processes.add(process);
+        return process;
+    }
+
     Daemon daemon(String name, String zone, Store store) throws IOException {
         return new Daemon(name, zone, store.port());
     }
