--- a/review/standins/StuckProbe.java
+++ b/review/standins/StuckProbe.java
@@ -16,9 +16,9 @@
     private static final double FAILING_SHARE = 0.4;
     /** Longest srv_grey of the site file. */
     private static final long EPISODE_MILLIS = 6500;
-    private static final long EPISODE_PERIOD = 8000;
+    private static final long EPISODE_PERIOD = 7000;
     private static final int EPISODES = 4;
-    private static final long FIRST_EPISODE = 2000;
+    private static final long FIRST_EPISODE = 500;
     private static final long LAST_END = FIRST_EPISODE + EPISODE_PERIOD * (EPISODES - 1) + EPISODE_MILLIS;
     private static final long END = 100_000;
     private static final long MILLIS_BETWEEN = 50;
@@ -66,7 +66,7 @@
             String phase = time > LAST_END + 3000 ? " later" : " until then";
             String id = "q" + number;
             int draw = number % 5 != 0 ? -1 : random.nextInt(100);
-            boolean lasting = random.nextBoolean();
+            boolean lasting = random.nextInt(3) > 0;
             pool.submit(() -> count(request(run, host.port, id, draw, lasting), phase));
             Thread.sleep(MILLIS_BETWEEN);
         }
@@ -97,7 +97,7 @@
 
     /** Returns the kind of the request, and whether it was served. */
     private static String request(Run run, int port, String id, int draw, boolean lasting) {
-        String kind = draw < 0 ? "quote" : draw < 30 ? "booking" : draw < 50 ? "lookup" : "plan";
+        String kind = draw < 0 ? "quote" : draw < 25 ? "booking" : draw < 40 ? "lookup" : "plan";
         Client.Result result =
                 switch (kind) {
                     case "quote" -> Client.once(port, run, id, "POST", "/quick/" + id,
