Keep one odd server entry from ending the server list

Cause: Duration.ofMillis(..).toNanos() in FleetMember throws ArithmeticException for such a time. Only IllegalArgumentException was expected, so the exception left FleetDirectory.listed, which had noted the list as read, and ended the list in CollectionFollower, which had no handler for errors: no list and no watch followed.

--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
@@ -45,6 +45,10 @@
     private final CollectionListener mListener;
     private final Backoff mBackoff;
     private final Backoff mListBackoff;
+
+    /** Slow even where retries are fast, because the platform is not the one that fails. */
+    private final Backoff mFaultBackoff;
+
     private final Disposable.Swap mCall = Disposables.swap();
     private final Disposable.Swap mRetry = Disposables.swap();
     private final Disposable.Swap mPeriodicList = Disposables.swap();
@@ -83,6 +87,7 @@
         mLog = log;
         mListener = listener;
         mBackoff = new Backoff(INITIAL_RETRY_DELAY, maxDelay, random);
+        mFaultBackoff = new Backoff(INITIAL_RETRY_DELAY, MAX_RETRY_DELAY, random);
         mListBackoff = new Backoff(INITIAL_RETRY_DELAY, MAX_LIST_RETRY_DELAY, random);
     }
 
@@ -97,7 +102,10 @@
     }
 
     private void startWatching(ObjectList list) {
-        deliver(list);
+        if (!deliver(list)) {
+            listAfterFault();
+            return;
+        }
         schedulePeriodicList();
         watch();
     }
@@ -109,17 +117,45 @@
                         .subscribe(this::deliver, this::onWatchFailed, this::onWatchCompleted));
     }
 
-    private void deliver(ObjectList list) {
+    /** Returns whether the listener has applied the list. */
+    private boolean deliver(ObjectList list) {
+        try {
+            mListener.listed(list);
+        } catch (RuntimeException fault) {
+            logListenerFailed(list.version(), fault);
+            return false;
+        }
+        mFaultBackoff.reset();
         mWatchPosition = Math.max(mWatchPosition, list.version());
-        mListener.listed(list);
+        return true;
     }
 
     private void deliver(WatchEvent event) {
+        try {
+            mListener.changed(event);
+        } catch (RuntimeException fault) {
+            logListenerFailed(event.object().version(), fault);
+            // Resuming the watch would deliver the same change again, so a list replaces it.
+            mCall.update(Disposables.disposed());
+            listAfterFault();
+            return;
+        }
         mBackoff.reset();
-        mListener.changed(event);
         mWatchPosition = Math.max(mWatchPosition, event.object().version());
     }
 
+    private void listAfterFault() {
+        mRetry.update(schedule(this::listThenWatch, mFaultBackoff.nextDelay()));
+    }
+
+    private void logListenerFailed(long version, RuntimeException fault) {
+        mLog.log(
+                ConfigurationEvent.LISTENER_FAILED,
+                field("collection", mCollection),
+                field("version", version),
+                field("cause", fault.toString()));
+    }
+
     private void onWatchFailed(Throwable cause) {
         if (cause instanceof PlatformException failure
                 && failure.failure() == PlatformFailure.GONE) {
@@ -163,8 +199,11 @@
     }
 
     private void onPeriodicList(ObjectList list) {
+        if (!deliver(list)) {
+            retryPeriodicList();
+            return;
+        }
         mListBackoff.reset();
-        deliver(list);
         schedulePeriodicList();
     }
 
@@ -175,15 +214,16 @@
     private Disposable list(Consumer<ObjectList> onList, Runnable onFailure) {
         return mStore.list(mCollection)
                 .defaultIfEmpty(Either.left(PlatformFailure.UNAVAILABLE))
-                .onErrorReturn(Either.left(PlatformFailure.UNAVAILABLE))
                 .publishOn(mLoop.scheduler())
                 .subscribe(
                         result ->
                                 result.peek(onList)
-                                        .peekLeft(failure -> onListFailed(failure, onFailure)));
+                                        .peekLeft(
+                                                failure -> onListFailed(failure.name(), onFailure)),
+                        error -> onListFailed(error.toString(), onFailure));
     }
 
-    private void onListFailed(PlatformFailure failure, Runnable onFailure) {
+    private void onListFailed(String failure, Runnable onFailure) {
         mLog.log(
                 ConfigurationEvent.LIST_FAILED,
                 field("collection", mCollection),
--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationEvent.java
@@ -17,7 +17,9 @@
     PEER_ITEM_UNREADABLE(206, WARNING, "A configuration item from a peer cannot be read."),
     PEER_NOT_REACHED(207, DEBUG, "A peer did not answer a configuration digest."),
     HOSTS_CHANGED(208, INFO, "The list of hosts changed."),
-    HOST_UNREADABLE(209, WARNING, "Ignoring an entry of the host list that cannot be read.");
+    HOST_UNREADABLE(209, WARNING, "Ignoring an entry of the host list that cannot be read."),
+    LISTENER_FAILED(
+            210, WARNING, "A list or change could not be applied; the collection is listed again.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/DrainFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/DrainFollower.java
@@ -38,13 +38,13 @@
 
     @Override
     public void listed(ObjectList list) {
-        mListed = true;
         Set<FailureDomain> listed =
                 list.objects().stream().map(mCollections::drained).collect(Collectors.toSet());
         Set.copyOf(mDrained).stream()
                 .filter(domain -> !listed.contains(domain))
                 .forEach(this::returnToService);
         listed.forEach(this::drain);
+        mListed = true;
     }
 
     @Override
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -146,10 +146,6 @@
 
     @Override
     public void listed(ObjectList list) {
-        if (!mListed) {
-            mListed = true;
-            mFirstListedAt = mLoop.clock().nowNanos();
-        }
         Set<String> names =
                 list.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
         List.copyOf(mMembers.keySet()).stream()
@@ -158,6 +154,10 @@
         list.objects().forEach(this::update);
         mVersions.keySet().removeIf(name -> !names.contains(name) && !mMembers.containsKey(name));
         changed();
+        if (!mListed) {
+            mListed = true;
+            mFirstListedAt = mLoop.clock().nowNanos();
+        }
     }
 
     @Override
@@ -178,17 +178,20 @@
             return;
         }
         mVersions.put(object.name(), object.version());
-        mCollections
-                .server(object)
-                .peek(this::register)
-                .peekLeft(
-                        fault -> {
-                            mLog.log(
-                                    FleetEvent.SERVER_UNREADABLE,
-                                    field("object", object.name()),
-                                    field("fault", fault));
-                            remove(object.name(), "unreadable entry");
-                        });
+        try {
+            mCollections
+                    .server(object)
+                    .peek(this::register)
+                    .peekLeft(fault -> removeUnreadable(object.name(), fault));
+        } catch (RuntimeException fault) {
+            // Any writer can add entries, and one of them must not hide the entries after it.
+            removeUnreadable(object.name(), fault.toString());
+        }
+    }
+
+    private void removeUnreadable(String name, String fault) {
+        mLog.log(FleetEvent.SERVER_UNREADABLE, field("object", name), field("fault", fault));
+        remove(name, "unreadable entry");
     }
 
     private void register(RegisteredServer entry) {
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -36,7 +36,9 @@
             WARNING,
             "The clocks of this host advanced differently; no orders are sent until a renewal."),
     REGISTRATION_FAILED(549, WARNING, "The host list could not be updated."),
-    ORDER_UNANSWERED(550, DEBUG, "A backend server did not answer an order.");
+    ORDER_UNANSWERED(550, DEBUG, "A backend server did not answer an order."),
+    LEASE_FAULT(
+            551, WARNING, "An answer about the lease could not be processed; it is read again.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -193,6 +193,11 @@
         }
     }
 
+    private void handleFault(Throwable fault) {
+        mCallInFlight = false;
+        mLog.log(FleetEvent.LEASE_FAULT, field("cause", fault.toString()));
+    }
+
     private Duration readInterval() {
         return mIsCandidate.getAsBoolean() ? READ_INTERVAL : NON_CANDIDATE_READ_INTERVAL;
     }
@@ -202,7 +207,7 @@
         mReadAt = now();
         mStore.readRecent(PlatformCollections.CONTROL_SHARDS, NAME)
                 .publishOn(mLoop.scheduler())
-                .subscribe(this::read, error -> mCallInFlight = false, () -> mCallInFlight = false);
+                .subscribe(this::read, this::handleFault, () -> mCallInFlight = false);
     }
 
     private void read(Either<PlatformFailure, StoredObject> result) {
@@ -262,7 +267,7 @@
                 .publishOn(mLoop.scheduler())
                 .subscribe(
                         result -> handleWritten(result, record, sentAt, sentAtWallMillis),
-                        error -> mCallInFlight = false,
+                        this::handleFault,
                         () -> mCallInFlight = false);
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -27,6 +27,9 @@
     /** A report takes precedence over registrations for this long. */
     private static final long REPORT_VALID_NANOS = Duration.ofSeconds(3).toNanos();
 
+    /** Far more than any server runs; sums with it do not overflow. */
+    private static final int MAX_OTHER_CALLS = 1_000_000;
+
     private final ServerHealth mHealth = new ServerHealth();
     private final ColdServerRateLimiter mColdRateLimiter = new ColdServerRateLimiter();
     private final Map<String, Integer> mOwnCallsByModel = new HashMap<>();
@@ -121,7 +124,8 @@
      */
     void applyReport(ServerLoadReport report, boolean newer, long nowNanos) {
         mReportedAt = nowNanos;
-        mOtherCalls = Math.max(0, report.running() + report.queued() - mOwnCalls);
+        long calls = (long) report.running() + report.queued() - mOwnCalls;
+        mOtherCalls = (int) Math.max(0, Math.min(MAX_OTHER_CALLS, calls));
         if (predatesAssumedEnd(report.modelState(), nowNanos)) {
             return;
         }
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/RegisteredServer.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/RegisteredServer.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.fleet;
 
+import java.time.Duration;
 import java.util.OptionalLong;
 import org.vanillaslip.FailureDomain;
 
@@ -26,6 +27,19 @@
         long remainingColdMillis,
         ServerModelState modelState) {
 
+    /** Longer than any server warms up, and short enough for any unit of time. */
+    public static final Duration MAX_REMAINING_COLD = Duration.ofDays(1);
+
+    public RegisteredServer {
+        if (remainingColdMillis < 0 || remainingColdMillis > MAX_REMAINING_COLD.toMillis()) {
+            throw new IllegalArgumentException(
+                    "remaining cold time is "
+                            + remainingColdMillis
+                            + " ms, not between 0 and "
+                            + MAX_REMAINING_COLD.toMillis());
+        }
+    }
+
     /** Returns this registration with an announced shutdown. */
     public RegisteredServer asLeaving() {
         return new RegisteredServer(
