End the probe of a paused server when its call ends

Cause: a paused server gets one call as a probe, and ServerHealth held back all others until a result of it was recorded. A call that is cancelled, as its deadline passed or its caller left, has no result: CallSender recorded results on success and on errors only.

A reserved slot is now an object that is released once, on any signal, and that knows whether its call is the probe; a probe also ends by time, after the longest pause. The pause of a server (event 527, documented but never written) and a probe without a result (531) are logged. Same cause elsewhere: a report without a body left an engine marked as being polled.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -23,6 +23,8 @@
             INFO,
             "An entry shows a server in service that announced its shutdown before; it gets no new"
                     + " calls."),
+    PROBE_WITHOUT_RESULT(
+            531, INFO, "The probe of a paused backend server was cancelled; the next call probes."),
     LEASE_TAKEN(540, INFO, "This host acquired the lease and orders loads from now on."),
     LEASE_LOST(541, WARNING, "This host lost the lease and no longer orders loads."),
     LEASE_WRITE_FAILED(542, WARNING, "The lease on orders could not be written."),
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -218,19 +218,19 @@
         return nowNanos - mColdUntil < 0;
     }
 
-    /** Records a call that is about to be sent. */
-    public void recordCallStart(
+    /** Reserves a request slot for a call that is about to be sent. */
+    RequestSlot reserveSlot(
             Optional<ModelName> model, double coldPerSecond, int hosts, long nowNanos) {
         mOwnCalls++;
-        mHealth.recordSent();
         model.ifPresent(name -> mOwnCallsByModel.merge(name.model(), 1, Integer::sum));
         if (isCold(nowNanos) && coldPerSecond > 0) {
             mColdRateLimiter.recordCall(coldPerSecond, hosts, nowNanos);
         }
+        return new RequestSlot(this, model, mHealth.recordSent(nowNanos));
     }
 
     /** Records the end of a call. */
-    public void recordCallEnd(Optional<ModelName> model) {
+    void recordCallEnd(Optional<ModelName> model) {
         mOwnCalls--;
         model.ifPresent(
                 name ->
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ReportPoller.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ReportPoller.java
@@ -112,6 +112,7 @@
         }
         mPolledAt.put(member.instance(), now());
         mEngines.requestReport(member.registered())
+                .defaultIfEmpty(Either.left("The engine sent no report."))
                 .publishOn(mLoop.scheduler())
                 .subscribe(
                         result -> handleResult(member, result),
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -47,8 +47,8 @@
         mRandom = random;
     }
 
-    /** Returns a server with a reserved request slot, or empty if none is available. */
-    public Optional<FleetMember> reserveServer(ServerRequest request) {
+    /** Reserves a request slot, or returns empty if none is available. */
+    public Optional<RequestSlot> reserveSlot(ServerRequest request) {
         long now = mLoop.clock().nowNanos();
         SuspectedDomains suspected = new SuspectedDomains();
         for (FleetMember member : mDirectory.inService(request.target().pool())) {
@@ -68,28 +68,23 @@
                                                 available.stream()
                                                         .map(FleetMember::instance)
                                                         .toList()));
-        Optional<FleetMember> chosen =
-                ServerRanking.best(
-                                available.stream()
-                                        .map(
-                                                member ->
-                                                        toRankedServer(
-                                                                member,
-                                                                affinityInstance,
-                                                                suspected,
-                                                                now))
-                                        .toList(),
-                                mHosts.getAsInt(),
-                                mRandom)
-                        .flatMap(choice -> mDirectory.member(choice.instance()));
-        chosen.ifPresent(
-                member ->
-                        member.recordCallStart(
-                                request.target().model(),
-                                coldCallsPerSecond(request.target().pool()),
-                                mHosts.getAsInt(),
-                                now));
-        return chosen;
+        return ServerRanking.best(
+                        available.stream()
+                                .map(
+                                        member ->
+                                                toRankedServer(
+                                                        member, affinityInstance, suspected, now))
+                                .toList(),
+                        mHosts.getAsInt(),
+                        mRandom)
+                .flatMap(choice -> mDirectory.member(choice.instance()))
+                .map(
+                        member ->
+                                member.reserveSlot(
+                                        request.target().model(),
+                                        coldCallsPerSecond(request.target().pool()),
+                                        mHosts.getAsInt(),
+                                        now));
     }
 
     /** Returns the servers in service that can serve the target, including those at capacity. */
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCall.java
@@ -17,4 +17,4 @@
         long objectiveNanos,
         long deadlineNanos,
         long enqueuedNanos,
-        MonoSink<FleetMember> sink) {}
+        MonoSink<RequestSlot> sink) {}
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -63,17 +63,17 @@
         mOnModelMissing = listener;
     }
 
-    /** Returns a server with a reserved request slot, as soon as there is one. */
-    public Mono<FleetMember> awaitServer(ServerRequest request, WaitBounds bounds) {
-        return Mono.create(sink -> awaitServer(request, bounds, sink));
+    /** Reserves a request slot as soon as there is one. */
+    public Mono<RequestSlot> awaitSlot(ServerRequest request, WaitBounds bounds) {
+        return Mono.create(sink -> awaitSlot(request, bounds, sink));
     }
 
-    private void awaitServer(ServerRequest request, WaitBounds bounds, MonoSink<FleetMember> sink) {
+    private void awaitSlot(ServerRequest request, WaitBounds bounds, MonoSink<RequestSlot> sink) {
         List<WaitingCall> queue = mWaiting.get(request.target());
         if (queue == null || queue.isEmpty()) {
-            Optional<FleetMember> member = mSelector.reserveServer(request);
-            if (member.isPresent()) {
-                sink.success(member.get());
+            Optional<RequestSlot> slot = mSelector.reserveSlot(request);
+            if (slot.isPresent()) {
+                sink.success(slot.get());
                 return;
             }
         }
@@ -125,10 +125,10 @@
     private void dispatch(CallTarget target) {
         List<WaitingCall> queue = mWaiting.getOrDefault(target, List.of());
         for (WaitingCall call : List.copyOf(queue)) {
-            Optional<FleetMember> member = mSelector.reserveServer(call.request());
-            if (member.isPresent()) {
+            Optional<RequestSlot> slot = mSelector.reserveSlot(call.request());
+            if (slot.isPresent()) {
                 remove(call);
-                call.sink().success(member.get());
+                call.sink().success(slot.get());
             } else if (call.request().failedServers().isEmpty()) {
                 return;
             }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeoutException;
 import org.vanillaslip.internal.fleet.FleetMember;
+import org.vanillaslip.internal.fleet.RequestSlot;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.CallKind;
 import reactor.core.Disposable;
@@ -70,8 +71,8 @@
     }
 
     private Mono<BufferedResponse> attempt(RelayCall call) {
-        return mSender.acquireServer(call, MIN_RUN_TIME)
-                .flatMap(server -> send(call, server))
+        return mSender.acquireSlot(call, MIN_RUN_TIME)
+                .flatMap(slot -> send(call, slot))
                 .onErrorResume(
                         SendFailedException.class,
                         failure ->
@@ -80,11 +81,12 @@
                                         : Mono.error(mSender.refusal(call, failure)));
     }
 
-    private Mono<BufferedResponse> send(RelayCall call, FleetMember server) {
+    private Mono<BufferedResponse> send(RelayCall call, RequestSlot slot) {
+        FleetMember server = slot.server();
         Flux<BufferedResponse> responses =
                 mSender.send(
                         call,
-                        server,
+                        slot,
                         OptionalLong.empty(),
                         (response, chunks) -> bufferResponse(call, server, response, chunks));
         if (!call.allowsAnotherRun()) {
@@ -100,7 +102,7 @@
                         error -> {
                             call.recordPossibleRun();
                             call.triedServers().add(server.instance());
-                            server.health().recordFailure(mLoop.clock().nowNanos());
+                            mSender.recordFailure(call, server);
                             return new SendFailedException(
                                     SendFailureKind.UNKNOWN, "no response in time");
                         });
@@ -126,7 +128,7 @@
                                                 SendFailureKind.UNKNOWN, "status " + status));
                             }
                             if (failed) {
-                                server.health().recordFailure(mLoop.clock().nowNanos());
+                                mSender.recordFailure(call, server);
                             } else {
                                 server.health().recordSuccess(mLoop.clock().nowNanos());
                             }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -12,7 +12,9 @@
 import org.reactivestreams.Publisher;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
+import org.vanillaslip.internal.fleet.FleetEvent;
 import org.vanillaslip.internal.fleet.FleetMember;
+import org.vanillaslip.internal.fleet.RequestSlot;
 import org.vanillaslip.internal.fleet.ServerSelector;
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.gateway.RefusedException;
@@ -23,6 +25,7 @@
 import org.vanillaslip.internal.serving.WorkspacePolicy;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.SignalType;
 import reactor.netty.http.client.HttpClientResponse;
 
 /** Sends calls to backend servers and decides whether a failed send is retried. */
@@ -60,7 +63,7 @@
     }
 
     /** Waits for a server with a free request slot and reserves that slot for the call. */
-    Mono<FleetMember> acquireServer(RelayCall call, Duration minRunTime) {
+    Mono<RequestSlot> acquireSlot(RelayCall call, Duration minRunTime) {
         return Mono.defer(
                 () -> {
                     mPromptFaults.checkParts(call.sharedPromptParts());
@@ -68,21 +71,22 @@
                             .allMatch(server -> call.triedServers().contains(server.instance()))) {
                         call.triedServers().clear();
                     }
-                    return mWaitingCalls.awaitServer(
+                    return mWaitingCalls.awaitSlot(
                             call.serverRequest(), call.waitBounds(minRunTime));
                 });
     }
 
     /**
-     * Sends the call to the server and releases the reserved request slot at the end.
+     * Sends the call to the server of the reserved request slot and releases the slot at the end.
      *
      * @param resumeAfter id of the last event that the caller has received
      */
     <T> Flux<T> send(
             RelayCall call,
-            FleetMember server,
+            RequestSlot slot,
             OptionalLong resumeAfter,
             BiFunction<HttpClientResponse, Flux<byte[]>, Publisher<T>> onResponse) {
+        FleetMember server = slot.server();
         return Flux.defer(
                         () -> {
                             call.recordSend(server.instance());
@@ -111,7 +115,32 @@
                                                             onResponse))
                                     .doOnError(error -> recordSendFailure(call, server, error));
                         })
-                .doFinally(signal -> server.recordCallEnd(call.target().model()));
+                .doFinally(signal -> release(call, slot, signal));
+    }
+
+    private void release(RelayCall call, RequestSlot slot, SignalType signal) {
+        if (slot.release()) {
+            mLog.log(
+                    FleetEvent.PROBE_WITHOUT_RESULT,
+                    field("server", slot.server().instance()),
+                    field("request", call.head().id()),
+                    field("ended_by", signal));
+        }
+    }
+
+    /** Records a failed call in the health of the server. */
+    void recordFailure(RelayCall call, FleetMember server) {
+        if (server.health().recordFailure(now())) {
+            logPaused(call, server, "failed");
+        }
+    }
+
+    private void logPaused(RelayCall call, FleetMember server, String cause) {
+        mLog.log(
+                FleetEvent.SERVER_PAUSED,
+                field("server", server.instance()),
+                field("request", call.head().id()),
+                field("cause", cause));
     }
 
     /** Records that the server of the last send began to answer. */
@@ -189,11 +218,15 @@
         }
         call.triedServers().add(server.instance());
         switch (failure.kind()) {
-            case UNREACHED -> server.health().recordUnreachable(now());
+            case UNREACHED -> {
+                if (server.health().recordUnreachable(now())) {
+                    logPaused(call, server, "unreachable");
+                }
+            }
             case NOT_RUN -> server.health().recordInconclusive();
             case UNKNOWN -> {
                 call.recordPossibleRun();
-                server.health().recordFailure(now());
+                recordFailure(call, server);
                 if (failure.isConnectionLost() && !call.hasAnswerBegun()) {
                     mPromptFaults.recordUnanswered(
                             server.startId(), call.head().id(), call.sharedPromptParts());
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -13,6 +13,7 @@
 import org.reactivestreams.Publisher;
 import org.vanillaslip.internal.backend.forward.SilenceTimeout;
 import org.vanillaslip.internal.fleet.FleetMember;
+import org.vanillaslip.internal.fleet.RequestSlot;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.stream.EventFramer;
@@ -93,18 +94,18 @@
     }
 
     private Flux<byte[]> connect() {
-        return mSender.acquireServer(mCall, MIN_RUN_TIME)
+        return mSender.acquireSlot(mCall, MIN_RUN_TIME)
                 .flatMapMany(this::receive)
                 .onErrorResume(SendFailedException.class, this::resumeOrFail);
     }
 
-    private Flux<byte[]> receive(FleetMember server) {
+    private Flux<byte[]> receive(RequestSlot slot) {
         EventFramer framer = new EventFramer();
         return mSender.send(
                 mCall,
-                server,
+                slot,
                 mLastEventId,
-                (response, chunks) -> readResponse(server, response, chunks, framer));
+                (response, chunks) -> readResponse(slot.server(), response, chunks, framer));
     }
 
     private Publisher<byte[]> readResponse(
@@ -125,7 +126,7 @@
                             BodyFraming.of(response.responseHeaders()));
         }
         if (!success) {
-            server.health().recordFailure(mLoop.clock().nowNanos());
+            mSender.recordFailure(mCall, server);
             return chunks;
         }
         ResponseMemoryLimit.Reservation reservation = mMemoryLimit.newReservation();
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
@@ -38,6 +38,7 @@
     final List<String> mViolations = new ArrayList<>();
     final Map<String, Engine> mEngines = new HashMap<>();
     private final Random mRandom;
+    boolean mSendsEmptyReports;
     double mLostAnswerProbability;
     double mLateOrderProbability;
     int mMaxLateMillis = 4000;
@@ -259,6 +260,8 @@
     @Override
     public Mono<Either<String, ServerLoadReport>> requestReport(RegisteredServer server) {
         Engine engine = mEngines.get(server.instance());
-        return Mono.delay(NETWORK_DELAY, mScheduler).map(tick -> Either.right(engine.report()));
+        return Mono.delay(NETWORK_DELAY, mScheduler)
+                .filter(tick -> !mSendsEmptyReports)
+                .map(tick -> Either.right(engine.report()));
     }
 }
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDispatcherTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDispatcherTest.java
@@ -49,6 +49,22 @@
         assertThat(mSimulation.mViolations).isEmpty();
     }
 
+    /** Guards against an engine that is never polled again after one report without a body. */
+    @Test
+    void anEngineThatSendsAnEmptyReportIsPolledAgain() {
+        start(1);
+        mSimulation.mSendsEmptyReports = true;
+        run(Duration.ofSeconds(2));
+        mSimulation.mSendsEmptyReports = false;
+        mSimulation.mEngines.values().forEach(EngineSimulation.Engine::restart);
+        listEngines();
+        run(Duration.ofSeconds(1));
+        requestModels("m9");
+        run(Duration.ofSeconds(4));
+
+        assertThat(isLoadedOnAnyEngine("m9")).isTrue();
+    }
+
     /** An unanswered order may have been accepted or not; both cases are resolved. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
@@ -157,11 +157,11 @@
     private void submitCall() {
         long now = mLoop.clock().nowNanos();
         long deadline = now + CALLER_TIMEOUT.toNanos();
-        mQueue.awaitServer(
+        mQueue.awaitSlot(
                         new ServerRequest("c", TARGET, List.of(), Optional.empty(), Set.of()),
                         new WaitBounds(1, deadline, deadline))
                 .subscribe(
-                        member -> mOutcomes.add(member.instance()),
+                        slot -> mOutcomes.add(slot.server().instance()),
                         error -> mOutcomes.add("refused"));
     }
 
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/ServerHealth.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/ServerHealth.java
@@ -11,6 +11,15 @@
     private static final long INITIAL_PAUSE_NANOS = Duration.ofMillis(400).toNanos();
     private static final long MAX_PAUSE_NANOS = Duration.ofSeconds(3).toNanos();
 
+    /** Number of a call that is no probe. */
+    private static final long NO_PROBE = 0;
+
+    /**
+     * A probe without a result holds back further ones for this long only, so that a server is used
+     * again even if the end of the probe is never recorded.
+     */
+    private static final long MAX_PROBE_NANOS = MAX_PAUSE_NANOS;
+
     /** Consecutive failures after which a server that accepts connections is paused. */
     private static final int CONSECUTIVE_FAILURE_LIMIT = 2;
 
@@ -26,7 +35,9 @@
     private double mFailureRate;
     private long mPauseNanos = INITIAL_PAUSE_NANOS;
     private long mPausedUntilNanos = Long.MIN_VALUE;
-    private boolean mProbeInFlight;
+    private long mProbe = NO_PROBE;
+    private long mLastProbe = NO_PROBE;
+    private long mProbeSentAtNanos;
     private long mUnreachableAtNanos = Long.MIN_VALUE;
     private long mSucceededAtNanos = Long.MIN_VALUE;
 
@@ -35,7 +46,8 @@
         if (mPausedUntilNanos == Long.MIN_VALUE) {
             return true;
         }
-        return nowNanos - mPausedUntilNanos >= 0 && !mProbeInFlight;
+        boolean probing = mProbe != NO_PROBE && nowNanos - mProbeSentAtNanos < MAX_PROBE_NANOS;
+        return nowNanos - mPausedUntilNanos >= 0 && !probing;
     }
 
     /** Returns whether the server is paused after consecutive failures without a later success. */
@@ -55,15 +67,38 @@
         return mSucceededAtNanos != Long.MIN_VALUE && nowNanos - mSucceededAtNanos < RECENT_NANOS;
     }
 
-    /** Records that a call is sent; to a paused server it is a probe. */
-    public void recordSent() {
-        mProbeInFlight = mPausedUntilNanos != Long.MIN_VALUE;
+    /**
+     * Records that a call is sent; to a paused server it is a probe.
+     *
+     * @return number of the call for {@link #recordEnd}
+     */
+    public long recordSent(long nowNanos) {
+        if (mPausedUntilNanos == Long.MIN_VALUE) {
+            return NO_PROBE;
+        }
+        mProbe = ++mLastProbe;
+        mProbeSentAtNanos = nowNanos;
+        return mProbe;
+    }
+
+    /**
+     * Records that a call has ended, with or without a result. A call ends without one if it is
+     * cancelled: its deadline has passed, or its caller has disconnected.
+     *
+     * @return whether it was a probe without a result
+     */
+    public boolean recordEnd(long call) {
+        boolean withoutResult = call != NO_PROBE && call == mProbe;
+        if (withoutResult) {
+            mProbe = NO_PROBE;
+        }
+        return withoutResult;
     }
 
     /** Records a successful call. */
     public void recordSuccess(long nowNanos) {
         mSucceededAtNanos = nowNanos;
-        mProbeInFlight = false;
+        mProbe = NO_PROBE;
         mUnreachableAtNanos = Long.MIN_VALUE;
         mConsecutiveFailures = 0;
         mFailureRate *= 1 - FAILURE_RATE_WEIGHT;
@@ -75,34 +110,35 @@
 
     /** Records that a call ended without evidence about the health of the server. */
     public void recordInconclusive() {
-        mProbeInFlight = false;
+        mProbe = NO_PROBE;
     }
 
-    /** Records a call that failed after it was sent. */
-    public void recordFailure(long nowNanos) {
+    /** Records a call that failed after it was sent; returns whether a pause has begun. */
+    public boolean recordFailure(long nowNanos) {
         mFailureRate = mFailureRate * (1 - FAILURE_RATE_WEIGHT) + FAILURE_RATE_WEIGHT;
         mConsecutiveFailures++;
-        if (mProbeInFlight
-                || mConsecutiveFailures >= CONSECUTIVE_FAILURE_LIMIT
-                || mFailureRate >= FAILURE_RATE_LIMIT) {
-            pause(nowNanos);
-        }
-        mProbeInFlight = false;
+        boolean pauses =
+                mProbe != NO_PROBE
+                        || mConsecutiveFailures >= CONSECUTIVE_FAILURE_LIMIT
+                        || mFailureRate >= FAILURE_RATE_LIMIT;
+        mProbe = NO_PROBE;
+        return pauses && pause(nowNanos);
     }
 
-    /** Records that no connection could be established. */
-    public void recordUnreachable(long nowNanos) {
+    /** Records that no connection could be established; returns whether a pause has begun. */
+    public boolean recordUnreachable(long nowNanos) {
         mConsecutiveFailures++;
-        mProbeInFlight = false;
+        mProbe = NO_PROBE;
         mUnreachableAtNanos = nowNanos;
-        pause(nowNanos);
+        return pause(nowNanos);
     }
 
-    private void pause(long nowNanos) {
+    private boolean pause(long nowNanos) {
         boolean paused = mPausedUntilNanos != Long.MIN_VALUE && nowNanos - mPausedUntilNanos < 0;
         if (!paused) {
             mPausedUntilNanos = nowNanos + mPauseNanos;
             mPauseNanos = Math.min(MAX_PAUSE_NANOS, mPauseNanos * 2);
         }
+        return !paused;
     }
 }
--- a/decisions/src/test/java/org/vanillaslip/internal/routing/ServerSelectionTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/routing/ServerSelectionTest.java
@@ -48,16 +48,50 @@
 
         assertThat(mHealth.usable(100 * MILLI)).isFalse();
         assertThat(mHealth.usable(500 * MILLI)).isTrue();
-        mHealth.recordSent();
+        mHealth.recordSent(500 * MILLI);
         assertThat(mHealth.usable(501 * MILLI)).isFalse();
         mHealth.recordSuccess(0);
         assertThat(mHealth.usable(502 * MILLI)).isTrue();
     }
 
+    /** Guards against a server that is never used again, as no result of its probe ever comes. */
+    @Test
+    void aProbeWithoutAResultHoldsBackOthersForALimitedTimeOnly() {
+        mHealth.recordUnreachable(0);
+        mHealth.recordSent(500 * MILLI);
+
+        assertThat(mHealth.usable(3400 * MILLI)).isFalse();
+        assertThat(mHealth.usable(3500 * MILLI)).isTrue();
+        mHealth.recordSent(3500 * MILLI);
+        assertThat(mHealth.usable(3501 * MILLI)).isFalse();
+    }
+
+    @Test
+    void aProbeThatEndsWithoutAResultIsFollowedByAnother() {
+        mHealth.recordUnreachable(0);
+        long probe = mHealth.recordSent(500 * MILLI);
+        mHealth.recordEnd(probe);
+
+        assertThat(mHealth.usable(501 * MILLI)).isTrue();
+        mHealth.recordSent(501 * MILLI);
+        assertThat(mHealth.usable(502 * MILLI)).isFalse();
+    }
+
+    /** Guards against one probe for each call that a hanging server still had. */
+    @Test
+    void theEndOfAnotherCallDoesNotEndTheProbe() {
+        long earlierCall = mHealth.recordSent(0);
+        mHealth.recordUnreachable(0);
+        mHealth.recordSent(500 * MILLI);
+        mHealth.recordEnd(earlierCall);
+
+        assertThat(mHealth.usable(501 * MILLI)).isFalse();
+    }
+
     @Test
     void aServerThatFailsItsProbeIsPausedForLonger() {
         mHealth.recordUnreachable(0);
-        mHealth.recordSent();
+        mHealth.recordSent(450 * MILLI);
         mHealth.recordFailure(500 * MILLI);
 
         assertThat(mHealth.usable(1000 * MILLI)).isFalse();
