Tell an outage of the store from a host that it turns away

Cause: a removed server stays in service for 1.8 s after an outage of the store, in which entries of live servers expire. Whether there had been one was decided by failed calls of the host or of any relay of its failure domain, although other hosts were served all the while.

An outage is now a gap of two seconds in which the store answered neither this host nor a relay it hears from; no shorter one expires an entry (three heartbeats of 1.2 s). Servers are kept until 2.2 s after its end instead of 1.8 s after each removal.

--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.vanillaslip.internal.peer.PeerLinks;
 import org.vanillaslip.internal.peer.RelayNetwork;
 import org.vanillaslip.internal.platform.WatchEvent;
@@ -24,7 +23,6 @@
 
     private final Map<String, CollectionSubscription> mSubscriptions;
     private final ChangeCodec mCodec;
-    private final BooleanSupplier mStoreWasUnavailable;
     private final RelayNetwork mNetwork;
     private final PeerLinks mLinks;
     private final DecisionLoop mLoop;
@@ -33,13 +31,11 @@
     ChangeRelay(
             Map<String, CollectionSubscription> subscriptions,
             ChangeCodec codec,
-            BooleanSupplier storeWasUnavailable,
             RelayNetwork network,
             PeerLinks links,
             DecisionLoop loop) {
         mSubscriptions = subscriptions;
         mCodec = codec;
-        mStoreWasUnavailable = storeWasUnavailable;
         mNetwork = network;
         mLinks = links;
         mLoop = loop;
@@ -51,7 +47,7 @@
      */
     void sendConfirmations() {
         if (mNetwork.isRelay()) {
-            CollectionChanges.Builder changes = newMessage();
+            CollectionChanges.Builder changes = CollectionChanges.newBuilder();
             mSubscriptions.values().stream()
                     .filter(CollectionSubscription::isReadingStore)
                     .forEach(subscription -> changes.addRanges(confirmation(subscription)));
@@ -90,7 +86,7 @@
         if (mNetwork.isRelay()) {
             receivers.addAll(mNetwork.ownRelays());
         }
-        CollectionChanges.Builder changes = newMessage();
+        CollectionChanges.Builder changes = CollectionChanges.newBuilder();
         for (CollectionSubscription subscription : mSubscriptions.values()) {
             if (subscription.mStoreWatch.isPresent()) {
                 addNewChanges(subscription, changes);
@@ -124,7 +120,8 @@
         ChangeRange.Builder range =
                 ChangeRange.newBuilder().setCollection(subscription.mCollection).setLost(true);
         Envelope.Builder message =
-                Envelope.newBuilder().setCollectionChanges(newMessage().addRanges(range));
+                Envelope.newBuilder()
+                        .setCollectionChanges(CollectionChanges.newBuilder().addRanges(range));
         mNetwork.members().forEach(member -> mLinks.send(member, message));
         mNetwork.ownRelays().forEach(relay -> mLinks.send(relay, message));
     }
@@ -153,14 +150,11 @@
                                                 .build());
         mLinks.send(
                 message.getSender(),
-                Envelope.newBuilder().setCollectionChanges(newMessage().addRanges(answer)));
+                Envelope.newBuilder()
+                        .setCollectionChanges(CollectionChanges.newBuilder().addRanges(answer)));
         return Mono.empty();
     }
 
-    private CollectionChanges.Builder newMessage() {
-        return CollectionChanges.newBuilder().setStoreWasAway(mStoreWasUnavailable.getAsBoolean());
-    }
-
     private ChangeRange toRange(
             CollectionSubscription subscription, long after, List<WatchEvent> events) {
         ChangeRange.Builder range =
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
+import org.vanillaslip.internal.fleet.StoreAnswerHistory;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.peer.PeerEvent;
 import org.vanillaslip.internal.peer.PeerLinks;
@@ -49,11 +49,8 @@
     /** Added to a check's time, since timers may fire early by less than this. */
     private static final long AGE_CHECK_DELAY_NANOS = Duration.ofMillis(5).toNanos();
 
-    /** An outage of the store that a relay reported counts as recent for this long. */
-    private static final long OUTAGE_VALIDITY_NANOS = Duration.ofMillis(1000).toNanos();
-
     private final ObjectStore mStore;
-    private final BooleanSupplier mStoreWasUnavailable;
+    private final StoreAnswerHistory mAnswers;
     private final RelayNetwork mNetwork;
     private final PeerLinks mLinks;
     private final DecisionLoop mLoop;
@@ -61,30 +58,29 @@
     private final ChangeRelay mRelay;
     private final ReceivedChanges mReceivedChanges;
     private final Map<String, CollectionSubscription> mSubscriptions = new HashMap<>();
-    private long mOutageReportedAt = Long.MIN_VALUE / 2;
 
     /**
      * Creates a store that does not exchange changes until it is started.
      *
      * @param store store whose watches emit an event or a bookmark at least once a second, those of
      *     the collection of hosts every ten seconds
-     * @param storeWasUnavailable whether the store recently failed to answer this host
+     * @param answers records when the store answered a relay
      */
     public RelayedStore(
             ObjectStore store,
-            BooleanSupplier storeWasUnavailable,
+            StoreAnswerHistory answers,
             RelayNetwork network,
             PeerLinks links,
             DecisionLoop loop,
             EventLog log) {
         mStore = store;
-        mStoreWasUnavailable = storeWasUnavailable;
+        mAnswers = answers;
         mNetwork = network;
         mLinks = links;
         mLoop = loop;
         mLog = log;
         ChangeCodec codec = new ChangeCodec();
-        mRelay = new ChangeRelay(mSubscriptions, codec, storeWasUnavailable, network, links, loop);
+        mRelay = new ChangeRelay(mSubscriptions, codec, network, links, loop);
         mReceivedChanges = new ReceivedChanges(codec, links, loop);
     }
 
@@ -96,12 +92,6 @@
         mLoop.scheduler().schedulePeriodically(this::tick, period, period, TimeUnit.NANOSECONDS);
     }
 
-    /** Returns whether the store recently failed to answer this host or a relay. */
-    public boolean wasRecentlyUnavailable() {
-        return mStoreWasUnavailable.getAsBoolean()
-                || now() - mOutageReportedAt < OUTAGE_VALIDITY_NANOS;
-    }
-
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
         return mStore.read(collection, name);
@@ -296,9 +286,6 @@
             return Mono.empty();
         }
         CollectionChanges changes = message.getCollectionChanges();
-        if (changes.getStoreWasAway() && !mNetwork.isRelay()) {
-            mOutageReportedAt = now();
-        }
         for (ChangeRange range : changes.getRangesList()) {
             CollectionSubscription subscription = mSubscriptions.get(range.getCollection());
             if (subscription != null && range.getLost()) {
@@ -314,6 +301,7 @@
     private void handleRange(String relay, CollectionSubscription subscription, ChangeRange range) {
         long knownUntil = now() - TimeUnit.MILLISECONDS.toNanos(range.getAgeMillis());
         subscription.recordConfirmation(relay, knownUntil, now());
+        mAnswers.recordAnswer(knownUntil);
         if (subscription.mRelaySink.isPresent()) {
             scheduleAgeCheck(subscription);
             subscription.mRelaySink.ifPresent(sink -> applyRange(relay, subscription, sink, range));
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.vanillaslip.internal.control.configuration.CollectionListener;
@@ -25,12 +24,6 @@
 /** Directory of all listed backend servers; used on the decision loop only. */
 public final class FleetDirectory implements CollectionListener {
 
-    /**
-     * Entries that expired during a store outage are listed again within two seconds; until then a
-     * server that was in service stays in the directory without its entry.
-     */
-    static final Duration RELISTING_GRACE_PERIOD = Duration.ofMillis(1800);
-
     /**
      * No order can still be in flight to a name that was not listed for this long. The seconds
      * added account for the time for which a server stays listed after it has stopped.
@@ -41,7 +34,7 @@
     private final ServingCollections mCollections;
     private final DrainFollower mDrains;
     private final DecisionLoop mLoop;
-    private final BooleanSupplier mStoreWasUnavailable;
+    private final StoreAnswerHistory mStoreAnswers;
     private final EventLog mLog;
     private final Map<String, FleetMember> mMembers = new HashMap<>();
     private final Map<String, Long> mVersions = new HashMap<>();
@@ -57,18 +50,18 @@
     /**
      * Creates an empty directory.
      *
-     * @param storeWasUnavailable whether the store recently failed to answer
+     * @param storeAnswers shows whether entries may have expired in an outage of the store
      */
     public FleetDirectory(
             ServingCollections collections,
             DrainFollower drains,
             DecisionLoop loop,
-            BooleanSupplier storeWasUnavailable,
+            StoreAnswerHistory storeAnswers,
             EventLog log) {
         mCollections = collections;
         mDrains = drains;
         mLoop = loop;
-        mStoreWasUnavailable = storeWasUnavailable;
+        mStoreAnswers = storeAnswers;
         mLog = log;
     }
 
@@ -255,15 +248,20 @@
         }
         long removedVersion = Math.max(version, mVersions.getOrDefault(name, 0L));
         mVersions.put(name, removedVersion);
-        if (!mStoreWasUnavailable.getAsBoolean() || !member.inService()) {
+        Duration relistingTime = mStoreAnswers.relistingTime(mLoop.clock().nowNanos());
+        if (relistingTime.isZero() || !member.inService()) {
             remove(name, "entry removed");
             return;
         }
+        mLog.log(
+                FleetEvent.REMOVAL_DELAYED,
+                field("server", name),
+                field("delay_ms", relistingTime.toMillis()));
         mLoop.scheduler()
                 .schedule(
                         () -> removeUnlessListedAgain(name, removedVersion),
-                        RELISTING_GRACE_PERIOD.toMillis(),
-                        TimeUnit.MILLISECONDS);
+                        relistingTime.toNanos(),
+                        TimeUnit.NANOSECONDS);
     }
 
     private void removeUnlessListedAgain(String name, long removedVersion) {
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -25,6 +25,11 @@
                     + " calls."),
     PROBE_WITHOUT_RESULT(
             531, INFO, "The probe of a paused backend server was cancelled; the next call probes."),
+    REMOVAL_DELAYED(
+            532,
+            INFO,
+            "An entry was removed after an outage of the store; the server stays in service for the"
+                    + " time in which it may be listed again."),
     LEASE_TAKEN(540, INFO, "This host acquired the lease and orders loads from now on."),
     LEASE_LOST(541, WARNING, "This host lost the lease and no longer orders loads."),
     LEASE_WRITE_FAILED(542, WARNING, "The lease on orders could not be written."),
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/HealthTrackingObjectStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/HealthTrackingObjectStore.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
-import java.time.Duration;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.ObjectStore;
@@ -21,27 +20,22 @@
  */
 public final class HealthTrackingObjectStore implements ObjectStore {
 
-    /** Entries that expired during an outage are listed again within this time after it. */
-    private static final long RECOVERY_NANOS = Duration.ofMillis(2500).toNanos();
-
-    /**
-     * Calls must fail for this long for an outage. Shorter than the silence after which the store
-     * removes the entry of a live server, but longer than a single failed call and its repetition.
-     */
-    private static final long MIN_OUTAGE_NANOS = Duration.ofMillis(500).toNanos();
-
     private final ObjectStore mStore;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
+    private final StoreAnswerHistory mAnswers;
     private final StoreGate mGate;
-    private long mFirstFailedAt;
-    private long mLastFailedAt;
-    private long mOutageEndedAt = Long.MIN_VALUE;
     private boolean mUnavailable;
 
-    /** Creates a store that forwards calls to the given one. */
-    public HealthTrackingObjectStore(ObjectStore store, DecisionLoop loop, EventLog log) {
+    /**
+     * Creates a store that forwards calls to the given one.
+     *
+     * @param answers records when the store answers
+     */
+    public HealthTrackingObjectStore(
+            ObjectStore store, StoreAnswerHistory answers, DecisionLoop loop, EventLog log) {
         mStore = store;
+        mAnswers = answers;
         mLoop = loop;
         mLog = log;
         mGate =
@@ -54,21 +48,6 @@
                         loop);
     }
 
-    /**
-     * Returns whether there is or recently was an outage in which entries of live servers may have
-     * expired. Single failed calls are no outage.
-     */
-    public boolean wasRecentlyUnavailable() {
-        return mUnavailable
-                ? isOutage()
-                : mOutageEndedAt != Long.MIN_VALUE
-                        && mLoop.clock().nowNanos() - mOutageEndedAt < RECOVERY_NANOS;
-    }
-
-    private boolean isOutage() {
-        return mLastFailedAt - mFirstFailedAt >= MIN_OUTAGE_NANOS;
-    }
-
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
         return trackResult(mStore.read(collection, name));
@@ -76,7 +55,12 @@
 
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> readRecent(String collection, String name) {
-        return trackResult(mStore.readRecent(collection, name));
+        // The answer may be seconds old, so it does not show that servers can renew their entries.
+        return mStore.readRecent(collection, name)
+                .doOnNext(
+                        result ->
+                                result.peek(value -> recordReachable())
+                                        .peekLeft(this::recordRecentReadFailure));
     }
 
     @Override
@@ -122,26 +106,44 @@
     }
 
     private void recordFailure(PlatformFailure failure) {
-        switch (failure) {
-            case NOT_FOUND, CONFLICT, GONE -> recordAnswer();
-            case THROTTLED, UNAVAILABLE, OUTCOME_UNKNOWN, SILENT -> {
-                mLastFailedAt = mLoop.clock().nowNanos();
-                if (!mUnavailable) {
-                    mUnavailable = true;
-                    mFirstFailedAt = mLastFailedAt;
-                    mGate.close();
-                    mLog.log(FleetEvent.STORE_LOST);
-                }
-            }
+        if (isAnswer(failure)) {
+            recordAnswer();
+        } else {
+            recordUnreachable();
+        }
+    }
+
+    private void recordRecentReadFailure(PlatformFailure failure) {
+        if (isAnswer(failure)) {
+            recordReachable();
+        } else {
+            recordUnreachable();
+        }
+    }
+
+    private static boolean isAnswer(PlatformFailure failure) {
+        return switch (failure) {
+            case NOT_FOUND, CONFLICT, GONE -> true;
+            case THROTTLED, UNAVAILABLE, OUTCOME_UNKNOWN, SILENT -> false;
+        };
+    }
+
+    private void recordUnreachable() {
+        if (!mUnavailable) {
+            mUnavailable = true;
+            mGate.close();
+            mLog.log(FleetEvent.STORE_LOST);
         }
     }
 
     private void recordAnswer() {
+        mAnswers.recordAnswer(mLoop.clock().nowNanos());
+        recordReachable();
+    }
+
+    private void recordReachable() {
         if (mUnavailable) {
             mUnavailable = false;
-            if (isOutage()) {
-                mOutageEndedAt = mLoop.clock().nowNanos();
-            }
             mGate.open();
             mLog.log(FleetEvent.STORE_REGAINED);
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -28,6 +28,7 @@
 import org.vanillaslip.internal.fleet.LoadController;
 import org.vanillaslip.internal.fleet.PlanFollower;
 import org.vanillaslip.internal.fleet.ServerSelector;
+import org.vanillaslip.internal.fleet.StoreAnswerHistory;
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.lease.LeaseTimes;
 import org.vanillaslip.internal.logging.EventLog;
@@ -126,26 +127,22 @@
                         .create(mHost.randomSeed().orElseGet(mSecureRandom::nextLong));
         mIncarnation = ProcessIncarnation.create(mSecureRandom);
         mLoopMonitor = new DecisionLoopMonitor(mLoop, log);
+        StoreAnswerHistory storeAnswers = new StoreAnswerHistory();
         mStore =
                 new HealthTrackingObjectStore(
-                        new MeteredObjectStore(adapters.store(), mMetrics), mLoop, log);
+                        new MeteredObjectStore(adapters.store(), mMetrics),
+                        storeAnswers,
+                        mLoop,
+                        log);
         Host self = mHost.toHost();
         mNetwork = new RelayNetwork(self, this::listedHosts, mLoop.clock(), log);
         mPeerLinks = peerLinks(List.copyOf(settings.peers().bootstrap().values()));
         mLinks = new RelayedLinks(mHost.name(), mIncarnation, mPeerLinks, mNetwork, mLoop, log);
-        mRelayedStore =
-                new RelayedStore(
-                        mStore, mStore::wasRecentlyUnavailable, mNetwork, mLinks, mLoop, log);
+        mRelayedStore = new RelayedStore(mStore, storeAnswers, mNetwork, mLinks, mLoop, log);
         mHosts = new HostListWatcher(mRelayedStore, new HostCodec(), mLoop, mRandom, log);
         mPlans = new PlanFollower(adapters.collections(), log);
         mDrains = new DrainFollower(adapters.collections(), log);
-        mDirectory =
-                new FleetDirectory(
-                        adapters.collections(),
-                        mDrains,
-                        mLoop,
-                        mRelayedStore::wasRecentlyUnavailable,
-                        log);
+        mDirectory = new FleetDirectory(adapters.collections(), mDrains, mLoop, storeAnswers, log);
         double overdraft = serving.rateSlack() * OVERDRAFT_FRACTION;
         mLimits = new WorkspaceLimits(overdraft, mLoop, mLinks, mNetwork, mRandom, log);
         ServerSelector selector =
--- a/daemon/src/test/java/org/vanillaslip/internal/changes/FakeObjectStore.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/changes/FakeObjectStore.java
@@ -90,10 +90,6 @@
         return mListCount;
     }
 
-    boolean isUnavailable() {
-        return mUnavailable;
-    }
-
     @Override
     public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
         mListCount++;
--- a/daemon/src/test/java/org/vanillaslip/internal/changes/RelayedStoreTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/changes/RelayedStoreTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.vanillaslip.internal.control.configuration.CollectionFollower;
 import org.vanillaslip.internal.control.configuration.CollectionListener;
+import org.vanillaslip.internal.fleet.StoreAnswerHistory;
 import org.vanillaslip.internal.peer.RelaySimulation;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.StoredObject;
@@ -187,7 +188,7 @@
         RelayedStore relayedStore =
                 new RelayedStore(
                         store,
-                        store::isUnavailable,
+                        new StoreAnswerHistory(),
                         member.network(),
                         member.relayedLinks(),
                         mWorld.loop(),
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/ForecastTrafficTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/ForecastTrafficTest.java
@@ -64,7 +64,11 @@
         DrainFollower drains = new DrainFollower(collections, (event, fields) -> {});
         FleetDirectory directory =
                 new FleetDirectory(
-                        collections, drains, mEngines.mLoop, () -> false, (event, fields) -> {});
+                        collections,
+                        drains,
+                        mEngines.mLoop,
+                        new StoreAnswerHistory(),
+                        (event, fields) -> {});
         mDirectory = directory;
         mEngines.add("a", Set.of("m0", "m1", "m2"));
         mEngines.add("b", Set.of("m0", "m3", "m4"));
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/HealthTrackingObjectStoreTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/HealthTrackingObjectStoreTest.java
@@ -39,7 +39,8 @@
     private final RandomGenerator mRandom = RandomGeneratorFactory.of("L64X128MixRandom").create(1);
     private final ResettingStore mPlatform = new ResettingStore();
     private final HealthTrackingObjectStore mStore =
-            new HealthTrackingObjectStore(mPlatform, mLoop, (event, fields) -> {});
+            new HealthTrackingObjectStore(
+                    mPlatform, new StoreAnswerHistory(), mLoop, (event, fields) -> {});
 
     /** Guards against hosts that overload a failing store with retries for each collection. */
     @Test
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LeavingServerPropagationTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LeavingServerPropagationTest.java
@@ -75,6 +75,107 @@
         }
     }
 
+    /**
+     * Guards against a relay that the store turns away and that makes its members, which the store
+     * serves, keep a removed server.
+     */
+    @Test
+    void aRemovalWhileTheStoreTurnsOneRelayAwayIsInForceInTime() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(seed, SMALL_DEPLOYMENT_HOSTS, SMALL_DEPLOYMENT_WATCH_PAUSE);
+            SimulatedHost turnedAway = world.relaysOf("d1").get(seed % 2);
+            world.treat(turnedAway, treatment(seed));
+            world.runWithOtherChanges(Duration.ofMillis(3000 + seed * 75L));
+            world.mStore.remove(COLLECTION, LEAVING);
+            world.runWithOtherChanges(SMALL_DEPLOYMENT_DRAIN_BOUND);
+
+            assertThat(world.hostsSendingTo(LEAVING)).as("seed " + seed).isEmpty();
+        }
+    }
+
+    /** Guards against hosts that take the end of their own trouble for the end of an outage. */
+    @Test
+    void aRemovalAfterTheStoreServesAHostAgainIsInForceInTime() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(seed, SMALL_DEPLOYMENT_HOSTS, SMALL_DEPLOYMENT_WATCH_PAUSE);
+            List<SimulatedHost> hosts = world.mHosts.runningHosts();
+            SimulatedHost turnedAway = hosts.get(seed % hosts.size());
+            world.treat(turnedAway, treatment(seed));
+            world.runWithOtherChanges(Duration.ofMillis(5000));
+            world.treat(turnedAway, SimulatedStore.Treatment.ANSWERED);
+            world.runWithOtherChanges(Duration.ofMillis(600 + seed * 75L));
+            world.mStore.remove(COLLECTION, LEAVING);
+            world.runWithOtherChanges(SMALL_DEPLOYMENT_DRAIN_BOUND);
+
+            assertThat(world.hostsSendingTo(LEAVING)).as("seed " + seed).isEmpty();
+        }
+    }
+
+    /** Guards against members that lose both relays' news and trust neither them nor themselves. */
+    @Test
+    void aRemovalWhileTheStoreTurnsBothRelaysAwayIsInForceInTime() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(seed, SMALL_DEPLOYMENT_HOSTS, SMALL_DEPLOYMENT_WATCH_PAUSE);
+            List<SimulatedHost> relays = world.relaysOf("d1");
+            relays.forEach(relay -> world.treat(relay, treatment(world.mRandom.nextInt(2))));
+            world.runWithOtherChanges(Duration.ofMillis(500 + seed * 200L));
+            world.mStore.remove(COLLECTION, LEAVING);
+            world.runWithOtherChanges(SMALL_DEPLOYMENT_DRAIN_BOUND);
+
+            assertThat(world.hostsSendingTo(LEAVING))
+                    .as("seed " + seed)
+                    .isSubsetOf(relays.stream().map(SimulatedHost::name).toList());
+        }
+    }
+
+    /**
+     * Guards against hosts that drop all servers after an outage, in which live servers cannot
+     * renew their entries.
+     */
+    @Test
+    void aServerWhoseEntryExpiredInAnOutageStaysInServiceUntilItIsListedAgain() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(seed, SMALL_DEPLOYMENT_HOSTS, SMALL_DEPLOYMENT_WATCH_PAUSE);
+            List<SimulatedHost> hosts = world.mHosts.runningHosts();
+            SimulatedStore.Treatment treatment = treatment(seed);
+            hosts.forEach(host -> world.treat(host, treatment));
+            world.run(Duration.ofMillis(4500));
+            world.mStore.remove(COLLECTION, LEAVING);
+            world.run(Duration.ofMillis(1000));
+            hosts.forEach(host -> world.treat(host, SimulatedStore.Treatment.ANSWERED));
+            for (int step = 0; step < 13; step++) {
+                world.run(Duration.ofMillis(100));
+                assertThat(world.hostsSendingTo(LEAVING))
+                        .as("seed " + seed + " step " + step)
+                        .hasSameSizeAs(hosts);
+            }
+            world.mStore.put(COLLECTION, LEAVING, World.entry(false, 1));
+            world.run(Duration.ofSeconds(4));
+
+            assertThat(world.hostsSendingTo(LEAVING)).as("seed " + seed).hasSameSizeAs(hosts);
+        }
+    }
+
+    @Test
+    void aServerThatIsNotListedAgainAfterAnOutageIsGone() {
+        for (int seed = 0; seed < 20; seed++) {
+            World world = new World(seed, SMALL_DEPLOYMENT_HOSTS, SMALL_DEPLOYMENT_WATCH_PAUSE);
+            List<SimulatedHost> hosts = world.mHosts.runningHosts();
+            SimulatedStore.Treatment treatment = treatment(seed);
+            hosts.forEach(host -> world.treat(host, treatment));
+            world.run(Duration.ofMillis(4500));
+            world.mStore.remove(COLLECTION, LEAVING);
+            hosts.forEach(host -> world.treat(host, SimulatedStore.Treatment.ANSWERED));
+            world.run(Duration.ofMillis(3300));
+
+            assertThat(world.hostsSendingTo(LEAVING)).as("seed " + seed).isEmpty();
+        }
+    }
+
+    private static SimulatedStore.Treatment treatment(int seed) {
+        return seed % 2 == 0 ? SimulatedStore.Treatment.SILENT : SimulatedStore.Treatment.REFUSED;
+    }
+
     /**
      * Guards against an entry that puts a server back in service after it announced its shutdown.
      */
@@ -130,12 +231,14 @@
 
         private void start(SimulatedHost host) {
             SimulatedStore.Access access = mStore.new Access();
+            StoreAnswerHistory answers = new StoreAnswerHistory();
             HealthTrackingObjectStore health =
-                    new HealthTrackingObjectStore(access, mHosts.loop(), (event, fields) -> {});
+                    new HealthTrackingObjectStore(
+                            access, answers, mHosts.loop(), (event, fields) -> {});
             RelayedStore store =
                     new RelayedStore(
                             health,
-                            health::wasRecentlyUnavailable,
+                            answers,
                             host.network(),
                             host.relayedLinks(),
                             mHosts.loop(),
@@ -146,7 +249,7 @@
                             new ServerCollection(),
                             new DrainFollower(new ServerCollection(), (event, fields) -> {}),
                             mHosts.loop(),
-                            store::wasRecentlyUnavailable,
+                            answers,
                             (event, fields) -> {});
             new CollectionFollower(
                             store,
@@ -179,6 +282,10 @@
             mAccess.get(host.name()).setTreatment(treatment);
         }
 
+        void run(Duration time) {
+            mHosts.advanceTime(time);
+        }
+
         /** Advances the time while entries of other servers change about five times a second. */
         void runWithOtherChanges(Duration time) {
             Duration left = time;
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDispatcherTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDispatcherTest.java
@@ -307,7 +307,7 @@
                 collections,
                 new DrainFollower(collections, (event, fields) -> {}),
                 mSimulation.mLoop,
-                () -> false,
+                new StoreAnswerHistory(),
                 (event, fields) -> {});
     }
 
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
@@ -40,7 +40,7 @@
                     mCollections,
                     new DrainFollower(mCollections, (event, fields) -> {}),
                     mLoop,
-                    () -> false,
+                    new StoreAnswerHistory(),
                     (event, fields) -> {});
     private final WaitingCallQueue mQueue =
             new WaitingCallQueue(
