Let a change win over an older list

A collection is listed again every ten minutes beside its watch. A list that was read before a change and arrived after it undid the change: a drained failure domain got calls again, or a new server none, until the next list.

DrainFollower now keeps the versions of the changes since its last list, and FleetDirectory compares an entry's version with that of the list before it removes the entry.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/DrainFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/DrainFollower.java
@@ -2,7 +2,9 @@
 
 import static org.vanillaslip.internal.logging.LogField.field;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.vanillaslip.FailureDomain;
@@ -18,6 +20,10 @@
     private final ServingCollections mCollections;
     private final EventLog mLog;
     private final Set<FailureDomain> mDrained = new HashSet<>();
+
+    /** Versions of the changes that are newer than the last list. */
+    private final Map<FailureDomain, Long> mChangedAt = new HashMap<>();
+
     private boolean mListed;
 
     /** Creates a follower without drained failure domains. */
@@ -38,21 +44,28 @@
 
     @Override
     public void listed(ObjectList list) {
+        // A list may have been read before a change that has arrived earlier.
+        mChangedAt.values().removeIf(version -> version <= list.version());
         Set<FailureDomain> listed =
                 list.objects().stream().map(mCollections::drained).collect(Collectors.toSet());
         Set.copyOf(mDrained).stream()
-                .filter(domain -> !listed.contains(domain))
+                .filter(domain -> !listed.contains(domain) && !mChangedAt.containsKey(domain))
                 .forEach(this::returnToService);
-        listed.forEach(this::drain);
+        listed.stream().filter(domain -> !mChangedAt.containsKey(domain)).forEach(this::drain);
         mListed = true;
     }
 
     @Override
     public void changed(WatchEvent event) {
+        if (event.type() == WatchEventType.BOOKMARK) {
+            return;
+        }
+        FailureDomain domain = mCollections.drained(event.object());
+        mChangedAt.put(domain, event.object().version());
         if (event.type() == WatchEventType.DELETED) {
-            returnToService(mCollections.drained(event.object()));
-        } else if (event.type() != WatchEventType.BOOKMARK) {
-            drain(mCollections.drained(event.object()));
+            returnToService(domain);
+        } else {
+            drain(domain);
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -143,9 +143,17 @@
                 list.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
         List.copyOf(mMembers.keySet()).stream()
                 .filter(name -> !names.contains(name))
+                // A list may have been read before a change that has arrived earlier.
+                .filter(name -> mVersions.getOrDefault(name, 0L) <= list.version())
                 .forEach(name -> handleRemovedEntry(name, list.version()));
         list.objects().forEach(this::update);
-        mVersions.keySet().removeIf(name -> !names.contains(name) && !mMembers.containsKey(name));
+        mVersions
+                .entrySet()
+                .removeIf(
+                        known ->
+                                known.getValue() <= list.version()
+                                        && !names.contains(known.getKey())
+                                        && !mMembers.containsKey(known.getKey()));
         changed();
         if (!mListed) {
             mListed = true;
