--- a/daemon/src/main/java/org/vanillaslip/internal/backend/StatusBody.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/StatusBody.java
@@ -22,6 +22,9 @@
         @Nullable Map<String, String> checkpoints,
         @Nullable Set<Long> refused) {
 
+    /** Longer than any process runs, and short enough for any unit of time. */
+    private static final Duration MAX_UPTIME = Duration.ofDays(3650);
+
     EngineStatus toEngineStatus(String server, long requestedNanos) {
         ServerReport report =
                 new ServerReport(
@@ -35,7 +38,8 @@
                         checkpoints == null ? Map.of() : checkpoints,
                         refused == null ? Set.of() : refused,
                         requestedNanos);
-        Duration uptime = Duration.ofMillis(uptimeMillis);
+        Duration uptime =
+                Duration.ofMillis(Math.max(0, Math.min(uptimeMillis, MAX_UPTIME.toMillis())));
         return new EngineStatus(report, new ServerLoad(incarnation, uptime, running, waiting));
     }
 }
