--- a/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
@@ -235,6 +235,7 @@
     }
 
     private void tick() {
+        mAnswers.recordActivity(now());
         for (CollectionSubscription subscription : List.copyOf(mSubscriptions.values())) {
             subscription.mRelaySink.ifPresent(sink -> endIfRelaysUnusable(subscription, sink));
         }
@@ -301,7 +302,7 @@
     private void handleRange(String relay, CollectionSubscription subscription, ChangeRange range) {
         long knownUntil = now() - TimeUnit.MILLISECONDS.toNanos(range.getAgeMillis());
         subscription.recordConfirmation(relay, knownUntil, now());
-        mAnswers.recordAnswer(knownUntil);
+        mAnswers.recordAnswer(knownUntil, now());
         if (subscription.mRelaySink.isPresent()) {
             scheduleAgeCheck(subscription);
             subscription.mRelaySink.ifPresent(sink -> applyRange(relay, subscription, sink, range));
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/HealthTrackingObjectStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/HealthTrackingObjectStore.java
@@ -137,7 +137,8 @@
     }
 
     private void recordAnswer() {
-        mAnswers.recordAnswer(mLoop.clock().nowNanos());
+        long now = mLoop.clock().nowNanos();
+        mAnswers.recordAnswer(now, now);
         recordReachable();
     }
 
