--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/PlanFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/PlanFollower.java
@@ -69,12 +69,13 @@
         if (mCurrent.isPresent() && mCurrent.get().version() >= plan.version()) {
             return;
         }
+        // A version that a listener fails on must not count as in force.
+        mListeners.forEach(listener -> listener.accept(plan));
         mCurrent = Optional.of(plan);
         mLog.log(
                 FleetEvent.PLAN_IN_FORCE,
                 field("version", plan.version()),
                 field("routes", plan.routes().size()),
                 field("workspaces", plan.workspaces().size()));
-        mListeners.forEach(listener -> listener.accept(plan));
     }
 }
