Divide the retry budget among hosts by the time they are listed

Cause: each process began with the whole part of its host, or the whole extra as long as it had not read the list of hosts. A retry was counted when it was decided, although it may wait seconds for a server. Requests were counted when they were sent, so waiting calls came late.

A retry is reserved when it is decided, counted when it is sent and given back when it is not. A request counts from its arrival. Event 570 says why a retry was refused: pool, used, allowed, hosts and the extra.

What stays free: a send whose request was not written (UNREACHED), for which the client reports a failure before it begins to write. Counted are sends that a server rejected (NOT_RUN), failed sends and resumed streams.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -195,6 +195,7 @@
                     Refusal.retryable(ResultCode.HOST_STOPPING, "", STOPPING_RETRY_AFTER));
         }
         RelayCall call = mAdmission.admit(method, uri, headers, body, arrivedNanos);
+        mSender.recordCall(call);
         mDemandReporter.recordCall(call.target(), call.route().objective());
         Mono<Void> completion =
                 call.route().kind() == CallKind.STREAM
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -4,11 +4,8 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.BiFunction;
-import java.util.function.Supplier;
 import org.reactivestreams.Publisher;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
@@ -20,7 +17,6 @@
 import org.vanillaslip.internal.gateway.RefusedException;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.quarantine.PromptFaultExchange;
-import org.vanillaslip.internal.routing.RetryBudget;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.WorkspacePolicy;
 import reactor.core.publisher.Flux;
@@ -37,18 +33,17 @@
     private final CallDialect mDialect;
     private final WaitingCallQueue mWaitingCalls;
     private final ServerSelector mSelector;
-    private final Supplier<RetryBudget> mBudgetFactory;
+    private final RetryBudgets mBudgets;
     private final PromptFaultExchange mPromptFaults;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
-    private final Map<String, RetryBudget> mBudgetsByPool = new HashMap<>();
 
     CallSender(
             BackendRequestSender requestSender,
             CallDialect dialect,
             WaitingCallQueue waitingCalls,
             ServerSelector selector,
-            Supplier<RetryBudget> budgetFactory,
+            RetryBudgets budgets,
             PromptFaultExchange promptFaults,
             DecisionLoop loop,
             EventLog log) {
@@ -56,24 +51,34 @@
         mDialect = dialect;
         mWaitingCalls = waitingCalls;
         mSelector = selector;
-        mBudgetFactory = budgetFactory;
+        mBudgets = budgets;
         mPromptFaults = promptFaults;
         mLoop = loop;
         mLog = log;
     }
 
+    /** Counts a call that has arrived and may be sent. */
+    void recordCall(RelayCall call) {
+        mBudgets.recordCall(call);
+    }
+
     /** Waits for a server with a free request slot and reserves that slot for the call. */
     Mono<RequestSlot> acquireSlot(RelayCall call, Duration minRunTime) {
         return Mono.defer(
-                () -> {
-                    mPromptFaults.checkParts(call.sharedPromptParts());
-                    if (mSelector.serversWith(call.target()).stream()
-                            .allMatch(server -> call.triedServers().contains(server.instance()))) {
-                        call.triedServers().clear();
-                    }
-                    return mWaitingCalls.awaitSlot(
-                            call.serverRequest(), call.waitBounds(minRunTime));
-                });
+                        () -> {
+                            mPromptFaults.checkParts(call.sharedPromptParts());
+                            if (mSelector.serversWith(call.target()).stream()
+                                    .allMatch(
+                                            server ->
+                                                    call.triedServers()
+                                                            .contains(server.instance()))) {
+                                call.triedServers().clear();
+                            }
+                            return mWaitingCalls.awaitSlot(
+                                    call.serverRequest(), call.waitBounds(minRunTime));
+                        })
+                .doOnError(error -> mBudgets.cancelReservation(call))
+                .doOnCancel(() -> mBudgets.cancelReservation(call));
     }
 
     /**
@@ -90,9 +95,7 @@
         return Flux.defer(
                         () -> {
                             call.recordSend(server.instance());
-                            if (call.sendCount() == 1) {
-                                retryBudget(call).recordRequest(now());
-                            }
+                            mBudgets.recordSend(call);
                             logServerChosen(call, server);
                             HttpHeaders headers =
                                     mDialect.backendRequestHeaders(
@@ -156,8 +159,8 @@
         if (call.callerDisconnected() || !call.mayRetryAfter(failure.kind())) {
             return false;
         }
-        // Nothing reached a server, so the retry adds no load and needs no budget.
-        return failure.kind() == SendFailureKind.UNREACHED || retryBudget(call).tryAcquire(now());
+        // The request was not written, so the retry adds no load and needs no budget.
+        return failure.kind() == SendFailureKind.UNREACHED || mBudgets.tryReserve(call);
     }
 
     /** Returns the refusal of a call whose last send failed and is not retried. */
@@ -268,10 +271,6 @@
                 field("waited_ms", (now() - call.arrivedNanos()) / 1_000_000));
     }
 
-    private RetryBudget retryBudget(RelayCall call) {
-        return mBudgetsByPool.computeIfAbsent(call.target().pool(), pool -> mBudgetFactory.get());
-    }
-
     private long now() {
         return mLoop.clock().nowNanos();
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -36,6 +36,7 @@
     private boolean mSendInProgress;
     private boolean mAnswerBegun;
     private boolean mCallerDisconnected;
+    private boolean mRetryReserved;
     private String mLastServer = "";
 
     RelayCall(
@@ -185,6 +186,15 @@
         return mSendInProgress;
     }
 
+    /** Returns whether a retry is reserved in the budget that has not been sent. */
+    boolean isRetryReserved() {
+        return mRetryReserved;
+    }
+
+    void setRetryReserved(boolean retryReserved) {
+        mRetryReserved = retryReserved;
+    }
+
     /** Records that the caller no longer waits for the response. */
     void recordCallerDisconnected() {
         mCallerDisconnected = true;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
@@ -18,7 +18,8 @@
     CALL_FAULT(567, ERROR, "A call failed because of an internal error."),
     HEAD_MALFORMED(568, DEBUG, "A request head cannot be parsed."),
     STREAM_TRUNCATED(
-            569, INFO, "A backend server's stream ended within an event or before the first.");
+            569, INFO, "A backend server's stream ended within an event or before the first."),
+    RETRY_REFUSED(570, INFO, "The retry budget of a pool does not allow a retry.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -43,7 +43,6 @@
 import org.vanillaslip.internal.quarantine.PromptFaultExchange;
 import org.vanillaslip.internal.quarantine.QuarantineRecord;
 import org.vanillaslip.internal.quota.WorkspaceLimits;
-import org.vanillaslip.internal.routing.RetryBudget;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.runtime.DecisionLoopMonitor;
 import org.vanillaslip.internal.runtime.RunningDaemon;
@@ -105,6 +104,7 @@
     private final LoadController mLoadController;
     private final FleetExchange mExchange;
     private final PromptFaultExchange mPromptFaults;
+    private final RetryBudgets mRetryBudgets;
     private final CallRelay mRelay;
     private final ServingHttpServers mHttpServers;
     private volatile boolean mLeaving;
@@ -168,6 +168,7 @@
                         this::hostCount,
                         mLoop);
         mPromptFaults = promptFaults();
+        mRetryBudgets = new RetryBudgets(mHost.name(), serving, mHosts, storeAnswers, mLoop, log);
         mRelay = callRelay(selector, demandReporter);
         mHttpServers = httpServers();
     }
@@ -183,6 +184,7 @@
         follow(mAdapters.collections().plans(), mPlans);
         follow(mAdapters.collections().drains(), mDrains);
         follow(mAdapters.collections().servers(), mDirectory);
+        mRetryBudgets.start();
         mHosts.start();
         mRegistration.start();
         mLimits.start();
@@ -291,7 +293,7 @@
                         mAdapters.dialect(),
                         mWaitingCalls,
                         selector,
-                        this::retryBudget,
+                        mRetryBudgets,
                         mPromptFaults,
                         mLoop,
                         mLog);
@@ -368,16 +370,6 @@
         return (int) otherHosts + 1;
     }
 
-    /** Retries beyond the ratio are divided equally among hosts. */
-    private RetryBudget retryBudget() {
-        return new RetryBudget(
-                calls ->
-                        (long)
-                                (mServing.retryRatio() * calls
-                                        + mServing.retryExtra() / hostCount()),
-                mServing.retryWindow());
-    }
-
     private Heartbeat heartbeat() {
         return Heartbeat.newBuilder()
                 .setLeaving(mLeaving)
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
@@ -195,7 +195,7 @@
                             "serving",
                             "retry_extra",
                             SettingTypes.decimal(0, 1e6),
-                            "Repeated sends of a pool beyond that part, in each window.")
+                            "Retries of a pool by all hosts beyond that part, in each window.")
                     .orDefault("10");
     static final Setting<Duration> RETRY_WINDOW =
             optional(
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/StoreAnswerHistory.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/StoreAnswerHistory.java
@@ -59,6 +59,11 @@
         mStandstillNanos = 0;
     }
 
+    /** Returns the time since the last answer, or the maximum if there was none. */
+    public long silenceNanos(long nowNanos) {
+        return mAnswered ? nowNanos - mLastAnswerAt : Long.MAX_VALUE;
+    }
+
     /**
      * Returns how long a server whose entry is removed now may still be listed again, because the
      * entry may have expired in an outage; zero without a recent outage.
