Keep a silent server until another one delivers

Callers lost the rest of a resumable stream while its server ran on, and all streams of a silent server were sent again in the same second.

Cause: a stream without an event for 1.0 to 1.5 s was cancelled at its server and counted as failed, so that it needed a retry from the budget, an attempt of its route and another server with room, or ended.

A silent server now keeps its stream until the deadline (StandbyRace). Meanwhile one other server with the model and room may be asked, within attempts and retry budget; whichever delivers the next new event first goes on, the other is cancelled at once. Framing is per run. If one of the two fails, the other is kept.

One standby run is allowed for each silent server at a time, more after one has delivered, and none for 3 s after one without effect (StandbyLimits). New calls avoid the silent server until it is heard, for 3 s at most.

--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/RequestTimeline.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/RequestTimeline.java
@@ -21,6 +21,9 @@
     private static final int CALL_REFUSED = 563;
     private static final int CALLER_LEFT = 564;
     private static final int STREAM_BROKEN = 566;
+    private static final int STANDBY_STARTED = 570;
+    private static final int STANDBY_DELIVERED = 571;
+    private static final int STANDBY_ENDED = 572;
     private static final int LOOP_PAUSED = 112;
     private static final int SERVER_LEFT = 521;
     private static final int SERVER_PAUSED = 527;
@@ -105,7 +108,11 @@
 
     /** Returns a sentence about the outcome of the request and its cause. */
     String cause() {
-        LogLine last = mRequestEvents.get(mRequestEvents.size() - 1);
+        LogLine last =
+                mRequestEvents.stream()
+                        .filter(line -> line.event() != STANDBY_ENDED)
+                        .reduce((a, b) -> b)
+                        .orElse(mRequestEvents.get(0));
         return switch (last.event()) {
             case CALL_ANSWERED -> answerCause(last);
             case CALL_REFUSED -> refusalCause(last);
@@ -114,6 +121,7 @@
                             + last.field("after_ms")
                             + " ms: "
                             + last.field("cause")
+                            + standbySuffix()
                             + ".";
             case CALLER_LEFT ->
                     "The caller closed its connection after " + last.field("after_ms") + " ms.";
@@ -132,9 +140,29 @@
                 + waitedMillis
                 + " ms for a server"
                 + failedSendsSuffix()
+                + standbySuffix()
                 + ".";
     }
 
+    private String standbySuffix() {
+        return firstEvent(STANDBY_STARTED)
+                .map(
+                        line ->
+                                "; server "
+                                        + line.field("silent_server")
+                                        + " was silent for "
+                                        + line.field("silence_ms")
+                                        + " ms"
+                                        + firstEvent(STANDBY_DELIVERED)
+                                                .map(
+                                                        delivered ->
+                                                                " and server "
+                                                                        + delivered.field("server")
+                                                                        + " went on")
+                                                .orElse(""))
+                .orElse("");
+    }
+
     private String failedSendsSuffix() {
         long failedSends =
                 mRequestEvents.stream().filter(line -> line.event() == SEND_FAILED).count();
--- a/command-line/src/test/java/org/vanillaslip/internal/commandline/ExplainTest.java
+++ b/command-line/src/test/java/org/vanillaslip/internal/commandline/ExplainTest.java
@@ -78,6 +78,53 @@
         assertThat(mOperator.mOutput).contains("The stream broke off after 2120 ms: closed.");
     }
 
+    /** Guards against a pause of a server that does not show in the explanation of its stream. */
+    @Test
+    void namesTheSilentServerOfAStreamThatWentOnElsewhere() throws IOException {
+        String log =
+                formatEvent(
+                                "01.000Z",
+                                "A backend server was chosen for a call.",
+                                "event=560 request=e5 server=i-1 waited_ms=3")
+                        + formatEvent(
+                                "02.000Z",
+                                "A call is also sent to another backend server, because its own is"
+                                        + " silent.",
+                                "event=570 request=e5 silent_server=i-1 silence_ms=1000 server=i-2")
+                        + formatEvent(
+                                "02.100Z",
+                                "The other backend server delivered first; the silent one is"
+                                        + " cancelled.",
+                                "event=571 request=e5 silent_server=i-1 server=i-2")
+                        + formatEvent(
+                                "03.000Z",
+                                "A call was answered.",
+                                "event=562 request=e5 server=i-2 status=200 after_ms=2000");
+
+        assertThat(explain("e5", log)).isZero();
+        assertThat(mOperator.mOutput)
+                .contains(
+                        "it waited 3 ms for a server; server i-1 was silent for 1000 ms and server"
+                                + " i-2 went on.");
+    }
+
+    /** Guards against a run that is cancelled at the end and hides the outcome of the request. */
+    @Test
+    void namesTheOutcomeBeforeTheEndOfAStandbyRun() throws IOException {
+        String log =
+                formatEvent(
+                                "02.000Z",
+                                "A caller closed its connection before the response was complete.",
+                                "event=564 request=f6 server=i-1 after_ms=12")
+                        + formatEvent(
+                                "02.000Z",
+                                "One of two runs of a call ended without an effect.",
+                                "event=572 request=f6 silent_server=i-1 server=i-2");
+
+        assertThat(explain("f6", log)).isZero();
+        assertThat(mOperator.mOutput).contains("The caller closed its connection after 12 ms.");
+    }
+
     /** Guards against an empty output, which would look like a request without a fault. */
     @Test
     void failsForAnUnknownRequest() throws IOException {
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -68,6 +68,13 @@
         return Mono.create(sink -> awaitSlot(request, bounds, sink));
     }
 
+    /** Reserves a request slot if there is one for which no call waits. */
+    public Optional<RequestSlot> reserveNow(ServerRequest request) {
+        return mWaiting.getOrDefault(request.target(), List.of()).isEmpty()
+                ? mSelector.reserveSlot(request)
+                : Optional.empty();
+    }
+
     private void awaitSlot(ServerRequest request, WaitBounds bounds, MonoSink<RequestSlot> sink) {
         List<WaitingCall> queue = mWaiting.get(request.target());
         if (queue == null || queue.isEmpty()) {
--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
@@ -110,6 +110,11 @@
                         });
     }
 
+    /** Returns whether no server may get one of the parts. */
+    public boolean isQuarantined(List<String> parts) {
+        return mQuarantine.find(parts, now()).isPresent();
+    }
+
     private static RefusedException refusal(PromptQuarantine.Entry entry) {
         return new RefusedException(
                 Refusal.retryable(ResultCode.PROMPT_QUARANTINED, entry.part(), entry.remaining()));
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -120,7 +120,7 @@
                                         SendFailureKind.UNKNOWN, "the response is too large"))
                 .flatMap(
                         body -> {
-                            mSender.recordAnswerBegun(call);
+                            mSender.recordAnswerBegun(call, server);
                             boolean failed = status >= 500;
                             if (failed && call.allowsAnotherRun()) {
                                 return Mono.error(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -47,6 +47,7 @@
     private final CallDialect mDialect;
     private final CallSender mSender;
     private final DemandReporter mDemandReporter;
+    private final Standbys mStandbys;
     private final BufferedRelay mBufferedRelay;
     private final RelayMetrics mMetrics;
     private final BooleanSupplier mLoopDelayed;
@@ -75,6 +76,7 @@
         mDialect = dialect;
         mSender = sender;
         mDemandReporter = demandReporter;
+        mStandbys = new Standbys(sender, loop, log);
         mBufferedRelay = new BufferedRelay(sender, mMemoryLimit, loop);
         mMetrics = metrics;
         mLoopDelayed = loopDelayed;
@@ -225,7 +227,7 @@
     }
 
     private Mono<Void> relayStream(RelayCall call, HttpServerResponse response) {
-        StreamRelay stream = new StreamRelay(call, mSender, mMemoryLimit, mLoop, mLog);
+        StreamRelay stream = new StreamRelay(call, mSender, mStandbys, mMemoryLimit, mLoop, mLog);
         return stream.events()
                 .takeUntilOther(interruption(call))
                 .switchOnFirst(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
@@ -76,6 +77,20 @@
                 });
     }
 
+    /** Reserves a request slot now on another server, and takes the run out of the retry budget. */
+    Optional<RequestSlot> reserveStandby(RelayCall call, FleetMember current) {
+        if (mPromptFaults.isQuarantined(call.sharedPromptParts())) {
+            return Optional.empty();
+        }
+        Optional<RequestSlot> slot =
+                mWaitingCalls.reserveNow(call.standbyRequest(current.instance()));
+        if (slot.isPresent() && !retryBudget(call).tryAcquire(now())) {
+            slot.get().release();
+            return Optional.empty();
+        }
+        return slot;
+    }
+
     /**
      * Sends the call to the server of the reserved request slot and releases the slot at the end.
      *
@@ -89,8 +104,8 @@
         FleetMember server = slot.server();
         return Flux.defer(
                         () -> {
-                            call.recordSend(server.instance());
-                            if (call.sendCount() == 1) {
+                            int send = call.recordSend(server.instance());
+                            if (send == 1) {
                                 retryBudget(call).recordRequest(now());
                             }
                             logServerChosen(call, server);
@@ -113,7 +128,8 @@
                                                             response,
                                                             chunks,
                                                             onResponse))
-                                    .doOnError(error -> recordSendFailure(call, server, error));
+                                    .doOnError(
+                                            error -> recordSendFailure(call, server, send, error));
                         })
                 .doFinally(signal -> release(call, slot, signal));
     }
@@ -143,10 +159,9 @@
                 field("cause", cause));
     }
 
-    /** Records that the server of the last send began to answer. */
-    void recordAnswerBegun(RelayCall call) {
-        if (!call.hasAnswerBegun()) {
-            call.recordAnswerBegun();
+    /** Records that the server began to answer. */
+    void recordAnswerBegun(RelayCall call, FleetMember server) {
+        if (call.recordAnswerBegun(server.instance())) {
             mPromptFaults.recordAnswer(call.sharedPromptParts());
         }
     }
@@ -210,7 +225,7 @@
         return Flux.error(new SendFailedException(SendFailureKind.NOT_RUN, message));
     }
 
-    private void recordSendFailure(RelayCall call, FleetMember server, Throwable error) {
+    private void recordSendFailure(RelayCall call, FleetMember server, int send, Throwable error) {
         call.recordSendFailed();
         if (!(error instanceof SendFailedException failure)) {
             server.health().recordInconclusive();
@@ -227,7 +242,7 @@
             case UNKNOWN -> {
                 call.recordPossibleRun();
                 recordFailure(call, server);
-                if (failure.isConnectionLost() && !call.hasAnswerBegun()) {
+                if (failure.isConnectionLost() && !call.hasAnswerBegun(server.instance())) {
                     mPromptFaults.recordUnanswered(
                             server.startId(), call.head().id(), call.sharedPromptParts());
                 }
@@ -237,10 +252,10 @@
                 RelayEvent.SEND_FAILED,
                 field("request", call.head().id()),
                 field("server", server.instance()),
-                field("send", call.sendCount()),
+                field("send", send),
                 field("outcome", failure.kind()),
                 field("connection_lost", failure.isConnectionLost()),
-                field("answer_begun", call.hasAnswerBegun()),
+                field("answer_begun", call.hasAnswerBegun(server.instance())),
                 field("prompt_parts", String.join(",", call.sharedPromptParts())),
                 field("cause", String.valueOf(failure.getMessage())));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -34,7 +34,7 @@
     private int mPossibleRuns;
     private boolean mPossiblyRun;
     private boolean mSendInProgress;
-    private boolean mAnswerBegun;
+    private final Set<String> mAnsweringServers = new HashSet<>();
     private boolean mCallerDisconnected;
     private String mLastServer = "";
 
@@ -135,12 +135,19 @@
     }
 
     ServerRequest serverRequest() {
+        return serverRequest(mTriedServers);
+    }
+
+    /** Returns the request for a server other than the one that processes the call. */
+    ServerRequest standbyRequest(String currentServer) {
+        Set<String> excluded = new HashSet<>(mTriedServers);
+        excluded.add(currentServer);
+        return serverRequest(excluded);
+    }
+
+    private ServerRequest serverRequest(Set<String> excluded) {
         return new ServerRequest(
-                mHead.id(),
-                mTarget,
-                sharedPromptParts(),
-                sessionPrefix(),
-                Set.copyOf(mTriedServers));
+                mHead.id(), mTarget, sharedPromptParts(), sessionPrefix(), Set.copyOf(excluded));
     }
 
     /**
@@ -158,21 +165,35 @@
                 Math.min(mDeadlineNanos, maxWaitEndNanos) - minRunTime.toNanos());
     }
 
-    void recordSend(String instance) {
-        mSendCount++;
+    /**
+     * Records that the call is sent to a server.
+     *
+     * @return number of the send, from 1
+     */
+    int recordSend(String instance) {
         mLastServer = instance;
         mSendInProgress = true;
-        mAnswerBegun = false;
+        mAnsweringServers.remove(instance);
+        return ++mSendCount;
     }
 
-    /** Records that the server of the last send has sent part of its answer. */
-    void recordAnswerBegun() {
-        mAnswerBegun = true;
+    /** Records which server processes the call after one of two runs has ended. */
+    void recordServer(String instance) {
+        mLastServer = instance;
     }
 
-    /** Returns whether the server of the last send has sent part of its answer. */
-    boolean hasAnswerBegun() {
-        return mAnswerBegun;
+    /**
+     * Records that the server has sent part of its answer to the last send to it.
+     *
+     * @return whether it is the first part
+     */
+    boolean recordAnswerBegun(String instance) {
+        return mAnsweringServers.add(instance);
+    }
+
+    /** Returns whether the server has sent part of its answer to the last send to it. */
+    boolean hasAnswerBegun(String instance) {
+        return mAnsweringServers.contains(instance);
     }
 
     /** Records that the send failed, so that no server is processing the call. */
@@ -212,6 +233,11 @@
         return mRoute.repeatable() && mRoute.attempts() > mPossibleRuns + 1;
     }
 
+    /** Returns whether another server may run the call while an earlier one is silent. */
+    boolean allowsStandby() {
+        return !mCallerDisconnected && allowsAnotherRun() && mSendCount < MAX_SENDS;
+    }
+
     /** Returns whether the call may be retried after the failure. */
     boolean mayRetryAfter(SendFailureKind kind) {
         if (mSendCount >= MAX_SENDS) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
@@ -18,7 +18,12 @@
     CALL_FAULT(567, ERROR, "A call failed because of an internal error."),
     HEAD_MALFORMED(568, DEBUG, "A request head cannot be parsed."),
     STREAM_TRUNCATED(
-            569, INFO, "A backend server's stream ended within an event or before the first.");
+            569, INFO, "A backend server's stream ended within an event or before the first."),
+    STANDBY_STARTED(
+            570, INFO, "A call is also sent to another backend server, because its own is silent."),
+    STANDBY_DELIVERED(
+            571, INFO, "The other backend server delivered first; the silent one is cancelled."),
+    STANDBY_ENDED(572, INFO, "One of two runs of a call ended without an effect.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- /dev/null
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
@@ -0,0 +1,106 @@
+package org.vanillaslip.internal.relay;
+
+import static org.vanillaslip.internal.logging.LogField.field;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.vanillaslip.internal.fleet.FleetMember;
+import org.vanillaslip.internal.fleet.RequestSlot;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.runtime.DecisionLoop;
+
+/** Starts standby runs for the calls of silent servers, and records their results. */
+final class Standbys {
+
+    /** A server that stays silent for longer gets calls again. */
+    private static final Duration MAX_AVOIDANCE = Duration.ofSeconds(3);
+
+    private final CallSender mSender;
+    private final StandbyLimits mLimits = new StandbyLimits();
+    private final DecisionLoop mLoop;
+    private final EventLog mLog;
+
+    Standbys(CallSender sender, DecisionLoop loop, EventLog log) {
+        mSender = sender;
+        mLoop = loop;
+        mLog = log;
+    }
+
+    /** Keeps new calls away from the silent server, unless other calls hear it. */
+    void avoid(FleetMember server, Duration silence, Duration timeout) {
+        long now = mLoop.clock().nowNanos();
+        if (silence.compareTo(timeout.plus(MAX_AVOIDANCE)) < 0
+                && !server.health().succeededSince(now - timeout.toNanos())) {
+            server.health().recordSilence(now);
+        }
+    }
+
+    /** Reserves a slot on another server that has room now, if all limits allow it. */
+    Optional<RequestSlot> tryBegin(RelayCall call, FleetMember silent, Duration silence) {
+        long now = mLoop.clock().nowNanos();
+        if (!call.allowsStandby() || !mLimits.tryBegin(silent.startId(), now)) {
+            return Optional.empty();
+        }
+        Optional<RequestSlot> slot = mSender.reserveStandby(call, silent);
+        slot.ifPresentOrElse(
+                reserved ->
+                        mLog.log(
+                                RelayEvent.STANDBY_STARTED,
+                                field("request", call.head().id()),
+                                field("silent_server", silent.instance()),
+                                field("silence_ms", silence.toMillis()),
+                                field("server", reserved.server().instance())),
+                () -> mLimits.recordNotStarted(silent.startId(), now));
+        return slot;
+    }
+
+    /**
+     * Records that the standby run delivered first, so that the silent server's run is cancelled.
+     */
+    void recordDelivered(RelayCall call, FleetMember silent, FleetMember standby) {
+        call.recordPossibleRun();
+        call.triedServers().add(silent.instance());
+        mSender.recordFailure(call, silent);
+        mLimits.recordDelivered(silent.startId(), mLoop.clock().nowNanos());
+        mLog.log(
+                RelayEvent.STANDBY_DELIVERED,
+                field("request", call.head().id()),
+                field("silent_server", silent.instance()),
+                field("server", standby.instance()));
+    }
+
+    /** Records that the standby run was cancelled, so that the silent server goes on. */
+    void recordCancelled(RelayCall call, FleetMember silent, FleetMember standby, String cause) {
+        call.recordPossibleRun();
+        recordNothing(call, silent, standby, cause);
+    }
+
+    /** Records that the standby run failed; the failed send itself is recorded already. */
+    void recordNothing(RelayCall call, FleetMember silent, FleetMember standby, String cause) {
+        call.recordServer(silent.instance());
+        mLimits.recordNothing(silent.startId(), mLoop.clock().nowNanos());
+        mLog.log(
+                RelayEvent.STANDBY_ENDED,
+                field("request", call.head().id()),
+                field("silent_server", silent.instance()),
+                field("server", standby.instance()),
+                field("cause", cause));
+    }
+
+    /** Records that the silent server failed, so that only the standby run is left. */
+    void recordAlone(RelayCall call, FleetMember silent, FleetMember standby) {
+        call.recordServer(standby.instance());
+        mLimits.recordNothing(silent.startId(), mLoop.clock().nowNanos());
+        mLog.log(
+                RelayEvent.STANDBY_ENDED,
+                field("request", call.head().id()),
+                field("silent_server", silent.instance()),
+                field("server", standby.instance()),
+                field("cause", "the silent server failed, the standby run goes on"));
+    }
+
+    /** Records that the server is not silent. */
+    void recordHeard(FleetMember server) {
+        mLimits.recordHeard(server.startId(), mLoop.clock().nowNanos());
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Publisher;
-import org.vanillaslip.internal.backend.forward.SilenceTimeout;
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.fleet.RequestSlot;
 import org.vanillaslip.internal.logging.EventLog;
@@ -28,7 +27,7 @@
     /** Minimum time that an engine needs for the first events. */
     private static final Duration MIN_RUN_TIME = Duration.ofMillis(200);
 
-    /** A server that sends nothing for several event gaps has stopped or is unreachable. */
+    /** A server that sends nothing for several event gaps may have stopped. */
     private static final int SILENCE_EVENT_GAPS = 4;
 
     private static final Duration MIN_SILENCE_TIMEOUT = Duration.ofMillis(1000);
@@ -37,6 +36,7 @@
 
     private final RelayCall mCall;
     private final CallSender mSender;
+    private final Standbys mStandbys;
     private final ResponseMemoryLimit mMemoryLimit;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
@@ -48,11 +48,13 @@
     StreamRelay(
             RelayCall call,
             CallSender sender,
+            Standbys standbys,
             ResponseMemoryLimit memoryLimit,
             DecisionLoop loop,
             EventLog log) {
         mCall = call;
         mSender = sender;
+        mStandbys = standbys;
         mMemoryLimit = memoryLimit;
         mLoop = loop;
         mLog = log;
@@ -99,13 +101,32 @@
                 .onErrorResume(SendFailedException.class, this::resumeOrFail);
     }
 
+    /** Only a resumable stream can continue at another server while its own is silent. */
     private Flux<byte[]> receive(RequestSlot slot) {
+        if (!mCall.route().resumable()) {
+            return run(slot, () -> {});
+        }
+        Duration eventGaps = mCall.route().eventGapObjective().multipliedBy(SILENCE_EVENT_GAPS);
+        Duration timeout =
+                eventGaps.compareTo(MIN_SILENCE_TIMEOUT) < 0 ? MIN_SILENCE_TIMEOUT : eventGaps;
+        return new StandbyRace<byte[]>(mCall, mStandbys, timeout, this::run, mLoop).items(slot);
+    }
+
+    /**
+     * Returns the new events of one run at a server, whose framing no other run shares.
+     *
+     * @param onResponse called when the server begins its response
+     */
+    private Flux<byte[]> run(RequestSlot slot, Runnable onResponse) {
         EventFramer framer = new EventFramer();
         return mSender.send(
                 mCall,
                 slot,
                 mLastEventId,
-                (response, chunks) -> readResponse(slot.server(), response, chunks, framer));
+                (response, chunks) -> {
+                    onResponse.run();
+                    return readResponse(slot.server(), response, chunks, framer);
+                });
     }
 
     private Publisher<byte[]> readResponse(
@@ -118,24 +139,22 @@
         if (!success && (mEventReceived || mayTryAnotherServer())) {
             return Flux.error(new SendFailedException(SendFailureKind.UNKNOWN, "status " + status));
         }
-        if (mResponseHead == null) {
-            mResponseHead =
-                    new ResponseHead(
-                            status,
-                            HopByHopHeaders.endToEnd(response.responseHeaders()),
-                            BodyFraming.of(response.responseHeaders()));
-        }
+        ResponseHead head =
+                new ResponseHead(
+                        status,
+                        HopByHopHeaders.endToEnd(response.responseHeaders()),
+                        BodyFraming.of(response.responseHeaders()));
         if (!success) {
+            mResponseHead = head;
             mSender.recordFailure(mCall, server);
             return chunks;
         }
         ResponseMemoryLimit.Reservation reservation = mMemoryLimit.newReservation();
-        return withSilenceTimeout(chunks)
-                .concatMapIterable(chunk -> frame(framer, reservation, chunk), 1)
+        return chunks.concatMapIterable(chunk -> frame(framer, reservation, chunk), 1)
                 .filter(this::isNew)
-                .doOnNext(event -> recordEvent(server, event))
+                .doOnNext(event -> recordEvent(server, head, event))
                 .map(StreamEvent::bytes)
-                .concatWith(Flux.defer(() -> checkEnd(server, response, framer)))
+                .concatWith(Flux.defer(() -> checkEnd(server, response, head, framer)))
                 .doFinally(signal -> reservation.release());
     }
 
@@ -154,17 +173,6 @@
         return mCall.allowsAnotherRun();
     }
 
-    /** Applies to resumable streams only, because others cannot continue on another server. */
-    private Flux<byte[]> withSilenceTimeout(Flux<byte[]> chunks) {
-        if (!mCall.route().resumable()) {
-            return chunks;
-        }
-        Duration eventGaps = mCall.route().eventGapObjective().multipliedBy(SILENCE_EVENT_GAPS);
-        Duration timeout =
-                eventGaps.compareTo(MIN_SILENCE_TIMEOUT) < 0 ? MIN_SILENCE_TIMEOUT : eventGaps;
-        return new SilenceTimeout(mLoop.scheduler(), mLoop.clock(), timeout).apply(chunks);
-    }
-
     /** Filters out events that a server repeats after a resumption. */
     private boolean isNew(StreamEvent event) {
         return event.id().isEmpty()
@@ -172,9 +180,11 @@
                 || event.id().getAsLong() > mLastEventId.getAsLong();
     }
 
-    private void recordEvent(FleetMember server, StreamEvent event) {
-        mSender.recordAnswerBegun(mCall);
+    private void recordEvent(FleetMember server, ResponseHead head, StreamEvent event) {
+        mSender.recordAnswerBegun(mCall, server);
+        mStandbys.recordHeard(server);
         if (!mEventReceived) {
+            mResponseHead = head;
             mEventReceived = true;
             mFirstEventNanos = mLoop.clock().nowNanos() - mCall.arrivedNanos();
         }
@@ -186,14 +196,19 @@
 
     /** Fails a stream that ends within an event or that broke off before its first event. */
     private Flux<byte[]> checkEnd(
-            FleetMember server, HttpClientResponse response, EventFramer framer) {
-        BodyFraming framing = BodyFraming.of(response.responseHeaders());
+            FleetMember server,
+            HttpClientResponse response,
+            ResponseHead head,
+            EventFramer framer) {
+        BodyFraming framing = head.framing();
         int incompleteBytes = framer.incompleteEventSize();
         boolean endIsCertain = framing != BodyFraming.CONNECTION_END;
         if (incompleteBytes == 0 && (endIsCertain || hasEvents())) {
+            useHead(head);
             return Flux.empty();
         }
         if (endIsCertain && !isEventStream(response)) {
+            useHead(head);
             return Flux.just(framer.incompleteEvent());
         }
         mLog.log(
@@ -213,6 +228,13 @@
                         : new SendFailedException(SendFailureKind.UNKNOWN, message));
     }
 
+    /** Keeps the head of the first server whose events the caller has. */
+    private void useHead(ResponseHead head) {
+        if (!mEventReceived) {
+            mResponseHead = head;
+        }
+    }
+
     private static boolean isEventStream(HttpClientResponse response) {
         return response.responseHeaders()
                 .get(HttpHeaderNames.CONTENT_TYPE, "")
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/ServerHealth.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/ServerHealth.java
@@ -31,6 +31,9 @@
     /** How long a result counts as evidence for the other servers of the failure domain. */
     private static final long RECENT_NANOS = Duration.ofMillis(1500).toNanos();
 
+    /** How long a recorded silence keeps calls away; it is recorded again while it lasts. */
+    private static final long SILENCE_VALID_NANOS = Duration.ofMillis(600).toNanos();
+
     private int mConsecutiveFailures;
     private double mFailureRate;
     private long mPauseNanos = INITIAL_PAUSE_NANOS;
@@ -40,9 +43,16 @@
     private long mProbeSentAtNanos;
     private long mUnreachableAtNanos = Long.MIN_VALUE;
     private long mSucceededAtNanos = Long.MIN_VALUE;
+    private long mSilentAtNanos = Long.MIN_VALUE;
 
-    /** Returns whether a call may be sent: the server is not paused, or is due for a probe. */
+    /**
+     * Returns whether a call may be sent: the server is not silent, and is not paused or is due for
+     * a probe.
+     */
     public boolean usable(long nowNanos) {
+        if (mSilentAtNanos != Long.MIN_VALUE && nowNanos - mSilentAtNanos < SILENCE_VALID_NANOS) {
+            return false;
+        }
         if (mPausedUntilNanos == Long.MIN_VALUE) {
             return true;
         }
@@ -67,6 +77,16 @@
         return mSucceededAtNanos != Long.MIN_VALUE && nowNanos - mSucceededAtNanos < RECENT_NANOS;
     }
 
+    /** Returns whether a call has succeeded or progressed at or after the time. */
+    public boolean succeededSince(long nanos) {
+        return mSucceededAtNanos != Long.MIN_VALUE && mSucceededAtNanos - nanos >= 0;
+    }
+
+    /** Records that the server has begun answers and is silent, which is not a failure. */
+    public void recordSilence(long nowNanos) {
+        mSilentAtNanos = nowNanos;
+    }
+
     /**
      * Records that a call is sent; to a paused server it is a probe.
      *
@@ -98,6 +118,7 @@
     /** Records a successful call. */
     public void recordSuccess(long nowNanos) {
         mSucceededAtNanos = nowNanos;
+        mSilentAtNanos = Long.MIN_VALUE;
         mProbe = NO_PROBE;
         mUnreachableAtNanos = Long.MIN_VALUE;
         mConsecutiveFailures = 0;
--- a/decisions/src/test/java/org/vanillaslip/internal/routing/ServerSelectionTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/routing/ServerSelectionTest.java
@@ -42,6 +42,27 @@
                 .isEqualTo("other");
     }
 
+    /** Guards against new calls to a silent server, and against a pause after its silence. */
+    @Test
+    void aSilentServerGetsNoCallsUntilItIsHeard() {
+        mHealth.recordSilence(0);
+        assertThat(mHealth.usable(100 * MILLI)).isFalse();
+        assertThat(mHealth.failing()).isFalse();
+
+        mHealth.recordSuccess(101 * MILLI);
+        assertThat(mHealth.usable(101 * MILLI)).isTrue();
+        assertThat(mHealth.succeededSince(101 * MILLI)).isTrue();
+        assertThat(mHealth.succeededSince(102 * MILLI)).isFalse();
+    }
+
+    /** Guards against a server that gets no calls after its silent streams have ended. */
+    @Test
+    void aSilenceThatIsNotRecordedAgainLapses() {
+        mHealth.recordSilence(0);
+
+        assertThat(mHealth.usable(1000 * MILLI)).isTrue();
+    }
+
     @Test
     void anUnreachableServerIsPausedAndThenProbedWithOneCall() {
         mHealth.recordUnreachable(0);
