Count a begun stream's wait from its last event

Cause: the time that a call may wait for a server counted from its arrival, also after its stream had begun. A stream that broke off 2 s after its arrival had no time left to wait for another server.

The wait of a begun stream now ends the caller's timeout after its last event, or at the deadline.

aBegunStreamWaitsForAServerFromItsLastEvent failed before:

ResumedStreamTest.aBegunStreamWaitsForAServerFromItsLastEvent PrematureCloseException: Connection prematurely closed DURING response

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -30,6 +30,7 @@
     private final long mArrivedNanos;
     private final long mDeadlineNanos;
     private final Set<String> mTriedServers = new HashSet<>();
+    private Optional<Long> mLastEventNanos = Optional.empty();
     private int mSendCount;
     private int mPossibleRuns;
     private boolean mPossiblyRun;
@@ -151,20 +152,31 @@
     }
 
     /**
-     * Returns how long the call may wait for a server.
+     * Returns how long the call may wait for a server; a begun stream as long as its caller does.
      *
      * @param minRunTime minimum time that a response takes
      */
     WaitBounds waitBounds(Duration minRunTime) {
-        // Without a model to wait for, the call is refused early; its caller can try another host.
-        Duration maxWait = mTarget.model().isEmpty() ? mRoute.objective() : mRoute.callerTimeout();
-        long maxWaitEndNanos = mArrivedNanos + maxWait.toNanos();
+        long maxWaitEndNanos =
+                mLastEventNanos
+                        .map(lastEvent -> lastEvent + mRoute.callerTimeout().toNanos())
+                        .orElseGet(() -> mArrivedNanos + maxWaitForFirstServer().toNanos());
         return new WaitBounds(
                 priority(),
                 mArrivedNanos + mRoute.objective().toNanos(),
                 Math.min(mDeadlineNanos, maxWaitEndNanos) - minRunTime.toNanos());
     }
 
+    /** Without a model to wait for, the call is refused early; its caller can try another host. */
+    private Duration maxWaitForFirstServer() {
+        return mTarget.model().isEmpty() ? mRoute.objective() : mRoute.callerTimeout();
+    }
+
+    /** Records that the caller gets an event, from which on its time to wait counts again. */
+    void recordEvent(long nowNanos) {
+        mLastEventNanos = Optional.of(nowNanos);
+    }
+
     /**
      * Records that the call is sent to a server.
      *
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -183,6 +183,7 @@
     private void recordEvent(FleetMember server, ResponseHead head, StreamEvent event) {
         mSender.recordAnswerBegun(mCall, server);
         mStandbys.recordHeard(server);
+        mCall.recordEvent(mLoop.clock().nowNanos());
         if (!mEventReceived) {
             mResponseHead = head;
             mEventReceived = true;
