--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -30,11 +30,12 @@
     private final long mArrivedNanos;
     private final long mDeadlineNanos;
     private final Set<String> mTriedServers = new HashSet<>();
+    private Optional<Long> mLastEventNanos = Optional.empty();
     private int mSendCount;
     private int mPossibleRuns;
     private boolean mPossiblyRun;
     private boolean mSendInProgress;
-    private boolean mAnswerBegun;
+    private final Set<String> mAnsweringServers = new HashSet<>();
     private boolean mCallerDisconnected;
     private String mLastServer = "";
 
@@ -135,44 +136,76 @@
     }
 
     ServerRequest serverRequest() {
+        return serverRequest(mTriedServers);
+    }
+
+    /** Returns the request for a server other than the one that processes the call. */
+    ServerRequest standbyRequest(String currentServer) {
+        Set<String> excluded = new HashSet<>(mTriedServers);
+        excluded.add(currentServer);
+        return serverRequest(excluded);
+    }
+
+    private ServerRequest serverRequest(Set<String> excluded) {
         return new ServerRequest(
-                mHead.id(),
-                mTarget,
-                sharedPromptParts(),
-                sessionPrefix(),
-                Set.copyOf(mTriedServers));
+                mHead.id(), mTarget, sharedPromptParts(), sessionPrefix(), Set.copyOf(excluded));
     }
 
     /**
-     * Returns how long the call may wait for a server.
+     * Returns how long the call may wait for a server; a begun stream as long as its caller does.
      *
      * @param minRunTime minimum time that a response takes
      */
     WaitBounds waitBounds(Duration minRunTime) {
-        // Without a model to wait for, the call is refused early; its caller can try another host.
-        Duration maxWait = mTarget.model().isEmpty() ? mRoute.objective() : mRoute.callerTimeout();
-        long maxWaitEndNanos = mArrivedNanos + maxWait.toNanos();
+        long maxWaitEndNanos =
+                mLastEventNanos
+                        .map(lastEvent -> lastEvent + mRoute.callerTimeout().toNanos())
+                        .orElseGet(() -> mArrivedNanos + maxWaitForFirstServer().toNanos());
         return new WaitBounds(
                 priority(),
                 mArrivedNanos + mRoute.objective().toNanos(),
                 Math.min(mDeadlineNanos, maxWaitEndNanos) - minRunTime.toNanos());
     }
 
-    void recordSend(String instance) {
-        mSendCount++;
+    /** Without a model to wait for, the call is refused early; its caller can try another host. */
+    private Duration maxWaitForFirstServer() {
+        return mTarget.model().isEmpty() ? mRoute.objective() : mRoute.callerTimeout();
+    }
+
+    /** Records that the caller gets an event, from which on its time to wait counts again. */
+    void recordEvent(long nowNanos) {
+        mLastEventNanos = Optional.of(nowNanos);
+    }
+
+    /**
+     * Records that the call is sent to a server.
+     *
+     * @return number of the send, from 1
+     */
+    int recordSend(String instance) {
         mLastServer = instance;
         mSendInProgress = true;
-        mAnswerBegun = false;
+        mAnsweringServers.remove(instance);
+        return ++mSendCount;
     }
 
-    /** Records that the server of the last send has sent part of its answer. */
-    void recordAnswerBegun() {
-        mAnswerBegun = true;
+    /** Records which server processes the call after one of two runs has ended. */
+    void recordServer(String instance) {
+        mLastServer = instance;
     }
 
-    /** Returns whether the server of the last send has sent part of its answer. */
-    boolean hasAnswerBegun() {
-        return mAnswerBegun;
+    /**
+     * Records that the server has sent part of its answer to the last send to it.
+     *
+     * @return whether it is the first part
+     */
+    boolean recordAnswerBegun(String instance) {
+        return mAnsweringServers.add(instance);
+    }
+
+    /** Returns whether the server has sent part of its answer to the last send to it. */
+    boolean hasAnswerBegun(String instance) {
+        return mAnsweringServers.contains(instance);
     }
 
     /** Records that the send failed, so that no server is processing the call. */
@@ -212,6 +245,11 @@
         return mRoute.repeatable() && mRoute.attempts() > mPossibleRuns + 1;
     }
 
+    /** Returns whether another server may run the call while an earlier one is silent. */
+    boolean allowsStandby() {
+        return !mCallerDisconnected && allowsAnotherRun() && mSendCount < MAX_SENDS;
+    }
+
     /** Returns whether the call may be retried after the failure. */
     boolean mayRetryAfter(SendFailureKind kind) {
         if (mSendCount >= MAX_SENDS) {
