--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -4,6 +4,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BiFunction;
 import org.reactivestreams.Publisher;
@@ -81,6 +82,20 @@
                 .doOnCancel(() -> mBudgets.cancelReservation(call));
     }
 
+    /** Reserves a request slot now on another server, and takes the run out of the retry budget. */
+    Optional<RequestSlot> reserveStandby(RelayCall call, FleetMember current) {
+        if (mPromptFaults.isQuarantined(call.sharedPromptParts())) {
+            return Optional.empty();
+        }
+        Optional<RequestSlot> slot =
+                mWaitingCalls.reserveNow(call.standbyRequest(current.instance()));
+        if (slot.isPresent() && !mBudgets.tryAcquire(call)) {
+            slot.get().release();
+            return Optional.empty();
+        }
+        return slot;
+    }
+
     /**
      * Sends the call to the server of the reserved request slot and releases the slot at the end.
      *
@@ -94,7 +109,7 @@
         FleetMember server = slot.server();
         return Flux.defer(
                         () -> {
-                            call.recordSend(server.instance());
+                            int send = call.recordSend(server.instance());
                             mBudgets.recordSend(call);
                             logServerChosen(call, server);
                             HttpHeaders headers =
@@ -116,7 +131,8 @@
                                                             response,
                                                             chunks,
                                                             onResponse))
-                                    .doOnError(error -> recordSendFailure(call, server, error));
+                                    .doOnError(
+                                            error -> recordSendFailure(call, server, send, error));
                         })
                 .doFinally(signal -> release(call, slot, signal));
     }
@@ -146,10 +162,9 @@
                 field("cause", cause));
     }
 
-    /** Records that the server of the last send began to answer. */
-    void recordAnswerBegun(RelayCall call) {
-        if (!call.hasAnswerBegun()) {
-            call.recordAnswerBegun();
+    /** Records that the server began to answer. */
+    void recordAnswerBegun(RelayCall call, FleetMember server) {
+        if (call.recordAnswerBegun(server.instance())) {
             mPromptFaults.recordAnswer(call.sharedPromptParts());
         }
     }
@@ -213,7 +228,7 @@
         return Flux.error(new SendFailedException(SendFailureKind.NOT_RUN, message));
     }
 
-    private void recordSendFailure(RelayCall call, FleetMember server, Throwable error) {
+    private void recordSendFailure(RelayCall call, FleetMember server, int send, Throwable error) {
         call.recordSendFailed();
         if (!(error instanceof SendFailedException failure)) {
             server.health().recordInconclusive();
@@ -230,7 +245,7 @@
             case UNKNOWN -> {
                 call.recordPossibleRun();
                 recordFailure(call, server);
-                if (failure.isConnectionLost() && !call.hasAnswerBegun()) {
+                if (failure.isConnectionLost() && !call.hasAnswerBegun(server.instance())) {
                     mPromptFaults.recordUnanswered(
                             server.startId(), call.head().id(), call.sharedPromptParts());
                 }
@@ -240,10 +255,10 @@
                 RelayEvent.SEND_FAILED,
                 field("request", call.head().id()),
                 field("server", server.instance()),
-                field("send", call.sendCount()),
+                field("send", send),
                 field("outcome", failure.kind()),
                 field("connection_lost", failure.isConnectionLost()),
-                field("answer_begun", call.hasAnswerBegun()),
+                field("answer_begun", call.hasAnswerBegun(server.instance())),
                 field("prompt_parts", String.join(",", call.sharedPromptParts())),
                 field("cause", String.valueOf(failure.getMessage())));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
@@ -19,7 +19,12 @@
     HEAD_MALFORMED(568, DEBUG, "A request head cannot be parsed."),
     STREAM_TRUNCATED(
             569, INFO, "A backend server's stream ended within an event or before the first."),
-    RETRY_REFUSED(570, INFO, "The retry budget of a pool does not allow a retry.");
+    STANDBY_STARTED(
+            570, INFO, "A call is also sent to another backend server, because its own is silent."),
+    STANDBY_DELIVERED(
+            571, INFO, "The other backend server delivered first; the silent one is cancelled."),
+    STANDBY_ENDED(572, INFO, "One of two runs of a call ended without an effect."),
+    RETRY_REFUSED(573, INFO, "The retry budget of a pool does not allow a retry.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RetryBudgets.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RetryBudgets.java
@@ -52,7 +52,7 @@
         budget(call).recordRequest(now());
     }
 
-    /** Reserves a retry of the call; logs why it is refused. */
+    /** Reserves a retry of the call; logs why the first one of a call is refused. */
     boolean tryReserve(RelayCall call) {
         updateShare(mHosts.hosts());
         RetryBudget budget = budget(call);
@@ -60,6 +60,22 @@
             call.setRetryReserved(true);
             return true;
         }
+        if (call.recordRetryRefused()) {
+            logRefused(call, budget);
+        }
+        return false;
+    }
+
+    /** Takes a retry that is sent now; returns false if the budget does not allow it. */
+    boolean tryAcquire(RelayCall call) {
+        if (!tryReserve(call)) {
+            return false;
+        }
+        recordSend(call);
+        return true;
+    }
+
+    private void logRefused(RelayCall call, RetryBudget budget) {
         mLog.log(
                 RelayEvent.RETRY_REFUSED,
                 field("request", call.head().id()),
@@ -68,7 +84,6 @@
                 field("allowed", budget.allowed(now())),
                 field("hosts", mExtraShare.hosts()),
                 field("extra", mExtraShare.retries(now())));
-        return false;
     }
 
     /** Counts the reserved retry of the call, if there is one, from now on. */
