Keep a slow call while another server is asked

Callers of repeatable calls got 2004 or 502 while their server worked on the call, and all calls of a slow server were sent again in the same second.

Cause, as for streams: after a third of its time a call was cancelled at its server and counted as failed, so that it needed a retry and another server, or began anew at the same one.

The first server now keeps the call while one other may be asked, with the limits of StandbyRace; the first complete answer is forwarded and the other run cancelled. A slow server is blamed only if the other one answered first, and other calls don't avoid it: a long run sends nothing until its end.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeoutException;
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.fleet.RequestSlot;
 import org.vanillaslip.internal.runtime.DecisionLoop;
@@ -22,17 +21,21 @@
     /** A response takes at least this long, so a call is not sent with less time left. */
     private static final Duration MIN_RUN_TIME = Duration.ofMillis(20);
 
-    /**
-     * An attempt that may be retried gets a third of the time, to leave some for another server.
-     */
+    /** After a third of the time another server is asked, to leave it some. */
     private static final int ATTEMPT_TIME_DIVISOR = 3;
 
     private final CallSender mSender;
+    private final Standbys mStandbys;
     private final ResponseMemoryLimit mMemoryLimit;
     private final DecisionLoop mLoop;
 
-    BufferedRelay(CallSender sender, ResponseMemoryLimit memoryLimit, DecisionLoop loop) {
+    BufferedRelay(
+            CallSender sender,
+            Standbys standbys,
+            ResponseMemoryLimit memoryLimit,
+            DecisionLoop loop) {
         mSender = sender;
+        mStandbys = standbys;
         mMemoryLimit = memoryLimit;
         mLoop = loop;
     }
@@ -82,30 +85,33 @@
     }
 
     private Mono<BufferedResponse> send(RelayCall call, RequestSlot slot) {
-        FleetMember server = slot.server();
-        Flux<BufferedResponse> responses =
-                mSender.send(
-                        call,
-                        slot,
-                        OptionalLong.empty(),
-                        (response, chunks) -> bufferResponse(call, server, response, chunks));
         if (!call.allowsAnotherRun()) {
-            return responses.next();
+            return run(call, slot).next();
         }
         Duration attemptTime =
                 call.remainingTime(mLoop.clock().nowNanos()).dividedBy(ATTEMPT_TIME_DIVISOR);
-        return responses
-                .next()
-                .timeout(attemptTime, mLoop.scheduler())
-                .onErrorMap(
-                        TimeoutException.class,
-                        error -> {
-                            call.recordPossibleRun();
-                            call.triedServers().add(server.instance());
-                            mSender.recordFailure(call, server);
-                            return new SendFailedException(
-                                    SendFailureKind.UNKNOWN, "no response in time");
-                        });
+        StandbyRace<BufferedResponse> race =
+                new StandbyRace<>(
+                        call,
+                        mStandbys,
+                        attemptTime,
+                        // A long run sends nothing until its end, so other calls keep the server.
+                        (server, silence) -> {},
+                        (reserved, onWaiting) -> {
+                            onWaiting.run();
+                            return run(call, reserved);
+                        },
+                        mLoop);
+        return race.items(slot).next();
+    }
+
+    private Flux<BufferedResponse> run(RelayCall call, RequestSlot slot) {
+        FleetMember server = slot.server();
+        return mSender.send(
+                call,
+                slot,
+                OptionalLong.empty(),
+                (response, chunks) -> bufferResponse(call, server, response, chunks));
     }
 
     private Mono<BufferedResponse> bufferResponse(
@@ -131,6 +137,7 @@
                                 mSender.recordFailure(call, server);
                             } else {
                                 server.health().recordSuccess(mLoop.clock().nowNanos());
+                                mStandbys.recordHeard(server);
                             }
                             return Mono.just(
                                     new BufferedResponse(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -77,7 +77,7 @@
         mSender = sender;
         mDemandReporter = demandReporter;
         mStandbys = new Standbys(sender, loop, log);
-        mBufferedRelay = new BufferedRelay(sender, mMemoryLimit, loop);
+        mBufferedRelay = new BufferedRelay(sender, mStandbys, mMemoryLimit, loop);
         mMetrics = metrics;
         mLoopDelayed = loopDelayed;
         mLoop = loop;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyRace.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyRace.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Subscription;
@@ -26,7 +27,7 @@
 
     private final RelayCall mCall;
     private final Standbys mStandbys;
-    private final Duration mTimeout;
+    private final BiConsumer<FleetMember, Duration> mOnSilence;
     private final BiFunction<RequestSlot, Runnable, Flux<T>> mRunAt;
     private final DecisionLoop mLoop;
     private final SilenceMeter mMeter;
@@ -41,6 +42,7 @@
      * Creates a race that can be subscribed to once.
      *
      * @param timeout time after which a server counts as silent
+     * @param onSilence called with the server and the time of its silence while that lasts
      * @param runAt sends the call to the server of the slot, and runs the action from when on the
      *     server may be silent
      */
@@ -48,11 +50,12 @@
             RelayCall call,
             Standbys standbys,
             Duration timeout,
+            BiConsumer<FleetMember, Duration> onSilence,
             BiFunction<RequestSlot, Runnable, Flux<T>> runAt,
             DecisionLoop loop) {
         mCall = call;
         mStandbys = standbys;
-        mTimeout = timeout;
+        mOnSilence = onSilence;
         mRunAt = runAt;
         mLoop = loop;
         mMeter = new SilenceMeter(timeout, loop.clock().nowNanos());
@@ -109,7 +112,7 @@
         if (!mMeter.check(now())) {
             return;
         }
-        mStandbys.avoid(leader.mServer, mMeter.silence(), mTimeout);
+        mOnSilence.accept(leader.mServer, mMeter.silence());
         if (mStandby == null) {
             mStandbys
                     .tryBegin(mCall, leader.mServer, mMeter.silence())
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -109,7 +109,14 @@
         Duration eventGaps = mCall.route().eventGapObjective().multipliedBy(SILENCE_EVENT_GAPS);
         Duration timeout =
                 eventGaps.compareTo(MIN_SILENCE_TIMEOUT) < 0 ? MIN_SILENCE_TIMEOUT : eventGaps;
-        return new StandbyRace<byte[]>(mCall, mStandbys, timeout, this::run, mLoop).items(slot);
+        return new StandbyRace<byte[]>(
+                        mCall,
+                        mStandbys,
+                        timeout,
+                        (server, silence) -> mStandbys.avoid(server, silence, timeout),
+                        this::run,
+                        mLoop)
+                .items(slot);
     }
 
     /**
