Hold back standby runs of a proven silent server too

After one standby run had delivered, the silent server's other calls looked for a slot in every check, and each search at a cold server took from its rate of calls. A run without effect held back none of them.

The pauses now apply to a proven silent server as well; a run that delivers ends them.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyLimits.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyLimits.java
@@ -30,9 +30,9 @@
     boolean tryBegin(String server, long nowNanos) {
         mServers.values().removeIf(state -> state.isOutdated(nowNanos));
         SilentServer state = mServers.computeIfAbsent(server, name -> new SilentServer(nowNanos));
+        boolean proven = nowNanos - state.mProvenUntilNanos < 0;
         boolean allowed =
-                nowNanos - state.mProvenUntilNanos < 0
-                        || (state.mRunning == 0 && nowNanos - state.mPausedUntilNanos >= 0);
+                nowNanos - state.mPausedUntilNanos >= 0 && (proven || state.mRunning == 0);
         if (allowed) {
             state.mRunning++;
         }
@@ -43,6 +43,7 @@
     void recordDelivered(String server, long nowNanos) {
         SilentServer state = end(server, nowNanos);
         state.mProvenUntilNanos = nowNanos + PROOF_NANOS;
+        state.mPausedUntilNanos = nowNanos;
     }
 
     /** Records that a standby run ended without an effect. */
--- a/daemon/src/test/java/org/vanillaslip/internal/relay/StandbyLimitsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/relay/StandbyLimitsTest.java
@@ -51,6 +51,31 @@
         assertThat(mLimits.tryBegin(SERVER, SOON)).isTrue();
     }
 
+    /** Guards against proven silence whose calls all look for a server again and again. */
+    @Test
+    void aShortageOfServersAlsoHoldsBackTheCallsOfAProvenSilentServer() {
+        mLimits.tryBegin(SERVER, 0);
+        mLimits.recordDelivered(SERVER, 0);
+        mLimits.tryBegin(SERVER, 0);
+        mLimits.recordNotStarted(SERVER, 0);
+
+        assertThat(mLimits.tryBegin(SERVER, 1)).isFalse();
+        assertThat(mLimits.tryBegin(SERVER, SOON)).isTrue();
+        assertThat(mLimits.tryBegin(SERVER, SOON)).isTrue();
+    }
+
+    /** Guards against repeats that go on although they bring nothing any more. */
+    @Test
+    void afterAProofARunWithoutEffectHoldsTheOthersBack() {
+        mLimits.tryBegin(SERVER, 0);
+        mLimits.recordDelivered(SERVER, 0);
+        mLimits.tryBegin(SERVER, 0);
+        mLimits.recordNothing(SERVER, 0);
+
+        assertThat(mLimits.tryBegin(SERVER, SOON)).isFalse();
+        assertThat(mLimits.tryBegin(SERVER, LATER)).isTrue();
+    }
+
     @Test
     void aServerThatIsHeardIsNoLongerProvenSilent() {
         mLimits.tryBegin(SERVER, 0);
