Charge a stream that its server ran until the deadline

A workspace got more than its rate: a stream whose server fell silent and that ended at its deadline was refunded, although the server had run it (QUOTA).

Cause: only a failed send counted as a possible run. Since a silent server keeps its stream, the deadline cancels the send instead, which counted as nothing.

A cancelled send now counts as one that may have run. Found by the review of the silent servers.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -132,7 +132,8 @@
                                                             chunks,
                                                             onResponse))
                                     .doOnError(
-                                            error -> recordSendFailure(call, server, send, error));
+                                            error -> recordSendFailure(call, server, send, error))
+                                    .doOnCancel(call::recordCancelledSend);
                         })
                 .doFinally(signal -> release(call, slot, signal));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -245,7 +245,12 @@
         return mCallerDisconnected;
     }
 
-    /** Records that a server may have run the call. */
+    /** Records that a send was cancelled, whose server may have run the call. */
+    void recordCancelledSend() {
+        mPossiblyRun = true;
+    }
+
+    /** Records that a server may have run the call, as one of the runs that its route allows. */
     void recordPossibleRun() {
         mPossibleRuns++;
         mPossiblyRun = true;
