Prefer other servers to a silent one instead of closing it

Callers got 503 for all calls to the last server of a pool while one of its streams was silent: silence took the server out of the selection for up to 3 s, and a pool whose servers were all silent was closed on that host.

A silent server now gets a call only if no other one can take it, for as long as the silence lasts; standby runs go on excluding it.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -55,10 +55,15 @@
             suspected.addServer(member.registered().failureDomain(), member.health(), now);
         }
         List<FleetMember> available =
-                serversWith(request.target()).stream()
-                        .filter(member -> !request.failedServers().contains(member.instance()))
-                        .filter(member -> hasRoom(member, request.target(), now))
-                        .toList();
+                preferred(
+                        serversWith(request.target()).stream()
+                                .filter(
+                                        member ->
+                                                !request.failedServers()
+                                                        .contains(member.instance()))
+                                .filter(member -> hasRoom(member, request.target(), now))
+                                .toList(),
+                        now);
         Optional<String> affinityInstance =
                 request.promptPart()
                         .flatMap(
@@ -87,6 +92,13 @@
                                         now));
     }
 
+    /** A silent server gets a call only if no other server can take it. */
+    private static List<FleetMember> preferred(List<FleetMember> available, long nowNanos) {
+        List<FleetMember> heard =
+                available.stream().filter(member -> !member.health().silent(nowNanos)).toList();
+        return heard.isEmpty() ? available : heard;
+    }
+
     /** Returns the servers in service that can serve the target, including those at capacity. */
     public List<FleetMember> serversWith(CallTarget target) {
         long now = mLoop.clock().nowNanos();
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -96,7 +96,7 @@
                         mStandbys,
                         attemptTime,
                         // A long run sends nothing until its end, so other calls keep the server.
-                        (server, silence) -> {},
+                        server -> {},
                         (reserved, onWaiting) -> {
                             onWaiting.run();
                             return run(call, reserved);
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -89,7 +89,8 @@
         }
         Optional<RequestSlot> slot =
                 mWaitingCalls.reserveNow(call.standbyRequest(current.instance()));
-        if (slot.isPresent() && !mBudgets.tryAcquire(call)) {
+        if (slot.isPresent()
+                && (slot.get().server().health().silent(now()) || !mBudgets.tryAcquire(call))) {
             slot.get().release();
             return Optional.empty();
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyRace.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyRace.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Subscription;
 import org.vanillaslip.internal.fleet.FleetMember;
@@ -27,7 +27,7 @@
 
     private final RelayCall mCall;
     private final Standbys mStandbys;
-    private final BiConsumer<FleetMember, Duration> mOnSilence;
+    private final Consumer<FleetMember> mOnSilence;
     private final BiFunction<RequestSlot, Runnable, Flux<T>> mRunAt;
     private final DecisionLoop mLoop;
     private final SilenceMeter mMeter;
@@ -42,7 +42,7 @@
      * Creates a race that can be subscribed to once.
      *
      * @param timeout time after which a server counts as silent
-     * @param onSilence called with the server and the time of its silence while that lasts
+     * @param onSilence called with the server while it is silent
      * @param runAt sends the call to the server of the slot, and runs the action from when on the
      *     server may be silent
      */
@@ -50,7 +50,7 @@
             RelayCall call,
             Standbys standbys,
             Duration timeout,
-            BiConsumer<FleetMember, Duration> onSilence,
+            Consumer<FleetMember> onSilence,
             BiFunction<RequestSlot, Runnable, Flux<T>> runAt,
             DecisionLoop loop) {
         mCall = call;
@@ -112,7 +112,7 @@
         if (!mMeter.check(now())) {
             return;
         }
-        mOnSilence.accept(leader.mServer, mMeter.silence());
+        mOnSilence.accept(leader.mServer);
         if (mStandby == null) {
             mStandbys
                     .tryBegin(mCall, leader.mServer, mMeter.silence())
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
@@ -12,9 +12,6 @@
 /** Starts standby runs for the calls of silent servers, and records their results. */
 final class Standbys {
 
-    /** A server that stays silent for longer gets calls again. */
-    private static final Duration MAX_AVOIDANCE = Duration.ofSeconds(3);
-
     private final CallSender mSender;
     private final StandbyLimits mLimits = new StandbyLimits();
     private final DecisionLoop mLoop;
@@ -26,11 +23,10 @@
         mLog = log;
     }
 
-    /** Keeps new calls away from the silent server, unless other calls hear it. */
-    void avoid(FleetMember server, Duration silence, Duration timeout) {
+    /** Makes new calls prefer servers other than the silent one, unless other calls hear it. */
+    void avoid(FleetMember server, Duration timeout) {
         long now = mLoop.clock().nowNanos();
-        if (silence.compareTo(timeout.plus(MAX_AVOIDANCE)) < 0
-                && !server.health().succeededSince(now - timeout.toNanos())) {
+        if (!server.health().succeededSince(now - timeout.toNanos())) {
             server.health().recordSilence(now);
         }
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -113,7 +113,7 @@
                         mCall,
                         mStandbys,
                         timeout,
-                        (server, silence) -> mStandbys.avoid(server, silence, timeout),
+                        server -> mStandbys.avoid(server, timeout),
                         this::run,
                         mLoop)
                 .items(slot);
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/ServerHealth.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/ServerHealth.java
@@ -45,14 +45,8 @@
     private long mSucceededAtNanos = Long.MIN_VALUE;
     private long mSilentAtNanos = Long.MIN_VALUE;
 
-    /**
-     * Returns whether a call may be sent: the server is not silent, and is not paused or is due for
-     * a probe.
-     */
+    /** Returns whether a call may be sent: the server is not paused, or is due for a probe. */
     public boolean usable(long nowNanos) {
-        if (mSilentAtNanos != Long.MIN_VALUE && nowNanos - mSilentAtNanos < SILENCE_VALID_NANOS) {
-            return false;
-        }
         if (mPausedUntilNanos == Long.MIN_VALUE) {
             return true;
         }
@@ -82,6 +76,11 @@
         return mSucceededAtNanos != Long.MIN_VALUE && mSucceededAtNanos - nanos >= 0;
     }
 
+    /** Returns whether the server has begun answers and is silent; others are then preferred. */
+    public boolean silent(long nowNanos) {
+        return mSilentAtNanos != Long.MIN_VALUE && nowNanos - mSilentAtNanos < SILENCE_VALID_NANOS;
+    }
+
     /** Records that the server has begun answers and is silent, which is not a failure. */
     public void recordSilence(long nowNanos) {
         mSilentAtNanos = nowNanos;
