Ask another server at once after one that did not run a call

A stream of a silent server went on 3.4 s later than it could: a standby run that a full, absent or unreachable server had turned away held back all further ones for 3 s, and callers leave after 2 s.

A standby run that has not run now counts like a missing slot (200 ms). Calls with buffered answers have limits of their own, because a long run of theirs says nothing of the streams of the same server.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -77,7 +77,9 @@
         mSender = sender;
         mDemandReporter = demandReporter;
         mStandbys = new Standbys(sender, loop, log);
-        mBufferedRelay = new BufferedRelay(sender, mStandbys, mMemoryLimit, loop);
+        mBufferedRelay =
+                new BufferedRelay(
+                        sender, new Standbys(sender, loop, log), mMemoryLimit, loop);
         mMetrics = metrics;
         mLoopDelayed = loopDelayed;
         mLoop = loop;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyRace.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyRace.java
@@ -171,8 +171,7 @@
         }
         if (run == standby) {
             mStandby = null;
-            mStandbys.recordNothing(
-                    mCall, leader.mServer, run.mServer, String.valueOf(error.getMessage()));
+            recordFailedStandby(leader, run, error);
             return;
         }
         if (standby != null && error instanceof SendFailedException) {
@@ -185,6 +184,18 @@
         sink.error(error);
     }
 
+    private void recordFailedStandby(Run leader, Run standby, Throwable error) {
+        String cause = String.valueOf(error.getMessage());
+        boolean mayHaveRun =
+                !(error instanceof SendFailedException failure)
+                        || failure.kind() == SendFailureKind.UNKNOWN;
+        if (mayHaveRun) {
+            mStandbys.recordNothing(mCall, leader.mServer, standby.mServer, cause);
+        } else {
+            mStandbys.recordNotRun(mCall, leader.mServer, standby.mServer, cause);
+        }
+    }
+
     private void cancelStandby(String cause) {
         Run standby = mStandby;
         if (standby != null && mLeader != null) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
@@ -75,24 +75,30 @@
     void recordNothing(RelayCall call, FleetMember silent, FleetMember standby, String cause) {
         call.recordServer(silent.instance());
         mLimits.recordNothing(silent.startId(), mLoop.clock().nowNanos());
-        mLog.log(
-                RelayEvent.STANDBY_ENDED,
-                field("request", call.head().id()),
-                field("silent_server", silent.instance()),
-                field("server", standby.instance()),
-                field("cause", cause));
+        logEnded(call, silent, standby, cause);
+    }
+
+    /** Records that the other server did not run the call, so that another one may be asked. */
+    void recordNotRun(RelayCall call, FleetMember silent, FleetMember standby, String cause) {
+        call.recordServer(silent.instance());
+        mLimits.recordNotStarted(silent.startId(), mLoop.clock().nowNanos());
+        logEnded(call, silent, standby, cause);
     }
 
     /** Records that the silent server failed, so that only the standby run is left. */
     void recordAlone(RelayCall call, FleetMember silent, FleetMember standby) {
         call.recordServer(standby.instance());
         mLimits.recordNothing(silent.startId(), mLoop.clock().nowNanos());
+        logEnded(call, silent, standby, "the silent server failed, the standby run goes on");
+    }
+
+    private void logEnded(RelayCall call, FleetMember silent, FleetMember standby, String cause) {
         mLog.log(
                 RelayEvent.STANDBY_ENDED,
                 field("request", call.head().id()),
                 field("silent_server", silent.instance()),
                 field("server", standby.instance()),
-                field("cause", "the silent server failed, the standby run goes on"));
+                field("cause", cause));
     }
 
     /** Records that the server is not silent. */
