Keep the attempt of a stream whose standby run was not needed

A stream with two attempts lost its rest when its server broke off after a standby run had been cancelled without any event: that run counted as one of the attempts.

It now limits further standby runs only. Failed before: SilentServerOutcomeTest.aStreamIsResumedAfterARunThatWasNotNeeded.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -33,6 +33,7 @@
     private Optional<Long> mLastEventNanos = Optional.empty();
     private int mSendCount;
     private int mPossibleRuns;
+    private int mCancelledStandbys;
     private boolean mPossiblyRun;
     private boolean mSendInProgress;
     private final Set<String> mAnsweringServers = new HashSet<>();
@@ -250,6 +251,15 @@
         mPossiblyRun = true;
     }
 
+    /**
+     * Records that a standby run without any event was cancelled. It limits further standby runs,
+     * but takes no attempt from the stream that goes on.
+     */
+    void recordCancelledStandby() {
+        mCancelledStandbys++;
+        mPossiblyRun = true;
+    }
+
     /** Records that a server may have run the call, as one of the runs that its route allows. */
     void recordPossibleRun() {
         mPossibleRuns++;
@@ -270,7 +280,10 @@
 
     /** Returns whether another server may run the call while an earlier one is silent. */
     boolean allowsStandby() {
-        return !mCallerDisconnected && allowsAnotherRun() && mSendCount < MAX_SENDS;
+        return !mCallerDisconnected
+                && mRoute.repeatable()
+                && mRoute.attempts() > mPossibleRuns + mCancelledStandbys + 1
+                && mSendCount < MAX_SENDS;
     }
 
     /** Returns whether the call may be retried after the failure. */
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
@@ -67,7 +67,7 @@
 
     /** Records that the standby run was cancelled, so that the silent server goes on. */
     void recordCancelled(RelayCall call, FleetMember silent, FleetMember standby, String cause) {
-        call.recordPossibleRun();
+        call.recordCancelledStandby();
         recordNothing(call, silent, standby, cause);
     }
 
