Use what a standby run and the deadline say of a silent server

A stream whose server had sent all events but not the end was cut at its deadline, although another server had confirmed that nothing was left. A server that never answered got new calls for good: the deadline cancelled its runs, and health recorded nothing unless a standby run had delivered.

A standby run without events whose end is certain now completes the stream; one that ends with its connection does not. A silence that lasts until the deadline of the call counts as a failure of the server, without a retry.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -101,6 +101,7 @@
                             onWaiting.run();
                             return run(call, reserved);
                         },
+                        () -> false,
                         mLoop);
         return race.items(slot).next();
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyRace.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyRace.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Subscription;
@@ -29,6 +30,7 @@
     private final Standbys mStandbys;
     private final Consumer<FleetMember> mOnSilence;
     private final BiFunction<RequestSlot, Runnable, Flux<T>> mRunAt;
+    private final BooleanSupplier mEndsCall;
     private final DecisionLoop mLoop;
     private final SilenceMeter mMeter;
     private Disposable mChecks = Disposables.disposed();
@@ -36,6 +38,7 @@
     private @Nullable Run mLeader;
     private @Nullable Run mStandby;
     private long mRequested;
+    private boolean mSilent;
     private boolean mEnded;
 
     /**
@@ -45,6 +48,7 @@
      * @param onSilence called with the server while it is silent
      * @param runAt sends the call to the server of the slot, and runs the action from when on the
      *     server may be silent
+     * @param endsCall whether a run that completed without an item shows that none is left
      */
     StandbyRace(
             RelayCall call,
@@ -52,11 +56,13 @@
             Duration timeout,
             Consumer<FleetMember> onSilence,
             BiFunction<RequestSlot, Runnable, Flux<T>> runAt,
+            BooleanSupplier endsCall,
             DecisionLoop loop) {
         mCall = call;
         mStandbys = standbys;
         mOnSilence = onSilence;
         mRunAt = runAt;
+        mEndsCall = endsCall;
         mLoop = loop;
         mMeter = new SilenceMeter(timeout, loop.clock().nowNanos());
     }
@@ -112,6 +118,7 @@
         if (!mMeter.check(now())) {
             return;
         }
+        mSilent = true;
         mOnSilence.accept(leader.mServer);
         if (mStandby == null) {
             mStandbys
@@ -140,6 +147,7 @@
         } else {
             cancelStandby("the silent server delivered");
         }
+        mSilent = false;
         mMeter.restart(now());
         if (mRequested != Long.MAX_VALUE) {
             mRequested--;
@@ -152,6 +160,16 @@
         if (mEnded || sink == null || mLeader == null) {
             return;
         }
+        if (run == mStandby && mEndsCall.getAsBoolean()) {
+            Run silent = mLeader;
+            mLeader = run;
+            mStandby = null;
+            silent.cancel();
+            mStandbys.recordDelivered(mCall, silent.mServer, run.mServer);
+            mSilent = false;
+            sink.complete();
+            return;
+        }
         if (run == mStandby) {
             mStandby = null;
             mStandbys.recordCancelled(
@@ -177,6 +195,7 @@
         if (standby != null && error instanceof SendFailedException) {
             mLeader = standby;
             mStandby = null;
+            mSilent = false;
             mMeter.restart(now());
             mStandbys.recordAlone(mCall, leader.mServer, standby.mServer);
             return;
@@ -214,6 +233,9 @@
         cancelStandby("the call ended");
         if (mLeader != null) {
             mLeader.cancel();
+            if (mSilent) {
+                mStandbys.recordEndedInSilence(mCall, mLeader.mServer);
+            }
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
@@ -85,6 +85,13 @@
         logEnded(call, silent, standby, cause);
     }
 
+    /** Records that the call ended while its server was silent; a call that expired blames it. */
+    void recordEndedInSilence(RelayCall call, FleetMember silent) {
+        if (call.remainingTime(mLoop.clock().nowNanos()).isZero()) {
+            mSender.recordFailure(call, silent);
+        }
+    }
+
     /** Records that the silent server failed, so that only the standby run is left. */
     void recordAlone(RelayCall call, FleetMember silent, FleetMember standby) {
         call.recordServer(standby.instance());
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -43,6 +43,7 @@
     private @Nullable ResponseHead mResponseHead;
     private OptionalLong mLastEventId;
     private boolean mEventReceived;
+    private boolean mEndIsCertain;
     private long mFirstEventNanos;
 
     StreamRelay(
@@ -115,6 +116,7 @@
                         timeout,
                         server -> mStandbys.avoid(server, timeout),
                         this::run,
+                        () -> mEndIsCertain,
                         mLoop)
                 .items(slot);
     }
@@ -212,6 +214,7 @@
         int incompleteBytes = framer.incompleteEventSize();
         boolean endIsCertain = framing != BodyFraming.CONNECTION_END;
         if (incompleteBytes == 0 && (endIsCertain || hasEvents())) {
+            mEndIsCertain = endIsCertain;
             useHead(head);
             return Flux.empty();
         }
