Let begun streams wait until the end of a planned stop

Cause: half way through the time for active calls, all calls that wait for a server were refused. A refusal cuts a stream whose answer has begun.

Change: only calls without an event at their caller are refused then; the others wait until the stop ends or their time to wait does.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -108,6 +108,7 @@
                         bounds.priority(),
                         bounds.objectiveNanos(),
                         bounds.deadlineNanos(),
+                        bounds.answerBegun(),
                         mLoop.clock().nowNanos(),
                         sink);
         List<WaitingCall> waiting =
@@ -171,10 +172,13 @@
         }
     }
 
-    /** Refuses all calls, because this host shuts down. */
-    public void refuseAll(Duration retryAfter) {
+    /** Refuses all calls whose answer has not begun, because this host shuts down. */
+    public void refuseUnanswered(Duration retryAfter) {
         for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
-            List.copyOf(queue).forEach(call -> refuse(call, ResultCode.HOST_STOPPING, retryAfter));
+            queue.stream()
+                    .filter(call -> !call.answerBegun())
+                    .toList()
+                    .forEach(call -> refuse(call, ResultCode.HOST_STOPPING, retryAfter));
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -166,7 +166,8 @@
         return new WaitBounds(
                 priority(),
                 mArrivedNanos + mRoute.objective().toNanos(),
-                Math.min(mDeadlineNanos, maxWaitEndNanos) - minRunTime.toNanos());
+                Math.min(mDeadlineNanos, maxWaitEndNanos) - minRunTime.toNanos(),
+                mLastEventNanos.isPresent());
     }
 
     /** Without a model to wait for, the call is refused early; its caller can try another host. */
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -325,7 +325,7 @@
     private Mono<Void> awaitActiveCalls(Duration timeout) {
         Mono<Long> refuseWaitingCalls =
                 Mono.delay(timeout.dividedBy(2), mLoop.scheduler())
-                        .doOnNext(tick -> mWaitingCalls.refuseAll(STOPPING_RETRY_AFTER));
+                        .doOnNext(tick -> mWaitingCalls.refuseUnanswered(STOPPING_RETRY_AFTER));
         Mono<Void> idle =
                 Flux.interval(Duration.ZERO, IDLE_CHECK_INTERVAL, mLoop.scheduler())
                         .filter(tick -> mRelay.activeCalls() == 0)
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
@@ -159,7 +159,7 @@
         long deadline = now + CALLER_TIMEOUT.toNanos();
         mQueue.awaitSlot(
                         new ServerRequest("c", TARGET, List.of(), Optional.empty(), Set.of()),
-                        new WaitBounds(1, deadline, deadline))
+                        new WaitBounds(1, deadline, deadline, false))
                 .subscribe(
                         slot -> mOutcomes.add(slot.server().instance()),
                         error -> mOutcomes.add("refused"));
