Wait in a planned stop until answers are in their sockets

Cause: a call counted as ended when its answer was handed to the connection, and a process ends when no call is active. What is still in the outbound buffer then is lost.

Change: a call is active until an empty write after its answer has ended, or its connection is closed.

SlowReaderAtStopTest, 7 MB for a caller that does not read: without the change the stop ended at once for a whole answer ("Expecting code to raise a throwable", 0.3 s); the stream of 7 MB was held back before as well. With it both are green, and PassThroughRoutesTest 24. It was not run with a real process.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -84,7 +84,7 @@
         mLog = log;
     }
 
-    /** Returns the number of calls without a complete response. */
+    /** Returns the number of calls whose response is not complete or not written yet. */
     int activeCalls() {
         return mActiveCalls.get();
     }
@@ -130,7 +130,10 @@
                                                     response))
                             .onErrorResume(
                                     error -> refuse(response, headers, error, "", arrivedNanos))
-                            .doFinally(signal -> mActiveCalls.decrementAndGet());
+                            .doFinally(
+                                    signal ->
+                                            OutboundBuffer.whenWritten(
+                                                    response, mActiveCalls::decrementAndGet));
                 });
     }
 
