--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -86,7 +86,7 @@
         mLog = log;
     }
 
-    /** Returns the number of calls without a complete response. */
+    /** Returns the number of calls whose response is not complete or not written yet. */
     int activeCalls() {
         return mActiveCalls.get();
     }
@@ -132,7 +132,10 @@
                                                     response))
                             .onErrorResume(
                                     error -> refuse(response, headers, error, "", arrivedNanos))
-                            .doFinally(signal -> mActiveCalls.decrementAndGet());
+                            .doFinally(
+                                    signal ->
+                                            OutboundBuffer.whenWritten(
+                                                    response, mActiveCalls::decrementAndGet));
                 });
     }
 
