Refuse new calls shortly before the delay of a planned stop ends

Callers lost streams that they had sent 3.01 to 3.10 s after the SIGTERM of a host: the host accepted them and cut them 7.0 to 7.2 s after the signal (LOST; the platform's rule excuses calls sent in the first 3 s only).

Cause: the delay of 3 s begins when the signal is handled, 10 to 100 ms after it was sent, and ends with a timer that may be late as well.

New calls are now refused from 250 ms before the end of the delay, at most its last quarter; connections are accepted until its end, so that callers get an answer.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -78,8 +78,7 @@
         mDemandReporter = demandReporter;
         mStandbys = new Standbys(sender, loop, log);
         mBufferedRelay =
-                new BufferedRelay(
-                        sender, new Standbys(sender, loop, log), mMemoryLimit, loop);
+                new BufferedRelay(sender, new Standbys(sender, loop, log), mMemoryLimit, loop);
         mMetrics = metrics;
         mLoopDelayed = loopDelayed;
         mLoop = loop;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -204,12 +204,11 @@
         mLog.log(LifecycleEvent.STOPPING, field("active", mRelay.activeCalls()));
         Duration timeout = mHost.shutdownTimeout();
         mLease.release().subscribe();
-        Mono.delay(mHost.shutdownDelay(), mLoop.scheduler())
-                .doOnNext(
-                        tick -> {
-                            mHttpServers.stopAccepting();
-                            mRelay.refuseNewCalls();
-                        })
+        StopSchedule schedule = StopSchedule.of(mHost.shutdownDelay());
+        Mono.delay(schedule.refusal(), mLoop.scheduler())
+                .doOnNext(tick -> mRelay.refuseNewCalls())
+                .delayElement(schedule.closing().minus(schedule.refusal()), mLoop.scheduler())
+                .doOnNext(tick -> mHttpServers.stopAccepting())
                 .then(awaitActiveCalls(timeout))
                 .then(
                         mRegistration
