Keep the limit that a server names over all hosts together

Hosts did not read the header, and equal parts of so small a limit would be a burst of one on each host, or nothing.

The header is read from every answer to calls, orders and report requests, and kept with the start of the server. An answer without it ends the limit if its request was sent after the last answer with it; hosts tell each other, ordered by the same times. One relay for each server lends single sends, in the messages that lend quotas, up to 1.5 s ahead. It lends the part of the limit that corresponds to the part of the listed hosts that it reaches, so that both sides of a cut together keep it; a new holder starts empty. Servers without a limit come first; calls that limited servers cannot take in time are refused at once with the time of the next send. A limit that is not confirmed for 4 s gets one call with a permit.

--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/RequestTimeline.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/RequestTimeline.java
@@ -27,6 +27,11 @@
     private static final int STORE_LOST = 528;
     private static final int LEASE_TAKEN = 540;
     private static final int LEASE_LOST = 541;
+    private static final int LIMIT_NAMED = 552;
+    private static final int LIMIT_ENDED = 553;
+
+    /** Detail of a refusal because all servers of a call limit the requests that they take. */
+    private static final String LIMITED_DETAIL = "all servers limit their requests";
 
     /** Events that can explain the outcome of a request without naming the request. */
     private static final Set<Integer> RELATED_EVENTS =
@@ -37,6 +42,8 @@
                     STORE_LOST,
                     LEASE_TAKEN,
                     LEASE_LOST,
+                    LIMIT_NAMED,
+                    LIMIT_ENDED,
                     // An order was not accepted, or its outcome is unknown.
                     545,
                     // The relays that a host knows have changed.
@@ -149,10 +156,13 @@
                         .map(ResultCode::cause)
                         .findFirst()
                         .orElse("Result code " + code + ".");
-        return codeDescription + " " + likelyReason() + executionSentence(last);
+        return codeDescription + " " + likelyReason(last) + executionSentence(last);
     }
 
-    private String likelyReason() {
+    private String likelyReason(LogLine last) {
+        if (last.field("detail").equals(LIMITED_DETAIL)) {
+            return "All servers that can run it limit the requests that they take.";
+        }
         Optional<LogLine> lastFailedSend =
                 mRequestEvents.stream()
                         .filter(line -> line.event() == SEND_FAILED)
--- a/command-line/src/test/java/org/vanillaslip/internal/commandline/ExplainTest.java
+++ b/command-line/src/test/java/org/vanillaslip/internal/commandline/ExplainTest.java
@@ -39,6 +39,28 @@
                 .contains("It has not run.");
     }
 
+    @Test
+    void explainsARefusalByTheLimitsOfAllServers() throws IOException {
+        String log =
+                formatEvent("01.000Z", "The daemon starts.", "event=100 host=h1")
+                        + formatEvent(
+                                "02.000Z",
+                                "A backend server limits the requests that it takes from all"
+                                        + " hosts.",
+                                "event=552 server=i-1 per_second=2.2 source=answer")
+                        + formatEvent(
+                                "03.000Z",
+                                "A call was refused or failed.",
+                                "event=563 request=a1 code=2003"
+                                        + " detail=\"all servers limit their requests\""
+                                        + " not_run=true retry_after_ms=2000 after_ms=30");
+
+        assertThat(explain("a1", log)).isZero();
+        assertThat(mOperator.mOutput)
+                .contains("h1 552")
+                .contains("All servers that can run it limit the requests that they take.");
+    }
+
     @Test
     void namesTheServerWhoseAnswerIsUnknown() throws IOException {
         String log =
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -45,7 +45,11 @@
     REGISTRATION_FAILED(549, WARNING, "The host list could not be updated."),
     ORDER_UNANSWERED(550, DEBUG, "A backend server did not answer an order."),
     LEASE_FAULT(
-            551, WARNING, "An answer about the lease could not be processed; it is read again.");
+            551, WARNING, "An answer about the lease could not be processed; it is read again."),
+    LIMIT_NAMED(552, INFO, "A backend server limits the requests that it takes from all hosts."),
+    LIMIT_ENDED(553, INFO, "A backend server no longer limits its requests."),
+    LIMIT_UNREADABLE(554, DEBUG, "The limit that a backend server names is unreadable; ignored."),
+    LIMIT_HELD(555, INFO, "This host now schedules the requests to a backend server with a limit.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -7,7 +7,9 @@
 import java.util.Set;
 import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.routing.ColdServerRateLimiter;
+import org.vanillaslip.internal.routing.SendPermits;
 import org.vanillaslip.internal.routing.ServerHealth;
+import org.vanillaslip.internal.routing.ServerLimit;
 
 /**
  * State of a backend server since its last start, as known to this host; used on the decision loop
@@ -32,6 +34,8 @@
 
     private final ServerHealth mHealth = new ServerHealth();
     private final ColdServerRateLimiter mColdRateLimiter = new ColdServerRateLimiter();
+    private final ServerLimit mLimit = new ServerLimit();
+    private final SendPermits mPermits = new SendPermits();
     private final Map<String, Integer> mOwnCallsByModel = new HashMap<>();
     private final Map<ModelName, Long> mModelMissingAt = new HashMap<>();
     private final boolean mFirstStart;
@@ -85,6 +89,16 @@
         return mHealth;
     }
 
+    /** Returns the limit of requests that the server has named. */
+    public ServerLimit limit() {
+        return mLimit;
+    }
+
+    /** Returns this host's permits for requests to the server while it has a limit. */
+    public SendPermits permits() {
+        return mPermits;
+    }
+
     /** Returns the number of calls of this host that run or are being sent. */
     public int ownCalls() {
         return mOwnCalls;
@@ -206,6 +220,12 @@
 
     /** Returns whether a call may be sent now. */
     public boolean canAcceptCall(long nowNanos) {
+        return canAcceptCallWithPermit(nowNanos)
+                && (!mLimit.isLimited() || mPermits.isUsable(nowNanos));
+    }
+
+    /** Returns whether a call may be sent now, apart from the limit that the server has named. */
+    boolean canAcceptCallWithPermit(long nowNanos) {
         boolean full = mFullAt != Long.MIN_VALUE && nowNanos - mFullAt < FULL_RETRY_NANOS;
         return inService()
                 && !full
@@ -223,6 +243,9 @@
             Optional<ModelName> model, double coldPerSecond, int hosts, long nowNanos) {
         mOwnCalls++;
         model.ifPresent(name -> mOwnCallsByModel.merge(name.model(), 1, Integer::sum));
+        if (mLimit.isLimited()) {
+            mPermits.use(nowNanos);
+        }
         if (isCold(nowNanos) && coldPerSecond > 0) {
             mColdRateLimiter.recordCall(coldPerSecond, hosts, nowNanos);
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -22,6 +22,7 @@
     private final PlanView mPlans;
     private final FailureDomain mFailureDomain;
     private final IntSupplier mHosts;
+    private final LimitedServers mLimited;
     private final DecisionLoop mLoop;
     private final RandomGenerator mRandom;
     private final RendezvousRanking mAffinity = new RendezvousRanking();
@@ -31,18 +32,21 @@
      *
      * @param failureDomain failure domain of this host, whose servers are preferred
      * @param hosts number of hosts that may send calls, including this host
+     * @param permits source of permits for servers that limit their requests
      */
     public ServerSelector(
             FleetDirectory directory,
             PlanView plans,
             FailureDomain failureDomain,
             IntSupplier hosts,
+            PermitSource permits,
             DecisionLoop loop,
             RandomGenerator random) {
         mDirectory = directory;
         mPlans = plans;
         mFailureDomain = failureDomain;
         mHosts = hosts;
+        mLimited = new LimitedServers(permits);
         mLoop = loop;
         mRandom = random;
     }
@@ -54,11 +58,18 @@
         for (FleetMember member : mDirectory.inService(request.target().pool())) {
             suspected.addServer(member.registered().failureDomain(), member.health(), now);
         }
+        List<FleetMember> servers = serversWith(request.target());
+        mLimited.requestConfirmations(servers, now);
         List<FleetMember> available =
-                serversWith(request.target()).stream()
-                        .filter(member -> !request.failedServers().contains(member.instance()))
-                        .filter(member -> hasRoom(member, request.target(), now))
-                        .toList();
+                mLimited.preferred(
+                        servers.stream()
+                                .filter(
+                                        member ->
+                                                !request.failedServers()
+                                                        .contains(member.instance()))
+                                .filter(member -> hasRoom(member, request.target(), now))
+                                .toList(),
+                        now);
         Optional<String> affinityInstance =
                 request.promptPart()
                         .flatMap(
@@ -99,6 +110,25 @@
                 .toList();
     }
 
+    /**
+     * Requests permits for calls that wait, because no server without a limit has room.
+     *
+     * @param calls number of waiting calls
+     * @param deadlineNanos latest useful time of the most urgent one
+     */
+    void requestPermits(CallTarget target, int calls, long deadlineNanos) {
+        mLimited.requestPermits(serversWith(target), calls, deadlineNanos, now());
+    }
+
+    /** Returns when calls can be sent, if only servers that limit their requests can take them. */
+    Optional<LimitedCapacity> limitedCapacity(CallTarget target) {
+        return mLimited.capacity(serversWith(target), now());
+    }
+
+    private long now() {
+        return mLoop.clock().nowNanos();
+    }
+
     private static boolean hasRoom(FleetMember member, CallTarget target, long nowNanos) {
         boolean hasSlot =
                 target.model().isEmpty()
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -33,6 +33,12 @@
 
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(250);
 
+    /** Time for the answer of a server that limits its requests, at most. */
+    private static final Duration MAX_ANSWER_TIME = Duration.ofMillis(100);
+
+    /** Detail of refusals because of limits; {@code vanillaslip explain} recognizes it. */
+    private static final String LIMITED_DETAIL = "all servers limit their requests";
+
     private static final Comparator<WaitingCall> BY_PRIORITY_AND_AGE =
             Comparator.comparingInt(WaitingCall::priority)
                     .thenComparingLong(WaitingCall::enqueuedNanos);
@@ -112,6 +118,7 @@
         if (request.target().model().isPresent() && isModelMissing(request.target())) {
             mOnModelMissing.accept(request.target());
         }
+        requestPermits(request.target(), waiting);
         scheduleTick();
     }
 
@@ -130,7 +137,41 @@
                 remove(call);
                 call.sink().success(slot.get());
             } else if (call.request().failedServers().isEmpty()) {
-                return;
+                break;
+            }
+        }
+        requestPermits(target, mWaiting.getOrDefault(target, List.of()));
+    }
+
+    private void requestPermits(CallTarget target, List<WaitingCall> queue) {
+        if (!queue.isEmpty()) {
+            WaitingCall first = queue.get(0);
+            long latestSendNanos = first.deadlineNanos() - answerTimeNanos(first);
+            mSelector.requestPermits(target, queue.size(), latestSendNanos);
+        }
+    }
+
+    /** A call that is sent just before its deadline only costs the server a request. */
+    private static long answerTimeNanos(WaitingCall call) {
+        return Math.min(
+                MAX_ANSWER_TIME.toNanos(), (call.deadlineNanos() - call.enqueuedNanos()) / 4);
+    }
+
+    /** Refuses the last calls of the queue that servers with a limit cannot take in time. */
+    private void refuseBeyondLimits(CallTarget target) {
+        Optional<LimitedCapacity> capacity = mSelector.limitedCapacity(target);
+        if (capacity.isEmpty()) {
+            return;
+        }
+        long now = mLoop.clock().nowNanos();
+        int served = 0;
+        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+            long sendTime = capacity.get().timeAfter(served);
+            if (sendTime + answerTimeNanos(call) - call.deadlineNanos() > 0) {
+                Duration retryAfter = Duration.ofNanos(sendTime - now);
+                refuse(call, ResultCode.DEADLINE_UNREACHABLE, retryAfter, LIMITED_DETAIL);
+            } else {
+                served++;
             }
         }
     }
@@ -189,10 +230,14 @@
     }
 
     private void refuse(WaitingCall call, ResultCode code, Duration retryAfter) {
+        String detail = call.request().target().model().map(Object::toString).orElse("");
+        refuse(call, code, retryAfter, detail);
+    }
+
+    private void refuse(WaitingCall call, ResultCode code, Duration retryAfter, String detail) {
         remove(call);
         Duration boundedRetryAfter =
                 retryAfter.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : retryAfter;
-        String detail = call.request().target().model().map(Object::toString).orElse("");
         call.sink().error(new RefusedException(Refusal.retryable(code, detail, boundedRetryAfter)));
     }
 
@@ -242,6 +287,7 @@
                 }
             }
         }
+        List.copyOf(mWaiting.keySet()).forEach(this::refuseBeyondLimits);
         dispatch();
         scheduleTick();
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -78,7 +78,17 @@
             "vanillaslip.relay.broken",
             "vanillaslip_relay_broken_total",
             "Pass-through answers that broke off.",
-            "kind");
+            "kind"),
+    SERVER_LIMITS(
+            "vanillaslip.server.limits",
+            "vanillaslip_server_limits_total",
+            "Limits of backend servers that this host learned of, and their ends.",
+            "change"),
+    SEND_PERMITS(
+            "vanillaslip.send.permits",
+            "vanillaslip_send_permits_total",
+            "Permits that this host requested for calls to backend servers with a limit.",
+            "result");
 
     private final String mMeterName;
     private final String mScrapeName;
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -113,6 +113,20 @@
                 label(limit));
     }
 
+    /** Counts a limit of a backend server that was named or changed, or its end. */
+    public void serverLimitChanged(boolean limited) {
+        count(DaemonMetric.SERVER_LIMITS, 1, limited ? "named" : "ended");
+    }
+
+    /**
+     * Counts a request for a permit to send to a backend server with a limit.
+     *
+     * @param result granted, refused or unanswered
+     */
+    public void sendPermitRequested(String result) {
+        count(DaemonMetric.SEND_PERMITS, 1, result);
+    }
+
     /**
      * Counts an answer of a backend server that was passed through.
      *
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/RelayNetwork.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/RelayNetwork.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.vanillaslip.FailureDomain;
 import org.vanillaslip.Host;
 import org.vanillaslip.MonotonicClock;
@@ -202,6 +203,27 @@
         return mRoles.hostCountByDomain();
     }
 
+    /** Returns the name of this host. */
+    public String hostName() {
+        return mSelf.name();
+    }
+
+    /**
+     * Returns the part of the listed hosts that this host reaches, itself included; 0 before the
+     * list has been read. The parts of hosts that do not reach each other add up to 1 at most.
+     */
+    public double reachedPart() {
+        Set<String> listed = mHosts.get().stream().map(Host::name).collect(Collectors.toSet());
+        if (listed.isEmpty()) {
+            return 0;
+        }
+        listed.add(mSelf.name());
+        Set<String> reached = liveHosts();
+        reached.add(mSelf.name());
+        reached.retainAll(listed);
+        return (double) reached.size() / listed.size();
+    }
+
     /** Returns the linked relays and this host. */
     public Collection<String> liveRelays() {
         Set<String> live = new HashSet<>(ownRelays());
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallDialect.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallDialect.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import org.vanillaslip.Refusal;
+import org.vanillaslip.internal.fleet.ServerNotice;
 
 /** Reads and writes the HTTP headers of messages from and to callers and backend servers. */
 public interface CallDialect {
@@ -21,6 +22,9 @@
     ResponseOutcome classifyResponse(
             int status, HttpHeaders responseHeaders, String callId, String expectedInstance);
 
+    /** Returns what a server says of itself in the head of a response. */
+    ServerNotice parseServerNotice(HttpHeaders responseHeaders);
+
     /** Sets the header that tells a caller when to retry. */
     void setRetryAfter(HttpHeaders responseHeaders, Duration retryAfter);
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -15,6 +15,7 @@
 import org.vanillaslip.internal.fleet.FleetEvent;
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.fleet.RequestSlot;
+import org.vanillaslip.internal.fleet.ServerLimits;
 import org.vanillaslip.internal.fleet.ServerSelector;
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.gateway.RefusedException;
@@ -37,6 +38,7 @@
     private final CallDialect mDialect;
     private final WaitingCallQueue mWaitingCalls;
     private final ServerSelector mSelector;
+    private final ServerLimits mLimits;
     private final Supplier<RetryBudget> mBudgetFactory;
     private final PromptFaultExchange mPromptFaults;
     private final DecisionLoop mLoop;
@@ -48,6 +50,7 @@
             CallDialect dialect,
             WaitingCallQueue waitingCalls,
             ServerSelector selector,
+            ServerLimits limits,
             Supplier<RetryBudget> budgetFactory,
             PromptFaultExchange promptFaults,
             DecisionLoop loop,
@@ -56,6 +59,7 @@
         mDialect = dialect;
         mWaitingCalls = waitingCalls;
         mSelector = selector;
+        mLimits = limits;
         mBudgetFactory = budgetFactory;
         mPromptFaults = promptFaults;
         mLoop = loop;
@@ -94,6 +98,7 @@
                                 retryBudget(call).recordRequest(now());
                             }
                             logServerChosen(call, server);
+                            long sentNanos = now();
                             HttpHeaders headers =
                                     mDialect.backendRequestHeaders(
                                             call.headers(),
@@ -110,6 +115,7 @@
                                                     handleResponse(
                                                             call,
                                                             server,
+                                                            sentNanos,
                                                             response,
                                                             chunks,
                                                             onResponse))
@@ -176,6 +182,7 @@
     private <T> Publisher<T> handleResponse(
             RelayCall call,
             FleetMember server,
+            long sentNanos,
             HttpClientResponse response,
             Flux<byte[]> chunks,
             BiFunction<HttpClientResponse, Flux<byte[]>, Publisher<T>> onResponse) {
@@ -185,6 +192,10 @@
                         response.responseHeaders(),
                         call.head().id(),
                         server.instance());
+        if (outcome != ResponseOutcome.FOREIGN && outcome != ResponseOutcome.NOT_RUN_OTHER_SERVER) {
+            mLimits.record(
+                    server, mDialect.parseServerNotice(response.responseHeaders()), sentNanos);
+        }
         return switch (outcome) {
             case SUCCEEDED, FAILED -> onResponse.apply(response, chunks);
             case NOT_RUN_FULL -> {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.vanillaslip.FailureDomain;
 import org.vanillaslip.Host;
 import org.vanillaslip.internal.changes.RelayedStore;
 import org.vanillaslip.internal.control.configuration.CollectionFollower;
@@ -26,7 +27,9 @@
 import org.vanillaslip.internal.fleet.HealthTrackingObjectStore;
 import org.vanillaslip.internal.fleet.HostRegistration;
 import org.vanillaslip.internal.fleet.LoadController;
+import org.vanillaslip.internal.fleet.PermitSource;
 import org.vanillaslip.internal.fleet.PlanFollower;
+import org.vanillaslip.internal.fleet.ServerLimitExchange;
 import org.vanillaslip.internal.fleet.ServerSelector;
 import org.vanillaslip.internal.fleet.StoreAnswerHistory;
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
@@ -100,6 +103,7 @@
     private final RelayedStore mRelayedStore;
     private final HostRegistration mRegistration;
     private final WorkspaceLimits mLimits;
+    private final ServerLimitExchange mServerLimits;
     private final WaitingCallQueue mWaitingCalls;
     private final FleetLease mLease;
     private final LoadController mLoadController;
@@ -145,9 +149,8 @@
         mDirectory = new FleetDirectory(adapters.collections(), mDrains, mLoop, storeAnswers, log);
         double overdraft = serving.rateSlack() * OVERDRAFT_FRACTION;
         mLimits = new WorkspaceLimits(overdraft, mLoop, mLinks, mNetwork, mRandom, log);
-        ServerSelector selector =
-                new ServerSelector(
-                        mDirectory, mPlans, mHost.failureDomain(), this::hostCount, mLoop, mRandom);
+        mServerLimits = new ServerLimitExchange(mDirectory, mNetwork, mLinks, mLoop, mMetrics, log);
+        ServerSelector selector = serverSelector();
         mWaitingCalls =
                 new WaitingCallQueue(selector, mLoop, settings.admission().maxWaitingRequests());
         mLease = fleetLease();
@@ -186,6 +189,7 @@
         mHosts.start();
         mRegistration.start();
         mLimits.start();
+        mServerLimits.start(mAdapters.engines());
         mExchange.start();
         mPromptFaults.onQuarantine(mWaitingCalls::refuseCallsWith);
         mPromptFaults.start();
@@ -241,6 +245,13 @@
                 mLog);
     }
 
+    private ServerSelector serverSelector() {
+        PermitSource permits = mServerLimits.permits();
+        FailureDomain ownDomain = mHost.failureDomain();
+        return new ServerSelector(
+                mDirectory, mPlans, ownDomain, this::hostCount, permits, mLoop, mRandom);
+    }
+
     private FleetLease fleetLease() {
         return new FleetLease(
                 mHost.name(),
@@ -291,6 +302,7 @@
                         mAdapters.dialect(),
                         mWaitingCalls,
                         selector,
+                        mServerLimits.limits(),
                         this::retryBudget,
                         mPromptFaults,
                         mLoop,
@@ -379,17 +391,7 @@
     }
 
     private Heartbeat heartbeat() {
-        return Heartbeat.newBuilder()
-                .setLeaving(mLeaving)
-                .addAllQuarantinedParts(
-                        Optional.ofNullable(mPromptFaults)
-                                .map(PromptFaultExchange::quarantinedParts)
-                                .orElse(List.of()))
-                .setConfigurationVersion(
-                        Optional.ofNullable(mPlans)
-                                .flatMap(PlanFollower::current)
-                                .map(plan -> plan.version())
-                                .orElse(0L))
-                .build();
+        return HostHeartbeat.of(
+                mLeaving, Optional.ofNullable(mPromptFaults), Optional.ofNullable(mPlans));
     }
 }
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/ForecastTrafficTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/ForecastTrafficTest.java
@@ -84,14 +84,7 @@
                         .toList();
         directory.listed(new ObjectList(1, entries));
         PlanView plans = () -> Optional.of(plan());
-        ServerSelector selector =
-                new ServerSelector(
-                        directory,
-                        plans,
-                        new FailureDomain("d0"),
-                        () -> HOSTS,
-                        mEngines.mLoop,
-                        new Random(1));
+        ServerSelector selector = serverSelector(directory, plans);
         WaitingCallQueue waitingCalls = new WaitingCallQueue(selector, mEngines.mLoop, 100);
         LoadController controller =
                 new LoadController(
@@ -120,6 +113,17 @@
         mLeases.run(Duration.ofSeconds(2));
     }
 
+    private ServerSelector serverSelector(FleetDirectory directory, PlanView plans) {
+        return new ServerSelector(
+                directory,
+                plans,
+                new FailureDomain("d0"),
+                () -> HOSTS,
+                PermitSource.NONE,
+                mEngines.mLoop,
+                new Random(1));
+    }
+
     /**
      * Guards against links that are full of forecasts, so that news of leaving servers is late.
      * Each plan made a forecast for every model that any caller waits for, and all hosts got them
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
@@ -49,6 +49,7 @@
                             Optional::empty,
                             new FailureDomain("d"),
                             () -> 1,
+                            PermitSource.NONE,
                             mLoop,
                             new Random(1)),
                     mLoop,
--- a/daemon/src/test/java/org/vanillaslip/internal/peer/RelaySimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/peer/RelaySimulation.java
@@ -201,6 +201,12 @@
         mInitiatorsByLink.keySet().removeIf(link -> link.contains(simulatedHost.name()));
     }
 
+    /** Starts a crashed host again, without any state. */
+    public void restart(SimulatedHost simulatedHost) {
+        simulatedHost.mStopped = false;
+        simulatedHost.start();
+    }
+
     /** Suspends a host; its links stay open but silent. */
     public void suspend(SimulatedHost simulatedHost) {
         simulatedHost.mStopped = true;
