Ask again for a permit whose request never had a result

A host asks for one permit at a time for a server that limits its requests. Had a request ended without any result, the host would have asked no more, and the server would have got none of its calls. It is now taken as lost after a second (SendPermitsTest.aRequestWithoutAnyResultIsRepeated).

Permits are no longer asked for engines whose request slots are all in use, and without any limited server the search for a server allocates nothing more than before.

SharedServerLimitTest also plays relays that fall silent.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LimitedServers.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LimitedServers.java
@@ -16,6 +16,16 @@
         mPermits = permits;
     }
 
+    /** Returns whether any of the servers limits its requests. */
+    static boolean hasLimited(Iterable<FleetMember> servers) {
+        for (FleetMember server : servers) {
+            if (server.limit().isLimited()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Returns the servers to choose from. Servers without a limit come first, so that no call waits
      * or is refused for a limit while others have room. But a server whose limit has not been
@@ -24,11 +34,11 @@
      * @param available servers that can take a call now
      */
     List<FleetMember> preferred(List<FleetMember> available, long nowNanos) {
-        List<FleetMember> unlimited =
-                available.stream().filter(server -> !server.limit().isLimited()).toList();
-        if (unlimited.size() == available.size()) {
+        if (!hasLimited(available)) {
             return available;
         }
+        List<FleetMember> unlimited =
+                available.stream().filter(server -> !server.limit().isLimited()).toList();
         List<FleetMember> unconfirmed =
                 available.stream()
                         .filter(server -> server.limit().isConfirmationDue(nowNanos))
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/SendPermitExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/SendPermitExchange.java
@@ -83,7 +83,7 @@
         if (within < 0 || !permits.isRequestDue(calls, now)) {
             return;
         }
-        permits.recordRequest();
+        permits.recordRequest(now);
         SendRequest request =
                 new SendRequest(
                         server.startId(), LimitNews.of(server, now), within / NANOS_PER_MILLI, 0);
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -117,12 +117,18 @@
      * @param deadlineNanos latest useful time of the most urgent one
      */
     void requestPermits(CallTarget target, int calls, long deadlineNanos) {
-        mLimited.requestPermits(serversWith(target), calls, deadlineNanos, now());
+        if (LimitedServers.hasLimited(mDirectory.members())) {
+            List<FleetMember> servers =
+                    serversWith(target).stream().filter(one -> hasSlot(one, target)).toList();
+            mLimited.requestPermits(servers, calls, deadlineNanos, now());
+        }
     }
 
     /** Returns when calls can be sent, if only servers that limit their requests can take them. */
     Optional<LimitedCapacity> limitedCapacity(CallTarget target) {
-        return mLimited.capacity(serversWith(target), now());
+        return LimitedServers.hasLimited(mDirectory.members())
+                ? mLimited.capacity(serversWith(target), now())
+                : Optional.empty();
     }
 
     private long now() {
@@ -130,11 +136,12 @@
     }
 
     private static boolean hasRoom(FleetMember member, CallTarget target, long nowNanos) {
-        boolean hasSlot =
-                target.model().isEmpty()
-                        || member.activeCalls()
-                                < member.registered().requestSlots() * ENGINE_QUEUE_FACTOR;
-        return hasSlot && member.canAcceptCall(nowNanos);
+        return hasSlot(member, target) && member.canAcceptCall(nowNanos);
+    }
+
+    private static boolean hasSlot(FleetMember member, CallTarget target) {
+        return target.model().isEmpty()
+                || member.activeCalls() < member.registered().requestSlots() * ENGINE_QUEUE_FACTOR;
     }
 
     private RankedServer toRankedServer(
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/SharedServerLimitTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/SharedServerLimitTest.java
@@ -129,6 +129,23 @@
         assertThat(simulation.arrivals()).isGreaterThan(before);
     }
 
+    /** Guards against calls that wait for a relay whose links are open and silent. */
+    @ParameterizedTest
+    @CsvSource({"8, 4, 2.2", "100, 5, 1.6"})
+    void theLimitIsUsedAgainAfterItsRelaysFellSilent(int hosts, int domains, double limit) {
+        LimitedServerSimulation simulation = start(hosts, domains, limit);
+        simulation.run(Duration.ofSeconds(5), CALLS_PER_SECOND);
+        List.copyOf(simulation.world().relays()).stream()
+                .limit(2)
+                .forEach(relay -> simulation.world().suspend(relay));
+        simulation.run(Duration.ofSeconds(10), CALLS_PER_SECOND);
+        int before = simulation.arrivals();
+        simulation.run(Duration.ofSeconds(20), CALLS_PER_SECOND);
+
+        assertThat(simulation.largestWindow()).isLessThanOrEqualTo(maxWindow(limit));
+        assertThat(simulation.arrivals() - before).isGreaterThan((int) (0.5 * limit * 20));
+    }
+
     /** Guards against a server that stays limited for good because nobody asks it. */
     @ParameterizedTest
     @CsvSource({"8, 4, 0", "100, 5, 1.6"})
--- a/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
@@ -37,6 +37,8 @@
         mMetrics.relayAnswered(CallKind.STREAM, 2, 300_000_000);
         mMetrics.relayRefused(ResultCode.RATE_EXCEEDED);
         mMetrics.relayBroken(CallKind.STREAM);
+        mMetrics.serverLimitChanged(true);
+        mMetrics.sendPermitRequested("granted");
 
         String scrape = mMetrics.scrape();
 
@@ -54,6 +56,8 @@
                         "vanillaslip_peer_bytes_total{body=\"heartbeat\",direction=\"sent\"} 40.0")
                 .contains("vanillaslip_quota_tokens_granted_total{limit=\"workspace_rate\"} 40.5")
                 .contains("vanillaslip_relay_answers_total{kind=\"stream\",status=\"2xx\"} 1.0")
-                .contains("vanillaslip_relay_refusals_total{code=\"2001\"} 1.0");
+                .contains("vanillaslip_relay_refusals_total{code=\"2001\"} 1.0")
+                .contains("vanillaslip_server_limits_total{change=\"named\"} 1.0")
+                .contains("vanillaslip_send_permits_total{result=\"granted\"} 1.0");
     }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/SendPermits.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/SendPermits.java
@@ -18,9 +18,13 @@
     /** Interval of requests for a permit after one was refused or lost. */
     private static final long MIN_RETRY_NANOS = Duration.ofMillis(100).toNanos();
 
+    /** A request without a result for this long is lost, whatever became of it. */
+    private static final long REQUEST_TIMEOUT_NANOS = Duration.ofSeconds(1).toNanos();
+
     private final ArrayDeque<Long> mTimes = new ArrayDeque<>();
     private OptionalLong mNextFreeTime = OptionalLong.empty();
     private long mNextRequestAt = Long.MIN_VALUE / 2;
+    private long mRequestedAt;
     private boolean mRequested;
 
     /** Returns whether a call may be sent now. */
@@ -44,14 +48,16 @@
      */
     public boolean isRequestDue(int calls, long nowNanos) {
         dropExpired(nowNanos);
-        return !mRequested
+        boolean requested = mRequested && nowNanos - mRequestedAt < REQUEST_TIMEOUT_NANOS;
+        return !requested
                 && mTimes.size() < Math.min(calls, MAX_PERMITS)
                 && nowNanos - mNextRequestAt >= 0;
     }
 
     /** Records that a permit has been requested. */
-    public void recordRequest() {
+    public void recordRequest(long nowNanos) {
         mRequested = true;
+        mRequestedAt = nowNanos;
     }
 
     /** Records a granted permit that may be used from the given time on. */
--- a/decisions/src/test/java/org/vanillaslip/internal/routing/SendPermitsTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/routing/SendPermitsTest.java
@@ -48,18 +48,27 @@
 
     @Test
     void aPermitIsRequestedAgainAfterARefusalAndAfterALostReply() {
-        mPermits.recordRequest();
+        mPermits.recordRequest(0);
         assertThat(mPermits.isRequestDue(1, 0)).isFalse();
         mPermits.recordRefusal(5 * SECOND, SECOND, 0);
         assertThat(mPermits.nextTime(0)).hasValue(5 * SECOND);
         assertThat(mPermits.isRequestDue(1, 3 * SECOND)).isFalse();
         assertThat(mPermits.isRequestDue(1, 4 * SECOND)).isTrue();
 
-        mPermits.recordRequest();
+        mPermits.recordRequest(4 * SECOND);
         mPermits.recordNoReply(4 * SECOND);
         assertThat(mPermits.isRequestDue(1, 5 * SECOND)).isTrue();
     }
 
+    /** Guards against a server that gets no calls because a request never had a result. */
+    @Test
+    void aRequestWithoutAnyResultIsRepeated() {
+        mPermits.recordRequest(0);
+
+        assertThat(mPermits.isRequestDue(1, SECOND / 2)).isFalse();
+        assertThat(mPermits.isRequestDue(1, SECOND)).isTrue();
+    }
+
     @Test
     void noMorePermitsAreRequestedThanCallsWait() {
         mPermits.recordGrant(SECOND);
