--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -13,6 +13,7 @@
 import org.vanillaslip.internal.fleet.FleetEvent;
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.fleet.RequestSlot;
+import org.vanillaslip.internal.fleet.ServerLimits;
 import org.vanillaslip.internal.fleet.ServerSelector;
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.gateway.RefusedException;
@@ -34,6 +35,7 @@
     private final CallDialect mDialect;
     private final WaitingCallQueue mWaitingCalls;
     private final ServerSelector mSelector;
+    private final ServerLimits mLimits;
     private final RetryBudgets mBudgets;
     private final PromptFaultExchange mPromptFaults;
     private final DecisionLoop mLoop;
@@ -44,6 +46,7 @@
             CallDialect dialect,
             WaitingCallQueue waitingCalls,
             ServerSelector selector,
+            ServerLimits limits,
             RetryBudgets budgets,
             PromptFaultExchange promptFaults,
             DecisionLoop loop,
@@ -52,6 +55,7 @@
         mDialect = dialect;
         mWaitingCalls = waitingCalls;
         mSelector = selector;
+        mLimits = limits;
         mBudgets = budgets;
         mPromptFaults = promptFaults;
         mLoop = loop;
@@ -113,6 +117,7 @@
                             int send = call.recordSend(server.instance());
                             mBudgets.recordSend(call);
                             logServerChosen(call, server);
+                            long sentNanos = now();
                             HttpHeaders headers =
                                     mDialect.backendRequestHeaders(
                                             call.headers(),
@@ -129,6 +134,7 @@
                                                     handleResponse(
                                                             call,
                                                             server,
+                                                            sentNanos,
                                                             response,
                                                             chunks,
                                                             onResponse))
@@ -196,6 +202,7 @@
     private <T> Publisher<T> handleResponse(
             RelayCall call,
             FleetMember server,
+            long sentNanos,
             HttpClientResponse response,
             Flux<byte[]> chunks,
             BiFunction<HttpClientResponse, Flux<byte[]>, Publisher<T>> onResponse) {
@@ -205,6 +212,10 @@
                         response.responseHeaders(),
                         call.head().id(),
                         server.instance());
+        if (outcome != ResponseOutcome.FOREIGN && outcome != ResponseOutcome.NOT_RUN_OTHER_SERVER) {
+            mLimits.record(
+                    server, mDialect.parseServerNotice(response.responseHeaders()), sentNanos);
+        }
         return switch (outcome) {
             case SUCCEEDED, FAILED -> onResponse.apply(response, chunks);
             case NOT_RUN_FULL -> {
