Take the count of active calls down after short calls, too

The action was registered when the response was complete. By then the response has given its connection back and refers to a placeholder channel, whose event loop throws; the error was dropped, and the count never taken down.

Change: the channel is taken when the call arrives. The stand-in engine closes a broken stream without logging an error, which the scenarios injected.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -111,6 +111,7 @@
     Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         return Mono.defer(
                 () -> {
+                    OutboundBuffer outbound = OutboundBuffer.of(response);
                     mActiveCalls.incrementAndGet();
                     long arrivedNanos = mLoop.clock().nowNanos();
                     HttpHeaders headers = new DefaultHttpHeaders().set(request.requestHeaders());
@@ -132,9 +133,7 @@
                             .onErrorResume(
                                     error -> refuse(response, headers, error, "", arrivedNanos))
                             .doFinally(
-                                    signal ->
-                                            OutboundBuffer.whenWritten(
-                                                    response, mActiveCalls::decrementAndGet));
+                                    signal -> outbound.whenWritten(mActiveCalls::decrementAndGet));
                 });
     }
 
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/demo/DemoRun.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/demo/DemoRun.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.Map;
 import org.vanillaslip.internal.proofs.processes.CallerResponse;
 import org.vanillaslip.internal.proofs.processes.Deployment;
@@ -39,6 +40,8 @@
         callOpenRoute();
         callWithoutKey();
         printDecisions();
+        List<String> faults = mDeployment.logs().readNewFaults();
+        mReport.check("the logs show no error", faults.isEmpty(), String.join("\n", faults));
     }
 
     private String addKey() {
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Deployment.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/Deployment.java
@@ -41,6 +41,7 @@
     private final Map<String, JavaProcess> mBackendServers = new LinkedHashMap<>();
     private final Map<String, String> mBackendAddresses = new LinkedHashMap<>();
     private final List<JavaProcess> mProcesses = new ArrayList<>();
+    private final ProcessLogs mLogs;
     private int mCommandCount;
 
     private Deployment(Path directory, String classPath, int hostsPerFailureDomain) {
@@ -48,6 +49,7 @@
         mDirectory = directory;
         mClassPath = classPath;
         mPlatformAddress = "127.0.0.1:" + Ports.findFreePort();
+        mLogs = new ProcessLogs(directory);
     }
 
     /** Starts all processes, applies the lists and waits until all hosts are ready. */
@@ -99,6 +101,11 @@
         return mDirectory;
     }
 
+    /** Returns the logs of all processes and commands. */
+    public ProcessLogs logs() {
+        return mLogs;
+    }
+
     /** Returns the address of the platform's object API. */
     public String platformAddress() {
         return mPlatformAddress;
--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/SharedDeployment.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/scenarios/SharedDeployment.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.proofs.scenarios;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.vanillaslip.internal.proofs.processes.Deployment.await;
 
 import io.cucumber.java.After;
@@ -42,11 +43,15 @@
         private String mKey = "";
 
         private void close() {
+            OPEN_FEATURES.remove(this);
             if (mDeployment != null) {
-                mDeployment.close();
+                Deployment deployment = mDeployment;
                 mDeployment = null;
+                deployment.close();
+                assertThat(deployment.logs().readNewFaults())
+                        .as("faults in the logs after the last scenario of " + mUri)
+                        .isEmpty();
             }
-            OPEN_FEATURES.remove(this);
         }
     }
 
@@ -73,6 +78,12 @@
         faultInjector().removeAll();
     }
 
+    /** Fails a scenario in which a process logged an error or a stack trace. */
+    @After(order = 0)
+    public static void checkLogs() {
+        assertThat(deployment().logs().readNewFaults()).as("faults in the logs").isEmpty();
+    }
+
     /** Stops the remaining deployment of each thread. */
     @AfterAll
     public static void close() {
--- a/stand-ins/src/main/java/org/vanillaslip/internal/standins/engine/EngineCompletions.java
+++ b/stand-ins/src/main/java/org/vanillaslip/internal/standins/engine/EngineCompletions.java
@@ -66,7 +66,14 @@
         return response.header("Content-Type", "text/event-stream")
                 .header("X-Request-Id", echoedRequestId)
                 .header("X-Incarnation", process.mModels.incarnation())
-                .send(events.map(EngineCompletions::toBuffer), buffer -> true)
+                .send(
+                        events.map(EngineCompletions::toBuffer)
+                                .onErrorResume(
+                                        IOException.class,
+                                        fault ->
+                                                EngineHttp.closeConnection(response)
+                                                        .cast(io.netty.buffer.ByteBuf.class)),
+                        buffer -> true)
                 .then();
     }
 
