--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
@@ -19,24 +19,15 @@
  */
 public final class ReplicatedBucket {
 
-    /** A host that has not reported for this long is assumed to use its share. */
-    private static final long REPORT_TIMEOUT_NANOS = Duration.ofSeconds(1).toNanos();
-
     /** Report interval of a host that has reported being idle; it reports new calls at once. */
-    private static final long IDLE_INTERVAL_NANOS = Duration.ofSeconds(5).toNanos();
+    static final long IDLE_INTERVAL_NANOS = Duration.ofSeconds(5).toNanos();
 
     /** A host with calls reports at least this often, so that it does not count as silent. */
     private static final long BUSY_INTERVAL_NANOS = Duration.ofMillis(600).toNanos();
 
-    /** Timeout for a host that has reported being idle: its interval plus the regular timeout. */
-    private static final long IDLE_TIMEOUT_NANOS = IDLE_INTERVAL_NANOS + REPORT_TIMEOUT_NANOS;
-
     /** Time in which hosts link to a host that has started, unless they cannot reach it. */
     private static final long LEVEL_TIMEOUT_NANOS = Duration.ofSeconds(3).toNanos();
 
-    /** Fraction of the rate that is the minimum demand of all hosts, so that each has a share. */
-    private static final double IDLE_DEMAND_FRACTION = 0.1;
-
     /**
      * While more remains than callers request from all hosts in this time, a host may exceed its
      * share by a few calls. Others' usage is known after three report intervals of 200 ms: of the
@@ -51,7 +42,7 @@
     private final RefusedBacklog mRefused = new RefusedBacklog();
     private final SummarySchedule mSummaries = new SummarySchedule();
     private final OwnPart mOwnPart = new OwnPart();
-    private final DemandAverage mDemand;
+    private final DemandShares mShares;
     private final double mOverdraft;
     private double mRatePerNano;
     private double mBurst;
@@ -72,7 +63,7 @@
      */
     public ReplicatedBucket(double overdraft, long nowNanos) {
         mOverdraft = overdraft;
-        mDemand = new DemandAverage(nowNanos);
+        mShares = new DemandShares(mSources, nowNanos);
         mUpdatedAt = nowNanos;
         mReportedAt = nowNanos - IDLE_INTERVAL_NANOS;
     }
@@ -81,6 +72,7 @@
     public void resize(double ratePerSecond, double burst, long nowNanos) {
         refill(nowNanos);
         mRatePerNano = ratePerSecond / 1e9;
+        mShares.setRate(ratePerSecond);
         mBurst = burst;
         mLevel = Math.min(mLevel, burst);
     }
@@ -129,7 +121,7 @@
     /** Takes the tokens unless this host has used up its share of the remaining tokens. */
     public boolean tryAcquire(long tokens, long nowNanos) {
         refill(nowNanos);
-        mDemand.add(tokens, nowNanos);
+        mShares.recordDemand(tokens, nowNanos);
         mOwnPart.recordCall(tokens);
         if (!(mLevelKnown ? hasShare(tokens, nowNanos) : mOwnPart.tokens() >= tokens)) {
             return false;
@@ -143,7 +135,7 @@
 
     private boolean hasShare(long tokens, long nowNanos) {
         double remaining = mLevel + mOverdraft;
-        double ownShare = share(nowNanos) * (remaining + mTakenSinceReport);
+        double ownShare = mShares.share(nowNanos) * (remaining + mTakenSinceReport);
         return remaining > 0
                 && (mTakenSinceReport + tokens <= ownShare
                         || mOwnPart.tokens() >= 0
@@ -179,13 +171,13 @@
             return Duration.ZERO;
         }
         double missing = Math.max(0, -mLevel - mOverdraft) + tokens;
-        return mRefused.add(tokens, missing, mRatePerNano, share(nowNanos), nowNanos);
+        return mRefused.add(tokens, missing, mRatePerNano, mShares.share(nowNanos), nowNanos);
     }
 
     /** Returns whether this host should report at the next report interval. */
     public boolean isReportDue(long nowNanos) {
         boolean unreported = mBurst > 0 && mTakenSinceReport > 0;
-        boolean idle = mReportedIdle && isIdle(mDemand.perSecond(nowNanos), 1);
+        boolean idle = mReportedIdle && mShares.isIdle(mShares.ownDemand(nowNanos), 1);
         return unreported
                 || nowNanos - mReportedAt >= (idle ? IDLE_INTERVAL_NANOS : BUSY_INTERVAL_NANOS);
     }
@@ -198,10 +190,10 @@
     /** Returns a report for the other hosts and starts a new report interval. */
     public BucketUsage report(long nowNanos) {
         refill(nowNanos);
-        long demand = mDemand.perSecond(nowNanos);
-        mTakenSinceReport *= silentPart(nowNanos);
+        long demand = mShares.ownDemand(nowNanos);
+        mTakenSinceReport *= mShares.silentPart(nowNanos);
         mReportedAt = nowNanos;
-        mReportedIdle = isIdle(demand, 1);
+        mReportedIdle = mShares.isIdle(demand, 1);
         return new BucketUsage(mAdmitted, demand, (long) mLevel, mLevelKnown);
     }
 
@@ -243,16 +235,16 @@
     public BucketSummary summarize(Predicate<String> includes, long nowNanos) {
         refill(nowNanos);
         long admitted = mAdmitted + mSources.removedUsage(includes);
-        double demand = mDemand.perSecond(nowNanos);
+        double demand = mShares.ownDemand(nowNanos);
         int hosts = 1;
         double silentDemand = 0;
         for (Map.Entry<String, UsageSource> entry : mSources.byName().entrySet()) {
             if (includes.test(entry.getKey())) {
                 UsageSource source = entry.getValue();
                 admitted += source.totalAdmitted();
-                demand += demand(source, nowNanos);
+                demand += mShares.demand(source, nowNanos);
                 hosts += source.hosts();
-                silentDemand += silentDemand(source, nowNanos);
+                silentDemand += mShares.silentDemand(source, nowNanos);
             }
         }
         return new BucketSummary(
@@ -261,7 +253,7 @@
 
     /** Returns whether a relay should send a new summary. */
     public boolean isSummaryDue(long nowNanos) {
-        boolean idle = isIdle(knownDemand(nowNanos), 1);
+        boolean idle = mShares.isIdle(knownDemand(nowNanos), 1);
         return mSummaries.isDue(
                 mAdmitted, idle ? IDLE_INTERVAL_NANOS : BUSY_INTERVAL_NANOS, nowNanos);
     }
@@ -289,13 +281,12 @@
 
     /** Returns the known tokens per second that callers request from all hosts. */
     public double knownDemand(long nowNanos) {
-        return mDemand.perSecond(nowNanos)
-                + mSources.all().stream().mapToDouble(UsageSource::demand).sum();
+        return mShares.knownDemand(nowNanos);
     }
 
     /** Returns the part of the demand that belongs to hosts that currently don't report. */
     public double silentDemand(long nowNanos) {
-        return mSources.all().stream().mapToDouble(source -> silentDemand(source, nowNanos)).sum();
+        return mShares.silentDemand(nowNanos);
     }
 
     /**
@@ -312,12 +303,12 @@
             return;
         }
         double gained = elapsed * mRatePerNano;
-        double total = totalDemand(nowNanos);
+        double total = mShares.totalDemand(nowNanos);
         double assumed = 0;
         for (UsageSource source : mSources.all()) {
-            double share = gained * weight(source, nowNanos) / total;
+            double share = gained * mShares.weight(source, nowNanos) / total;
             double silent = gained * Math.min(1, source.silentDemand() / total);
-            if (isSilent(source, nowNanos)) {
+            if (mShares.isSilent(source, nowNanos)) {
                 source.assumeSilentUsage(share, nowNanos);
                 assumed += share;
             } else {
@@ -328,73 +319,18 @@
                 assumed += used + silent;
             }
         }
-        refillOwnPart(gained, total, nowNanos);
+        refillOwnPart(gained, nowNanos);
         mTakenSinceReport =
-                Math.max(0, mTakenSinceReport - (gained - assumed) * silentPart(nowNanos));
+                Math.max(0, mTakenSinceReport - (gained - assumed) * mShares.silentPart(nowNanos));
         mLevel = Math.min(mBurst, mLevel + gained - assumed);
     }
 
-    private void refillOwnPart(double gained, double totalDemand, long nowNanos) {
+    private void refillOwnPart(double gained, long nowNanos) {
         int hosts = mSources.hostCount();
         if (mLevelKnown) {
-            mOwnPart.add(
-                    gained * weight(mDemand.perSecond(nowNanos), 1) / totalDemand, mBurst / hosts);
+            mOwnPart.add(gained * mShares.share(nowNanos), mBurst / hosts);
         } else if (mHostsKnown) {
             mOwnPart.add(gained / hosts);
         }
     }
-
-    private double share(long nowNanos) {
-        return weight(mDemand.perSecond(nowNanos), 1) / totalDemand(nowNanos);
-    }
-
-    /** Returns the part of the others' demand that belongs to hosts that may not hear this one. */
-    private double silentPart(long nowNanos) {
-        double silent = silentDemand(nowNanos);
-        double others = totalDemand(nowNanos) - weight(mDemand.perSecond(nowNanos), 1);
-        return silent == 0 ? 0 : Math.min(1, silent / others);
-    }
-
-    private double silentDemand(UsageSource source, long nowNanos) {
-        return isSilent(source, nowNanos) ? weight(source, nowNanos) : source.silentDemand();
-    }
-
-    private double totalDemand(long nowNanos) {
-        return weight(mDemand.perSecond(nowNanos), 1)
-                + mSources.all().stream().mapToDouble(source -> weight(source, nowNanos)).sum();
-    }
-
-    private double weight(UsageSource source, long nowNanos) {
-        return weight(demand(source, nowNanos), source.hosts());
-    }
-
-    /** Returns the demand of a source; hosts that are unknown are taken to be like this one. */
-    private double demand(UsageSource source, long nowNanos) {
-        return source.isDemandUnknown(REPORT_TIMEOUT_NANOS, nowNanos)
-                ? (double) mDemand.perSecond(nowNanos) * source.hosts()
-                : source.demand();
-    }
-
-    private double weight(double demandPerSecond, int hosts) {
-        return Math.max(hosts, demandPerSecond + idleDemand() * hosts);
-    }
-
-    /** Returns the demand per second that each host counts as having at least. */
-    private double idleDemand() {
-        return IDLE_DEMAND_FRACTION * mRatePerNano * 1e9 / mSources.hostCount();
-    }
-
-    private boolean isIdle(double demandPerSecond, int hosts) {
-        return demandPerSecond <= idleDemand() * hosts;
-    }
-
-    /** Returns whether nothing is known of what the source uses now. */
-    private boolean isSilent(UsageSource source, long nowNanos) {
-        if (!source.hasReported()) {
-            return source.isDemandUnknown(REPORT_TIMEOUT_NANOS, nowNanos);
-        }
-        boolean idle = isIdle(source.demand(), source.hosts());
-        return !source.hasReportedWithin(
-                idle ? IDLE_TIMEOUT_NANOS : REPORT_TIMEOUT_NANOS, nowNanos);
-    }
 }
