Limit refunds to what a workspace's bucket would have held

Cause: a refund raised the level whatever the bucket had done since the charge. While no server takes calls, waiting calls use up the rate; without them the bucket would have been full and lost the refill. Refunded later, the same tokens are used beside the refill. Besides, a call could be refunded when it was refused and again when its caller left, and the charge of a call whose server had run it was refunded if its answer then failed.

A charge is refunded once, and only if no send has succeeded or may have run.

--- a/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/WorkspaceLimits.java
@@ -2,6 +2,7 @@
 
 import static org.vanillaslip.internal.logging.LogField.field;
 
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -110,17 +111,20 @@
     }
 
     /** Charges the units, or returns a refusal with a retry delay. */
-    public Optional<Refusal> charge(WorkspacePolicy policy, long units) {
+    public Either<Refusal, WorkspaceCharge> charge(WorkspacePolicy policy, long units) {
         if (!policy.limited()) {
-            return Optional.empty();
+            return Either.right(new WorkspaceCharge(() -> {}));
         }
         long now = mLoop.clock().nowNanos();
         ReplicatedBucket bucket = bucket(policy, now);
-        if (bucket.tryAcquire(units, now)) {
+        Optional<AdmittedCharge> admitted = bucket.tryAcquire(units, now);
+        if (admitted.isPresent()) {
             if (bucket.isReportUrgent()) {
                 scheduleReport();
             }
-            return Optional.empty();
+            return Either.right(
+                    new WorkspaceCharge(
+                            () -> bucket.refund(admitted.get(), mLoop.clock().nowNanos())));
         }
         Duration expectedWait = bucket.recordRefusal(units, now);
         long jitterNanos = mRandom.nextLong(MIN_RETRY_DELAY.toNanos());
@@ -137,18 +141,10 @@
                 field("unheard", (long) bucket.silentDemand(now)),
                 field("admitted", bucket.totalAdmitted()),
                 field("retry_after", retryDelay));
-        return Optional.of(
+        return Either.left(
                 Refusal.retryable(ResultCode.RATE_EXCEEDED, units + " units", retryDelay));
     }
 
-    /** Refunds the units of a call that no server has run. */
-    public void refund(WorkspacePolicy policy, long units) {
-        if (policy.limited()) {
-            long now = mLoop.clock().nowNanos();
-            bucket(policy, now).refund(units, now);
-        }
-    }
-
     private ReplicatedBucket bucket(WorkspacePolicy policy, long nowNanos) {
         ReplicatedBucket bucket =
                 mBuckets.computeIfAbsent(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
@@ -14,6 +14,7 @@
 import org.vanillaslip.internal.fleet.PlanView;
 import org.vanillaslip.internal.gateway.RefusedException;
 import org.vanillaslip.internal.quarantine.PromptFaultExchange;
+import org.vanillaslip.internal.quota.WorkspaceCharge;
 import org.vanillaslip.internal.quota.WorkspaceLimits;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.PoolShare;
@@ -79,21 +80,13 @@
                 new RelayCall(
                         head, method, uri, headers, body, route, target, policy, arrivedNanos);
         mPromptFaults.checkParts(call.sharedPromptParts());
-        policy.ifPresent(foundPolicy -> charge(foundPolicy, head));
+        policy.ifPresent(foundPolicy -> call.recordCharge(charge(foundPolicy, head)));
         return call;
     }
 
-    /** Refunds the charge of a call that no server has run. */
-    void refund(RelayCall call) {
-        call.policy().ifPresent(policy -> mLimits.refund(policy, units(policy, call.head())));
-    }
-
-    private void charge(WorkspacePolicy policy, CallHead head) {
-        mLimits.charge(policy, units(policy, head))
-                .ifPresent(
-                        refusal -> {
-                            throw new RefusedException(refusal);
-                        });
+    private WorkspaceCharge charge(WorkspacePolicy policy, CallHead head) {
+        return mLimits.charge(policy, units(policy, head))
+                .getOrElseThrow(refusal -> new RefusedException(refusal));
     }
 
     private static long units(WorkspacePolicy policy, CallHead head) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -273,9 +273,7 @@
     }
 
     private Mono<Void> fail(HttpServerResponse response, RelayCall call, Throwable error) {
-        if (!call.mayHaveRun()) {
-            mAdmission.refund(call);
-        }
+        call.refundUnlessRun();
         if (response.hasSentHeaders()) {
             mMetrics.recordBroken(call.route());
             mLog.log(
@@ -369,9 +367,7 @@
     }
 
     private void recordCallerDisconnected(RelayCall call) {
-        if (call.sendCount() == 0) {
-            mAdmission.refund(call);
-        }
+        call.refundUnlessRun();
         mLog.log(
                 RelayEvent.CALLER_LEFT,
                 field("request", call.head().id()),
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -10,6 +10,7 @@
 import org.vanillaslip.internal.fleet.CallTarget;
 import org.vanillaslip.internal.fleet.ServerRequest;
 import org.vanillaslip.internal.fleet.WaitBounds;
+import org.vanillaslip.internal.quota.WorkspaceCharge;
 import org.vanillaslip.internal.serving.ServedRoute;
 import org.vanillaslip.internal.serving.WorkspacePolicy;
 
@@ -30,6 +31,7 @@
     private final long mArrivedNanos;
     private final long mDeadlineNanos;
     private final Set<String> mTriedServers = new HashSet<>();
+    private Optional<WorkspaceCharge> mCharge = Optional.empty();
     private Optional<Long> mLastEventNanos = Optional.empty();
     private int mSendCount;
     private int mPossibleRuns;
@@ -100,6 +102,17 @@
         return mPolicy;
     }
 
+    void recordCharge(WorkspaceCharge charge) {
+        mCharge = Optional.of(charge);
+    }
+
+    /** Refunds what the workspace was charged, unless a server may have run the call. */
+    void refundUnlessRun() {
+        if (!mPossiblyRun && !mSendInProgress) {
+            mCharge.ifPresent(WorkspaceCharge::refund);
+        }
+    }
+
     Set<String> triedServers() {
         return mTriedServers;
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/quota/RelayedUsageTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/RelayedUsageTest.java
@@ -135,7 +135,7 @@
     private void call(String host) {
         mCalls++;
         WorkspaceLimits limits = Optional.ofNullable(mLimits.get(host)).orElseThrow();
-        if (limits.charge(mPolicy, TOKENS_PER_CALL).isEmpty()) {
+        if (limits.charge(mPolicy, TOKENS_PER_CALL).isRight()) {
             mAdmitted.add(new long[] {mStep, TOKENS_PER_CALL});
         } else {
             mRefused++;
--- a/daemon/src/test/java/org/vanillaslip/internal/quota/WorkspaceRateOfAllHostsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/WorkspaceRateOfAllHostsTest.java
@@ -153,6 +153,21 @@
                 });
     }
 
+    /** Guards against a rate that is used by waiting calls first, and once more when they end. */
+    @ParameterizedTest
+    @CsvSource({"2, 1", "6, 3", "21, 3"})
+    void holdsWhileCallsThatWaitedInVainAreRefunded(int hosts, int domains) {
+        assertHolds(
+                hosts,
+                domains,
+                simulation -> {
+                    simulation.setServersGone(true);
+                    simulation.run(Duration.ofSeconds(12));
+                    simulation.setServersGone(false);
+                    simulation.run(Duration.ofSeconds(14));
+                });
+    }
+
     /** Guards against buckets that keep what a larger rate had left. */
     @ParameterizedTest
     @CsvSource({"6, 3", "21, 3"})
--- a/daemon/src/test/java/org/vanillaslip/internal/quota/WorkspaceRateSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/WorkspaceRateSimulation.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.quota;
 
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -9,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.vanillaslip.Refusal;
 import org.vanillaslip.Workspace;
 import org.vanillaslip.internal.peer.RelaySimulation;
 import org.vanillaslip.internal.peer.RelaySimulation.SimulatedHost;
@@ -31,6 +33,9 @@
     /** Time from the start of a process until it has read the list and the configuration. */
     private static final Duration LIST_DELAY = Duration.ofMillis(300);
 
+    /** Time after which a call that no server has run is refused. */
+    private static final Duration MAX_WAIT = Duration.ofSeconds(12);
+
     private static final int MIN_TOKENS = 200;
     private static final int MAX_TOKENS = 2_400;
 
@@ -44,6 +49,7 @@
     private double mRate = RATE;
     private double mBurst = BURST;
     private double mDemand;
+    private boolean mServersGone;
     private int mCalls;
     private int mRefused;
     private int mRefusedByReadyHosts;
@@ -76,6 +82,11 @@
         mBurst = rate;
     }
 
+    /** While all servers are gone, admitted calls wait and do not run. */
+    void setServersGone(boolean serversGone) {
+        mServersGone = serversGone;
+    }
+
     void addHost(String name, String domain) {
         startAfterList(mWorld.addHost(name, domain));
     }
@@ -206,7 +217,10 @@
         mCalls++;
         boolean ready = limits.knewLevels();
         long tokens = MIN_TOKENS + mRandom.nextInt(MAX_TOKENS - MIN_TOKENS);
-        if (limits.charge(policy(), tokens).isEmpty()) {
+        Either<Refusal, WorkspaceCharge> charge = limits.charge(policy(), tokens);
+        if (charge.isRight() && mServersGone) {
+            schedule(MAX_WAIT, () -> charge.get().refund());
+        } else if (charge.isRight()) {
             mAdmissions.add(new Admission(nowNanos(), tokens));
         } else {
             mRefused++;
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -39,6 +40,7 @@
     private static final double URGENT_BURST_FRACTION = 0.05;
 
     private final UsageSources mSources = new UsageSources();
+    private final HeadroomHistory mHeadroom = new HeadroomHistory();
     private final RefusedBacklog mRefused = new RefusedBacklog();
     private final SummarySchedule mSummaries = new SummarySchedule();
     private final OwnPart mOwnPart = new OwnPart();
@@ -71,6 +73,9 @@
     /** Sets rate and burst; tokens above the new burst are lost. */
     public void resize(double ratePerSecond, double burst, long nowNanos) {
         refill(nowNanos);
+        if (burst != mBurst) {
+            mHeadroom.clear();
+        }
         mRatePerNano = ratePerSecond / 1e9;
         mShares.setRate(ratePerSecond);
         mBurst = burst;
@@ -114,23 +119,25 @@
     private void setLevel(double level) {
         mLevelKnown = true;
         mLevel = Math.min(mBurst, level);
+        mHeadroom.clear();
         // Hosts that are added from now on have no demand yet.
         mSources.expectDemandPerHost(0);
     }
 
     /** Takes the tokens unless this host has used up its share of the remaining tokens. */
-    public boolean tryAcquire(long tokens, long nowNanos) {
+    public Optional<AdmittedCharge> tryAcquire(long tokens, long nowNanos) {
         refill(nowNanos);
         mShares.recordDemand(tokens, nowNanos);
         mOwnPart.recordCall(tokens);
         if (!(mLevelKnown ? hasShare(tokens, nowNanos) : mOwnPart.tokens() >= tokens)) {
-            return false;
+            return Optional.empty();
         }
+        long sequence = mHeadroom.record(ownHeadroom(nowNanos));
         mOwnPart.take(tokens);
         mLevel -= tokens;
         mTakenSinceReport += tokens;
         mAdmitted += tokens;
-        return true;
+        return Optional.of(new AdmittedCharge(tokens, sequence));
     }
 
     private boolean hasShare(long tokens, long nowNanos) {
@@ -152,13 +159,26 @@
         return mTakenSinceReport + tokens <= mOverdraft && mLevel - tokens >= surplusLevel;
     }
 
-    /** Refunds the tokens of a call that did not run. */
-    public void refund(long tokens, long nowNanos) {
+    /**
+     * Refunds the tokens of a call that did not run. Those that the bucket would have lost since
+     * the charge, because it was full, are not refunded.
+     */
+    public void refund(AdmittedCharge charge, long nowNanos) {
         refill(nowNanos);
-        mOwnPart.add(tokens);
-        mLevel = Math.min(mBurst, mLevel + tokens);
-        mTakenSinceReport = Math.max(0, mTakenSinceReport - tokens);
-        mAdmitted -= tokens;
+        long returned =
+                Math.min(
+                        charge.tokens(),
+                        mHeadroom.smallestAfter(charge.headroomSequence(), ownHeadroom(nowNanos)));
+        mHeadroom.subtract(returned);
+        mOwnPart.add(returned);
+        mLevel += returned;
+        mTakenSinceReport = Math.max(0, mTakenSinceReport - returned);
+        mAdmitted -= returned;
+    }
+
+    /** Returns this host's part of the headroom, as all hosts may refund calls at the same time. */
+    private long ownHeadroom(long nowNanos) {
+        return (long) ((mBurst - mLevel) * mShares.share(nowNanos));
     }
 
     /**
@@ -201,7 +221,7 @@
     public void apply(String host, String incarnation, BucketUsage usage, long nowNanos) {
         refill(nowNanos);
         UsageSource source = mSources.source(host, 1, nowNanos);
-        applyChange(source.apply(incarnation, usage, nowNanos));
+        applyChange(source.apply(incarnation, usage, nowNanos), nowNanos);
         adoptLevel(usage.levelKnown(), usage.level(), nowNanos);
     }
 
@@ -214,11 +234,14 @@
     public void apply(String source, String relay, BucketSummary summary, long nowNanos) {
         refill(nowNanos);
         UsageSource knownSource = mSources.source(source, summary.hosts(), nowNanos);
-        applyChange(knownSource.apply(relay, summary, nowNanos));
+        applyChange(knownSource.apply(relay, summary, nowNanos), nowNanos);
         adoptLevel(summary.levelKnown(), summary.level(), nowNanos);
     }
 
-    private void applyChange(double change) {
+    private void applyChange(double change, long nowNanos) {
+        if (change < 0) {
+            mHeadroom.record(ownHeadroom(nowNanos));
+        }
         mLevel = Math.min(mBurst, mLevel + change);
         mSummaries.recordChange(change);
         mSources.countHosts();
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/ReplicatedBucketTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/ReplicatedBucketTest.java
@@ -114,7 +114,7 @@
         int refused = 0;
         for (int step = 0; step < 500; step++) {
             advanceAndReport(step, (from, to) -> true);
-            if (step % 6 == 0 && !mHosts.get(0).tryAcquire(TOKENS_PER_CALL, mNow)) {
+            if (step % 6 == 0 && mHosts.get(0).tryAcquire(TOKENS_PER_CALL, mNow).isEmpty()) {
                 refused++;
             }
         }
@@ -125,10 +125,10 @@
     @Test
     void tokensOfACallThatDidNotRunAreRefunded() {
         ReplicatedBucket bucket = bucket();
+        bucket.updateSources(List.of(), mNow);
         mNow += SECOND;
         double before = bucket.level(mNow);
-        bucket.tryAcquire(TOKENS_PER_CALL, mNow);
-        bucket.refund(TOKENS_PER_CALL, mNow);
+        bucket.refund(bucket.tryAcquire(TOKENS_PER_CALL, mNow).orElseThrow(), mNow);
 
         assertThat(bucket.level(mNow)).isEqualTo(before);
     }
@@ -138,7 +138,7 @@
     void refusedCallsGetStaggeredRetryDelays() {
         ReplicatedBucket bucket = bucket();
         bucket.updateSources(List.of(), mNow);
-        while (bucket.tryAcquire(TOKENS_PER_CALL, mNow)) {
+        while (bucket.tryAcquire(TOKENS_PER_CALL, mNow).isPresent()) {
             mNow++;
         }
         Duration first = bucket.recordRefusal(TOKENS_PER_CALL, mNow);
@@ -198,7 +198,7 @@
             while (random.nextDouble() < calls) {
                 calls--;
                 ReplicatedBucket host = mHosts.get(random.nextInt(mHostCount));
-                if (host.tryAcquire(TOKENS_PER_CALL, mNow)) {
+                if (host.tryAcquire(TOKENS_PER_CALL, mNow).isPresent()) {
                     mAdmitted.add(new long[] {mNow, TOKENS_PER_CALL});
                     if (host.isReportUrgent()) {
                         mUrgentAt.putIfAbsent(host, mNow + URGENT_DELAY);
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/UnknownUsageTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/UnknownUsageTest.java
@@ -29,7 +29,7 @@
     void aHostThatDoesNotKnowTheOtherHostsAdmitsNothing() {
         mNow = 2 * SECOND;
 
-        assertThat(mBucket.tryAcquire(CALL, mNow)).isFalse();
+        assertThat(mBucket.tryAcquire(CALL, mNow)).isEmpty();
     }
 
     @Test
@@ -124,7 +124,7 @@
         long end = mNow + time;
         for (int step = 0; mNow < end; step++) {
             mNow += SECOND / 240;
-            admitted += mBucket.tryAcquire(CALL, mNow) ? CALL : 0;
+            admitted += mBucket.tryAcquire(CALL, mNow).isPresent() ? CALL : 0;
             if (step % 48 == 0) {
                 mBucket.report(mNow);
             }
