Order versions of the store by era and revision

Cause: versions were taken to grow for ever: in the watch position, the buffers of relays, the host list, the server directory and the lease.

Change: a version holds the era, which the store names in each answer, and the revision, so that it grows for ever. Only the client of the store knows the two parts; all other places and the messages between hosts stay as they are. A watch from, or a write on, a version of an earlier era fails as gone or as a conflict, also if the store has its revision again; an answer of an earlier era that arrives late fails. A list of an earlier era than the position that relays have told is read again.

--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
@@ -13,6 +13,7 @@
 import org.vanillaslip.internal.platform.ObjectStore;
 import org.vanillaslip.internal.platform.PlatformException;
 import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoreVersion;
 import org.vanillaslip.internal.platform.WatchEvent;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import reactor.core.Disposable;
@@ -119,6 +120,10 @@
 
     /** Returns whether the listener has applied the list. */
     private boolean deliver(ObjectList list) {
+        if (StoreVersion.era(list.version()) < StoreVersion.era(mWatchPosition)) {
+            // Relays may know of the store's new era before this host's own calls do.
+            return false;
+        }
         try {
             mListener.listed(list);
         } catch (RuntimeException fault) {
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -7,8 +7,9 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -21,6 +22,8 @@
 
     private static final String API_PATH = "/apis/vanillaslip.org/v1/";
 
+    private static final String ERA_HEADER = "X-Store-Era";
+
     /** The platform limits values to 1 MB; JSON escapes make an event longer than its value. */
     private static final int MAX_EVENT_BYTES = 2 << 20;
 
@@ -67,12 +70,12 @@
         mJson = json;
         mResponseTimeout = responseTimeout;
         mTimer = timer;
-        mApi = new ObjectApiClient(mClient, timer, status -> false, throttleListener);
+        mApi = new ObjectApiClient(mClient, timer, ERA_HEADER, status -> false, throttleListener);
     }
 
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
-        return call(HttpMethod.GET, path(collection, name), null, objectDecoder(collection));
+        return call(HttpMethod.GET, path(collection, name), null, 0, objectDecoder(collection));
     }
 
     @Override
@@ -81,46 +84,73 @@
                 HttpMethod.GET,
                 API_PATH + collection,
                 null,
-                node -> mJson.decodeList(collection, node));
+                0,
+                (node, era) -> mJson.decodeList(collection, node).inEra(era));
     }
 
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> create(
             String collection, String name, ObjectNode spec) {
         ObjectNode body = mJson.encode(new StoredObject(collection, name, 0, spec));
-        return call(HttpMethod.POST, API_PATH + collection, body, objectDecoder(collection));
+        return call(HttpMethod.POST, API_PATH + collection, body, 0, objectDecoder(collection));
     }
 
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> update(
             String collection, String name, long expectedVersion, ObjectNode spec) {
-        ObjectNode body = mJson.encode(new StoredObject(collection, name, expectedVersion, spec));
-        return call(HttpMethod.PUT, path(collection, name), body, objectDecoder(collection));
+        ObjectNode body = mJson.encode(withRevision(collection, name, expectedVersion, spec));
+        return call(
+                HttpMethod.PUT,
+                path(collection, name),
+                body,
+                expectedVersion,
+                objectDecoder(collection));
     }
 
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> delete(
             String collection, String name, long expectedVersion) {
         ObjectNode spec = JsonNodeFactory.instance.objectNode();
-        ObjectNode body = mJson.encode(new StoredObject(collection, name, expectedVersion, spec));
-        return call(HttpMethod.DELETE, path(collection, name), body, objectDecoder(collection));
+        ObjectNode body = mJson.encode(withRevision(collection, name, expectedVersion, spec));
+        return call(
+                HttpMethod.DELETE,
+                path(collection, name),
+                body,
+                expectedVersion,
+                objectDecoder(collection));
+    }
+
+    private static StoredObject withRevision(
+            String collection, String name, long version, ObjectNode spec) {
+        return new StoredObject(collection, name, StoreVersion.revision(version), spec);
     }
 
     @Override
     public Flux<WatchEvent> watch(String collection, long fromVersion) {
+        AtomicLong era = new AtomicLong();
         Flux<byte[]> chunks =
                 mClient.get()
-                        .uri(API_PATH + collection + "?watch=true&resourceVersion=" + fromVersion)
+                        .uri(
+                                API_PATH
+                                        + collection
+                                        + "?watch=true&resourceVersion="
+                                        + StoreVersion.revision(fromVersion))
                         .response(
                                 (response, content) -> {
-                                    int status = response.status().code();
-                                    return status == 200
+                                    era.set(mApi.era().record(response));
+                                    if (mApi.era().hasEnded(fromVersion)) {
+                                        return Flux.error(positionGone(collection));
+                                    }
+                                    return response.status().code() == 200
                                             ? content.asByteArray()
                                             : Flux.error(watchRejected(collection, response));
                                 });
         Flux<WatchEvent> events =
                 Flux.defer(() -> chunks.concatMapIterable(newSplitter()::split))
-                        .map(line -> mJson.decodeEvent(collection, mJson.parse(line)))
+                        .map(
+                                line ->
+                                        mJson.decodeEvent(collection, mJson.parse(line))
+                                                .inEra(era.get()))
                         .onErrorMap(
                                 cause -> !(cause instanceof PlatformException),
                                 cause -> watchFailed(collection, cause));
@@ -135,18 +165,26 @@
             HttpMethod method,
             String path,
             @Nullable ObjectNode body,
-            Function<ObjectNode, T> decode) {
+            long version,
+            BiFunction<ObjectNode, Long, T> decode) {
         byte[] bytes = body == null ? new byte[0] : mJson.toBytes(body);
         return mApi.call(
                 method,
                 path,
                 bytes,
+                version,
                 mResponseTimeout,
-                response -> decode.apply(mJson.parse(response)));
+                (response, era) -> decode.apply(mJson.parse(response), era));
+    }
+
+    private BiFunction<ObjectNode, Long, StoredObject> objectDecoder(String collection) {
+        return (node, era) -> mJson.decodeObject(collection, node).inEra(era);
     }
 
-    private Function<ObjectNode, StoredObject> objectDecoder(String collection) {
-        return node -> mJson.decodeObject(collection, node);
+    private static PlatformException positionGone(String collection) {
+        return new PlatformException(
+                PlatformFailure.GONE,
+                "The store was restored; '" + collection + "' has to be listed again.");
     }
 
     private PlatformException watchRejected(String collection, HttpClientResponse response) {
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.IntPredicate;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -20,39 +19,60 @@
     private final Scheduler mTimer;
     private final IntPredicate mNothingChangedStatus;
     private final Consumer<Duration> mThrottleListener;
+    private final StoreEra mEra;
+
+    /** Decodes the body of a response, whose versions are revisions of the era. */
+    @FunctionalInterface
+    public interface Decoder<T> {
+        T decode(byte[] body, long era);
+    }
 
     /**
      * Creates an API client on the given HTTP client, which must not retry calls.
      *
+     * @param eraHeader header of responses that names the era of the store's revisions
      * @param nothingChangedStatus accepts the 5xx statuses that guarantee that nothing was changed
      * @param throttleListener receives the time for which the platform requests no further calls
      */
     public ObjectApiClient(
             HttpClient client,
             Scheduler timer,
+            String eraHeader,
             IntPredicate nothingChangedStatus,
             Consumer<Duration> throttleListener) {
         mClient = client;
         mTimer = timer;
         mNothingChangedStatus = nothingChangedStatus;
         mThrottleListener = throttleListener;
+        mEra = new StoreEra(eraHeader);
+    }
+
+    /** Returns the eras of the store that this client has seen. */
+    StoreEra era() {
+        return mEra;
     }
 
     /**
      * Makes a call on subscription and returns its decoded response or the reason of its failure.
      *
      * @param body body of the request, empty for a request without one
+     * @param version version that the request names, 0 if none; in a later era of the store, its
+     *     revision may belong to another change, so the call fails
      * @param responseTimeout time after which the response is considered lost
      */
     public <T> Mono<Either<PlatformFailure, T>> call(
             HttpMethod method,
             String path,
             byte[] body,
+            long version,
             Duration responseTimeout,
-            Function<byte[], T> decode) {
+            Decoder<T> decoder) {
         boolean isWrite = !method.equals(HttpMethod.GET);
         return Mono.defer(
                 () -> {
+                    if (mEra.hasEnded(version)) {
+                        return Mono.just(Either.left(failureInLaterEra(isWrite)));
+                    }
                     AtomicBoolean sent = new AtomicBoolean();
                     return mClient.doOnRequest((request, connection) -> sent.set(true))
                             .headers(headers -> headers.set("Content-Type", "application/json"))
@@ -70,7 +90,8 @@
                                                             bytes ->
                                                                     toResult(
                                                                             response, bytes,
-                                                                            decode)))
+                                                                            isWrite, version,
+                                                                            decoder)))
                             .timeout(responseTimeout, mTimer)
                             .onErrorResume(
                                     cause ->
@@ -82,10 +103,21 @@
     }
 
     private <T> Either<PlatformFailure, T> toResult(
-            HttpClientResponse response, byte[] bytes, Function<byte[], T> decode) {
+            HttpClientResponse response,
+            byte[] bytes,
+            boolean isWrite,
+            long version,
+            Decoder<T> decoder) {
         int status = response.status().code();
+        long era = mEra.record(response);
+        if (mEra.hasEnded(version)) {
+            return Either.left(failureInLaterEra(isWrite));
+        }
+        if (mEra.isPast(era)) {
+            return Either.left(failureWithoutResponse(isWrite));
+        }
         if (status >= 200 && status < 300) {
-            return Either.right(decode.apply(bytes));
+            return Either.right(decoder.decode(bytes, era));
         }
         PlatformFailure failure = failureOf(status);
         reportThrottling(response);
@@ -116,6 +148,10 @@
         };
     }
 
+    private static PlatformFailure failureInLaterEra(boolean isWrite) {
+        return isWrite ? PlatformFailure.CONFLICT : PlatformFailure.GONE;
+    }
+
     private static PlatformFailure failureWithoutResponse(boolean mayHaveTakenEffect) {
         return mayHaveTakenEffect ? PlatformFailure.OUTCOME_UNKNOWN : PlatformFailure.UNAVAILABLE;
     }
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectList.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectList.java
@@ -13,4 +13,11 @@
     public ObjectList {
         objects = List.copyOf(objects);
     }
+
+    /** Returns this list, whose versions are revisions, with its versions in the era. */
+    public ObjectList inEra(long era) {
+        return new ObjectList(
+                StoreVersion.of(era, version),
+                objects.stream().map(object -> object.inEra(era)).toList());
+    }
 }
