Begin new terms of the lease when the store has gone back

With versions ordered by era the lease would be taken again, but by the holder that the copy names, beside its successor that the store has lost, and with terms that servers have seen.

Cause: what the stored lease said of its last holder was taken to be the last word, and its term to grow for ever.

Change: each era of the store has terms of its own, higher than all before. A stored term below them shows that later holders may be lost: then no host, the named one included, takes the lease before its validity is over, and the first order waits as after an unknown holder. A lease that the copy does not have is created and taken again with a term of the era.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -21,6 +21,7 @@
 import org.vanillaslip.internal.platform.ObjectStore;
 import org.vanillaslip.internal.platform.PlatformCollections;
 import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoreVersion;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import reactor.core.publisher.Mono;
@@ -38,6 +39,9 @@
     /** Term of the first holder. */
     static final long FIRST_TERM = 1;
 
+    /** Terms of an era of the store; far more than hosts can take in one. */
+    private static final int TERM_BITS_PER_ERA = 20;
+
     /** Field with the time after the write during which the holder sends no orders. */
     private static final String QUIET_MILLIS_FIELD = "quiet_millis";
 
@@ -215,6 +219,7 @@
         if (result.isLeft()) {
             if (result.getLeft() == PlatformFailure.NOT_FOUND) {
                 mRecord = LeaseRecord.NONE;
+                mState = new LeaseState(false, mState.term(), 0, -1, now());
                 write(FIRST_TERM);
             }
             return;
@@ -226,7 +231,10 @@
         }
         mRecord = record(object.spec());
         mState = mState.observed(object.version(), mRecord, mHost, now);
-        boolean own = mRecord.holder().equals(mHost);
+        long firstTerm = firstTerm(object.version());
+        // The store may have lost later holders, whose last orders nothing shows.
+        boolean holdersLost = mRecord.term() < firstTerm;
+        boolean own = mRecord.holder().equals(mHost) && !holdersLost;
         int rank = LeaseRank.of(NAME, mHost, mHosts.get());
         if (own || mState.mayTake(mTimes, mRecord, rank, now)) {
             // Only one process runs on a host, so the previous process of this host sends no more
@@ -234,15 +242,26 @@
             long quietNanos =
                     TimeUnit.MILLISECONDS.toNanos(object.spec().path(QUIET_MILLIS_FIELD).asLong());
             mNoOrdersUntil =
-                    own ? Math.max(now + quietNanos, mNoOrdersUntil) : earliestFirstOrder(now);
-            write(mRecord.term() + 1);
+                    own
+                            ? Math.max(now + quietNanos, mNoOrdersUntil)
+                            : earliestFirstOrder(holdersLost, now);
+            write(Math.max(mRecord.term() + 1, firstTerm));
         }
     }
 
+    /**
+     * Returns the first term of the era of a version, higher than all terms of earlier eras. A store
+     * that has never been restored is in era 1, or names none.
+     */
+    private static long firstTerm(long version) {
+        long restores = Math.max(0, StoreVersion.era(version) - 1);
+        return (restores << TERM_BITS_PER_ERA) + FIRST_TERM;
+    }
+
     /** The previous holder could send orders for the decision period after its last write. */
-    private long earliestFirstOrder(long nowNanos) {
+    private long earliestFirstOrder(boolean holdersLost, long nowNanos) {
         long lastOrder =
-                mRecord.released()
+                mRecord.released() && !holdersLost
                         ? mState.versionSeenSinceNanos()
                         : mState.versionSeenSinceNanos() + mTimes.decisionPeriodNanos();
         return Math.max(nowNanos, lastOrder + mHandoverDelay.plus(MAX_DELIVERY_DELAY).toNanos());
@@ -304,8 +323,13 @@
             }
             return;
         }
-        boolean acquired = !mState.holding();
         mRecord = record;
+        if (record.term() < firstTerm(result.get().version())) {
+            // The lease was missing in a restored store, where another host may have held it.
+            mState = mState.observed(result.get().version(), record, "", now());
+            return;
+        }
+        boolean acquired = !mState.holding();
         mWriteSentWallMillis = sentAtWallMillis;
         mState = mState.written(result.get().version(), record, sentAt, now());
         if (acquired) {
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LeaseSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LeaseSimulation.java
@@ -28,7 +28,7 @@
     private static final Duration STEP = Duration.ofMillis(10);
 
     /** Time at which a host was allowed to send an order. */
-    record Order(long atMillis, String host) {}
+    record Order(long atMillis, String host, long term) {}
 
     /** Simulated host, whose monotonic clock stops while it is suspended. */
     final class TestHost implements ObjectStore {
@@ -137,6 +137,9 @@
     private final Map<String, StoredObject> mObjects = new HashMap<>();
     private final AtomicLong mNonces = new AtomicLong();
     private final List<Order> mOrders = new ArrayList<>();
+    private final Map<String, StoredObject> mCopy = new HashMap<>();
+    private long mCopiedRevision = 1;
+    private long mEra = 1;
     private long mRevision = 1;
     private boolean mHolderReachable;
     private long mMillis;
@@ -192,7 +195,7 @@
 
     private void record(TestHost host) {
         if (host.mLease.mayOrder()) {
-            mOrders.add(new Order(mMillis, host.mName));
+            mOrders.add(new Order(mMillis, host.mName, host.mLease.term()));
         }
     }
 
@@ -209,14 +212,31 @@
         return shortest;
     }
 
+    /** Copies the store as it is now. */
+    void copyStore() {
+        mCopy.clear();
+        mCopy.putAll(mObjects);
+        mCopiedRevision = mRevision;
+    }
+
+    /** Replaces the store by its copy, whose revisions are given out again. */
+    void restoreStore() {
+        mObjects.clear();
+        mObjects.putAll(mCopy);
+        mRevision = mCopiedRevision;
+        mEra++;
+    }
+
     private Either<PlatformFailure, StoredObject> find(String name) {
         StoredObject object = mObjects.get(name);
-        return object == null ? Either.left(PlatformFailure.NOT_FOUND) : Either.right(object);
+        return object == null
+                ? Either.left(PlatformFailure.NOT_FOUND)
+                : Either.right(object.inEra(mEra));
     }
 
     private Either<PlatformFailure, StoredObject> put(String name, ObjectNode spec) {
         StoredObject object = new StoredObject("any", name, ++mRevision, spec);
         mObjects.put(name, object);
-        return Either.right(object);
+        return Either.right(object.inEra(mEra));
     }
 }
