Keep what a restored store has lost until it is written again

Cause: an entry that a newer list lacks counted as removed, and one that it has as written.

Change: in the first list of a later era, what is missing is kept for 2.2 s, as after an outage. A server that was removed is not used again while its entry is as before its removal; if it is still listed after 4 s, when the store would have removed the entry of a dead server, it is. Events 533, 534.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -16,6 +16,7 @@
 import org.vanillaslip.internal.control.configuration.CollectionListener;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.platform.ObjectList;
+import org.vanillaslip.internal.platform.StoreVersion;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.platform.WatchEvent;
 import org.vanillaslip.internal.platform.WatchEventType;
@@ -31,6 +32,9 @@
     private static final long NAME_RETENTION_NANOS =
             UnconfirmedOrders.MAX_EXECUTION_DELAY.plusSeconds(7).toNanos();
 
+    /** The store removes entries that no server renews within three heartbeats, 3.6 seconds. */
+    private static final Duration EXPIRY_TIME = Duration.ofSeconds(4);
+
     private final ServingCollections mCollections;
     private final DrainFollower mDrains;
     private final DecisionLoop mLoop;
@@ -39,11 +43,8 @@
     private final Map<String, FleetMember> mMembers = new HashMap<>();
     private final Map<String, Long> mVersions = new HashMap<>();
     private final List<Runnable> mListeners = new ArrayList<>();
-    private final Map<String, Long> mRemovedAt = new HashMap<>();
-
-    /** Start times of the removed servers that had announced their shutdown. */
-    private final Map<String, Long> mStoppedStartTimes = new HashMap<>();
-
+    private final Map<String, RemovedServer> mRemoved = new HashMap<>();
+    private long mEra;
     private boolean mListed;
     private long mFirstListedAt;
 
@@ -139,6 +140,12 @@
 
     @Override
     public void listed(ObjectList list) {
+        long era = StoreVersion.era(list.version());
+        if (mListed && era > mEra) {
+            mLog.log(FleetEvent.STORE_RESTORED, field("era", era), field("before", mEra));
+            mStoreAnswers.recordRestore(mLoop.clock().nowNanos());
+        }
+        mEra = Math.max(mEra, era);
         Set<String> names =
                 list.objects().stream().map(StoredObject::name).collect(Collectors.toSet());
         List.copyOf(mMembers.keySet()).stream()
@@ -182,7 +189,7 @@
         try {
             mCollections
                     .server(object)
-                    .peek(this::register)
+                    .peek(entry -> registerUnlessRestored(entry, object.version()))
                     .peekLeft(fault -> removeUnreadable(object.name(), fault));
         } catch (RuntimeException fault) {
             // Any writer can add entries, and one of them must not hide the entries after it.
@@ -192,7 +199,36 @@
 
     private void removeUnreadable(String name, String fault) {
         mLog.log(FleetEvent.SERVER_UNREADABLE, field("object", name), field("fault", fault));
-        remove(name, "unreadable entry");
+        remove(name, mVersions.getOrDefault(name, 0L), "unreadable entry");
+    }
+
+    /**
+     * Registers the entry, unless its server was removed before the store lost that. If the server
+     * does not write it again, the store will remove it soon.
+     */
+    private void registerUnlessRestored(RegisteredServer entry, long version) {
+        RemovedServer removed = mRemoved.get(entry.instance());
+        boolean known = mMembers.containsKey(entry.instance());
+        if (known || removed == null || !removed.isRestored(entry, version)) {
+            register(entry);
+            return;
+        }
+        mLog.log(
+                FleetEvent.REMOVAL_KEPT,
+                field("server", entry.instance()),
+                field("revision", StoreVersion.revision(version)));
+        mLoop.scheduler()
+                .schedule(
+                        () -> registerIfStillListed(entry, version),
+                        EXPIRY_TIME.toNanos(),
+                        TimeUnit.NANOSECONDS);
+    }
+
+    private void registerIfStillListed(RegisteredServer entry, long version) {
+        if (mVersions.getOrDefault(entry.instance(), 0L) == version) {
+            register(entry);
+            changed();
+        }
     }
 
     private void register(RegisteredServer entry) {
@@ -221,8 +257,10 @@
         boolean announced =
                 known != null
                         ? isSameProcess(known.registered(), entry) && known.registered().leaving()
-                        : Long.valueOf(entry.startedAtMillis())
-                                .equals(mStoppedStartTimes.get(entry.instance()));
+                        : Optional.ofNullable(mRemoved.get(entry.instance()))
+                                .filter(RemovedServer::announced)
+                                .filter(removed -> removed.isProcessOf(entry))
+                                .isPresent();
         if (!announced || entry.leaving()) {
             return entry;
         }
@@ -238,9 +276,9 @@
      * before this host read the list for the first time are unknown to it.
      */
     private boolean isFirstStart(String name, long nowNanos) {
-        mRemovedAt.values().removeIf(removedAt -> nowNanos - removedAt > NAME_RETENTION_NANOS);
-        mStoppedStartTimes.keySet().retainAll(mRemovedAt.keySet());
-        boolean knownBefore = mMembers.containsKey(name) || mRemovedAt.containsKey(name);
+        mRemoved.values()
+                .removeIf(removed -> nowNanos - removed.removedAtNanos() > NAME_RETENTION_NANOS);
+        boolean knownBefore = mMembers.containsKey(name) || mRemoved.containsKey(name);
         return !knownBefore && mListed && nowNanos - mFirstListedAt > NAME_RETENTION_NANOS;
     }
 
@@ -251,14 +289,15 @@
 
     private void handleRemovedEntry(String name, long version) {
         FleetMember member = mMembers.get(name);
+        long entryVersion = mVersions.getOrDefault(name, 0L);
+        long removedVersion = Math.max(version, entryVersion);
+        mVersions.put(name, removedVersion);
         if (member == null) {
             return;
         }
-        long removedVersion = Math.max(version, mVersions.getOrDefault(name, 0L));
-        mVersions.put(name, removedVersion);
         Duration relistingTime = mStoreAnswers.relistingTime(mLoop.clock().nowNanos());
         if (relistingTime.isZero() || !member.inService()) {
-            remove(name, "entry removed");
+            remove(name, entryVersion, "entry removed");
             return;
         }
         mLog.log(
@@ -267,25 +306,28 @@
                 field("delay_ms", relistingTime.toMillis()));
         mLoop.scheduler()
                 .schedule(
-                        () -> removeUnlessListedAgain(name, removedVersion),
+                        () -> removeUnlessListedAgain(name, entryVersion, removedVersion),
                         relistingTime.toNanos(),
                         TimeUnit.NANOSECONDS);
     }
 
-    private void removeUnlessListedAgain(String name, long removedVersion) {
+    private void removeUnlessListedAgain(String name, long entryVersion, long removedVersion) {
         if (mVersions.getOrDefault(name, 0L) == removedVersion) {
-            remove(name, "entry not listed again");
+            remove(name, entryVersion, "entry not listed again");
             changed();
         }
     }
 
-    private void remove(String name, String reason) {
+    private void remove(String name, long entryVersion, String reason) {
         FleetMember removed = mMembers.remove(name);
         if (removed != null) {
-            mRemovedAt.put(name, mLoop.clock().nowNanos());
-            if (removed.registered().leaving()) {
-                mStoppedStartTimes.put(name, removed.registered().startedAtMillis());
-            }
+            mRemoved.put(
+                    name,
+                    new RemovedServer(
+                            mLoop.clock().nowNanos(),
+                            removed.registered().startedAtMillis(),
+                            entryVersion,
+                            removed.registered().leaving()));
             logLeft(name, reason);
         }
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -30,6 +30,15 @@
             INFO,
             "An entry was removed after an outage of the store; the server stays in service for the"
                     + " time in which it may be listed again."),
+    STORE_RESTORED(
+            533,
+            WARNING,
+            "The platform's store came back from an older copy; what it lost is kept for a while."),
+    REMOVAL_KEPT(
+            534,
+            INFO,
+            "A removed server is listed as before its removal; it gets no calls unless it stays"
+                    + " listed."),
     LEASE_TAKEN(540, INFO, "This host acquired the lease and orders loads from now on."),
     LEASE_LOST(541, WARNING, "This host lost the lease and no longer orders loads."),
     LEASE_WRITE_FAILED(542, WARNING, "The lease on orders could not be written."),
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -145,7 +145,7 @@
         mRelayedStore = new RelayedStore(mStore, storeAnswers, mNetwork, mLinks, mLoop, log);
         mHosts = new HostListWatcher(mRelayedStore, new HostCodec(), mLoop, mRandom, log);
         mPlans = new PlanFollower(adapters.collections(), log);
-        mDrains = new DrainFollower(adapters.collections(), log);
+        mDrains = new DrainFollower(adapters.collections(), mLoop, log);
         mDirectory = new FleetDirectory(adapters.collections(), mDrains, mLoop, storeAnswers, log);
         double overdraft = serving.rateSlack() * OVERDRAFT_FRACTION;
         mLimits = new WorkspaceLimits(overdraft, mLoop, mLinks, mNetwork, mRandom, log);
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/ForecastTrafficTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/ForecastTrafficTest.java
@@ -61,7 +61,8 @@
     @BeforeEach
     void start() {
         ServingCollections collections = new EngineCollections();
-        DrainFollower drains = new DrainFollower(collections, (event, fields) -> {});
+        DrainFollower drains =
+                new DrainFollower(collections, mEngines.mLoop, (event, fields) -> {});
         FleetDirectory directory =
                 new FleetDirectory(
                         collections,
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedCallsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedCallsTest.java
@@ -37,7 +37,7 @@
     private final FleetDirectory mDirectory =
             new FleetDirectory(
                     mCollections,
-                    new DrainFollower(mCollections, (event, fields) -> {}),
+                    new DrainFollower(mCollections, mLoop, (event, fields) -> {}),
                     mLoop,
                     new StoreAnswerHistory(),
                     (event, fields) -> {});
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedServerSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedServerSimulation.java
@@ -157,7 +157,7 @@
         FleetDirectory directory =
                 new FleetDirectory(
                         collections,
-                        new DrainFollower(collections, (event, fields) -> {}),
+                        new DrainFollower(collections, mWorld.loop(), (event, fields) -> {}),
                         mWorld.loop(),
                         new StoreAnswerHistory(),
                         (event, fields) -> {});
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDispatcherTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDispatcherTest.java
@@ -305,7 +305,7 @@
         ServingCollections collections = new TestCollections();
         return new FleetDirectory(
                 collections,
-                new DrainFollower(collections, (event, fields) -> {}),
+                new DrainFollower(collections, mSimulation.mLoop, (event, fields) -> {}),
                 mSimulation.mLoop,
                 new StoreAnswerHistory(),
                 (event, fields) -> {});
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/SimulatedStore.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/SimulatedStore.java
@@ -15,6 +15,7 @@
 import org.vanillaslip.internal.platform.ObjectStore;
 import org.vanillaslip.internal.platform.PlatformException;
 import org.vanillaslip.internal.platform.PlatformFailure;
+import org.vanillaslip.internal.platform.StoreVersion;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.platform.WatchEvent;
 import org.vanillaslip.internal.platform.WatchEventType;
@@ -39,6 +40,9 @@
     private final Duration mWatchPause;
     private final Map<String, StoredObject> mObjects = new LinkedHashMap<>();
     private final List<WatchEvent> mHistory = new ArrayList<>();
+    private final Map<String, StoredObject> mCopy = new LinkedHashMap<>();
+    private long mCopiedRevision;
+    private long mEra;
     private long mRevision = 10;
     private long mHistoryStart;
     private long mMutedSince = Long.MAX_VALUE;
@@ -74,6 +78,23 @@
                                 JsonNodeFactory.instance.objectNode())));
     }
 
+    /** Copies the store as it is now. */
+    void copy() {
+        mCopy.clear();
+        mCopy.putAll(mObjects);
+        mCopiedRevision = mRevision;
+    }
+
+    /** Replaces the store by its copy; its revisions are given out again, in a new era. */
+    void restore() {
+        mObjects.clear();
+        mObjects.putAll(mCopy);
+        mRevision = mCopiedRevision;
+        mHistory.removeIf(event -> event.object().version() > mCopiedRevision);
+        mEra++;
+        mCutCount++;
+    }
+
     /** Withholds all changes from now on from open and new watches. */
     void muteWatches() {
         mMutedSince = mRevision;
@@ -101,14 +122,17 @@
             return respond(
                     () ->
                             mObjects.containsKey(name)
-                                    ? Either.right(mObjects.get(name))
+                                    ? Either.right(mObjects.get(name).inEra(mEra))
                                     : Either.left(PlatformFailure.NOT_FOUND));
         }
 
         @Override
         public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
             return respond(
-                    () -> Either.right(new ObjectList(mRevision, List.copyOf(mObjects.values()))));
+                    () ->
+                            Either.right(
+                                    new ObjectList(mRevision, List.copyOf(mObjects.values()))
+                                            .inEra(mEra)));
         }
 
         @Override
@@ -158,7 +182,8 @@
 
         /** Returns the answer to a poll, or empty while the poll is still waiting. */
         private Mono<List<WatchEvent>> answer(
-                String collection, long position, long startedMillis, long cuts) {
+                String collection, long fromVersion, long startedMillis, long cuts) {
+            long position = StoreVersion.revision(fromVersion);
             long waited = now() - startedMillis;
             if (mTreatment == Treatment.REFUSED || cuts != mCutCount) {
                 return failure(PlatformFailure.UNAVAILABLE);
@@ -168,7 +193,7 @@
                         ? failure(PlatformFailure.UNAVAILABLE)
                         : Mono.empty();
             }
-            if (position < mHistoryStart) {
+            if (position < mHistoryStart || StoreVersion.era(fromVersion) < mEra) {
                 return failure(PlatformFailure.GONE);
             }
             List<WatchEvent> changes =
@@ -181,7 +206,7 @@
             }
             List<WatchEvent> events = new ArrayList<>(changes);
             events.add(bookmark(collection, Math.max(position, Math.min(mRevision, mMutedSince))));
-            return Mono.just(events);
+            return Mono.just(events.stream().map(event -> event.inEra(mEra)).toList());
         }
 
         private <T> Mono<Either<PlatformFailure, T>> respond(
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
@@ -38,7 +38,7 @@
     private final FleetDirectory mDirectory =
             new FleetDirectory(
                     mCollections,
-                    new DrainFollower(mCollections, (event, fields) -> {}),
+                    new DrainFollower(mCollections, mLoop, (event, fields) -> {}),
                     mLoop,
                     new StoreAnswerHistory(),
                     (event, fields) -> {});
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/StoreAnswerHistory.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/StoreAnswerHistory.java
@@ -22,7 +22,7 @@
      * Live servers are listed again within two seconds of the end of an outage; the rest is for
      * reading the list.
      */
-    static final Duration RELISTING_TIME = Duration.ofMillis(2200);
+    public static final Duration RELISTING_TIME = Duration.ofMillis(2200);
 
     /** A host that shows no activity for longer stands still and notices no answers. */
     static final Duration MAX_ACTIVITY_INTERVAL = Duration.ofSeconds(1);
@@ -59,6 +59,14 @@
         mStandstillNanos = 0;
     }
 
+    /**
+     * Records that the store has lost its latest changes, as entries are also lost in an outage.
+     */
+    public void recordRestore(long nowNanos) {
+        mOutageEnded = true;
+        mOutageEndedAt = nowNanos;
+    }
+
     /** Returns the time since the last answer, or the maximum if there was none. */
     public long silenceNanos(long nowNanos) {
         return mAnswered ? nowNanos - mLastAnswerAt : Long.MAX_VALUE;
