Register hosts again whose entries a restored store has lost

Cause: a host looked for its own entry only every 5 s, and the others took an entry that the list lacks for a host that has gone: roles of relays and parts of limits moved. A stop removed the entry on a version of the earlier era, which fails.

Change: a host that its list has lost registers at once; hosts that a list of a later era lacks stay listed for 3 s. A stop removes the current entry.

--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/HostListWatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/HostListWatcher.java
@@ -2,11 +2,16 @@
 
 import static org.vanillaslip.internal.logging.LogField.field;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.vanillaslip.Host;
 import org.vanillaslip.internal.control.HostView;
 import org.vanillaslip.internal.logging.EventLog;
@@ -14,6 +19,7 @@
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.ObjectStore;
 import org.vanillaslip.internal.platform.PlatformCollections;
+import org.vanillaslip.internal.platform.StoreVersion;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.platform.WatchEvent;
 import org.vanillaslip.internal.platform.WatchEventType;
@@ -25,10 +31,15 @@
 /** Keeps this host's copy of the platform's host list up to date. */
 public final class HostListWatcher implements HostView {
 
+    /** Hosts whose entries a restored store has lost register again within this time. */
+    private static final Duration REGISTRATION_TIME = Duration.ofSeconds(3);
+
     private final HostCodec mCodec;
+    private final DecisionLoop mLoop;
     private final EventLog mLog;
     private final CollectionFollower mFollower;
     private final Sinks.Many<List<Host>> mChanges = Sinks.many().multicast().directBestEffort();
+    private Consumer<Set<String>> mOnLost = names -> {};
     private volatile HostListState mState = HostListState.empty();
     private volatile List<Host> mHosts = List.of();
 
@@ -40,6 +51,7 @@
             RandomGenerator random,
             EventLog log) {
         mCodec = codec;
+        mLoop = loop;
         mLog = log;
         mFollower =
                 new CollectionFollower(
@@ -51,6 +63,11 @@
                         new PlatformListener());
     }
 
+    /** Registers a listener for the names of hosts whose entries a restored store has lost. */
+    public void onLost(Consumer<Set<String>> listener) {
+        mOnLost = listener;
+    }
+
     /** Starts following the platform; the returned handle stops it. */
     public Disposable start() {
         return mFollower.start();
@@ -91,12 +108,38 @@
 
     /** Applies the lists and events of the platform. */
     private final class PlatformListener implements CollectionListener {
+        private boolean mListed;
+        private long mEra;
 
         @Override
         public void listed(ObjectList list) {
             Map<String, HostListState.Entry> entries = new HashMap<>();
             list.objects().forEach(object -> entries.put(object.name(), decodeEntry(object)));
-            replaceState(mState.withList(entries, list.version()));
+            boolean restored = mListed && StoreVersion.era(list.version()) > mEra;
+            mEra = Math.max(mEra, StoreVersion.era(list.version()));
+            mListed = true;
+            if (restored) {
+                addRestored(entries, list.version());
+            } else {
+                replaceState(mState.withList(entries, list.version()));
+            }
+        }
+
+        /** Hosts that the list lacks may still run, and register again if they do. */
+        private void addRestored(Map<String, HostListState.Entry> entries, long version) {
+            HostListState state = mState;
+            for (Map.Entry<String, HostListState.Entry> entry : entries.entrySet()) {
+                state = state.withEntry(entry.getKey(), entry.getValue());
+            }
+            replaceState(state);
+            Set<String> lost = mHosts.stream().map(Host::name).collect(Collectors.toSet());
+            lost.removeAll(entries.keySet());
+            mOnLost.accept(lost);
+            mLoop.scheduler()
+                    .schedule(
+                            () -> replaceState(mState.withList(entries, version)),
+                            REGISTRATION_TIME.toNanos(),
+                            TimeUnit.NANOSECONDS);
         }
 
         @Override
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -250,8 +250,8 @@
     }
 
     /**
-     * Returns the first term of the era of a version, higher than all terms of earlier eras. A store
-     * that has never been restored is in era 1, or names none.
+     * Returns the first term of the era of a version, higher than all terms of earlier eras. A
+     * store that has never been restored is in era 1, or names none.
      */
     private static long firstTerm(long version) {
         long restores = Math.max(0, StoreVersion.era(version) - 1);
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/HostRegistration.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/HostRegistration.java
@@ -74,10 +74,36 @@
                 .schedulePeriodically(this::checkHosts, period, period, TimeUnit.NANOSECONDS);
     }
 
+    /** Registers this host again if the platform's store has lost its entry. */
+    public void restore(Set<String> lostHosts) {
+        if (lostHosts.contains(mHost.name())) {
+            register();
+        }
+    }
+
     /** Removes this host from the list, because it shuts down. */
     public Mono<Void> stop() {
         mStopped = true;
-        return mStore.delete(PlatformCollections.HOSTS, mHost.name(), mVersion).then();
+        return mStore.delete(PlatformCollections.HOSTS, mHost.name(), mVersion)
+                .flatMap(
+                        result ->
+                                result.isLeft() && result.getLeft() == PlatformFailure.CONFLICT
+                                        ? deleteCurrent()
+                                        : Mono.just(result))
+                .then();
+    }
+
+    /** Removes the entry of a restored store, which has another version than this host wrote. */
+    private Mono<Either<PlatformFailure, StoredObject>> deleteCurrent() {
+        return mStore.read(PlatformCollections.HOSTS, mHost.name())
+                .flatMap(
+                        found ->
+                                found.isLeft()
+                                        ? Mono.just(found)
+                                        : mStore.delete(
+                                                PlatformCollections.HOSTS,
+                                                mHost.name(),
+                                                found.get().version()));
     }
 
     private void removeSilentHosts() {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -189,6 +189,7 @@
         follow(mAdapters.collections().servers(), mDirectory);
         mRetryBudgets.start();
         mHosts.changes().subscribe(hosts -> linkToListedHosts());
+        mHosts.onLost(mRegistration::restore);
         mHosts.start();
         mRegistration.start();
         mLimits.start();
