Let tasks that are due run while a test waits for real connections

Cause, in the test: the charge is settled by a task on the virtual scheduler. When it is added after the caller has its response, nobody runs the scheduler any more. And virtual time passed 20 times as fast as the real connections, so that the deadline of 30 s was over after 1.5 s.

Change: awaitCondition runs due tasks without advancing the time, and names what was settled; a step is 20 ms instead of 100, so the deadline takes 7.5 s. The cases have a fixed order. No check is changed.

--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/CompleteResponsesTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/CompleteResponsesTest.java
@@ -23,8 +23,11 @@
 @DisplayName("whole-answers")
 class CompleteResponsesTest {
 
-    /** Small relative to the deadline of 30 s, because real I/O takes place between two steps. */
-    private static final Duration VIRTUAL_STEP = Duration.ofMillis(100);
+    /**
+     * The 30 s to the deadline take 7.5 s of real time, in which connections are made and read; a
+     * silence of 10 s takes 2.5 s.
+     */
+    private static final Duration VIRTUAL_STEP = Duration.ofMillis(20);
 
     /** Scripts of the first connection by name of the fault. The second connection succeeds. */
     private static final Map<String, FakeEngine.ResponseScript> RESUMABLE_FAULTS =
@@ -68,6 +71,7 @@
 
     static Stream<Arguments> resumableFaults() {
         return RESUMABLE_FAULTS.keySet().stream()
+                .sorted()
                 .flatMap(
                         fault -> Stream.of(true, false).map(stream -> Arguments.of(fault, stream)));
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/gateway/GatewayHarness.java
@@ -281,14 +281,16 @@
         return awaitResponse(response, Duration.ofMillis(10));
     }
 
-    /** Waits for real I/O without advancing virtual time. */
+    /** Waits for real I/O without advancing virtual time; tasks that are due run. */
     void awaitCondition(BooleanSupplier condition) {
         // Only limits a hang: on a busy machine, real connections take seconds.
         long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > deadlineNanos) {
-                throw new AssertionError("condition not met; log: " + mLogEvents);
+                throw new AssertionError(
+                        "condition not met; settled: " + mSettledTokens + ", log: " + mLogEvents);
             }
+            mVirtualTime.advanceTimeBy(Duration.ZERO);
             Thread.onSpinWait();
         }
     }
--- a/proofs/src/test/java/org/vanillaslip/internal/proofs/processes/ProcessLogsTest.java
+++ b/proofs/src/test/java/org/vanillaslip/internal/proofs/processes/ProcessLogsTest.java
@@ -15,7 +15,7 @@
     private static final String EVENT =
             "2026-12-06T12:00:00.000Z INFO  org.vanillaslip A call was answered. event=562\n";
     private static final String DROPPED =
-            "2026-12-06T12:00:00.000Z ERROR r.c.p.Operators Operator called default onErrorDropped\n"
+            "2026-12-06T12:00:00.000Z ERROR r.c.p.Operators called default onErrorDropped\n"
                     + "java.lang.IllegalStateException: channel not registered\n"
                     + "\tat io.netty.channel.AbstractChannel.eventLoop(AbstractChannel.java:163)\n";
 
