Send summaries of a bucket when tokens were used, not when predicted

A relay sent a new summary after each report whose usage differed from the prediction, so also for workspaces that nobody uses any more.

Cause: took each change of the level for usage.

Change: a summary is due when a source has used tokens or given some back.

UnknownUsageTest.aReportWithoutUsageIsNotPassedOn covers it; WorkspaceRateOfAllHostsTest, RelayedUsageTest and ReplicatedBucketTest pass.

--- a/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/ReplicatedBucket.java
@@ -221,7 +221,9 @@
     public void apply(String host, String incarnation, BucketUsage usage, long nowNanos) {
         refill(nowNanos);
         UsageSource source = mSources.source(host, 1, nowNanos);
+        long admitted = source.totalAdmitted();
         applyChange(source.apply(incarnation, usage, nowNanos), nowNanos);
+        mSummaries.recordUsage(source.totalAdmitted() - admitted);
         adoptLevel(usage.levelKnown(), usage.level(), nowNanos);
     }
 
@@ -234,7 +236,9 @@
     public void apply(String source, String relay, BucketSummary summary, long nowNanos) {
         refill(nowNanos);
         UsageSource knownSource = mSources.source(source, summary.hosts(), nowNanos);
+        long admitted = knownSource.totalAdmitted();
         applyChange(knownSource.apply(relay, summary, nowNanos), nowNanos);
+        mSummaries.recordUsage(knownSource.totalAdmitted() - admitted);
         adoptLevel(summary.levelKnown(), summary.level(), nowNanos);
     }
 
@@ -243,7 +247,6 @@
             mHeadroom.record(ownHeadroom(nowNanos));
         }
         mLevel = Math.min(mBurst, mLevel + change);
-        mSummaries.recordChange(change);
         mSources.countHosts();
     }
 
--- a/decisions/src/main/java/org/vanillaslip/internal/quota/SummarySchedule.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quota/SummarySchedule.java
@@ -8,10 +8,10 @@
     private boolean mChanged;
     private long mAdmittedAtSend;
 
-    /** Records that a report changed the level; negative when tokens were used. */
-    void recordChange(double change) {
-        mChanged |= change != 0;
-        mUsed += Math.max(0, -change);
+    /** Records that a source has used tokens, or has given some back if negative. */
+    void recordUsage(long tokens) {
+        mChanged |= tokens != 0;
+        mUsed += Math.max(0, tokens);
     }
 
     void recordSent(long admitted, long nowNanos) {
--- a/decisions/src/test/java/org/vanillaslip/internal/quota/UnknownUsageTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quota/UnknownUsageTest.java
@@ -109,6 +109,19 @@
         assertThat(admitted).isLessThanOrEqualTo((long) (RATE * 4 * 0.6 + RATE + OVERDRAFT));
     }
 
+    /** Guards against summaries of a workspace that nobody uses. */
+    @Test
+    void aReportWithoutUsageIsNotPassedOn() {
+        knowLevel("h1");
+        mBucket.recordSummarySent(mNow);
+        mNow += SECOND / 5;
+        mBucket.apply("h1", "i1", new BucketUsage(0, DEMAND, 0, true), mNow);
+        assertThat(mBucket.isSummaryDue(mNow)).isFalse();
+        mBucket.apply("h1", "i1", new BucketUsage(CALL, DEMAND, 0, true), mNow);
+
+        assertThat(mBucket.isSummaryDue(mNow)).isTrue();
+    }
+
     private void knowLevel(String host) {
         mBucket.updateSources(List.of(host), mNow);
         mBucket.apply(host, "i1", new BucketUsage(0, DEMAND, 0, true), mNow);
