Show in the logs when a server executes an order of another host

Two holders' orders at one server looked alike in the logs whether the earlier one was late, was sent by a live holder, or met a restarted server. No decision changes.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -58,7 +58,9 @@
     LIMIT_NAMED(552, INFO, "A backend server limits the requests that it takes from all hosts."),
     LIMIT_ENDED(553, INFO, "A backend server no longer limits its requests."),
     LIMIT_UNREADABLE(554, DEBUG, "The limit that a backend server names is unreadable; ignored."),
-    LIMIT_HELD(555, INFO, "This host now schedules the requests to a backend server with a limit.");
+    LIMIT_HELD(555, INFO, "This host now schedules the requests to a backend server with a limit."),
+    ORDER_COUNT_RAISED(
+            556, INFO, "A backend server accepted an order that this host did not send.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -39,6 +39,7 @@
     private final Map<String, Integer> mOwnCallsByModel = new HashMap<>();
     private final Map<ModelName, Long> mModelMissingAt = new HashMap<>();
     private final boolean mFirstStart;
+    private final OrderCountHistory mOrderCounts;
     private RegisteredServer mRegistered;
     private ServerModelState mModelState;
     private long mReportedAt = Long.MIN_VALUE;
@@ -53,6 +54,7 @@
         mRegistered = registered;
         mFirstStart = firstStart;
         mModelState = registered.modelState();
+        mOrderCounts = new OrderCountHistory(mModelState.orderCount(), nowNanos);
         mColdUntil = nowNanos + Duration.ofMillis(registered.remainingColdMillis()).toNanos();
     }
 
@@ -84,6 +86,11 @@
         return mModelState;
     }
 
+    /** Returns when orders of other hosts were seen on the server. */
+    OrderCountHistory orderCounts() {
+        return mOrderCounts;
+    }
+
     /** Returns the health of the server as seen by the calls of this host. */
     public ServerHealth health() {
         return mHealth;
@@ -127,6 +134,7 @@
             mModelState =
                     ModelStateChanges.withMinimumOrderCount(
                             registered.modelState(), mModelState.orderCount());
+            mOrderCounts.recordCount(mModelState.orderCount(), nowNanos);
         }
     }
 
@@ -148,6 +156,7 @@
         } else {
             setModelState(report.modelState());
         }
+        mOrderCounts.recordCount(mModelState.orderCount(), nowNanos);
     }
 
     /** Assumes that the last order has been completed, before a report shows it. */
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
@@ -162,7 +162,7 @@
                         member.modelState().orderCount(),
                         mHost,
                         mLease.term());
-        mLog.logSent(planned, order);
+        mLog.logSent(planned, order, member.registered().startedAtMillis());
         mOrderedAt.put(planned.instance(), now);
         mPending.put(
                 planned.instance(),
@@ -197,6 +197,9 @@
             return;
         }
         mLog.logAnswer(planned, answer);
+        if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY) {
+            member.orderCounts().recordOwnOrder(pending.expectedOrders());
+        }
         switch (answer) {
             case ACCEPTED -> handleAccepted(member, pending);
             case ALREADY -> {
@@ -237,13 +240,6 @@
         }
     }
 
-    /** Engines accept orders only when idle, so a state with an executing order is outdated. */
-    private static ServerModelState stateAtAccept(FleetMember member, PendingOrder pending) {
-        ServerModelState known = member.modelState();
-        boolean outdated = known.executingOrder() && known.orderCount() == pending.expectedOrders();
-        return outdated ? pending.stateBefore() : known;
-    }
-
     private void handleAccepted(FleetMember member, PendingOrder pending) {
         PlannedOrder planned = pending.order();
         long now = now();
@@ -264,7 +260,8 @@
             return;
         }
         ServerModelState modelState =
-                ModelStateChanges.afterAcceptance(stateAtAccept(member, pending), planned);
+                ModelStateChanges.afterAcceptance(
+                        pending.stateAtAccept(member.modelState()), planned);
         member.setModelState(
                 ModelStateChanges.withMinimumOrderCount(modelState, pending.expectedOrders() + 1));
         if (planned.fromStore()) {
@@ -328,7 +325,8 @@
     private void completeAdapter(FleetMember member, PendingOrder pending, int count) {
         mPending.remove(member.instance());
         ServerModelState done =
-                ModelStateChanges.afterCompletion(stateAtAccept(member, pending), pending.order());
+                ModelStateChanges.afterCompletion(
+                        pending.stateAtAccept(member.modelState()), pending.order());
         // A report may already include the order in its count.
         member.setModelState(
                 ModelStateChanges.withMinimumOrderCount(done, pending.expectedOrders() + count));
@@ -345,7 +343,11 @@
         if (newer) {
             mPoller.trust(member);
         }
+        long raisedBefore = member.orderCounts().raisedAtNanos();
         mDirectory.applyReport(instance, member.registered().startedAtMillis(), report, newer);
+        if (member.orderCounts().raisedAtNanos() != raisedBefore) {
+            mLog.logCountRaised(member, mLease.term());
+        }
         if (pending != null) {
             updatePending(member, pending, report);
         }
@@ -372,7 +374,7 @@
                 current
                         && counted
                         && !report.modelState().executingOrder()
-                        && showsResultOf(report.modelState(), pending);
+                        && pending.isShownBy(report.modelState());
         if (done || now - pending.expectedDoneNanos() > OVERDUE_AFTER.toNanos()) {
             if (done && pending.order().fromStore()) {
                 mStoreParallelism.recordLoadEnd(
@@ -387,13 +389,6 @@
         }
     }
 
-    private static boolean showsResultOf(ServerModelState modelState, PendingOrder pending) {
-        PlannedOrder order = pending.order();
-        Set<String> adapters = modelState.loaded().get(order.model());
-        boolean loaded = adapters != null && order.adapter().map(adapters::contains).orElse(true);
-        return loaded == (pending.order().kind() == OrderKind.LOAD);
-    }
-
     private long now() {
         return mLoop.clock().nowNanos();
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderEventLogger.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderEventLogger.java
@@ -14,10 +14,11 @@
         mLog = log;
     }
 
-    void logSent(PlannedOrder planned, EngineOrder order) {
+    void logSent(PlannedOrder planned, EngineOrder order, long startedAtMillis) {
         mLog.log(
                 FleetEvent.ORDER_SENT,
                 field("server", planned.instance()),
+                field("born", startedAtMillis),
                 field("kind", planned.kind()),
                 field("model", planned.model()),
                 field("adapter", planned.adapter().orElse("")),
@@ -36,6 +37,16 @@
                 field("answer", answer));
     }
 
+    /** Logs that the server has executed an order of another host. */
+    void logCountRaised(FleetMember member, long term) {
+        mLog.log(
+                FleetEvent.ORDER_COUNT_RAISED,
+                field("server", member.instance()),
+                field("born", member.registered().startedAtMillis()),
+                field("orders", member.modelState().orderCount()),
+                field("term", term));
+    }
+
     /** Logs an order that is assumed to be completed because its usual time has passed. */
     void logAssumedDone(PendingOrder pending, long nowNanos) {
         mLog.log(
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/PendingOrder.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/PendingOrder.java
@@ -1,5 +1,7 @@
 package org.vanillaslip.internal.fleet;
 
+import java.util.Set;
+
 /**
  * An order whose completion has not been reported.
  *
@@ -30,4 +32,17 @@
                 nowNanos + expectedNanos,
                 true);
     }
+
+    /** Servers accept orders only when idle, so a state with an executing order is outdated. */
+    ServerModelState stateAtAccept(ServerModelState known) {
+        boolean outdated = known.executingOrder() && known.orderCount() == expectedOrders;
+        return outdated ? stateBefore : known;
+    }
+
+    /** Returns whether the state contains the result of the order. */
+    boolean isShownBy(ServerModelState modelState) {
+        Set<String> adapters = modelState.loaded().get(order.model());
+        boolean loaded = adapters != null && order.adapter().map(adapters::contains).orElse(true);
+        return loaded == (order.kind() == OrderKind.LOAD);
+    }
 }
