Show that a server may execute late orders of the previous lease holder

An order without an answer may be executed up to 12 s later, and the handover delay is 3.3 s. In virtual time, with several hosts and servers:

- A server that restarts counts orders from zero, so that a late order of the previous holder fits after the new holder's first one.
This is the sequence of the incident: an accepted order of the older term after one of the newer.
- A new holder orders a server right after it has executed a late order.

--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
 import org.vanillaslip.FailureDomain;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import reactor.core.publisher.Mono;
@@ -43,6 +44,8 @@
     double mLateOrderProbability;
     int mMaxLateMillis = 4000;
     Duration mUnloadTime = Duration.ZERO;
+    ToLongFunction<EngineOrder> mDelayMillis = order -> 0;
+    final List<AcceptedOrder> mAccepted = new ArrayList<>();
     final Map<OrderKind, Long> mLastAccepted = new HashMap<>();
 
     EngineSimulation(long seed, VirtualTimeScheduler scheduler) {
@@ -51,6 +54,9 @@
         mLoop = new DecisionLoop(scheduler, () -> scheduler.now(TimeUnit.NANOSECONDS));
     }
 
+    /** An order that an engine has executed. */
+    record AcceptedOrder(long atMillis, String server, String holder, long term) {}
+
     /** Simulated engine that reports a violation when a load exceeds its slots. */
     final class Engine {
         final String mName;
@@ -106,7 +112,11 @@
 
         OrderAnswer execute(EngineOrder order) {
             recordSnapshot();
+            long countBefore = mOrderCount;
             OrderAnswer answer = handleOrder(order);
+            if (mOrderCount > countBefore) {
+                mAccepted.add(new AcceptedOrder(now(), mName, order.holder(), order.term()));
+            }
             recordSnapshot();
             return answer;
         }
@@ -228,6 +238,10 @@
         }
     }
 
+    private long now() {
+        return mScheduler.now(TimeUnit.MILLISECONDS);
+    }
+
     Instant wallClockTime() {
         return Instant.ofEpochMilli(mScheduler.now(TimeUnit.MILLISECONDS));
     }
@@ -243,8 +257,11 @@
     @Override
     public Mono<OrderAnswer> sendOrder(RegisteredServer server, EngineOrder order) {
         Engine engine = mEngines.get(server.instance());
+        long delay = mDelayMillis.applyAsLong(order);
         if (mRandom.nextDouble() < mLateOrderProbability) {
-            long delay = 500 + mRandom.nextInt(mMaxLateMillis);
+            delay = 500 + mRandom.nextInt(mMaxLateMillis);
+        }
+        if (delay > 0) {
             mScheduler.schedule(() -> engine.execute(order), delay, TimeUnit.MILLISECONDS);
             return Mono.delay(Duration.ofMillis(500), mScheduler).map(tick -> OrderAnswer.UNKNOWN);
         }
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LeaseSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LeaseSimulation.java
@@ -135,6 +135,7 @@
 
     private final Map<String, TestHost> mHosts = new LinkedHashMap<>();
     private final Map<String, StoredObject> mObjects = new HashMap<>();
+    private final List<VirtualTimeScheduler> mOtherSchedulers = new ArrayList<>();
     private final AtomicLong mNonces = new AtomicLong();
     private final List<Order> mOrders = new ArrayList<>();
     private final Map<String, StoredObject> mCopy = new HashMap<>();
@@ -155,6 +156,11 @@
         mHolderReachable = reachable;
     }
 
+    /** Advances another scheduler with the time of the simulation. */
+    void advanceWithTime(VirtualTimeScheduler scheduler) {
+        mOtherSchedulers.add(scheduler);
+    }
+
     /** Returns the total number of reads of the lease by all hosts. */
     int reads() {
         return mHosts.values().stream().mapToInt(host -> host.mReads).sum();
@@ -182,6 +188,7 @@
         long end = mMillis + time.toMillis();
         while (mMillis < end) {
             mMillis += STEP.toMillis();
+            mOtherSchedulers.forEach(scheduler -> scheduler.advanceTimeBy(STEP));
             for (TestHost host : mHosts.values()) {
                 // A resumed host may check the lease before its timers run.
                 if (!host.mSuspended && !host.mDead) {
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDispatcherTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDispatcherTest.java
@@ -3,12 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
@@ -18,14 +15,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.vanillaslip.FailureDomain;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.StoredObject;
-import org.vanillaslip.internal.serving.CallerLimits;
-import org.vanillaslip.internal.serving.EngineProfile;
-import org.vanillaslip.internal.serving.ModelProfile;
-import org.vanillaslip.internal.serving.ServicePool;
-import org.vanillaslip.internal.serving.ServingPlan;
 import org.vanillaslip.messages.DemandReport;
 import org.vanillaslip.messages.ModelDemand;
 
@@ -233,7 +224,7 @@
                         mHost.mName,
                         mHost.mLease,
                         mDirectory,
-                        () -> Optional.of(plan()),
+                        () -> Optional.of(EngineCollections.plan()),
                         mSimulation,
                         4,
                         mSimulation.mLoop,
@@ -302,7 +293,7 @@
     }
 
     private FleetDirectory newDirectory() {
-        ServingCollections collections = new TestCollections();
+        ServingCollections collections = new EngineCollections(mSimulation);
         return new FleetDirectory(
                 collections,
                 new DrainFollower(collections, mSimulation.mLoop, (event, fields) -> {}),
@@ -310,69 +301,4 @@
                 new StoreAnswerHistory(),
                 (event, fields) -> {});
     }
-
-    private static ServingPlan plan() {
-        Map<String, ModelProfile> models = new HashMap<>();
-        for (int model = 0; model < 12; model++) {
-            String name = "m" + model;
-            models.put(
-                    name,
-                    new ModelProfile(
-                            name,
-                            70,
-                            3,
-                            0,
-                            Duration.ofSeconds(6),
-                            EngineSimulation.LOAD_TIME,
-                            Duration.ofMillis(600)));
-        }
-        EngineProfile engine =
-                new EngineProfile(
-                        48,
-                        70 * EngineSimulation.MODEL_SLOTS,
-                        EngineSimulation.ADAPTER_SLOTS,
-                        4,
-                        models);
-        return new ServingPlan(
-                1,
-                List.of(),
-                Map.of("pool", new ServicePool("pool", "/", 0, Optional.of(engine))),
-                List.of(),
-                Map.of(),
-                CallerLimits.DEFAULT);
-    }
-
-    /** Decodes entries as the current state of the engines. */
-    private final class TestCollections implements ServingCollections {
-
-        @Override
-        public String plans() {
-            return "plans";
-        }
-
-        @Override
-        public Optional<Either<String, ServingPlan>> plan(StoredObject object) {
-            return Optional.empty();
-        }
-
-        @Override
-        public String servers() {
-            return "servers";
-        }
-
-        @Override
-        public Either<String, RegisteredServer> server(StoredObject object) {
-            return Either.right(mSimulation.mEngines.get(object.name()).registered());
-        }
-
-        @Override
-        public String drains() {
-            return "drains";
-        }
-
-        @Override
-        public FailureDomain drained(StoredObject object) {
-            return new FailureDomain(object.name());
-        }
-    }
 }
