Do not order a restarted server while an order of an earlier holder may fit

What was seen: a server executed an order of term 2 after one of term 3.

Cause: an order without an answer may be executed up to 12 s later, if the server's order count is the expected one. A restarted server counts from zero, so the new holder's own orders bring its count to what an order from before the restart expects. The code reserved memory for such an order, and sent its own orders beside it.

A new holder now sends no orders to a server that restarted at most 13 s ago until no order of earlier holders can be executed any more. A holder that releases the lease names the servers that owe it an answer, so that after a planned stop only these wait. A process that reacquires its host's lease only waits for what was left from other hosts.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -2,7 +2,6 @@
 
 import static org.vanillaslip.internal.logging.LogField.field;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -10,6 +9,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -42,9 +42,6 @@
     /** Terms of an era of the store; far more than hosts can take in one. */
     private static final int TERM_BITS_PER_ERA = 20;
 
-    /** Field with the time after the write during which the holder sends no orders. */
-    private static final String QUIET_MILLIS_FIELD = "quiet_millis";
-
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration READ_INTERVAL = Duration.ofMillis(400);
 
@@ -72,12 +69,14 @@
     private final EventLog mLog;
     private LeaseState mState;
     private LeaseRecord mRecord = LeaseRecord.NONE;
+    private PreviousOrders mPreviousOrders = PreviousOrders.NONE;
     private long mNoOrdersUntil = Long.MIN_VALUE / 2;
     private long mWriteSentWallMillis;
     private long mReadAt = Long.MIN_VALUE / 2;
     private boolean mCallInFlight;
     private boolean mStopped;
     private Runnable mOnAcquired = () -> {};
+    private Supplier<Set<String>> mUnansweredServers = Set::of;
 
     /**
      * Creates a lease that this host does not hold.
@@ -117,6 +116,11 @@
         mOnAcquired = listener;
     }
 
+    /** Sets the source of the servers that have not answered an order of this host. */
+    public void unansweredServers(Supplier<Set<String>> servers) {
+        mUnansweredServers = servers;
+    }
+
     /** Starts to read the lease periodically. */
     public void start() {
         long period = TICK.toNanos();
@@ -151,6 +155,16 @@
         return mState.mayDecide(mTimes, now) && now - mNoOrdersUntil >= 0 && clocksAgree(now);
     }
 
+    /** Returns the orders of previous holders that servers may still execute. */
+    PreviousOrders previousOrders() {
+        return mPreviousOrders;
+    }
+
+    /** Returns the time between the last order of a holder and the first of the next one. */
+    Duration handoverDelay() {
+        return mHandoverDelay;
+    }
+
     /** Releases the lease, because this host shuts down. */
     public Mono<Void> release() {
         mStopped = true;
@@ -161,8 +175,10 @@
                 new LeaseRecord("", mState.term(), mNonces.get(), mTimes.validity().toMillis());
         long version = mState.version();
         mState = new LeaseState(false, mState.term(), 0, version, now());
-        return mStore.update(PlatformCollections.CONTROL_SHARDS, NAME, version, spec(released))
-                .then();
+        Optional<Set<String>> unanswered =
+                mPreviousOrders.serversAfter(mUnansweredServers.get(), now());
+        ObjectNode spec = spec(released, unanswered);
+        return mStore.update(PlatformCollections.CONTROL_SHARDS, NAME, version, spec).then();
     }
 
     /**
@@ -229,7 +245,8 @@
         if (object.version() < mState.version()) {
             return;
         }
-        mRecord = record(object.spec());
+        LeaseEntry entry = LeaseEntry.decode(object.spec());
+        mRecord = entry.record();
         mState = mState.observed(object.version(), mRecord, mHost, now);
         long firstTerm = firstTerm(object.version());
         // The store may have lost later holders, whose last orders nothing shows.
@@ -239,12 +256,16 @@
         if (own || mState.mayTake(mTimes, mRecord, rank, now)) {
             // Only one process runs on a host, so the previous process of this host sends no more
             // orders. But it may have acquired the lease before the handover delay was over.
-            long quietNanos =
-                    TimeUnit.MILLISECONDS.toNanos(object.spec().path(QUIET_MILLIS_FIELD).asLong());
             mNoOrdersUntil =
                     own
-                            ? Math.max(now + quietNanos, mNoOrdersUntil)
+                            ? Math.max(now + entry.quiet().toNanos(), mNoOrdersUntil)
                             : earliestFirstOrder(holdersLost, now);
+            mPreviousOrders =
+                    own
+                            ? new PreviousOrders(
+                                    Optional.empty(), now + entry.lateOrders().toNanos())
+                            : PreviousOrders.sentUntil(
+                                    now, holdersLost ? Optional.empty() : entry.unanswered());
             write(Math.max(mRecord.term() + 1, firstTerm));
         }
     }
@@ -276,12 +297,15 @@
         boolean create = mState.version() < 0;
         Mono<Either<PlatformFailure, StoredObject>> written =
                 create
-                        ? mStore.create(PlatformCollections.CONTROL_SHARDS, NAME, spec(record))
+                        ? mStore.create(
+                                PlatformCollections.CONTROL_SHARDS,
+                                NAME,
+                                spec(record, Optional.empty()))
                         : mStore.update(
                                 PlatformCollections.CONTROL_SHARDS,
                                 NAME,
                                 mState.version(),
-                                spec(record));
+                                spec(record, Optional.empty()));
         written.flatMap(result -> resolveUnknownOutcome(result, record))
                 .publishOn(mLoop.scheduler())
                 .subscribe(
@@ -300,7 +324,8 @@
                 .map(
                         found ->
                                 found.isRight()
-                                                && record(found.get().spec())
+                                                && LeaseEntry.decode(found.get().spec())
+                                                        .record()
                                                         .nonce()
                                                         .equals(record.nonce())
                                         ? found
@@ -341,23 +366,14 @@
         }
     }
 
-    private ObjectNode spec(LeaseRecord record) {
-        long quietMillis = TimeUnit.NANOSECONDS.toMillis(Math.max(0, mNoOrdersUntil - now()));
-        return JsonNodeFactory.instance
-                .objectNode()
-                .put("holder", record.holder())
-                .put("term", record.term())
-                .put("nonce", record.nonce())
-                .put("validity_millis", record.validityMillis())
-                .put(QUIET_MILLIS_FIELD, quietMillis);
-    }
-
-    private static LeaseRecord record(ObjectNode spec) {
-        return new LeaseRecord(
-                spec.path("holder").asText(),
-                spec.path("term").asLong(),
-                spec.path("nonce").asText(),
-                spec.path("validity_millis").asLong());
+    private ObjectNode spec(LeaseRecord record, Optional<Set<String>> unanswered) {
+        long now = now();
+        return new LeaseEntry(
+                        record,
+                        Duration.ofNanos(Math.max(0, mNoOrdersUntil - now)),
+                        Duration.ofNanos(Math.max(0, mPreviousOrders.untilNanos() - now)),
+                        unanswered)
+                .encode();
     }
 
     private long now() {
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
@@ -86,6 +86,7 @@
         long period = TICK.toNanos();
         mDispatcher.onProgress(this::schedulePlanning);
         mLoop.scheduler().schedulePeriodically(this::tick, period, period, TimeUnit.NANOSECONDS);
+        mLease.unansweredServers(mDispatcher::unansweredServers);
         mLease.onAcquired(this::handleLeaseAcquired);
     }
 
@@ -202,7 +203,7 @@
         Map<String, Map<String, Integer>> running = mDemand.runningCalls();
         List<EngineState> engines = new ArrayList<>();
         for (FleetMember member : mDirectory.inService(pool)) {
-            if (mDispatcher.hasTrustedReport(member) && member.health().usable(now)) {
+            if (mDispatcher.canOrder(member) && member.health().usable(now)) {
                 Map<String, Integer> calls = running.getOrDefault(member.instance(), Map.of());
                 engines.add(
                         toEngineState(
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
@@ -40,15 +40,12 @@
     /** Deployments state up to 14 ms from the store; the rest is the transfer of the order. */
     private static final Duration ADAPTER_LOAD_TIME = Duration.ofMillis(25);
 
-    /** The wall clocks of two machines may differ by this much, as they can jump by seconds. */
-    private static final Duration CLOCK_ERROR = Duration.ofSeconds(5);
-
     private final String mHost;
     private final FleetLease mLease;
     private final FleetDirectory mDirectory;
     private final EngineControl mEngines;
     private final DecisionLoop mLoop;
-    private final InstantSource mWallClock;
+    private final LateOrderGuard mLateOrders;
     private final OrderEventLogger mLog;
     private final UnconfirmedOrders mUnconfirmedOrders = new UnconfirmedOrders();
     private final Map<String, PendingOrder> mPending = new HashMap<>();
@@ -76,7 +73,7 @@
         mStoreParallelism = storeParallelism;
         mPoller = new ReportPoller(lease, engines, loop, log, this::handleReport);
         mLoop = loop;
-        mWallClock = wallClock;
+        mLateOrders = new LateOrderGuard(lease, loop, wallClock);
         mLog = new OrderEventLogger(log);
     }
 
@@ -114,20 +111,22 @@
                 .isPresent();
     }
 
-    /** Returns whether the engine has sent a trusted report since its last start. */
-    boolean hasTrustedReport(FleetMember member) {
-        return mPoller.isTrusted(member);
+    /** Returns whether the engine's state is known and only orders of this host can reach it. */
+    boolean canOrder(FleetMember member) {
+        return mPoller.isTrusted(member) && !mLateOrders.mustWait(member);
+    }
+
+    /** Returns the servers that have not answered an order. */
+    Set<String> unansweredServers() {
+        return mUnconfirmedOrders.unansweredServers(now());
     }
 
     /** Returns what unconfirmed orders may still load after the engine accepts the next order. */
     UnconfirmedLoads unconfirmedLoads(FleetMember member, EngineProfile profile) {
-        Duration age =
-                Duration.ofMillis(mWallClock.millis() - member.registered().startedAtMillis())
-                        .minus(CLOCK_ERROR);
         return mUnconfirmedOrders.possibleLoads(
                 member.instance(),
                 member.modelState().orderCount() + 1,
-                age,
+                mLateOrders.age(member),
                 member.firstStart(),
                 profile,
                 now());
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/UnconfirmedOrders.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/UnconfirmedOrders.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.vanillaslip.internal.serving.EngineProfile;
 import org.vanillaslip.internal.serving.ModelProfile;
 
@@ -45,6 +46,12 @@
                 });
     }
 
+    /** Returns the servers that have not answered an order and may still execute it. */
+    public Set<String> unansweredServers(long nowNanos) {
+        List.copyOf(mSent.keySet()).forEach(instance -> unansweredOrders(instance, nowNanos));
+        return Set.copyOf(mSent.keySet());
+    }
+
     /** Records that this host took over from another one, whose unanswered orders are unknown. */
     public void recordTakeover(long nowNanos) {
         mTakeoverAt = Optional.of(nowNanos);
