Start the hosts of a placement test after its faults are set

Cause: the fixture started both hosts in its constructor, before the test had set that confirmations are dropped. If the holder sent the first record before that, its confirmation passed and a heartbeat was right.

Change: the hosts start when the test asks for a holder, after the flag. The assertions are as they were.

--- a/daemon/src/test/java/org/vanillaslip/internal/control/placement/ControllerFixture.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/placement/ControllerFixture.java
@@ -68,11 +68,6 @@
     final PlacementController mFirst = create("h0", 1);
     final PlacementController mSecond = create("h1", 2);
 
-    ControllerFixture() {
-        mFirst.start();
-        mSecond.start();
-    }
-
     private PlacementController create(String host, long seed) {
         return new PlacementController(
                 mLoop,
@@ -109,7 +104,9 @@
                 .block(Duration.ofSeconds(5));
     }
 
-    void awaitHolder() {
+    void startAndAwaitHolder() {
+        mFirst.start();
+        mSecond.start();
         Mono.fromSupplier(() -> holder(mFirst) + holder(mSecond))
                 .repeat()
                 .takeUntil(both -> both.length() == 4)
--- a/daemon/src/test/java/org/vanillaslip/internal/control/placement/PlacementControllerTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/placement/PlacementControllerTest.java
@@ -26,7 +26,7 @@
     @Test
     void bothHostsSeeTheReplicaOfAnActivatedModel() {
         ModelName model = ModelName.parse("m");
-        mFixture.awaitHolder();
+        mFixture.startAndAwaitHolder();
         mFixture.onLoop(() -> mFixture.mSecond.activate(model, WAIT)).block(WAIT);
         assertThat(mFixture.awaitReplica(mFixture.mFirst, model)).isNotNull();
         Replica replica = mFixture.awaitReplica(mFixture.mSecond, model);
@@ -42,7 +42,7 @@
     @Test
     void doesNotLoadAModelWhoseRequestsWereWithdrawnDuringADrain() {
         ModelName model = ModelName.parse("m");
-        mFixture.awaitHolder();
+        mFixture.startAndAwaitHolder();
         mFixture.setDrained(true);
         mFixture.onLoop(() -> mFixture.mSecond.activate(model, WAIT)).block(WAIT);
         mFixture.onLoop(() -> Mono.fromRunnable(() -> mFixture.mSecond.withdraw(model)))
@@ -57,7 +57,7 @@
     @Test
     void loadsAModelThatARequestStillWaitsForAfterADrain() {
         ModelName model = ModelName.parse("m");
-        mFixture.awaitHolder();
+        mFixture.startAndAwaitHolder();
         mFixture.setDrained(true);
         mFixture.onLoop(() -> mFixture.mSecond.activate(model, WAIT)).block(WAIT);
         Mono.delay(RequestLifetime.of(WAIT).plus(RequestLifetime.EXCHANGE_INTERVAL)).block();
@@ -67,7 +67,7 @@
 
     @Test
     void theOtherHostTakesTheLeaseAfterAPlannedStop() {
-        mFixture.awaitHolder();
+        mFixture.startAndAwaitHolder();
         String holder = mFixture.holder(mFixture.mFirst);
         mFixture.controller(holder).stop().block(WAIT);
         String other = holder.equals("h0") ? "h1" : "h0";
@@ -80,7 +80,7 @@
     /** Guards against sending an unchanged record to every host of the failure domain every 2 s. */
     @Test
     void sendsHeartbeatsWithoutTheRecordToAHostThatConfirmedTheVersion() {
-        mFixture.awaitHolder();
+        mFixture.startAndAwaitHolder();
         awaitDigests(digest -> isHeartbeat(digest));
         PlacementDigest heartbeat =
                 mFixture.mDigests.stream().filter(d -> isHeartbeat(d)).findFirst().orElseThrow();
@@ -92,7 +92,7 @@
     @Test
     void resendsTheRecordToAHostThatHasNotConfirmedTheVersion() {
         mFixture.mDropConfirmations = true;
-        mFixture.awaitHolder();
+        mFixture.startAndAwaitHolder();
         awaitDigests(
                 digest ->
                         mFixture.mDigests.stream()
