Keep a received token when the engine's connection breaks

Cause: a token counts as passed on when it is read, and the stream resumes after it. If the caller had not asked for it yet, an error of the connection discarded it. A streamed answer asks for one event until its head is written, so this took no slow caller.

Change: an error waits until the token before it is taken.

The relay of the platform is not affected: it counts an event when the caller takes it.

--- a/daemon/src/main/java/org/vanillaslip/internal/backend/forward/CompletionStream.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/CompletionStream.java
@@ -75,7 +75,8 @@
         return mSilenceTimeout
                 .apply(chunks)
                 .concatMapIterable(splitter::split, 1)
-                .concatMap(this::toEvents, 1)
+                // An accepted token must reach the caller, because the stream resumes after it.
+                .concatMapDelayError(this::toEvents, false, 1)
                 .takeUntil(CompletionEvent::isLast)
                 .concatWith(Flux.defer(this::checkComplete))
                 .onErrorResume(this::resumeOrFail);
