Keep the handover delay after a late order that a server has executed

Cause: the handover delay starts with the last moment at which the previous holder could send orders. An order without an answer may be executed up to 12 s after that, and the new holder, which reads the higher order count in the next report, ordered the server at once.

While orders of earlier holders can still be executed, a host now waits the handover delay after it has first seen an order count that its own orders do not explain, for that server alone. Hosts see the counts in digests and registrations before they take over, so a server whose count does not change gets orders as early as before; after a planned stop only servers that owed an answer are considered. A restarted process of the same host knows nothing of the orders that the one before it sent, and does not claim in its release that there are none.

Orders are compared for each start of a server, as the users' record names it.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -70,6 +70,7 @@
     private LeaseState mState;
     private LeaseRecord mRecord = LeaseRecord.NONE;
     private PreviousOrders mPreviousOrders = PreviousOrders.NONE;
+    private PreviousOrders mOrdersOfEarlierProcess = PreviousOrders.NONE;
     private long mNoOrdersUntil = Long.MIN_VALUE / 2;
     private long mWriteSentWallMillis;
     private long mReadAt = Long.MIN_VALUE / 2;
@@ -176,7 +177,12 @@
         long version = mState.version();
         mState = new LeaseState(false, mState.term(), 0, version, now());
         Optional<Set<String>> unanswered =
-                mPreviousOrders.serversAfter(mUnansweredServers.get(), now());
+                mOrdersOfEarlierProcess
+                        .serversAfter(Set.of(), now())
+                        .flatMap(
+                                none ->
+                                        mPreviousOrders.serversAfter(
+                                                mUnansweredServers.get(), now()));
         ObjectNode spec = spec(released, unanswered);
         return mStore.update(PlatformCollections.CONTROL_SHARDS, NAME, version, spec).then();
     }
@@ -260,10 +266,12 @@
                     own
                             ? Math.max(now + entry.quiet().toNanos(), mNoOrdersUntil)
                             : earliestFirstOrder(holdersLost, now);
+            if (own) {
+                mOrdersOfEarlierProcess = PreviousOrders.sentUntil(now, Optional.empty());
+            }
             mPreviousOrders =
                     own
-                            ? new PreviousOrders(
-                                    Optional.empty(), now + entry.lateOrders().toNanos())
+                            ? lateOrders(entry, now)
                             : PreviousOrders.sentUntil(
                                     now, holdersLost ? Optional.empty() : entry.unanswered());
             write(Math.max(mRecord.term() + 1, firstTerm));
@@ -366,12 +374,21 @@
         }
     }
 
+    /** Returns the orders of other hosts before the previous process of this host. */
+    private PreviousOrders lateOrders(LeaseEntry entry, long nowNanos) {
+        return entry.lateOrders().isZero()
+                ? PreviousOrders.NONE
+                : new PreviousOrders(
+                        Optional.empty(),
+                        nowNanos + entry.lateOrders().minus(mHandoverDelay).toNanos());
+    }
+
     private ObjectNode spec(LeaseRecord record, Optional<Set<String>> unanswered) {
         long now = now();
         return new LeaseEntry(
                         record,
                         Duration.ofNanos(Math.max(0, mNoOrdersUntil - now)),
-                        Duration.ofNanos(Math.max(0, mPreviousOrders.untilNanos() - now)),
+                        mPreviousOrders.remaining(mHandoverDelay, now),
                         unanswered)
                 .encode();
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
@@ -1,7 +1,12 @@
 package org.vanillaslip.internal.fleet;
 
+import static org.vanillaslip.internal.logging.LogField.field;
+
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.HashSet;
+import java.util.Set;
+import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 
 /** Finds the servers that this host must not order yet because of orders of previous holders. */
@@ -13,16 +18,42 @@
     private final FleetLease mLease;
     private final DecisionLoop mLoop;
     private final InstantSource mWallClock;
+    private final EventLog mLog;
+    private final Set<String> mLogged = new HashSet<>();
 
-    LateOrderGuard(FleetLease lease, DecisionLoop loop, InstantSource wallClock) {
+    LateOrderGuard(FleetLease lease, DecisionLoop loop, InstantSource wallClock, EventLog log) {
         mLease = lease;
         mLoop = loop;
         mWallClock = wallClock;
+        mLog = log;
+    }
+
+    /** Forgets which waits were logged, because this host has acquired or lost the lease. */
+    void clear() {
+        mLogged.clear();
     }
 
     /** Returns whether an order to the server could come in turn with one of another host. */
     boolean mustWait(FleetMember member) {
-        return mayFitAfterRestart(member);
+        boolean restarted = mayFitAfterRestart(member);
+        boolean wait = restarted || hasJustExecutedOrder(member);
+        if (wait && mLogged.add(member.startId())) {
+            mLog.log(
+                    FleetEvent.ORDERS_WAIT,
+                    field("server", member.instance()),
+                    field("born", member.registered().startedAtMillis()),
+                    field("restarted", restarted),
+                    field("orders", member.modelState().orderCount()));
+        }
+        return wait;
+    }
+
+    /** The orders of two hosts must be the handover delay apart, also if one is executed late. */
+    private boolean hasJustExecutedOrder(FleetMember member) {
+        long now = mLoop.clock().nowNanos();
+        Duration delay = mLease.handoverDelay();
+        return now - member.orderCounts().raisedAtNanos() < delay.toNanos()
+                && mLease.previousOrders().mayReach(member.instance(), delay, now);
     }
 
     /**
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LeaseEntry.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LeaseEntry.java
@@ -14,7 +14,8 @@
  * The lease as it is stored.
  *
  * @param quiet time after the write during which the holder sends no orders
- * @param lateOrders time after the write during which servers may execute orders of earlier holders
+ * @param lateOrders time after the write during which servers may execute orders of earlier
+ *     holders, or get no order because they have just done so
  * @param unanswered servers that may execute orders of the host that released the lease or of
  *     earlier holders; empty if they are unknown
  */
@@ -29,8 +30,11 @@
     private static final String LATE_ORDERS = "late_orders_millis";
     private static final String UNANSWERED = "unanswered";
 
+    /** Longer than servers take to execute an order plus the handover delay. */
+    private static final Duration MAX_LATE_ORDERS = Duration.ofSeconds(20);
+
     static LeaseEntry decode(ObjectNode spec) {
-        long maxDelayMillis = UnconfirmedOrders.MAX_EXECUTION_DELAY.toMillis();
+        long maxMillis = MAX_LATE_ORDERS.toMillis();
         return new LeaseEntry(
                 new LeaseRecord(
                         spec.path(HOLDER).asText(),
@@ -38,8 +42,7 @@
                         spec.path(NONCE).asText(),
                         spec.path(VALIDITY).asLong()),
                 Duration.ofMillis(spec.path(QUIET).asLong()),
-                Duration.ofMillis(
-                        Math.min(maxDelayMillis, spec.path(LATE_ORDERS).asLong(maxDelayMillis))),
+                Duration.ofMillis(Math.min(maxMillis, spec.path(LATE_ORDERS).asLong(maxMillis))),
                 Optional.of(spec.path(UNANSWERED))
                         .filter(JsonNode::isArray)
                         .map(LeaseEntry::toNames));
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
@@ -73,7 +73,7 @@
         mStoreParallelism = storeParallelism;
         mPoller = new ReportPoller(lease, engines, loop, log, this::handleReport);
         mLoop = loop;
-        mLateOrders = new LateOrderGuard(lease, loop, wallClock);
+        mLateOrders = new LateOrderGuard(lease, loop, wallClock, log);
         mLog = new OrderEventLogger(log);
     }
 
@@ -87,6 +87,7 @@
         mPending.clear();
         mAssumedDone.clear();
         mRetries.clear();
+        mLateOrders.clear();
         mPoller.clear();
     }
 
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/PreviousOrders.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/PreviousOrders.java
@@ -23,6 +23,13 @@
                 servers, nowNanos + UnconfirmedOrders.MAX_EXECUTION_DELAY.toNanos());
     }
 
+    /** Returns the time that is left until the given time after the last of them, or zero. */
+    public Duration remaining(Duration after, long nowNanos) {
+        long left = untilNanos + after.toNanos() - nowNanos;
+        boolean none = servers.map(Set::isEmpty).orElse(false);
+        return Duration.ofNanos(none ? 0 : Math.max(0, left));
+    }
+
     /** Returns whether the server may execute such an order, or has done so within the time. */
     public boolean mayReach(String server, Duration within, long nowNanos) {
         return nowNanos - untilNanos < within.toNanos()
