Limit the memory of the bodies of all calls at a host

Cause: each body was bounded by itself, all bodies together were not, and a body took up to three times its size while it was read.

Change: bodies reserve memory until their call has ended, 40 MiB over all calls.

Not changed: the own interface, which bounds each body and the number of waiting calls only.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ResponseMemoryLimit.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BodyMemoryLimit.java
@@ -6,16 +6,16 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Limits the total memory of incomplete responses, so that servers that send without end cannot
- * exhaust the heap. Used on the event loop only.
+ * Limits the total memory of bodies, so that callers and servers that send much cannot exhaust the
+ * heap. Used on the event loop only.
  */
-final class ResponseMemoryLimit {
+final class BodyMemoryLimit {
 
     private final long mMaxBytes;
     private long mReservedBytes;
 
     /** Creates a limit without reservations. */
-    ResponseMemoryLimit(long maxBytes) {
+    BodyMemoryLimit(long maxBytes) {
         mMaxBytes = maxBytes;
     }
 
@@ -46,7 +46,7 @@
                 Reservation::release);
     }
 
-    /** Returns an empty reservation for the incomplete event of a stream. */
+    /** Returns an empty reservation, for a request or the incomplete event of a stream. */
     Reservation newReservation() {
         return new Reservation();
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -26,14 +26,11 @@
 
     private final CallSender mSender;
     private final Standbys mStandbys;
-    private final ResponseMemoryLimit mMemoryLimit;
+    private final BodyMemoryLimit mMemoryLimit;
     private final DecisionLoop mLoop;
 
     BufferedRelay(
-            CallSender sender,
-            Standbys standbys,
-            ResponseMemoryLimit memoryLimit,
-            DecisionLoop loop) {
+            CallSender sender, Standbys standbys, BodyMemoryLimit memoryLimit, DecisionLoop loop) {
         mSender = sender;
         mStandbys = standbys;
         mMemoryLimit = memoryLimit;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -16,7 +16,6 @@
 import org.reactivestreams.Publisher;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
-import org.vanillaslip.internal.backend.forward.BoundedBody;
 import org.vanillaslip.internal.fleet.DemandReporter;
 import org.vanillaslip.internal.gateway.RefusalWriter;
 import org.vanillaslip.internal.gateway.RefusedException;
@@ -36,13 +35,17 @@
     /** Short, because other hosts can serve the call immediately. */
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(50);
 
-    /** Heap for incomplete responses; the rest of the 160 MB of a host is for all else. */
-    private static final long MAX_BUFFERED_BYTES = 32L * 1024 * 1024;
+    /** Heap for incomplete responses; a host has 160 MB for everything. */
+    private static final long MAX_RESPONSE_BYTES = 32L * 1024 * 1024;
+
+    /** Heap for the bodies of all calls that are not answered yet. */
+    private static final long MAX_REQUEST_BYTES = 40L * 1024 * 1024;
 
     /** Any delay above 0 suffices: the event loop polls its connections while it waits. */
     private static final Duration READ_DELAY = Duration.ofMillis(1);
 
-    private final ResponseMemoryLimit mMemoryLimit = new ResponseMemoryLimit(MAX_BUFFERED_BYTES);
+    private final BodyMemoryLimit mMemoryLimit = new BodyMemoryLimit(MAX_RESPONSE_BYTES);
+    private final BodyMemoryLimit mRequestMemoryLimit = new BodyMemoryLimit(MAX_REQUEST_BYTES);
     private final CallAdmission mAdmission;
     private final CallDialect mDialect;
     private final CallSender mSender;
@@ -118,7 +121,8 @@
                     HttpMethod method = request.method();
                     String uri = request.uri();
                     response.keepAlive(!mClosingConnections);
-                    return collectBody(request)
+                    BodyMemoryLimit.Reservation bodyMemory = mRequestMemoryLimit.newReservation();
+                    return RequestBody.read(request, bodyMemory, maxBodyBytes())
                             .flatMap(this::awaitPendingReads)
                             .filter(body -> callerIsConnected(response, headers, arrivedNanos))
                             .flatMap(
@@ -133,7 +137,10 @@
                             .onErrorResume(
                                     error -> refuse(response, headers, error, "", arrivedNanos))
                             .doFinally(
-                                    signal -> outbound.whenWritten(mActiveCalls::decrementAndGet));
+                                    signal -> {
+                                        bodyMemory.release();
+                                        outbound.whenWritten(mActiveCalls::decrementAndGet);
+                                    });
                 });
     }
 
@@ -168,18 +175,6 @@
         return connected.get();
     }
 
-    private Mono<byte[]> collectBody(HttpServerRequest request) {
-        int maxBytes = maxBodyBytes();
-        return BoundedBody.collect(
-                request.receive().asByteArray(),
-                maxBytes,
-                () ->
-                        new RefusedException(
-                                Refusal.of(
-                                        ResultCode.BODY_TOO_LARGE,
-                                        "at most " + maxBytes + " bytes")));
-    }
-
     private int maxBodyBytes() {
         try {
             return mAdmission.plan().limits().maxBodyBytes();
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -37,7 +37,7 @@
     private final RelayCall mCall;
     private final CallSender mSender;
     private final Standbys mStandbys;
-    private final ResponseMemoryLimit mMemoryLimit;
+    private final BodyMemoryLimit mMemoryLimit;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
     private @Nullable ResponseHead mResponseHead;
@@ -50,7 +50,7 @@
             RelayCall call,
             CallSender sender,
             Standbys standbys,
-            ResponseMemoryLimit memoryLimit,
+            BodyMemoryLimit memoryLimit,
             DecisionLoop loop,
             EventLog log) {
         mCall = call;
@@ -158,7 +158,7 @@
             mSender.recordFailure(mCall, server);
             return chunks;
         }
-        ResponseMemoryLimit.Reservation reservation = mMemoryLimit.newReservation();
+        BodyMemoryLimit.Reservation reservation = mMemoryLimit.newReservation();
         return chunks.concatMapIterable(chunk -> frame(framer, reservation, chunk), 1)
                 .filter(this::isNew)
                 .doOnNext(event -> recordEvent(server, head, event))
@@ -168,7 +168,7 @@
     }
 
     private static List<StreamEvent> frame(
-            EventFramer framer, ResponseMemoryLimit.Reservation reservation, byte[] chunk) {
+            EventFramer framer, BodyMemoryLimit.Reservation reservation, byte[] chunk) {
         List<StreamEvent> events = framer.accept(chunk);
         if (!reservation.resize(framer.incompleteEventSize())) {
             throw new SendFailedException(
--- a/daemon/src/test/java/org/vanillaslip/internal/relay/ResponseMemoryLimitTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/relay/BodyMemoryLimitTest.java
@@ -13,12 +13,12 @@
  * Guards against heap exhaustion by many concurrent responses, each of which is within its own
  * limit.
  */
-class ResponseMemoryLimitTest {
+class BodyMemoryLimitTest {
 
     private static final int MAX_RESPONSE_BYTES = 1000;
     private static final long MAX_BYTES = 5000;
 
-    private final ResponseMemoryLimit mMemoryLimit = new ResponseMemoryLimit(MAX_BYTES);
+    private final BodyMemoryLimit mMemoryLimit = new BodyMemoryLimit(MAX_BYTES);
 
     @Test
     void refusesResponsesThatTogetherExceedTheLimitThoughEachIsWithinItsOwn() {
--- a/decisions/src/main/java/org/vanillaslip/ResultCode.java
+++ b/decisions/src/main/java/org/vanillaslip/ResultCode.java
@@ -66,6 +66,12 @@
             true,
             "The request needs more tokens than the burst of the plan.",
             "Ask for fewer tokens."),
+    BODIES_EXCEED_MEMORY(
+            2006,
+            503,
+            true,
+            "The bodies of all requests at this host exceed its memory.",
+            "Try again after the time in Retry-After."),
     HOST_STOPPING(3001, 503, true, "This host is stopping.", "Try again at once."),
     NOT_READY(
             3002,
