--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -51,9 +51,6 @@
     /** Number of hosts that read the lease often; one is left if a failure domain is lost. */
     private static final int STANDBY_COUNT = 3;
 
-    /** Longest time that an order of the previous holder may be in flight. */
-    private static final Duration MAX_DELIVERY_DELAY = Duration.ofMillis(300);
-
     /** If a host's two clocks advance by amounts that differ more, one was set or stopped. */
     private static final long CLOCK_TOLERANCE_MILLIS = 200;
 
@@ -62,22 +59,19 @@
     private final DecisionLoop mLoop;
     private final InstantSource mWallClock;
     private final LeaseTimes mTimes;
-    private final Duration mHandoverDelay;
+    private final LeaseHandover mHandover;
     private final Supplier<String> mNonces;
     private final Supplier<Collection<String>> mHosts;
     private final BooleanSupplier mIsCandidate;
     private final EventLog mLog;
     private LeaseState mState;
     private LeaseRecord mRecord = LeaseRecord.NONE;
-    private PreviousOrders mPreviousOrders = PreviousOrders.NONE;
-    private PreviousOrders mOrdersOfEarlierProcess = PreviousOrders.NONE;
     private long mNoOrdersUntil = Long.MIN_VALUE / 2;
     private long mWriteSentWallMillis;
     private long mReadAt = Long.MIN_VALUE / 2;
     private boolean mCallInFlight;
     private boolean mStopped;
     private Runnable mOnAcquired = () -> {};
-    private Supplier<Set<String>> mUnansweredServers = Set::of;
 
     /**
      * Creates a lease that this host does not hold.
@@ -104,7 +98,7 @@
         mLoop = loop;
         mWallClock = wallClock;
         mTimes = times;
-        mHandoverDelay = handoverDelay;
+        mHandover = new LeaseHandover(handoverDelay);
         mNonces = nonces;
         mHosts = hosts;
         mIsCandidate = isCandidate;
@@ -117,11 +111,6 @@
         mOnAcquired = listener;
     }
 
-    /** Sets the source of the servers that have not answered an order of this host. */
-    public void unansweredServers(Supplier<Set<String>> servers) {
-        mUnansweredServers = servers;
-    }
-
     /** Starts to read the lease periodically. */
     public void start() {
         long period = TICK.toNanos();
@@ -156,14 +145,14 @@
         return mState.mayDecide(mTimes, now) && now - mNoOrdersUntil >= 0 && clocksAgree(now);
     }
 
-    /** Returns the orders of previous holders that servers may still execute. */
-    PreviousOrders previousOrders() {
-        return mPreviousOrders;
+    /** Returns whether this host may send an order of the term. */
+    boolean mayOrder(long term) {
+        return mState.term() == term && mayOrder();
     }
 
-    /** Returns the time between the last order of a holder and the first of the next one. */
-    Duration handoverDelay() {
-        return mHandoverDelay;
+    /** Returns the orders that are unanswered when the holder changes. */
+    LeaseHandover handover() {
+        return mHandover;
     }
 
     /** Releases the lease, because this host shuts down. */
@@ -176,14 +165,7 @@
                 new LeaseRecord("", mState.term(), mNonces.get(), mTimes.validity().toMillis());
         long version = mState.version();
         mState = new LeaseState(false, mState.term(), 0, version, now());
-        Optional<Set<String>> unanswered =
-                mOrdersOfEarlierProcess
-                        .serversAfter(Set.of(), now())
-                        .flatMap(
-                                none ->
-                                        mPreviousOrders.serversAfter(
-                                                mUnansweredServers.get(), now()));
-        ObjectNode spec = spec(released, unanswered);
+        ObjectNode spec = spec(released, mHandover.unanswered(now()));
         return mStore.update(PlatformCollections.CONTROL_SHARDS, NAME, version, spec).then();
     }
 
@@ -267,13 +249,11 @@
                             ? Math.max(now + entry.quiet().toNanos(), mNoOrdersUntil)
                             : earliestFirstOrder(holdersLost, now);
             if (own) {
-                mOrdersOfEarlierProcess = PreviousOrders.sentUntil(now, Optional.empty());
+                mHandover.succeedOwnProcess(entry, now);
+            } else {
+                mHandover.succeedOtherHost(
+                        holdersLost ? Optional.empty() : entry.unanswered(), now);
             }
-            mPreviousOrders =
-                    own
-                            ? lateOrders(entry, now)
-                            : PreviousOrders.sentUntil(
-                                    now, holdersLost ? Optional.empty() : entry.unanswered());
             write(Math.max(mRecord.term() + 1, firstTerm));
         }
     }
@@ -293,7 +273,9 @@
                 mRecord.released() && !holdersLost
                         ? mState.versionSeenSinceNanos()
                         : mState.versionSeenSinceNanos() + mTimes.decisionPeriodNanos();
-        return Math.max(nowNanos, lastOrder + mHandoverDelay.plus(MAX_DELIVERY_DELAY).toNanos());
+        return Math.max(
+                nowNanos,
+                lastOrder + mHandover.delay().plus(EngineControl.MAX_DELIVERY_TIME).toNanos());
     }
 
     private void write(long term) {
@@ -374,21 +356,12 @@
         }
     }
 
-    /** Returns the orders of other hosts before the previous process of this host. */
-    private PreviousOrders lateOrders(LeaseEntry entry, long nowNanos) {
-        return entry.lateOrders().isZero()
-                ? PreviousOrders.NONE
-                : new PreviousOrders(
-                        Optional.empty(),
-                        nowNanos + entry.lateOrders().minus(mHandoverDelay).toNanos());
-    }
-
     private ObjectNode spec(LeaseRecord record, Optional<Set<String>> unanswered) {
         long now = now();
         return new LeaseEntry(
                         record,
                         Duration.ofNanos(Math.max(0, mNoOrdersUntil - now)),
-                        mPreviousOrders.remaining(mHandoverDelay, now),
+                        mHandover.remaining(now),
                         unanswered)
                 .encode();
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
@@ -51,9 +51,9 @@
     /** The orders of two hosts must be the handover delay apart, also if one is executed late. */
     private boolean hasJustExecutedOrder(FleetMember member) {
         long now = mLoop.clock().nowNanos();
-        Duration delay = mLease.handoverDelay();
+        Duration delay = mLease.handover().delay();
         return now - member.orderCounts().raisedAtNanos() < delay.toNanos()
-                && mLease.previousOrders().mayReach(member.instance(), delay, now);
+                && mLease.handover().ofOtherHosts().mayReach(member.instance(), delay, now);
     }
 
     /**
@@ -63,7 +63,8 @@
     private boolean mayFitAfterRestart(FleetMember member) {
         return !member.firstStart()
                 && age(member).compareTo(UnconfirmedOrders.MAX_EXECUTION_DELAY) <= 0
-                && mLease.previousOrders()
+                && mLease.handover()
+                        .ofOtherHosts()
                         .mayReach(member.instance(), Duration.ZERO, mLoop.clock().nowNanos());
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
@@ -86,7 +86,7 @@
         long period = TICK.toNanos();
         mDispatcher.onProgress(this::schedulePlanning);
         mLoop.scheduler().schedulePeriodically(this::tick, period, period, TimeUnit.NANOSECONDS);
-        mLease.unansweredServers(mDispatcher::unansweredServers);
+        mLease.handover().unansweredServers(mDispatcher::unansweredServers);
         mLease.onAcquired(this::handleLeaseAcquired);
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderAnswer.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderAnswer.java
@@ -10,6 +10,8 @@
     REFUSED,
     /** Another server answers at the address. */
     OTHER_SERVER,
+    /** Not sent, because the permission ended before it could be written. */
+    NOT_PERMITTED,
     /** No connection was made. */
     UNREACHED,
     /** No answer was received; the order may be executed now or later. */
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
@@ -180,7 +180,7 @@
             mDirectory.changed();
         }
         mUnconfirmedOrders.recordSent(planned, order.expectedOrders(), now);
-        mEngines.sendOrder(member.registered(), order)
+        mEngines.sendOrder(member.registered(), order, () -> mLease.mayOrder(order.term()))
                 .publishOn(mLoop.scheduler())
                 .subscribe(
                         answer -> handleAnswer(member, planned, answer),
@@ -222,6 +222,10 @@
                 member.recordReplaced();
                 mDirectory.changed();
             }
+            case NOT_PERMITTED -> {
+                restoreModelState(member, pending);
+                mPending.remove(instance);
+            }
             case UNREACHED -> {
                 restoreModelState(member, pending);
                 mPending.remove(instance);
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.ToLongFunction;
 import org.vanillaslip.FailureDomain;
 import org.vanillaslip.internal.runtime.DecisionLoop;
@@ -44,6 +45,7 @@
     double mLateOrderProbability;
     int mMaxLateMillis = 4000;
     Duration mUnloadTime = Duration.ZERO;
+    ToLongFunction<EngineOrder> mConnectMillis = order -> 0;
     ToLongFunction<EngineOrder> mDelayMillis = order -> 0;
     final List<AcceptedOrder> mAccepted = new ArrayList<>();
     final Map<OrderKind, Long> mLastAccepted = new HashMap<>();
@@ -258,7 +260,20 @@
     }
 
     @Override
-    public Mono<OrderAnswer> sendOrder(RegisteredServer server, EngineOrder order) {
+    public Mono<OrderAnswer> sendOrder(
+            RegisteredServer server, EngineOrder order, BooleanSupplier permitted) {
+        long connectMillis = mConnectMillis.applyAsLong(order);
+        return connectMillis == 0
+                ? write(server, order)
+                : Mono.delay(Duration.ofMillis(connectMillis), mScheduler)
+                        .flatMap(
+                                tick ->
+                                        permitted.getAsBoolean()
+                                                ? write(server, order)
+                                                : Mono.just(OrderAnswer.NOT_PERMITTED));
+    }
+
+    private Mono<OrderAnswer> write(RegisteredServer server, EngineOrder order) {
         Engine engine = mEngines.get(server.instance());
         long delay = mDelayMillis.applyAsLong(order);
         if (mRandom.nextDouble() < mLateOrderProbability) {
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/HolderChangeSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/HolderChangeSimulation.java
@@ -19,6 +19,9 @@
 /** Simulated hosts that order the same simulated engines and take over the lease in turn. */
 final class HolderChangeSimulation {
 
+    /** Time steps of hosts and engines, and the time of a transfer. */
+    private static final long MAX_TRANSFER_MILLIS = 25;
+
     /** Directory and controller of a process of a host. */
     private record Process(FleetDirectory directory, LoadController controller) {}
 
@@ -138,6 +141,18 @@
                 .findFirst();
     }
 
+    /** Returns the orders that arrived although their sender was not permitted to send any. */
+    List<EngineSimulation.AcceptedOrder> ordersWithoutPermission() {
+        return mEngines.mAccepted.stream().filter(order -> !wasPermitted(order)).toList();
+    }
+
+    private boolean wasPermitted(EngineSimulation.AcceptedOrder order) {
+        return mLeases.orders().stream()
+                .filter(permitted -> permitted.host().equals(order.holder()))
+                .mapToLong(permitted -> order.atMillis() - permitted.atMillis())
+                .anyMatch(age -> age >= 0 && age <= MAX_TRANSFER_MILLIS);
+    }
+
     /** Returns the orders of two hosts that a process of an engine executed within the delay. */
     List<String> turnsWithinHandoverDelay() {
         Map<String, EngineSimulation.AcceptedOrder> last = new HashMap<>();
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedServerSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedServerSimulation.java
@@ -15,6 +15,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.vanillaslip.internal.metrics.DaemonMetrics;
 import org.vanillaslip.internal.peer.RelaySimulation;
 import org.vanillaslip.internal.peer.RelaySimulation.SimulatedHost;
@@ -36,7 +37,8 @@
     private static final EngineControl NO_ENGINES =
             new EngineControl() {
                 @Override
-                public Mono<OrderAnswer> sendOrder(RegisteredServer server, EngineOrder order) {
+                public Mono<OrderAnswer> sendOrder(
+                        RegisteredServer server, EngineOrder order, BooleanSupplier permitted) {
                     return Mono.just(OrderAnswer.REFUSED);
                 }
 
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
@@ -89,6 +89,25 @@
                 .isLessThan(releasedAt + 4000);
     }
 
+    /** Guards against an order that is permitted before its connection opens and leaves after. */
+    @ParameterizedTest
+    @ValueSource(ints = {400, 600, 900, 1500})
+    void anOrderDoesNotLeaveAfterItsPermissionEndedWhileItsConnectionOpened(int connectMillis) {
+        mSimulation.mEngines.add("c", Set.of("m5"));
+        mSimulation.start();
+        mSimulation.run(Duration.ofSeconds(5));
+        mSimulation.mEngines.mConnectMillis =
+                order -> order.holder().equals("h0") ? connectMillis : 0;
+        mSimulation.mLeases.hosts().get(0).mStoreUnavailable = true;
+        for (int round = 0; round < 40; round++) {
+            mSimulation.request("m" + (6 + round % 6));
+            mSimulation.run(Duration.ofMillis(250));
+        }
+
+        assertThat(mSimulation.ordersWithoutPermission()).isEmpty();
+        assertThat(mSimulation.turnsWithinHandoverDelay()).isEmpty();
+    }
+
     /** Injects late and unanswered orders, restarts of servers, and changes of the holder. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
