Plan the same loads in every process

The planner took models with equal eviction costs in the order of immutable maps, which differs from process to process.

--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/EvictionSelector.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/EvictionSelector.java
@@ -61,7 +61,10 @@
         List<String> evicted = new ArrayList<>();
         List<String> candidates =
                 engine.modelState().loaded().keySet().stream()
-                        .sorted(Comparator.comparingDouble(name -> evictionCost(engine, name)))
+                        .sorted(
+                                Comparator.comparingDouble(
+                                                (String name) -> evictionCost(engine, name))
+                                        .thenComparing(Comparator.naturalOrder()))
                         .toList();
         for (String name : candidates) {
             if (freeMegabytes >= model.weightsMegabytes()) {
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -49,7 +49,8 @@
     private static final Comparator<LoadDemand> BY_URGENCY =
             Comparator.comparing((LoadDemand demand) -> demand.objectiveLeft().isNegative())
                     .thenComparing(LoadDemand::priority)
-                    .thenComparing(LoadDemand::objectiveLeft);
+                    .thenComparing(LoadDemand::objectiveLeft)
+                    .thenComparing(demand -> demand.model().toString());
 
     private final EngineProfile mProfile;
     private final DemandHistory mHistory;
