Plan loads from the weight store last, the most missed model first

Callers of rare models were refused again and again for the same model, and callers of models with copies on a disk waited behind loads from the store.

Demands were ordered by objective, with missed objectives last. A load from the store takes 8 s and its callers have an objective of 3 s, so which of the models without a copy was loaded depended on who had asked last. Such a load was also planned before one from a copy that takes a second on the same engine.

Loads from copies now come first, and of the others that for which most calls came since it was last loaded. A refused caller raises the rank of its model, so none is passed over for ever.

--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/DemandHistory.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/DemandHistory.java
@@ -27,6 +27,7 @@
     public void recordCalls(String model, int calls, boolean urgent, long nowNanos) {
         Demand demand = mDemands.computeIfAbsent(model, name -> new Demand());
         demand.decay(nowNanos);
+        demand.mCallsSinceLoaded += calls;
         if (urgent) {
             demand.mUrgentCalls += calls;
             demand.mLastUrgentAt = nowNanos;
@@ -70,6 +71,20 @@
         return demand.mNonUrgentCalls / AVERAGING_NANOS * 1e9;
     }
 
+    /** Records that a server has loaded the model. */
+    void recordLoaded(String model) {
+        Demand demand = mDemands.get(model);
+        if (demand != null) {
+            demand.mCallsSinceLoaded = 0;
+        }
+    }
+
+    /** Returns the number of calls for the model since a server last had it loaded. */
+    int callsSinceLoaded(String model) {
+        Demand demand = mDemands.get(model);
+        return demand == null ? 0 : demand.mCallsSinceLoaded;
+    }
+
     /** Returns the average rate of calls per second over all models. */
     public double totalRate(long nowNanos) {
         return mDemands.keySet().stream()
@@ -89,6 +104,7 @@
     private static final class Demand {
         private double mUrgentCalls;
         private double mNonUrgentCalls;
+        private int mCallsSinceLoaded;
         private long mLastUrgentAt = Long.MIN_VALUE;
         private long mDecayedAt;
 
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -16,9 +16,8 @@
 import org.vanillaslip.internal.serving.ModelProfile;
 
 /**
- * Plans the loads and unloads of one pool. Models with waiting callers come first, by priority and
- * then by objective, with missed objectives last; then replicas of busy models; then models whose
- * weights no server has.
+ * Plans the loads and unloads of one pool. Models with waiting callers come first, in {@link
+ * DemandOrder}; then replicas of busy models; then models whose weights no server has.
  */
 public final class LoadPlanner {
 
@@ -46,12 +45,6 @@
     /** Maximum fraction of the pool's model capacity for replicas of busy models. */
     private static final double MAX_REPLICA_FRACTION = 0.6;
 
-    private static final Comparator<LoadDemand> BY_URGENCY =
-            Comparator.comparing((LoadDemand demand) -> demand.objectiveLeft().isNegative())
-                    .thenComparing(LoadDemand::priority)
-                    .thenComparing(LoadDemand::objectiveLeft)
-                    .thenComparing(demand -> demand.model().toString());
-
     private final EngineProfile mProfile;
     private final DemandHistory mHistory;
     private final List<EngineState> mEngines;
@@ -107,7 +100,9 @@
         LoadPlanner planner =
                 new LoadPlanner(
                         profile, history, engines, demands, maxStoreLoads, storeBudget, nowNanos);
-        demands.stream().sorted(BY_URGENCY).forEach(planner::planDemand);
+        engines.forEach(
+                engine -> engine.modelState().loaded().keySet().forEach(history::recordLoaded));
+        new DemandOrder(profile, history, engines).sorted(demands).forEach(planner::planDemand);
         planner.replicateBusyModels();
         if (demands.isEmpty()) {
             planner.preloadUncachedModels();
@@ -169,7 +164,7 @@
     /** Returns the busy engine with a local copy of the weights that can load them earliest. */
     private Optional<EngineState> earliestBusyEngineWithCopy(ModelProfile model) {
         return mEngines.stream()
-                .filter(engine -> source(engine, model) != WeightSource.STORE)
+                .filter(engine -> WeightCopies.source(engine, model) != WeightSource.STORE)
                 .filter(engine -> !engine.canAcceptOrder() || mOrdered.contains(engine.instance()))
                 .min(Comparator.comparing(engine -> completionTime(engine, model)));
     }
@@ -177,7 +172,7 @@
     /** Returns the time until a busy engine has loaded the model after the loads planned before. */
     private Duration completionTime(EngineState engine, ModelProfile model) {
         Duration before = mBusyTimes.getOrDefault(engine.instance(), engine.busyFor());
-        return before.plus(ORDER_TIME).plus(loadTime(engine, model));
+        return before.plus(ORDER_TIME).plus(WeightCopies.loadTime(engine, model));
     }
 
     private void planAdapter(LoadDemand demand, List<EngineState> enginesWithModel) {
@@ -281,12 +276,7 @@
             if (mStoreBudget <= 0 || (receivesCalls && mStoreBudget < mMaxStoreLoads)) {
                 return;
             }
-            boolean cached =
-                    mEngines.stream()
-                            .anyMatch(
-                                    engine ->
-                                            engine.isLoadedOrLoading(model.name())
-                                                    || source(engine, model) != WeightSource.STORE);
+            boolean cached = WeightCopies.anyCopy(mEngines, model);
             if (!cached && availableEngineCount() > mEngines.size() / 2) {
                 bestOption(model, MAX_EVICTION_COST_MILLIS)
                         .ifPresent(option -> orderFirstStep(option, "weights not cached"));
@@ -308,7 +298,7 @@
                     || engine.isLoadedOrLoading(model.name())) {
                 continue;
             }
-            boolean fromStore = source(engine, model) == WeightSource.STORE;
+            boolean fromStore = WeightCopies.source(engine, model) == WeightSource.STORE;
             if (fromStore && mStoreBudget <= 0) {
                 continue;
             }
@@ -324,7 +314,9 @@
                 continue;
             }
             Duration totalTime =
-                    mEviction.unloadTime(engine, unloads.get()).plus(loadTime(engine, model));
+                    mEviction
+                            .unloadTime(engine, unloads.get())
+                            .plus(WeightCopies.loadTime(engine, model));
             double cost =
                     totalTime.toMillis()
                             + evictionCost
@@ -355,7 +347,7 @@
                         option.model().name(),
                         unload
                                 ? mEviction.unloadTime(option.engine(), option.modelsToUnload())
-                                : loadTime(option.engine(), option.model()),
+                                : WeightCopies.loadTime(option.engine(), option.model()),
                         !unload && option.fromStore(),
                         unload ? "evicted to load " + option.model().name() : reason));
     }
@@ -380,21 +372,4 @@
                         .orElse(1);
         return Math.max(1, (int) (mProfile.weightsMegabytes() / Math.max(1, largest)));
     }
-
-    private static Duration loadTime(EngineState engine, ModelProfile model) {
-        return switch (source(engine, model)) {
-            case MEMORY -> model.memoryLoadTime();
-            case DISK -> model.diskLoadTime();
-            case STORE -> model.storeLoadTime();
-        };
-    }
-
-    private static WeightSource source(EngineState engine, ModelProfile model) {
-        if (engine.modelState().inMemory().contains(model.name())) {
-            return WeightSource.MEMORY;
-        }
-        return engine.modelState().onDisk().contains(model.name())
-                ? WeightSource.DISK
-                : WeightSource.STORE;
-    }
 }
