Keep half of the engines free of loads from the weight store

Callers of adapters and of models with copies waited while eight of ten engines read from the store, as many as the store serves at full speed.

The number of parallel loads was bounded by the store only. An engine that reads from it takes no other order for 8 s, so at most half of the engines of a pool now do so at the same time.

RareModelsTest passes before and after.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
@@ -154,14 +154,17 @@
         RefusedDemand refused = mRefused.computeIfAbsent(pool, name -> new RefusedDemand());
         Map<ModelName, LoadDemand> demands =
                 refused.merge(waiting, name -> isLoaded(pool, name), now);
+        List<EngineState> engines = engineStates(pool, profile);
+        int maxStoreLoads =
+                StoreLoadShare.maxLoads(engines.size(), mStoreParallelism.parallelLoads());
         LoadPlan plan =
                 LoadPlanner.plan(
                         profile,
                         mDemand.history(pool),
-                        engineStates(pool, profile),
+                        engines,
                         demands.values(),
-                        mStoreParallelism.parallelLoads(),
-                        availableStoreLoads(profile, now),
+                        maxStoreLoads,
+                        availableStoreLoads(profile, maxStoreLoads, now),
                         now);
         plan.orders().forEach(this::sendOrder);
         Map<ModelName, Map<String, Long>> waitingHosts = mDemand.waitingHosts(pool);
@@ -185,9 +188,9 @@
         mDispatcher.send(order);
     }
 
-    private int availableStoreLoads(EngineProfile profile, long nowNanos) {
+    private int availableStoreLoads(EngineProfile profile, int maxStoreLoads, long nowNanos) {
         return Math.min(
-                mStoreParallelism.parallelLoads() - mDispatcher.runningStoreLoads(),
+                maxStoreLoads - mDispatcher.runningStoreLoads(),
                 mStoreRateLimiter.availableLoads(profile.storeLoadsPerSecond(), nowNanos));
     }
 
--- a/decisions/src/test/java/org/vanillaslip/internal/fleet/PlacementSimulation.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/fleet/PlacementSimulation.java
@@ -27,7 +27,9 @@
     static final Duration LENGTH = Duration.ofSeconds(40);
     private static final Duration RUN_OUT = Duration.ofSeconds(10);
     private static final long STEP_MILLIS = 20;
-    private static final int MAX_STORE_LOADS = 8;
+    private static final int STORE_LOADS_AT_FULL_SPEED = 8;
+    private static final int MAX_STORE_LOADS =
+            StoreLoadShare.maxLoads(ENGINES, STORE_LOADS_AT_FULL_SPEED);
     private static final int MAX_CALLS = 40;
     private static final long PLANNING_MILLIS = 60;
     private static final long BURST_START_MILLIS = 9000;
