--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/DemandHistory.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/DemandHistory.java
@@ -27,6 +27,7 @@
     public void recordCalls(String model, int calls, boolean urgent, long nowNanos) {
         Demand demand = mDemands.computeIfAbsent(model, name -> new Demand());
         demand.decay(nowNanos);
+        demand.mCallsSinceLoaded += calls;
         if (urgent) {
             demand.mUrgentCalls += calls;
             demand.mLastUrgentAt = nowNanos;
@@ -38,6 +39,9 @@
     /** Records a request for an adapter. */
     public void recordAdapterRequest(ModelName adapter, long nowNanos) {
         mAdapterRequestedAt.put(adapter, nowNanos);
+        Demand demand = mDemands.computeIfAbsent(adapter.model(), name -> new Demand());
+        demand.decay(nowNanos);
+        demand.mAdapterCalls++;
         if (mAdapterRequestedAt.size() > MAX_ADAPTERS_BEFORE_CLEANUP) {
             mAdapterRequestedAt.values().removeIf(at -> nowNanos - at > RETENTION_NANOS);
         }
@@ -70,6 +74,30 @@
         return demand.mNonUrgentCalls / AVERAGING_NANOS * 1e9;
     }
 
+    /** Records that a server has loaded the model. */
+    void recordLoaded(String model) {
+        Demand demand = mDemands.get(model);
+        if (demand != null) {
+            demand.mCallsSinceLoaded = 0;
+        }
+    }
+
+    /** Returns the number of calls for the model since a server last had it loaded. */
+    int callsSinceLoaded(String model) {
+        Demand demand = mDemands.get(model);
+        return demand == null ? 0 : demand.mCallsSinceLoaded;
+    }
+
+    /** Returns the average rate of calls for adapters of the model, per second. */
+    double adapterRate(String model, long nowNanos) {
+        Demand demand = mDemands.get(model);
+        if (demand == null) {
+            return 0;
+        }
+        demand.decay(nowNanos);
+        return demand.mAdapterCalls / AVERAGING_NANOS * 1e9;
+    }
+
     /** Returns the average rate of calls per second over all models. */
     public double totalRate(long nowNanos) {
         return mDemands.keySet().stream()
@@ -89,6 +117,8 @@
     private static final class Demand {
         private double mUrgentCalls;
         private double mNonUrgentCalls;
+        private double mAdapterCalls;
+        private int mCallsSinceLoaded;
         private long mLastUrgentAt = Long.MIN_VALUE;
         private long mDecayedAt;
 
@@ -96,6 +126,7 @@
             double factor = Math.exp(-Math.max(0, nowNanos - mDecayedAt) / AVERAGING_NANOS);
             mUrgentCalls *= factor;
             mNonUrgentCalls *= factor;
+            mAdapterCalls *= factor;
             mDecayedAt = nowNanos;
         }
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -16,9 +16,8 @@
 import org.vanillaslip.internal.serving.ModelProfile;
 
 /**
- * Plans the loads and unloads of one pool. Models with waiting callers come first, by priority and
- * then by objective, with missed objectives last; then replicas of busy models; then models whose
- * weights no server has.
+ * Plans the loads and unloads of one pool. Models with waiting callers come first, in {@link
+ * DemandOrder}; then replicas of busy models; then models whose weights no server has.
  */
 public final class LoadPlanner {
 
@@ -31,6 +30,11 @@
     /** Maximum eviction cost of a load without waiting callers. */
     private static final double MAX_EVICTION_COST_MILLIS = 450;
 
+    /**
+     * A wait for an engine with a copy may take this many times as long as a load from the store.
+     */
+    private static final int STORE_LOAD_WEIGHT = 2;
+
     /** Urgent calls per second at which a model gets a second replica. */
     private static final double REPLICATION_RATE = 0.25;
 
@@ -46,11 +50,6 @@
     /** Maximum fraction of the pool's model capacity for replicas of busy models. */
     private static final double MAX_REPLICA_FRACTION = 0.6;
 
-    private static final Comparator<LoadDemand> BY_URGENCY =
-            Comparator.comparing((LoadDemand demand) -> demand.objectiveLeft().isNegative())
-                    .thenComparing(LoadDemand::priority)
-                    .thenComparing(LoadDemand::objectiveLeft);
-
     private final EngineProfile mProfile;
     private final DemandHistory mHistory;
     private final List<EngineState> mEngines;
@@ -58,6 +57,7 @@
     private final long mNowNanos;
     private final AdapterPlacement mAdapterPlacement;
     private final EvictionSelector mEviction;
+    private final OrderBlockingCost mBlockingCost;
     private final Set<String> mOrdered = new HashSet<>();
     private final List<PlannedOrder> mOrders = new ArrayList<>();
     private final Map<ModelName, Duration> mWaits = new HashMap<>();
@@ -87,6 +87,7 @@
                         history,
                         demands.stream().map(LoadDemand::model).collect(Collectors.toSet()));
         mEviction = new EvictionSelector(profile, history, replicas(), requested, nowNanos);
+        mBlockingCost = new OrderBlockingCost(profile, history, engines, nowNanos);
     }
 
     /**
@@ -106,7 +107,9 @@
         LoadPlanner planner =
                 new LoadPlanner(
                         profile, history, engines, demands, maxStoreLoads, storeBudget, nowNanos);
-        demands.stream().sorted(BY_URGENCY).forEach(planner::planDemand);
+        engines.forEach(
+                engine -> engine.modelState().loaded().keySet().forEach(history::recordLoaded));
+        new DemandOrder(profile, history, engines).sorted(demands).forEach(planner::planDemand);
         planner.replicateBusyModels();
         if (demands.isEmpty()) {
             planner.preloadUncachedModels();
@@ -139,17 +142,17 @@
         }
         Optional<LoadOption> best = bestOption(model, Double.MAX_VALUE);
         Optional<EngineState> busy = earliestBusyEngineWithCopy(model);
-        boolean busyIsFaster =
+        boolean waitForBusy =
                 busy.isPresent()
                         && best.map(
                                         option ->
-                                                option.totalTime()
+                                                weightedTime(option)
                                                                 .compareTo(
                                                                         completionTime(
                                                                                 busy.get(), model))
                                                         > 0)
                                 .orElse(true);
-        if (best.isPresent() && !busyIsFaster) {
+        if (best.isPresent() && !waitForBusy) {
             mWaits.put(demand.model(), best.get().totalTime().plus(ORDER_TIME));
             orderFirstStep(best.get(), "waiting calls");
             return;
@@ -165,10 +168,17 @@
         }
     }
 
+    /** Returns the time of the option, weighted by the engine time that a copy saves. */
+    private static Duration weightedTime(LoadOption option) {
+        return option.fromStore()
+                ? option.totalTime().multipliedBy(STORE_LOAD_WEIGHT)
+                : option.totalTime();
+    }
+
     /** Returns the busy engine with a local copy of the weights that can load them earliest. */
     private Optional<EngineState> earliestBusyEngineWithCopy(ModelProfile model) {
         return mEngines.stream()
-                .filter(engine -> source(engine, model) != WeightSource.STORE)
+                .filter(engine -> WeightCopies.source(engine, model) != WeightSource.STORE)
                 .filter(engine -> !engine.canAcceptOrder() || mOrdered.contains(engine.instance()))
                 .min(Comparator.comparing(engine -> completionTime(engine, model)));
     }
@@ -176,7 +186,7 @@
     /** Returns the time until a busy engine has loaded the model after the loads planned before. */
     private Duration completionTime(EngineState engine, ModelProfile model) {
         Duration before = mBusyTimes.getOrDefault(engine.instance(), engine.busyFor());
-        return before.plus(ORDER_TIME).plus(loadTime(engine, model));
+        return before.plus(ORDER_TIME).plus(WeightCopies.loadTime(engine, model));
     }
 
     private void planAdapter(LoadDemand demand, List<EngineState> enginesWithModel) {
@@ -280,12 +290,7 @@
             if (mStoreBudget <= 0 || (receivesCalls && mStoreBudget < mMaxStoreLoads)) {
                 return;
             }
-            boolean cached =
-                    mEngines.stream()
-                            .anyMatch(
-                                    engine ->
-                                            engine.isLoadedOrLoading(model.name())
-                                                    || source(engine, model) != WeightSource.STORE);
+            boolean cached = WeightCopies.anyCopy(mEngines, model);
             if (!cached && availableEngineCount() > mEngines.size() / 2) {
                 bestOption(model, MAX_EVICTION_COST_MILLIS)
                         .ifPresent(option -> orderFirstStep(option, "weights not cached"));
@@ -307,7 +312,7 @@
                     || engine.isLoadedOrLoading(model.name())) {
                 continue;
             }
-            boolean fromStore = source(engine, model) == WeightSource.STORE;
+            boolean fromStore = WeightCopies.source(engine, model) == WeightSource.STORE;
             if (fromStore && mStoreBudget <= 0) {
                 continue;
             }
@@ -323,10 +328,13 @@
                 continue;
             }
             Duration totalTime =
-                    mEviction.unloadTime(engine, unloads.get()).plus(loadTime(engine, model));
+                    mEviction
+                            .unloadTime(engine, unloads.get())
+                            .plus(WeightCopies.loadTime(engine, model));
             double cost =
                     totalTime.toMillis()
                             + evictionCost
+                            + mBlockingCost.millis(engine, totalTime)
                             + engine.activeCalls() * ACTIVE_CALL_COST_MILLIS;
             if (best == null || cost < best.cost()) {
                 best = new LoadOption(engine, model, unloads.get(), totalTime, cost, fromStore);
@@ -354,7 +362,7 @@
                         option.model().name(),
                         unload
                                 ? mEviction.unloadTime(option.engine(), option.modelsToUnload())
-                                : loadTime(option.engine(), option.model()),
+                                : WeightCopies.loadTime(option.engine(), option.model()),
                         !unload && option.fromStore(),
                         unload ? "evicted to load " + option.model().name() : reason));
     }
@@ -379,21 +387,4 @@
                         .orElse(1);
         return Math.max(1, (int) (mProfile.weightsMegabytes() / Math.max(1, largest)));
     }
-
-    private static Duration loadTime(EngineState engine, ModelProfile model) {
-        return switch (source(engine, model)) {
-            case MEMORY -> model.memoryLoadTime();
-            case DISK -> model.diskLoadTime();
-            case STORE -> model.storeLoadTime();
-        };
-    }
-
-    private static WeightSource source(EngineState engine, ModelProfile model) {
-        if (engine.modelState().inMemory().contains(model.name())) {
-            return WeightSource.MEMORY;
-        }
-        return engine.modelState().onDisk().contains(model.name())
-                ? WeightSource.DISK
-                : WeightSource.STORE;
-    }
 }
