Release the lease again when a write in flight succeeds during a stop

What was seen in virtual time: a host that had released the lease went on ordering, and the next host waited until the lease expired.

Cause: a renewal or takeover that was in flight when the host stopped made it the holder again; the release had named an older version and failed. The permission to order did not consider the stop. The release also ran on the thread of the stop, beside the decision loop that owns the lease's state.

A host that stops sends no orders, writes the release once more if such a write succeeds, logs a release that fails, and runs it on the decision loop.

Evidence: aReleaseIsNotUndoneByARenewalInFlight and aHostThatStopsWhileItAcquiresTheLeaseReleasesIt failed before (orders of the released host; first order of the next one after 7.6 s instead of less than 7) and pass. Orders of two hosts were the handover delay apart in both cases before, so this alone does not explain the incident.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -142,7 +142,10 @@
     /** Returns whether this host may send an order now. */
     public boolean mayOrder() {
         long now = now();
-        return mState.mayDecide(mTimes, now) && now - mNoOrdersUntil >= 0 && clocksAgree(now);
+        return !mStopped
+                && mState.mayDecide(mTimes, now)
+                && now - mNoOrdersUntil >= 0
+                && clocksAgree(now);
     }
 
     /** Returns whether this host may send an order of the term. */
@@ -155,18 +158,24 @@
         return mHandover;
     }
 
-    /** Releases the lease, because this host shuts down. */
+    /**
+     * Releases the lease, because this host shuts down; called on the decision loop. A write that
+     * is in flight may succeed before the release, which is then repeated.
+     */
     public Mono<Void> release() {
         mStopped = true;
-        if (!mState.holding()) {
-            return Mono.empty();
-        }
+        return mState.holding() ? writeRelease() : Mono.empty();
+    }
+
+    private Mono<Void> writeRelease() {
         LeaseRecord released =
                 new LeaseRecord("", mState.term(), mNonces.get(), mTimes.validity().toMillis());
         long version = mState.version();
         mState = new LeaseState(false, mState.term(), 0, version, now());
         ObjectNode spec = spec(released, mHandover.unanswered(now()));
-        return mStore.update(PlatformCollections.CONTROL_SHARDS, NAME, version, spec).then();
+        return mStore.update(PlatformCollections.CONTROL_SHARDS, NAME, version, spec)
+                .doOnNext(result -> result.peekLeft(this::logWriteFailure))
+                .then();
     }
 
     /**
@@ -334,7 +343,7 @@
                 mLog.log(FleetEvent.LEASE_LOST, field("term", mState.term()));
                 mState = new LeaseState(false, mState.term(), 0, mState.version(), now());
             } else if (!conflict) {
-                mLog.log(FleetEvent.LEASE_WRITE_FAILED, field("failure", result.getLeft()));
+                logWriteFailure(result.getLeft());
             }
             return;
         }
@@ -347,7 +356,9 @@
         boolean acquired = !mState.holding();
         mWriteSentWallMillis = sentAtWallMillis;
         mState = mState.written(result.get().version(), record, sentAt, now());
-        if (acquired) {
+        if (mStopped) {
+            writeRelease().subscribe(done -> {}, this::handleFault);
+        } else if (acquired) {
             mLog.log(
                     FleetEvent.LEASE_TAKEN,
                     field("term", record.term()),
@@ -356,6 +367,10 @@
         }
     }
 
+    private void logWriteFailure(PlatformFailure failure) {
+        mLog.log(FleetEvent.LEASE_WRITE_FAILED, field("failure", failure));
+    }
+
     private ObjectNode spec(LeaseRecord record, Optional<Set<String>> unanswered) {
         long now = now();
         return new LeaseEntry(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -215,7 +215,7 @@
         mRelay.closeConnectionsAfterResponses();
         mLog.log(LifecycleEvent.STOPPING, field("active", mRelay.activeCalls()));
         Duration timeout = mHost.shutdownTimeout();
-        mLease.release().subscribe();
+        mLoop.scheduler().schedule(() -> mLease.release().subscribe());
         StopSchedule schedule = StopSchedule.of(mHost.shutdownDelay());
         Mono.delay(schedule.refusal(), mLoop.scheduler())
                 .doOnNext(tick -> mRelay.refuseNewCalls())
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/FleetLeaseTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/FleetLeaseTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -116,6 +117,58 @@
         assertThat(firstOrderAfter(released + 100)).isLessThan(released + 5000);
     }
 
+    /** Guards against a renewal that makes a host hold the lease again that it has released. */
+    @Test
+    void aReleaseIsNotUndoneByARenewalInFlight() {
+        mSimulation.run(Duration.ofSeconds(5));
+        LeaseSimulation.TestHost holder = mSimulation.holder();
+        releaseDuringNextWrite(holder);
+        mSimulation.run(Duration.ofSeconds(1));
+        long released = mSimulation.millis();
+        mSimulation.run(Duration.ofSeconds(8));
+
+        assertThat(mSimulation.orders())
+                .filteredOn(order -> order.atMillis() > released)
+                .extracting(LeaseSimulation.Order::host)
+                .doesNotContain(holder.mName);
+        assertThat(firstOrderAfter(released)).isLessThan(released + 4000);
+        assertThat(mSimulation.shortestHandoverMillis())
+                .isGreaterThanOrEqualTo(HANDOVER_DELAY_MILLIS);
+    }
+
+    /** Guards against a lease that is acquired by a host that stops, and left to expire. */
+    @Test
+    void aHostThatStopsWhileItAcquiresTheLeaseReleasesIt() {
+        mSimulation.run(Duration.ofSeconds(5));
+        mSimulation.holder().mDead = true;
+        LeaseSimulation.TestHost next = mSimulation.hosts().get(1);
+        releaseDuringNextWrite(next);
+        long died = mSimulation.millis();
+        mSimulation.run(Duration.ofSeconds(10));
+
+        assertThat(mSimulation.orders())
+                .filteredOn(order -> order.atMillis() > died)
+                .extracting(LeaseSimulation.Order::host)
+                .containsOnly("h2");
+        assertThat(firstOrderAfter(died)).isLessThan(died + 7000);
+    }
+
+    /** Guards against a host that takes an old record with its own name for the present one. */
+    @ParameterizedTest
+    @ValueSource(ints = {500, 2000, 4000, 7000})
+    void aResumedHolderThatReadsItsOldRecordSendsNoOrders(int behindMillis) {
+        mSimulation.run(Duration.ofSeconds(5));
+        LeaseSimulation.TestHost holder = mSimulation.holder();
+        holder.mSuspended = true;
+        mSimulation.run(Duration.ofSeconds(7));
+        holder.mReadsBehindMillis = behindMillis;
+        holder.mSuspended = false;
+        mSimulation.run(Duration.ofSeconds(10));
+
+        assertThat(mSimulation.shortestHandoverMillis())
+                .isGreaterThanOrEqualTo(HANDOVER_DELAY_MILLIS);
+    }
+
     @Test
     void aRestartedHolderReacquiresItsLeaseAtOnce() {
         mSimulation.run(Duration.ofSeconds(5));
@@ -203,6 +256,15 @@
                 .isGreaterThan(died + 9000);
     }
 
+    private static void releaseDuringNextWrite(LeaseSimulation.TestHost host) {
+        host.mOnWrite =
+                () -> {
+                    host.mOnWrite = () -> {};
+                    host.mScheduler.schedule(
+                            () -> host.mLease.release().subscribe(), 2, TimeUnit.MILLISECONDS);
+                };
+    }
+
     private static void injectFault(LeaseSimulation.TestHost host, Random random) {
         switch (random.nextInt(6)) {
             case 0 -> host.mSuspended = !host.mSuspended;
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LeaseSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LeaseSimulation.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.vanillaslip.internal.lease.LeaseTimes;
@@ -41,6 +43,8 @@
         boolean mResponsesLost;
         long mWallClockStepMillis;
         int mReads;
+        Runnable mOnWrite = () -> {};
+        long mReadsBehindMillis;
 
         TestHost(String name) {
             mName = name;
@@ -93,6 +97,7 @@
         @Override
         public Mono<Either<PlatformFailure, StoredObject>> update(
                 String collection, String name, long expectedVersion, ObjectNode spec) {
+            mOnWrite.run();
             return respond(
                     () ->
                             find(name).map(StoredObject::version).getOrElse(0L) == expectedVersion
@@ -117,6 +122,13 @@
             return Flux.never();
         }
 
+        @Override
+        public Mono<Either<PlatformFailure, StoredObject>> readRecent(
+                String collection, String name) {
+            mReads++;
+            return respond(() -> findAsOf(name, mMillis - mReadsBehindMillis), false);
+        }
+
         private <T> Mono<Either<PlatformFailure, T>> respond(
                 java.util.function.Supplier<Either<PlatformFailure, T>> call, boolean write) {
             return Mono.delay(Duration.ofMillis(4), mScheduler)
@@ -138,6 +150,7 @@
     private final List<VirtualTimeScheduler> mOtherSchedulers = new ArrayList<>();
     private final AtomicLong mNonces = new AtomicLong();
     private final List<Order> mOrders = new ArrayList<>();
+    private final NavigableMap<Long, StoredObject> mHistory = new TreeMap<>();
     private final Map<String, StoredObject> mCopy = new HashMap<>();
     private long mCopiedRevision = 1;
     private long mEra = 1;
@@ -241,9 +254,17 @@
                 : Either.right(object.inEra(mEra));
     }
 
+    private Either<PlatformFailure, StoredObject> findAsOf(String name, long millis) {
+        Map.Entry<Long, StoredObject> stored = mHistory.floorEntry(millis);
+        return stored == null || millis == mMillis
+                ? find(name)
+                : Either.right(stored.getValue().inEra(mEra));
+    }
+
     private Either<PlatformFailure, StoredObject> put(String name, ObjectNode spec) {
         StoredObject object = new StoredObject("any", name, ++mRevision, spec);
         mObjects.put(name, object);
+        mHistory.put(mMillis, object);
         return Either.right(object.inEra(mEra));
     }
 }
