Notice a restart of a server before the list contains it

Cause: the start of a server was known from the list only. A report of another process counted as one of the listed one, so that the host ordered it at once.

A report that states another start time than the listed one is not used. Where reports do not state it, a count that falls shows the restart.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
@@ -61,13 +61,20 @@
      * expects. Without a restart, the first order of this host makes the count exceed it.
      */
     private boolean mayFitAfterRestart(FleetMember member) {
-        return !member.firstStart()
-                && age(member).compareTo(UnconfirmedOrders.MAX_EXECUTION_DELAY) <= 0
+        return hasRestarted(member)
                 && mLease.handover()
                         .ofOtherHosts()
                         .mayReach(member.instance(), Duration.ZERO, mLoop.clock().nowNanos());
     }
 
+    /** A restart shows in the reported count before the list contains the new process. */
+    private boolean hasRestarted(FleetMember member) {
+        Duration delay = UnconfirmedOrders.MAX_EXECUTION_DELAY;
+        long loweredAt = member.orderCounts().loweredAtNanos();
+        return mLoop.clock().nowNanos() - loweredAt < delay.toNanos()
+                || !member.firstStart() && age(member).compareTo(delay) <= 0;
+    }
+
     /** Returns the least time that can have passed since the server started. */
     Duration age(FleetMember member) {
         return Duration.ofMillis(mWallClock.millis() - member.registered().startedAtMillis())
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ReportPoller.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ReportPoller.java
@@ -122,7 +122,7 @@
     private void handleResult(FleetMember member, Either<String, ServerLoadReport> result) {
         mPollsInFlight.remove(member.instance());
         if (result.isRight()) {
-            mListener.accept(member, result.get());
+            handleReport(member, result.get());
             return;
         }
         mLog.log(
@@ -134,6 +134,19 @@
         distrust(member.instance());
     }
 
+    /** The list may lack a restart, after which the server counts its orders from zero. */
+    private void handleReport(FleetMember member, ServerLoadReport report) {
+        if (report.mayDescribe(member.registered().startedAtMillis())) {
+            mListener.accept(member, report);
+            return;
+        }
+        mLog.log(
+                FleetEvent.REPORT_FAILED,
+                field("server", member.instance()),
+                field("cause", "The report is of a process that is not listed yet."));
+        distrust(member.instance());
+    }
+
     private long now() {
         return mLoop.clock().nowNanos();
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
@@ -41,6 +41,7 @@
     final Map<String, Engine> mEngines = new HashMap<>();
     private final Random mRandom;
     boolean mSendsEmptyReports;
+    boolean mReportsStartTime = true;
     double mLostAnswerProbability;
     double mLateOrderProbability;
     int mMaxLateMillis = 4000;
@@ -239,7 +240,11 @@
                             .filter(snapshot -> snapshot.atMillis() <= reportedAtMillis)
                             .reduce(mHistory.getFirst(), (before, next) -> next);
             mHistory.removeIf(snapshot -> snapshot.atMillis() < shown.atMillis());
-            return new ServerLoadReport(shown.modelState(), 0, 0);
+            return new ServerLoadReport(
+                    shown.modelState(),
+                    0,
+                    0,
+                    mReportsStartTime ? OptionalLong.of(mStartedAtMillis) : OptionalLong.empty());
         }
     }
 
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against servers that execute orders of two hosts within the handover delay. */
@@ -35,6 +36,38 @@
         assertThat(engine.mLoaded).contains("m7").doesNotContain("m9");
     }
 
+    /** Guards against a report that is taken for one of the process before a restart. */
+    @ParameterizedTest
+    @CsvSource({
+        "6500, true",
+        "7000, true",
+        "7500, true",
+        "8000, true",
+        "6500, false",
+        "7000, false",
+        "7500, false",
+        "8000, false"
+    })
+    void aRestartThatIsNotListedYetDoesNotLetALateOrderFit(
+            int delayMillis, boolean reportsStartTime) {
+        mSimulation.mEngines.mReportsStartTime = reportsStartTime;
+        EngineSimulation.Engine engine = mSimulation.mEngines.add("c", Set.of("m5"));
+        mSimulation.start();
+        mSimulation.request("m6");
+        mSimulation.run(Duration.ofSeconds(6));
+        sendLateOrder("m9", delayMillis);
+        mSimulation.run(Duration.ofMillis(600));
+        mSimulation.listEngines();
+        engine.restart();
+        mSimulation.request("m7");
+        mSimulation.run(Duration.ofSeconds(10));
+        mSimulation.listEngines();
+        mSimulation.run(Duration.ofSeconds(15));
+
+        assertThat(mSimulation.turnsWithinHandoverDelay()).isEmpty();
+        assertThat(engine.mLoaded).contains("m7").doesNotContain("m9");
+    }
+
     /** Guards against an order right after one of the previous holder that was executed late. */
     @ParameterizedTest
     @ValueSource(ints = {2500, 3000, 3500, 4000, 4500, 5000, 5500, 6000})
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/OrderCountHistory.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/OrderCountHistory.java
@@ -9,6 +9,7 @@
     private long mCount;
     private long mOwnCount;
     private long mRaisedAtNanos = Long.MIN_VALUE / 2;
+    private long mLoweredAtNanos = Long.MIN_VALUE / 2;
 
     /**
      * Creates the history of a server that has just been listed.
@@ -32,9 +33,17 @@
         if (count > mCount && count > mOwnCount) {
             mRaisedAtNanos = nowNanos;
         }
+        if (count < mCount) {
+            mLoweredAtNanos = nowNanos;
+        }
         mCount = count;
     }
 
+    /** Returns when the count last fell, as it does when the server restarts. */
+    public long loweredAtNanos() {
+        return mLoweredAtNanos;
+    }
+
     /** Returns when the count was first seen to include an order of another host. */
     public long raisedAtNanos() {
         return mRaisedAtNanos;
--- a/decisions/src/test/java/org/vanillaslip/internal/fleet/OrderCountHistoryTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/fleet/OrderCountHistoryTest.java
@@ -33,6 +33,15 @@
         assertThat(mHistory.raisedAtNanos()).isEqualTo(200);
     }
 
+    /** Guards against a restart that no listed start time shows yet. */
+    @Test
+    void noticesAFallOfTheCount() {
+        mHistory.recordCount(5, 200);
+        mHistory.recordCount(0, 300);
+
+        assertThat(mHistory.loweredAtNanos()).isEqualTo(300);
+    }
+
     @Test
     void doesNotKnowWhichHostSentTheOrdersBeforeAServerWasListed() {
         assertThat(new OrderCountHistory(3, 100).raisedAtNanos()).isEqualTo(100);
