--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
@@ -48,6 +48,7 @@
     Duration mUnloadTime = Duration.ZERO;
     ToLongFunction<EngineOrder> mConnectMillis = order -> 0;
     ToLongFunction<EngineOrder> mDelayMillis = order -> 0;
+    final List<WrittenOrder> mWritten = new ArrayList<>();
     final List<AcceptedOrder> mAccepted = new ArrayList<>();
     final Map<OrderKind, Long> mLastAccepted = new HashMap<>();
 
@@ -57,6 +58,9 @@
         mLoop = new DecisionLoop(scheduler, () -> scheduler.now(TimeUnit.NANOSECONDS));
     }
 
+    /** An order that has left its host. */
+    record WrittenOrder(long atMillis, String server, String holder, long term) {}
+
     /** An order that an engine has executed. */
     record AcceptedOrder(
             long atMillis, String server, long startedAtMillis, String holder, long term) {}
@@ -280,6 +284,7 @@
 
     private Mono<OrderAnswer> write(RegisteredServer server, EngineOrder order) {
         Engine engine = mEngines.get(server.instance());
+        mWritten.add(new WrittenOrder(now(), server.instance(), order.holder(), order.term()));
         long delay = mDelayMillis.applyAsLong(order);
         if (mRandom.nextDouble() < mLateOrderProbability) {
             delay = 500 + mRandom.nextInt(mMaxLateMillis);
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/HolderChangeSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/HolderChangeSimulation.java
@@ -19,8 +19,8 @@
 /** Simulated hosts that order the same simulated engines and take over the lease in turn. */
 final class HolderChangeSimulation {
 
-    /** Time steps of hosts and engines, and the time of a transfer. */
-    private static final long MAX_TRANSFER_MILLIS = 25;
+    /** Time steps of hosts and engines. */
+    private static final long MAX_STEP_MILLIS = 10;
 
     /** Directory and controller of a process of a host. */
     private record Process(FleetDirectory directory, LoadController controller) {}
@@ -141,16 +141,16 @@
                 .findFirst();
     }
 
-    /** Returns the orders that arrived although their sender was not permitted to send any. */
-    List<EngineSimulation.AcceptedOrder> ordersWithoutPermission() {
-        return mEngines.mAccepted.stream().filter(order -> !wasPermitted(order)).toList();
+    /** Returns the orders that left although their sender was not permitted to send any. */
+    List<EngineSimulation.WrittenOrder> ordersWithoutPermission() {
+        return mEngines.mWritten.stream().filter(order -> !wasPermitted(order)).toList();
     }
 
-    private boolean wasPermitted(EngineSimulation.AcceptedOrder order) {
+    private boolean wasPermitted(EngineSimulation.WrittenOrder order) {
         return mLeases.orders().stream()
                 .filter(permitted -> permitted.host().equals(order.holder()))
                 .mapToLong(permitted -> order.atMillis() - permitted.atMillis())
-                .anyMatch(age -> age >= 0 && age <= MAX_TRANSFER_MILLIS);
+                .anyMatch(age -> age >= 0 && age <= MAX_STEP_MILLIS);
     }
 
     /** Returns the orders of two hosts that a process of an engine executed within the delay. */
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
@@ -162,6 +162,7 @@
         }
 
         assertThat(simulation.turnsWithinHandoverDelay()).isEmpty();
+        assertThat(simulation.ordersWithoutPermission()).isEmpty();
         assertThat(simulation.mEngines.mViolations).isEmpty();
     }
 
