--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -60,7 +60,9 @@
     LIMIT_UNREADABLE(554, DEBUG, "The limit that a backend server names is unreadable; ignored."),
     LIMIT_HELD(555, INFO, "This host now schedules the requests to a backend server with a limit."),
     ORDER_COUNT_RAISED(
-            556, INFO, "A backend server accepted an order that this host did not send."),
+            556,
+            INFO,
+            "A backend server has executed an order that it has not confirmed to this host."),
     ORDERS_WAIT(
             557,
             INFO,
