Let a new holder's own late orders not delay its next ones

What was seen in virtual time: after a takeover, a server that executed an unanswered order of the present holder got no order for 3 s, since its count rose without an accepted order.

Orders of earlier holders expect at most the count at which the present holder's first order was accepted. So after that one, a rise that an unanswered order of this host explains is its own; any other rise still leads to the wait.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
@@ -20,6 +20,7 @@
     private final InstantSource mWallClock;
     private final EventLog mLog;
     private final Set<String> mLogged = new HashSet<>();
+    private final Set<String> mSettled = new HashSet<>();
 
     LateOrderGuard(FleetLease lease, DecisionLoop loop, InstantSource wallClock, EventLog log) {
         mLease = lease;
@@ -28,9 +29,25 @@
         mLog = log;
     }
 
-    /** Forgets which waits were logged, because this host has acquired or lost the lease. */
+    /** Forgets what was logged and settled, because this host has acquired or lost the lease. */
     void clear() {
         mLogged.clear();
+        mSettled.clear();
+    }
+
+    /**
+     * Records an answer to an order of this host. The first accepted one settles the orders of
+     * other hosts, as they expect a lower count, so that a later rise of the count may be by an
+     * unanswered order of this host.
+     */
+    void recordAnswer(FleetMember member, long expectedOrders, OrderAnswer answer) {
+        boolean counted = answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY;
+        if (answer == OrderAnswer.ACCEPTED) {
+            mSettled.add(member.startId());
+        }
+        if (counted || answer == OrderAnswer.UNKNOWN && mSettled.contains(member.startId())) {
+            member.orderCounts().recordOwnOrder(expectedOrders);
+        }
     }
 
     /** Returns whether an order to the server could come in turn with one of another host. */
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
@@ -197,9 +197,7 @@
             return;
         }
         mLog.logAnswer(planned, answer);
-        if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY) {
-            member.orderCounts().recordOwnOrder(pending.expectedOrders());
-        }
+        mLateOrders.recordAnswer(member, pending.expectedOrders(), answer);
         switch (answer) {
             case ACCEPTED -> handleAccepted(member, pending);
             case ALREADY -> {
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
@@ -83,6 +83,28 @@
         assertThat(engine.mLoaded).contains("m7");
     }
 
+    /** Guards against a wait after each unanswered order that a new holder itself has sent. */
+    @Test
+    void aLateOrderOfTheHolderDoesNotDelayItsNextOrder() {
+        EngineSimulation.Engine engine = mSimulation.mEngines.add("c", Set.of("m5"));
+        mSimulation.start();
+        mSimulation.run(Duration.ofSeconds(5));
+        mSimulation.mLeases.hosts().get(0).mDead = true;
+        mSimulation.request("m7");
+        mSimulation.run(Duration.ofSeconds(8));
+        assertThat(engine.mLoaded).contains("m7");
+        mSimulation.mEngines.mDelayMillis = order -> 1500;
+        mSimulation.request("m8");
+        mSimulation.run(Duration.ofMillis(400));
+        mSimulation.mEngines.mDelayMillis = order -> 0;
+        mSimulation.request();
+        mSimulation.run(Duration.ofMillis(1200));
+        mSimulation.request("m9");
+        mSimulation.run(Duration.ofMillis(2900));
+
+        assertThat(engine.mLoaded).contains("m8", "m9");
+    }
+
     /** Guards against a wait for all servers because one of them may execute a late order. */
     @Test
     void otherServersGetOrdersAfterTheHandoverDelay() {
