--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/EngineSimulation.java
@@ -41,12 +41,14 @@
     final Map<String, Engine> mEngines = new HashMap<>();
     private final Random mRandom;
     boolean mSendsEmptyReports;
+    boolean mReportsStartTime = true;
     double mLostAnswerProbability;
     double mLateOrderProbability;
     int mMaxLateMillis = 4000;
     Duration mUnloadTime = Duration.ZERO;
     ToLongFunction<EngineOrder> mConnectMillis = order -> 0;
     ToLongFunction<EngineOrder> mDelayMillis = order -> 0;
+    final List<WrittenOrder> mWritten = new ArrayList<>();
     final List<AcceptedOrder> mAccepted = new ArrayList<>();
     final Map<OrderKind, Long> mLastAccepted = new HashMap<>();
 
@@ -56,6 +58,9 @@
         mLoop = new DecisionLoop(scheduler, () -> scheduler.now(TimeUnit.NANOSECONDS));
     }
 
+    /** An order that has left its host. */
+    record WrittenOrder(long atMillis, String server, String holder, long term) {}
+
     /** An order that an engine has executed. */
     record AcceptedOrder(
             long atMillis, String server, long startedAtMillis, String holder, long term) {}
@@ -239,7 +244,11 @@
                             .filter(snapshot -> snapshot.atMillis() <= reportedAtMillis)
                             .reduce(mHistory.getFirst(), (before, next) -> next);
             mHistory.removeIf(snapshot -> snapshot.atMillis() < shown.atMillis());
-            return new ServerLoadReport(shown.modelState(), 0, 0);
+            return new ServerLoadReport(
+                    shown.modelState(),
+                    0,
+                    0,
+                    mReportsStartTime ? OptionalLong.of(mStartedAtMillis) : OptionalLong.empty());
         }
     }
 
@@ -275,6 +284,7 @@
 
     private Mono<OrderAnswer> write(RegisteredServer server, EngineOrder order) {
         Engine engine = mEngines.get(server.instance());
+        mWritten.add(new WrittenOrder(now(), server.instance(), order.holder(), order.term()));
         long delay = mDelayMillis.applyAsLong(order);
         if (mRandom.nextDouble() < mLateOrderProbability) {
             delay = 500 + mRandom.nextInt(mMaxLateMillis);
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against servers that execute orders of two hosts within the handover delay. */
@@ -35,6 +36,38 @@
         assertThat(engine.mLoaded).contains("m7").doesNotContain("m9");
     }
 
+    /** Guards against a report that is taken for one of the process before a restart. */
+    @ParameterizedTest
+    @CsvSource({
+        "6500, true",
+        "7000, true",
+        "7500, true",
+        "8000, true",
+        "6500, false",
+        "7000, false",
+        "7500, false",
+        "8000, false"
+    })
+    void aRestartThatIsNotListedYetDoesNotLetALateOrderFit(
+            int delayMillis, boolean reportsStartTime) {
+        mSimulation.mEngines.mReportsStartTime = reportsStartTime;
+        EngineSimulation.Engine engine = mSimulation.mEngines.add("c", Set.of("m5"));
+        mSimulation.start();
+        mSimulation.request("m6");
+        mSimulation.run(Duration.ofSeconds(6));
+        sendLateOrder("m9", delayMillis);
+        mSimulation.run(Duration.ofMillis(600));
+        mSimulation.listEngines();
+        engine.restart();
+        mSimulation.request("m7");
+        mSimulation.run(Duration.ofSeconds(10));
+        mSimulation.listEngines();
+        mSimulation.run(Duration.ofSeconds(15));
+
+        assertThat(mSimulation.turnsWithinHandoverDelay()).isEmpty();
+        assertThat(engine.mLoaded).contains("m7").doesNotContain("m9");
+    }
+
     /** Guards against an order right after one of the previous holder that was executed late. */
     @ParameterizedTest
     @ValueSource(ints = {2500, 3000, 3500, 4000, 4500, 5000, 5500, 6000})
@@ -50,6 +83,28 @@
         assertThat(engine.mLoaded).contains("m7");
     }
 
+    /** Guards against a wait after each unanswered order that a new holder itself has sent. */
+    @Test
+    void aLateOrderOfTheHolderDoesNotDelayItsNextOrder() {
+        EngineSimulation.Engine engine = mSimulation.mEngines.add("c", Set.of("m5"));
+        mSimulation.start();
+        mSimulation.run(Duration.ofSeconds(5));
+        mSimulation.mLeases.hosts().get(0).mDead = true;
+        mSimulation.request("m7");
+        mSimulation.run(Duration.ofSeconds(8));
+        assertThat(engine.mLoaded).contains("m7");
+        mSimulation.mEngines.mDelayMillis = order -> 1500;
+        mSimulation.request("m8");
+        mSimulation.run(Duration.ofMillis(400));
+        mSimulation.mEngines.mDelayMillis = order -> 0;
+        mSimulation.request();
+        mSimulation.run(Duration.ofMillis(1200));
+        mSimulation.request("m9");
+        mSimulation.run(Duration.ofMillis(2900));
+
+        assertThat(engine.mLoaded).contains("m8", "m9");
+    }
+
     /** Guards against a wait for all servers because one of them may execute a late order. */
     @Test
     void otherServersGetOrdersAfterTheHandoverDelay() {
@@ -112,6 +167,20 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
     void noServerExecutesOrdersOfTwoHostsInTurnUnderRandomFaults(long seed) {
+        HolderChangeSimulation simulation = runWithRandomFaults(seed);
+
+        assertThat(simulation.turnsWithinHandoverDelay()).isEmpty();
+        assertThat(simulation.ordersWithoutPermission()).isEmpty();
+    }
+
+    /** Guards against a load into an occupied slot after a late load or a change of the holder. */
+    @ParameterizedTest
+    @ValueSource(longs = {69, 1007})
+    void noServerIsOvercommittedWhileTheHolderChangesUnderRandomFaults(long seed) {
+        assertThat(runWithRandomFaults(seed).mEngines.mViolations).isEmpty();
+    }
+
+    private static HolderChangeSimulation runWithRandomFaults(long seed) {
         HolderChangeSimulation simulation = new HolderChangeSimulation(3, seed);
         Random random = new Random(seed);
         simulation.mEngines.add("a", Set.of("m0", "m1", "m2"));
@@ -127,9 +196,7 @@
             simulation.run(Duration.ofMillis(300 + random.nextInt(1500)));
             injectFault(simulation, random);
         }
-
-        assertThat(simulation.turnsWithinHandoverDelay()).isEmpty();
-        assertThat(simulation.mEngines.mViolations).isEmpty();
+        return simulation;
     }
 
     private static void injectFault(HolderChangeSimulation simulation, Random random) {
