Load an adapter on any engine with its model that has room

A caller of an adapter waited, or an adapter was unloaded for it, though another engine with the model had a free slot.

Only the engine with the fewest calls was asked for an order. If callers waited for all of its adapters it had none, and nothing was ordered. Now all engines with the model are asked, and one with a free slot is preferred.

Both tests of AdapterPlacementTest fail on the code before.

--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -200,7 +200,7 @@
         if (loading) {
             return;
         }
-        Optional<EngineState> selected =
+        Optional<PlannedOrder> order =
                 enginesWithModel.stream()
                         .filter(
                                 engine ->
@@ -209,16 +209,19 @@
                         .filter(
                                 engine ->
                                         mEviction.hasRoomForAdapter(engine, demand.model().model()))
-                        .min(Comparator.comparingInt(EngineState::activeCalls));
-        if (selected.isEmpty()) {
+                        .sorted(Comparator.comparingInt(EngineState::activeCalls))
+                        .map(engine -> mAdapterPlacement.nextOrder(engine, demand.model()))
+                        .flatMap(Optional::stream)
+                        .min(Comparator.comparing(next -> next.kind() == OrderKind.UNLOAD));
+        if (order.isEmpty()) {
             enginesWithModel.stream()
                     .map(EngineState::busyFor)
                     .min(Comparator.naturalOrder())
                     .ifPresent(wait -> mWaits.put(demand.model(), wait.plus(ORDER_TIME)));
             return;
         }
-        mOrdered.add(selected.get().instance());
-        mAdapterPlacement.nextOrder(selected.get(), demand.model()).ifPresent(mOrders::add);
+        mOrdered.add(order.get().instance());
+        mOrders.add(order.get());
     }
 
     /** Replicates busy models if that requires no costly eviction. */
