Say in the log that a model is read from the store despite its copies

The log could not tell a load from the store of a model without any copy from one that was read only because the engines with its copies were busy.

--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -154,7 +154,10 @@
                                 .orElse(true);
         if (best.isPresent() && !waitForBusy) {
             mWaits.put(demand.model(), best.get().totalTime().plus(ORDER_TIME));
-            orderFirstStep(best.get(), "waiting calls");
+            boolean copyExists = busy.isPresent() && best.get().fromStore();
+            orderFirstStep(
+                    best.get(),
+                    copyExists ? "waiting calls, all copies on busy engines" : "waiting calls");
             return;
         }
         if (busy.isPresent()) {
--- a/decisions/src/test/java/org/vanillaslip/internal/fleet/StoreLoadPlanningTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/fleet/StoreLoadPlanningTest.java
@@ -1,6 +1,7 @@
 package org.vanillaslip.internal.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.groups.Tuple.tuple;
 import static org.vanillaslip.internal.fleet.PlannerFixture.DISK_LOAD_TIME;
 import static org.vanillaslip.internal.fleet.PlannerFixture.STORE_LOAD_TIME;
 import static org.vanillaslip.internal.fleet.PlannerFixture.model;
@@ -31,6 +32,19 @@
                 .isGreaterThan(STORE_LOAD_TIME.plus(DISK_LOAD_TIME));
     }
 
+    /** Tells in the log a load that a copy would have spared from one without any copy. */
+    @Test
+    void saysThatCopiesAreOnBusyEngines() {
+        Duration busyFor = STORE_LOAD_TIME.multipliedBy(3);
+        mPool.engine("a", Set.of(), Set.of())
+                .engine("b", Set.of(), Set.of("m7"), Map.of(), busyFor, Optional.of("m3"))
+                .demand("m7", 2900);
+
+        assertThat(mPool.plan().orders())
+                .extracting(PlannedOrder::fromStore, PlannedOrder::reason)
+                .containsExactly(tuple(true, "waiting calls, all copies on busy engines"));
+    }
+
     /** Guards against adapters that cannot be loaded while their engine reads from the store. */
     @Test
     void readsTheStoreOnAnEngineWithoutRequestedAdapters() {
