--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -2,7 +2,6 @@
 
 import static org.vanillaslip.internal.logging.LogField.field;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -10,6 +9,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -42,9 +42,6 @@
     /** Terms of an era of the store; far more than hosts can take in one. */
     private static final int TERM_BITS_PER_ERA = 20;
 
-    /** Field with the time after the write during which the holder sends no orders. */
-    private static final String QUIET_MILLIS_FIELD = "quiet_millis";
-
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration READ_INTERVAL = Duration.ofMillis(400);
 
@@ -54,9 +51,6 @@
     /** Number of hosts that read the lease often; one is left if a failure domain is lost. */
     private static final int STANDBY_COUNT = 3;
 
-    /** Longest time that an order of the previous holder may be in flight. */
-    private static final Duration MAX_DELIVERY_DELAY = Duration.ofMillis(300);
-
     /** If a host's two clocks advance by amounts that differ more, one was set or stopped. */
     private static final long CLOCK_TOLERANCE_MILLIS = 200;
 
@@ -65,7 +59,7 @@
     private final DecisionLoop mLoop;
     private final InstantSource mWallClock;
     private final LeaseTimes mTimes;
-    private final Duration mHandoverDelay;
+    private final LeaseHandover mHandover;
     private final Supplier<String> mNonces;
     private final Supplier<Collection<String>> mHosts;
     private final BooleanSupplier mIsCandidate;
@@ -104,7 +98,7 @@
         mLoop = loop;
         mWallClock = wallClock;
         mTimes = times;
-        mHandoverDelay = handoverDelay;
+        mHandover = new LeaseHandover(handoverDelay);
         mNonces = nonces;
         mHosts = hosts;
         mIsCandidate = isCandidate;
@@ -151,6 +145,16 @@
         return mState.mayDecide(mTimes, now) && now - mNoOrdersUntil >= 0 && clocksAgree(now);
     }
 
+    /** Returns whether this host may send an order of the term. */
+    boolean mayOrder(long term) {
+        return mState.term() == term && mayOrder();
+    }
+
+    /** Returns the orders that are unanswered when the holder changes. */
+    LeaseHandover handover() {
+        return mHandover;
+    }
+
     /** Releases the lease, because this host shuts down. */
     public Mono<Void> release() {
         mStopped = true;
@@ -161,8 +165,8 @@
                 new LeaseRecord("", mState.term(), mNonces.get(), mTimes.validity().toMillis());
         long version = mState.version();
         mState = new LeaseState(false, mState.term(), 0, version, now());
-        return mStore.update(PlatformCollections.CONTROL_SHARDS, NAME, version, spec(released))
-                .then();
+        ObjectNode spec = spec(released, mHandover.unanswered(now()));
+        return mStore.update(PlatformCollections.CONTROL_SHARDS, NAME, version, spec).then();
     }
 
     /**
@@ -229,7 +233,8 @@
         if (object.version() < mState.version()) {
             return;
         }
-        mRecord = record(object.spec());
+        LeaseEntry entry = LeaseEntry.decode(object.spec());
+        mRecord = entry.record();
         mState = mState.observed(object.version(), mRecord, mHost, now);
         long firstTerm = firstTerm(object.version());
         // The store may have lost later holders, whose last orders nothing shows.
@@ -239,12 +244,16 @@
         if (own || mState.mayTake(mTimes, mRecord, rank, now)) {
             // Only one process runs on a host, so the previous process of this host sends no more
             // orders. But it may have acquired the lease before the handover delay was over.
-            long quietNanos =
-                    TimeUnit.MILLISECONDS.toNanos(object.spec().path(QUIET_MILLIS_FIELD).asLong());
             mNoOrdersUntil =
                     own
-                            ? Math.max(now + quietNanos, mNoOrdersUntil)
+                            ? Math.max(now + entry.quiet().toNanos(), mNoOrdersUntil)
                             : earliestFirstOrder(holdersLost, now);
+            if (own) {
+                mHandover.succeedOwnProcess(entry, now);
+            } else {
+                mHandover.succeedOtherHost(
+                        holdersLost ? Optional.empty() : entry.unanswered(), now);
+            }
             write(Math.max(mRecord.term() + 1, firstTerm));
         }
     }
@@ -264,7 +273,9 @@
                 mRecord.released() && !holdersLost
                         ? mState.versionSeenSinceNanos()
                         : mState.versionSeenSinceNanos() + mTimes.decisionPeriodNanos();
-        return Math.max(nowNanos, lastOrder + mHandoverDelay.plus(MAX_DELIVERY_DELAY).toNanos());
+        return Math.max(
+                nowNanos,
+                lastOrder + mHandover.delay().plus(EngineControl.MAX_DELIVERY_TIME).toNanos());
     }
 
     private void write(long term) {
@@ -276,12 +287,15 @@
         boolean create = mState.version() < 0;
         Mono<Either<PlatformFailure, StoredObject>> written =
                 create
-                        ? mStore.create(PlatformCollections.CONTROL_SHARDS, NAME, spec(record))
+                        ? mStore.create(
+                                PlatformCollections.CONTROL_SHARDS,
+                                NAME,
+                                spec(record, Optional.empty()))
                         : mStore.update(
                                 PlatformCollections.CONTROL_SHARDS,
                                 NAME,
                                 mState.version(),
-                                spec(record));
+                                spec(record, Optional.empty()));
         written.flatMap(result -> resolveUnknownOutcome(result, record))
                 .publishOn(mLoop.scheduler())
                 .subscribe(
@@ -300,7 +314,8 @@
                 .map(
                         found ->
                                 found.isRight()
-                                                && record(found.get().spec())
+                                                && LeaseEntry.decode(found.get().spec())
+                                                        .record()
                                                         .nonce()
                                                         .equals(record.nonce())
                                         ? found
@@ -341,23 +356,14 @@
         }
     }
 
-    private ObjectNode spec(LeaseRecord record) {
-        long quietMillis = TimeUnit.NANOSECONDS.toMillis(Math.max(0, mNoOrdersUntil - now()));
-        return JsonNodeFactory.instance
-                .objectNode()
-                .put("holder", record.holder())
-                .put("term", record.term())
-                .put("nonce", record.nonce())
-                .put("validity_millis", record.validityMillis())
-                .put(QUIET_MILLIS_FIELD, quietMillis);
-    }
-
-    private static LeaseRecord record(ObjectNode spec) {
-        return new LeaseRecord(
-                spec.path("holder").asText(),
-                spec.path("term").asLong(),
-                spec.path("nonce").asText(),
-                spec.path("validity_millis").asLong());
+    private ObjectNode spec(LeaseRecord record, Optional<Set<String>> unanswered) {
+        long now = now();
+        return new LeaseEntry(
+                        record,
+                        Duration.ofNanos(Math.max(0, mNoOrdersUntil - now)),
+                        mHandover.remaining(now),
+                        unanswered)
+                .encode();
     }
 
     private long now() {
