Show three more ways to execute orders of two hosts in turn

In virtual time, on:

- An own order that is answered with 200 counts as an own order in the count history though the server may not count it.
A late order of the previous holder then raises the count to the own one, and the next order follows at once.
- The unload of an adapter answered with 200 is counted even if the server did not count it.
The next order expects one order too many, and if it is executed late, it fits after the next holder's first order.
No restart is needed.
- A host whose watch missed the first start of a server takes its restart for the first start, and does not wait for late orders.

The harness only gains hosts that do not learn of a list, and demand for adapters.

--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/HolderChangeSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/HolderChangeSimulation.java
@@ -3,12 +3,14 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.runtime.DecisionLoop;
@@ -79,6 +81,11 @@
 
     /** Makes all hosts learn the present state of the engines. */
     void listEngines() {
+        listEngines(mProcesses.keySet());
+    }
+
+    /** Makes some hosts learn the present state of the engines. */
+    void listEngines(Collection<String> hosts) {
         mRevision++;
         List<StoredObject> objects =
                 mEngines.mEngines.keySet().stream()
@@ -90,12 +97,15 @@
                                                 mRevision,
                                                 JsonNodeFactory.instance.objectNode()))
                         .toList();
-        mProcesses
-                .values()
-                .forEach(process -> process.directory().listed(new ObjectList(mRevision, objects)));
+        hosts.forEach(
+                host ->
+                        mProcesses
+                                .get(host)
+                                .directory()
+                                .listed(new ObjectList(mRevision, objects)));
     }
 
-    /** Sets the models for which callers wait. */
+    /** Sets the models and adapters, such as {@code m5:a1}, for which callers wait. */
     void request(String... models) {
         mRequested = List.of(models);
     }
@@ -119,17 +129,20 @@
 
     private DemandReport demand() {
         DemandReport.Builder report = DemandReport.newBuilder();
-        mRequested.forEach(
-                model ->
-                        report.addModels(
-                                ModelDemand.newBuilder()
-                                        .setPool("pool")
-                                        .setModel(model)
-                                        .setWaiting(1)
-                                        .setArrivals(1)
-                                        .setObjectiveMillis(3000)
-                                        .setObjectiveLeftMillis(2900)
-                                        .setDeadlineLeftMillis(20_000)));
+        mRequested.stream()
+                .map(ModelName::parse)
+                .forEach(
+                        name ->
+                                report.addModels(
+                                        ModelDemand.newBuilder()
+                                                .setPool("pool")
+                                                .setModel(name.model())
+                                                .setAdapter(name.adapter().orElse(""))
+                                                .setWaiting(1)
+                                                .setArrivals(1)
+                                                .setObjectiveMillis(3000)
+                                                .setObjectiveLeftMillis(2900)
+                                                .setDeadlineLeftMillis(20_000)));
         return report.build();
     }
 
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -89,6 +91,103 @@
                 .isLessThan(releasedAt + 4000);
     }
 
+    /**
+     * Guards against a late order to a server that a host takes for a new one, because its watch of
+     * the server list was down while the server started, got the order, and started again.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {6500, 7000, 7500, 8000})
+    void aLateOrderToAServerWhoseFirstStartWasMissedIsNotExecutedAfterItsRestart(int delayMillis) {
+        mSimulation.start();
+        mSimulation.run(Duration.ofSeconds(40));
+        EngineSimulation.Engine engine = mSimulation.mEngines.add("c", Set.of("m5"));
+        engine.mStartedAtMillis = mSimulation.mLeases.millis();
+        mSimulation.listEngines(Set.of("h0"));
+        mSimulation.request("m6");
+        mSimulation.run(Duration.ofSeconds(4));
+        assertThat(engine.mLoaded).contains("m6");
+        sendLateOrder("m9", delayMillis);
+        mSimulation.run(Duration.ofMillis(600));
+        engine.restart();
+        mSimulation.listEngines();
+        mSimulation.request("m7");
+        mSimulation.run(Duration.ofSeconds(25));
+
+        assertThat(engine.mLoaded).contains("m7");
+        assertThat(mSimulation.turnsWithinHandoverDelay()).isEmpty();
+    }
+
+    /**
+     * Guards against a late order that is taken for an own one, because the server answered the own
+     * order with 200 and did not count it.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {6000, 6500, 7000, 7500, 8000})
+    void aLateOrderAfterAnOwnOrderThatAlreadyHeldIsFollowedByTheHandoverDelay(int delayMillis) {
+        EngineSimulation.Engine engine = mSimulation.mEngines.add("c", Set.of("m5"));
+        mSimulation.start();
+        mSimulation.run(Duration.ofSeconds(5));
+        sendLateOrder("m9", delayMillis);
+        mSimulation.mEngines.mDelayMillis =
+                order -> {
+                    // The first model that the next holder requests is there, and not reported yet.
+                    if (order.holder().equals("h1") && engine.mOrderCount == 0) {
+                        engine.mLoaded.add(order.model());
+                    }
+                    return 0;
+                };
+        mSimulation.request("m7");
+        for (int round = 0; round < 60; round++) {
+            if (!engine.mLoaded.contains("m7") || engine.mOrderCount > 0) {
+                mSimulation.request(engine.mOrderCount > 0 ? "m8" : "m7");
+            }
+            mSimulation.run(Duration.ofMillis(250));
+        }
+
+        assertThat(mSimulation.mEngines.mAccepted)
+                .extracting(EngineSimulation.AcceptedOrder::holder)
+                .startsWith("h0")
+                .contains("h1");
+        assertThat(mSimulation.turnsWithinHandoverDelay()).isEmpty();
+    }
+
+    /**
+     * Guards against an order that expects one order more than its server has counted, because the
+     * server answered the unload of an adapter that it lacked with 200, and did not count it.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {5500, 6000, 6500, 7000, 7500, 8000})
+    void aLateOrderThatExpectsAnUncountedUnloadIsNotExecutedAmongOrdersOfTheNextHolder(
+            int delayMillis) {
+        EngineSimulation.Engine engine = mSimulation.mEngines.add("c", Set.of("m5"));
+        engine.mAdapters.put("m5", new HashSet<>(Set.of("a1", "a2")));
+        mSimulation.start();
+        mSimulation.run(Duration.ofSeconds(5));
+        List<EngineOrder> sent = new ArrayList<>();
+        mSimulation.mEngines.mDelayMillis =
+                order -> {
+                    sent.add(order);
+                    if (!order.holder().equals("h0")) {
+                        return 0;
+                    }
+                    if (order.kind() == OrderKind.UNLOAD) {
+                        engine.mAdapters.get("m5").remove(order.adapter().orElseThrow());
+                        return 0;
+                    }
+                    return delayMillis;
+                };
+        mSimulation.request("m5:a3");
+        mSimulation.run(Duration.ofMillis(400));
+        mSimulation.mLeases.hosts().get(0).mDead = true;
+        mSimulation.request("m7");
+        mSimulation.run(Duration.ofSeconds(4));
+        mSimulation.request("m7", "m8");
+        mSimulation.run(Duration.ofSeconds(16));
+
+        assertThat(sent).extracting(EngineOrder::expectedOrders).startsWith(0L, 1L);
+        assertThat(mSimulation.turnsWithinHandoverDelay()).isEmpty();
+    }
+
     /** Guards against an order that is permitted before its connection opens and leaves after. */
     @ParameterizedTest
     @ValueSource(ints = {400, 600, 900, 1500})
