Let the test of an uncounted unload accept a fix that does not count it

The test required the exact order counts that the fault produces, so that it failed as well with a trial change that does not count such an unload. It now requires the unload and the late load themselves; what it forbids is unchanged.

--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderTurnsTest.java
@@ -184,7 +184,10 @@
         mSimulation.request("m7", "m8");
         mSimulation.run(Duration.ofSeconds(16));
 
-        assertThat(sent).extracting(EngineOrder::expectedOrders).startsWith(0L, 1L);
+        assertThat(sent)
+                .filteredOn(order -> order.holder().equals("h0"))
+                .extracting(EngineOrder::kind)
+                .startsWith(OrderKind.UNLOAD, OrderKind.LOAD);
         assertThat(mSimulation.turnsWithinHandoverDelay()).isEmpty();
     }
 
