Show that the limit of a server is not kept by a relay that does not list it

Each request for a send drops the schedules of servers that are not listed, that of the requested server too, and starts a new one. So every request that can wait a second is granted, at any rate. The same run with the server listed passes.

--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedServerSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedServerSimulation.java
@@ -29,7 +29,6 @@
     private static final CallTarget TARGET = new CallTarget("pool", Optional.empty());
     private static final Duration STEP = Duration.ofMillis(10);
     private static final Duration CALL_TIME = Duration.ofMillis(20);
-    private static final Duration MAX_WAIT = Duration.ofSeconds(1);
     private static final long TOLD_NANOS = Duration.ofMillis(500).toNanos();
     private static final long CONTACT_NANOS = Duration.ofSeconds(3).toNanos();
     private static final long WINDOW_NANOS = Duration.ofSeconds(4).toNanos();
@@ -65,6 +64,7 @@
     private OptionalDouble mLimit = OptionalDouble.empty();
     private OptionalLong mNamedAt = OptionalLong.empty();
     private int mRefused;
+    Duration mMaxWait = Duration.ofSeconds(1);
 
     LimitedServerSimulation(int hosts, int domains) {
         mWorld = new RelaySimulation(hosts, domains, 1);
@@ -86,6 +86,14 @@
         startSender(host);
     }
 
+    /** Makes a host lack the server in its list. */
+    void removeFromList(SimulatedHost host) {
+        Optional.ofNullable(mSenders.get(host.name()))
+                .orElseThrow()
+                .directory()
+                .listed(new ObjectList(2, List.of()));
+    }
+
     void setLimit(double requestsPerSecond) {
         mLimit = OptionalDouble.of(requestsPerSecond);
     }
@@ -198,7 +206,7 @@
 
     private void call(String host) {
         Sender sender = Optional.ofNullable(mSenders.get(host)).orElseThrow();
-        long deadline = now() + MAX_WAIT.toNanos();
+        long deadline = now() + mMaxWait.toNanos();
         sender.queue()
                 .awaitSlot(
                         new ServerRequest("c", TARGET, List.of(), Optional.empty(), Set.of()),
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/SharedServerLimitTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/SharedServerLimitTest.java
@@ -129,6 +129,24 @@
         assertThat(simulation.arrivals()).isGreaterThan(before);
     }
 
+    /** Guards against a schedule that starts anew with each request for a server not yet listed. */
+    @ParameterizedTest
+    @CsvSource({"100, 5, 20, true", "100, 5, 20, false"})
+    void relaysThatDoNotListTheServerYetKeepTheLimit(
+            int hosts, int domains, double limit, boolean listed) {
+        LimitedServerSimulation simulation = start(hosts, domains, limit);
+        simulation.mMaxWait = Duration.ofSeconds(3);
+        simulation.run(Duration.ofSeconds(5), CALLS_PER_SECOND);
+        if (!listed) {
+            simulation.world().relays().forEach(simulation::removeFromList);
+        }
+        int before = simulation.arrivals();
+        simulation.run(Duration.ofSeconds(20), 4 * CALLS_PER_SECOND);
+
+        assertThat(simulation.largestWindow()).isLessThanOrEqualTo(maxWindow(limit));
+        assertThat(simulation.arrivals()).isGreaterThan(before);
+    }
+
     /** Guards against calls that wait for a relay whose links are open and silent. */
     @ParameterizedTest
     @CsvSource({"8, 4, 2.2", "100, 5, 1.6"})
