Do not take an order that already held for a counted one of this host

What was seen (virtual time): a new holder ordered a server 2003 ms after the server had executed a late order of the previous holder.

Cause: an own order that was answered with 200 raised the count that this host explains by its own orders, though a server need not count such an order. The late order then explained itself.

Change: before a first own order is accepted, which settles the orders of other hosts, only accepted orders count as own.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
@@ -38,14 +38,17 @@
     /**
      * Records an answer to an order of this host. The first accepted one settles the orders of
      * other hosts, as they expect a lower count, so that a later rise of the count may be by an
-     * unanswered order of this host.
+     * unanswered order of this host. An order that already holds need not be counted by the server.
      */
     void recordAnswer(FleetMember member, long expectedOrders, OrderAnswer answer) {
-        boolean counted = answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY;
         if (answer == OrderAnswer.ACCEPTED) {
             mSettled.add(member.startId());
         }
-        if (counted || answer == OrderAnswer.UNKNOWN && mSettled.contains(member.startId())) {
+        boolean mayBeCounted =
+                answer == OrderAnswer.ACCEPTED
+                        || answer == OrderAnswer.ALREADY
+                        || answer == OrderAnswer.UNKNOWN;
+        if (mayBeCounted && mSettled.contains(member.startId())) {
             member.orderCounts().recordOwnOrder(expectedOrders);
         }
     }
