Log what identifies a call and its repetitions

Cause of the missing evidence: events 560 and 561 name the caller's attempt, which differs for each repetition, and neither path nor caller nor body; so the logs of the incident don't show which crashes belong to one call.

Change: the body is digested as it arrives. Method, host name, URI, caller's key and the digest of the body give a fingerprint (HMAC-SHA256, keyed with the caller's key, 128 bits), which events 560 and 561 name. A record holds what arrived of a call.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
@@ -1,13 +1,8 @@
 package org.vanillaslip.internal.relay;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import org.jspecify.annotations.Nullable;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.fleet.CallTarget;
@@ -64,21 +59,19 @@
     }
 
     /** Returns the admitted call, or throws {@link RefusedException}. */
-    RelayCall admit(
-            HttpMethod method, String uri, HttpHeaders headers, byte[] body, long arrivedNanos) {
+    RelayCall admit(ReceivedCall received) {
         ServingPlan plan = plan();
         CallHead head =
-                mDialect.parseRequestHead(headers)
+                mDialect.parseRequestHead(received.headers())
                         .getOrElseThrow(refusal -> new RefusedException(refusal));
         ServedRoute route =
-                plan.route(host(headers), path(uri))
+                plan.route(received.host(), received.path())
                         .orElseThrow(() -> refused(ResultCode.UNKNOWN_ROUTE, "path"));
         Optional<WorkspacePolicy> policy =
                 route.allowsAnonymous() ? Optional.empty() : policy(plan, head);
         CallTarget target = target(plan, route, head);
-        RelayCall call =
-                new RelayCall(
-                        head, method, uri, headers, body, route, target, policy, arrivedNanos);
+        String fingerprint = CallFingerprint.of(received, policy.flatMap(found -> head.apiKey()));
+        RelayCall call = new RelayCall(received, head, fingerprint, route, target, policy);
         mPromptFaults.checkParts(call.sharedPromptParts());
         policy.ifPresent(foundPolicy -> call.recordCharge(charge(foundPolicy, head)));
         return call;
@@ -123,21 +116,6 @@
         throw refused(ResultCode.NO_BACKEND_SERVER, route.name());
     }
 
-    private static String host(HttpHeaders headers) {
-        @Nullable String host = headers.get(HttpHeaderNames.HOST);
-        if (host == null) {
-            return "";
-        }
-        int colon = host.lastIndexOf(':');
-        String name = colon < 0 ? host : host.substring(0, colon);
-        return name.toLowerCase(Locale.ROOT);
-    }
-
-    private static String path(String uri) {
-        int queryStart = uri.indexOf('?');
-        return queryStart < 0 ? uri : uri.substring(0, queryStart);
-    }
-
     private static RefusedException refused(ResultCode code, String detail) {
         return new RefusedException(Refusal.of(code, detail));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -118,17 +118,20 @@
                     HttpMethod method = request.method();
                     String uri = request.uri();
                     response.keepAlive(!mClosingConnections);
-                    return collectBody(request)
+                    BodyDigest bodyDigest = new BodyDigest();
+                    return collectBody(request, bodyDigest)
                             .flatMap(this::awaitPendingReads)
                             .filter(body -> callerIsConnected(response, headers, arrivedNanos))
                             .flatMap(
                                     body ->
                                             serve(
-                                                    method,
-                                                    uri,
-                                                    headers,
-                                                    body,
-                                                    arrivedNanos,
+                                                    new ReceivedCall(
+                                                            method,
+                                                            uri,
+                                                            headers,
+                                                            body,
+                                                            bodyDigest.finish(),
+                                                            arrivedNanos),
                                                     response))
                             .onErrorResume(
                                     error -> refuse(response, headers, error, "", arrivedNanos))
@@ -168,10 +171,10 @@
         return connected.get();
     }
 
-    private Mono<byte[]> collectBody(HttpServerRequest request) {
+    private Mono<byte[]> collectBody(HttpServerRequest request, BodyDigest digest) {
         int maxBytes = maxBodyBytes();
         return BoundedBody.collect(
-                request.receive().asByteArray(),
+                request.receive().asByteArray().doOnNext(digest::add),
                 maxBytes,
                 () ->
                         new RefusedException(
@@ -188,18 +191,12 @@
         }
     }
 
-    private Mono<Void> serve(
-            HttpMethod method,
-            String uri,
-            HttpHeaders headers,
-            byte[] body,
-            long arrivedNanos,
-            HttpServerResponse response) {
+    private Mono<Void> serve(ReceivedCall received, HttpServerResponse response) {
         if (mRefusingNewCalls) {
             throw new RefusedException(
                     Refusal.retryable(ResultCode.HOST_STOPPING, "", STOPPING_RETRY_AFTER));
         }
-        RelayCall call = mAdmission.admit(method, uri, headers, body, arrivedNanos);
+        RelayCall call = mAdmission.admit(received);
         mSender.recordCall(call);
         mDemandReporter.recordCall(call.target(), call.route().objective());
         Mono<Void> completion =
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -267,6 +267,7 @@
         mLog.log(
                 RelayEvent.SEND_FAILED,
                 field("request", call.head().id()),
+                field("fingerprint", call.fingerprint()),
                 field("server", server.instance()),
                 field("send", send),
                 field("outcome", failure.kind()),
@@ -291,6 +292,7 @@
         mLog.log(
                 RelayEvent.SERVER_CHOSEN,
                 field("request", call.head().id()),
+                field("fingerprint", call.fingerprint()),
                 field("server", server.instance()),
                 field("failure_domain", server.registered().failureDomain().name()),
                 field("send", call.sendCount()),
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -20,15 +20,12 @@
     /** Includes sends that a server refused. */
     private static final int MAX_SENDS = 6;
 
+    private final ReceivedCall mReceived;
     private final CallHead mHead;
-    private final HttpMethod mMethod;
-    private final String mUri;
-    private final HttpHeaders mHeaders;
-    private final byte[] mBody;
+    private final String mFingerprint;
     private final ServedRoute mRoute;
     private final CallTarget mTarget;
     private final Optional<WorkspacePolicy> mPolicy;
-    private final long mArrivedNanos;
     private final long mDeadlineNanos;
     private final Set<String> mTriedServers = new HashSet<>();
     private Optional<WorkspaceCharge> mCharge = Optional.empty();
@@ -45,49 +42,48 @@
     private String mLastServer = "";
 
     RelayCall(
+            ReceivedCall received,
             CallHead head,
-            HttpMethod method,
-            String uri,
-            HttpHeaders headers,
-            byte[] body,
+            String fingerprint,
             ServedRoute route,
             CallTarget target,
-            Optional<WorkspacePolicy> policy,
-            long arrivedNanos) {
+            Optional<WorkspacePolicy> policy) {
+        mReceived = received;
         mHead = head;
-        mMethod = method;
-        mUri = uri;
-        mHeaders = headers;
-        mBody = body;
+        mFingerprint = fingerprint;
         mRoute = route;
         mTarget = target;
         mPolicy = policy;
-        mArrivedNanos = arrivedNanos;
         Duration timeout =
                 head.timeLeft()
                         .filter(timeLeft -> timeLeft.compareTo(route.timeout()) < 0)
                         .orElse(route.timeout());
-        mDeadlineNanos = arrivedNanos + timeout.toNanos();
+        mDeadlineNanos = received.arrivedNanos() + timeout.toNanos();
     }
 
     CallHead head() {
         return mHead;
     }
 
+    /** Identifies the call and its repetitions. */
+    String fingerprint() {
+        return mFingerprint;
+    }
+
     HttpMethod method() {
-        return mMethod;
+        return mReceived.method();
     }
 
     String uri() {
-        return mUri;
+        return mReceived.uri();
     }
 
     HttpHeaders headers() {
-        return mHeaders;
+        return mReceived.headers();
     }
 
     byte[] body() {
-        return mBody;
+        return mReceived.body();
     }
 
     ServedRoute route() {
@@ -126,7 +122,7 @@
     }
 
     long arrivedNanos() {
-        return mArrivedNanos;
+        return mReceived.arrivedNanos();
     }
 
     /** Returns the priority of the workspace if it has one, otherwise that of the route. */
@@ -176,10 +172,10 @@
         long maxWaitEndNanos =
                 mLastEventNanos
                         .map(lastEvent -> lastEvent + mRoute.callerTimeout().toNanos())
-                        .orElseGet(() -> mArrivedNanos + maxWaitForFirstServer().toNanos());
+                        .orElseGet(() -> arrivedNanos() + maxWaitForFirstServer().toNanos());
         return new WaitBounds(
                 priority(),
-                mArrivedNanos + mRoute.objective().toNanos(),
+                arrivedNanos() + mRoute.objective().toNanos(),
                 Math.min(mDeadlineNanos, maxWaitEndNanos) - minRunTime.toNanos(),
                 mLastEventNanos.isPresent());
     }
