Keep a repeated call that crashes servers from them

Cause: the search for what crashes servers knew only parts of prompts. A call without parts was dropped before it, one repeated call never counted as two, and a crash after the answer had begun counted as an answer.

Change: the call itself, named by its fingerprint, is one more subject of the same search. It is found after three crashes of servers whose processes have ended, at least one of a call that was sent after an earlier crash, without a complete answer since. Servers of one failure domain that end together count once; a server that has announced its stop doesn't count; a call that was answered before needs six. Admission, the search for a server and each send ask; the refusal has a code of its own (3010, 502), because the call has run and mustn't be repeated. A part is no longer found if one of its calls explains all crashes. Evidence is bounded in entries, not only in crashes. Hosts exchange it in the fields that they had.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -86,6 +86,14 @@
         return Optional.ofNullable(mMembers.get(instance));
     }
 
+    /** Returns the failure domain of a start of a server, while it is listed. */
+    public Optional<String> failureDomain(String startId) {
+        return mMembers.values().stream()
+                .filter(member -> member.startId().equals(startId))
+                .findFirst()
+                .map(member -> member.registered().failureDomain().name());
+    }
+
     /** Returns the servers of a pool that may get new calls, including those at capacity. */
     public List<FleetMember> inService(String pool) {
         return mMembers.values().stream()
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerRequest.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerRequest.java
@@ -7,6 +7,7 @@
 /**
  * A call's request for a server.
  *
+ * @param crashSubjects what may crash a server that runs the call
  * @param sharedParts parts of the prompt that calls of other sessions may share
  * @param promptPart part of the prompt that the call shares with other calls of its session
  * @param failedServers servers on which the call has failed
@@ -14,6 +15,7 @@
 public record ServerRequest(
         String callId,
         CallTarget target,
+        List<String> crashSubjects,
         List<String> sharedParts,
         Optional<String> promptPart,
         Set<String> failedServers) {}
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -200,11 +200,11 @@
         }
     }
 
-    /** Refuses the calls with the prompt part. */
-    public void refuseCallsWith(String promptPart, RefusedException refusal) {
+    /** Refuses the calls that may crash servers because of the subject. */
+    public void refuseCallsWith(String crashSubject, RefusedException refusal) {
         for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
             for (WaitingCall call : List.copyOf(queue)) {
-                if (call.request().sharedParts().contains(promptPart)) {
+                if (call.request().crashSubjects().contains(crashSubject)) {
                     remove(call);
                     call.sink().error(refusal);
                 }
--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
@@ -22,18 +23,17 @@
 import org.vanillaslip.messages.Envelope;
 import org.vanillaslip.messages.PromptFaults;
 import org.vanillaslip.messages.QuarantinedPart;
-import org.vanillaslip.messages.UnansweredCall;
 import reactor.core.publisher.Mono;
 
 /**
- * Finds prompt parts under which servers crash, together with all other hosts, and keeps them from
- * the servers. Each host sees only some of the crashes and answers. All hosts tell each other the
- * calls that went unanswered; for parts that come under suspicion, they tell each other the last
- * answer. Findings are also repeated in heartbeats.
+ * Finds prompt parts and repeated calls under which servers crash, together with all other hosts,
+ * and keeps them from the servers. Each host sees only some of the crashes and answers. All hosts
+ * tell each other the calls that went unanswered; for parts and calls that come under suspicion,
+ * they tell each other the last answer. Findings are also repeated in heartbeats.
  */
 public final class PromptFaultExchange {
 
-    /** Calls with a part are not sent for this long after servers have crashed under it. */
+    /** A part or call is kept from the servers for this long after they have crashed under it. */
     static final Duration QUARANTINE_TIME = Duration.ofMinutes(5);
 
     /** Hosts answer a suspicion within this time; those that know no later answer stay silent. */
@@ -46,36 +46,50 @@
     private static final Duration REPORT_DELAY = Duration.ofMillis(20);
 
     private static final int MAX_CALLS_PER_REPORT = 64;
-    private static final int MAX_PARTS_PER_CALL = 16;
+
+    /** The call itself and parts of its prompt. */
+    private static final int MAX_SUBJECTS_PER_CALL = 17;
 
     /** In characters; longer ids are not tracked. */
     private static final int MAX_PART_LENGTH = 128;
 
-    private static final int MAX_ANSWERED_PARTS = 8192;
+    private static final int MAX_ANSWERED_SUBJECTS = 8192;
+
+    /** An entry of the server list ends some time after its process. */
+    private static final Duration SERVER_CHECK_INTERVAL = Duration.ofMillis(100);
 
     private final PeerLinks mLinks;
     private final DecisionLoop mLoop;
     private final QuarantineRecord mRecord;
+    private final Function<String, Optional<String>> mFailureDomains;
     private final RandomGenerator mRandom;
     private final EventLog mLog;
     private final CrashingPartDetector mDetector = new CrashingPartDetector();
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
-    private final Map<String, Long> mOwnAnswers = new BoundedMap<>(MAX_ANSWERED_PARTS);
-    private final List<UnansweredCall> mUnreported = new ArrayList<>();
+    private final Map<String, Long> mPartAnswers = new BoundedMap<>(MAX_ANSWERED_SUBJECTS);
+    private final Map<String, Long> mCallAnswers = new BoundedMap<>(MAX_ANSWERED_SUBJECTS);
+    private final List<org.vanillaslip.messages.UnansweredCall> mUnreported = new ArrayList<>();
     private BiConsumer<String, RefusedException> mOnQuarantine = (part, refusal) -> {};
     private Set<String> mSuspects = Set.of();
     private boolean mAnnouncementScheduled;
     private boolean mDecisionScheduled;
+    private boolean mServerCheckScheduled;
 
-    /** Creates an exchange that is not started. */
+    /**
+     * Creates an exchange that is not started.
+     *
+     * @param failureDomains returns the failure domain of a start of a server, while it is listed
+     */
     public PromptFaultExchange(
             PeerLinks links,
             QuarantineRecord record,
+            Function<String, Optional<String>> failureDomains,
             DecisionLoop loop,
             RandomGenerator random,
             EventLog log) {
         mLinks = links;
         mRecord = record;
+        mFailureDomains = failureDomains;
         mLoop = loop;
         mRandom = random;
         mLog = log;
@@ -95,12 +109,12 @@
         return Mono.empty();
     }
 
-    /** Registers a listener for parts that no server may get from now on, and the refusal. */
+    /** Registers a listener for parts and calls that no server may get from now on. */
     public void onQuarantine(BiConsumer<String, RefusedException> listener) {
         mOnQuarantine = listener;
     }
 
-    /** Throws {@link RefusedException} if no server may get one of the parts. */
+    /** Throws {@link RefusedException} if no server may get one of the parts or calls. */
     public void checkParts(List<String> parts) {
         mQuarantine
                 .find(parts, now())
@@ -110,64 +124,83 @@
                         });
     }
 
-    /** Returns whether no server may get one of the parts. */
+    /** Returns whether no server may get one of the parts or calls. */
     public boolean isQuarantined(List<String> parts) {
         return mQuarantine.find(parts, now()).isPresent();
     }
 
     private static RefusedException refusal(PromptQuarantine.Entry entry) {
         return new RefusedException(
-                Refusal.retryable(ResultCode.PROMPT_QUARANTINED, entry.part(), entry.remaining()));
+                CallSubject.isCall(entry.part())
+                        ? Refusal.of(ResultCode.CALL_QUARANTINED, entry.part())
+                        : Refusal.retryable(
+                                ResultCode.PROMPT_QUARANTINED, entry.part(), entry.remaining()));
     }
 
-    /** Returns all parts that no server may get, for heartbeats. */
+    /** Returns all parts and calls that no server may get, for heartbeats. */
     public List<QuarantinedPart> quarantinedParts() {
         return mQuarantine.entries(now()).stream().map(PromptFaultExchange::toMessage).toList();
     }
 
-    /** Records that a server began to answer a call with the parts. */
-    public void recordAnswer(List<String> parts) {
-        for (String part : tracked(parts)) {
-            mOwnAnswers.put(part, now());
-            if (mSuspects.contains(part)) {
+    /** Records that a server answered a call, or began to answer one with a part. */
+    public void recordAnswer(List<String> subjects) {
+        for (String subject : tracked(subjects)) {
+            ownAnswers(subject).put(subject, now());
+            if (mSuspects.contains(subject)) {
                 scheduleAnnouncement();
             }
         }
     }
 
-    /** Records a call whose server ended the connection before it began to answer. */
-    public void recordUnanswered(String server, String callId, List<String> parts) {
-        List<String> reportedParts = tracked(parts);
-        if (reportedParts.isEmpty()) {
+    /** Keeps answers to calls apart, because there are many more of them. */
+    private Map<String, Long> ownAnswers(String subject) {
+        return CallSubject.isCall(subject) ? mCallAnswers : mPartAnswers;
+    }
+
+    /** Returns whether a server has crashed under the call since it was last answered. */
+    public boolean hasCrashes(String call) {
+        return mDetector.hasCrashes(call, Optional.ofNullable(mCallAnswers.get(call)), now());
+    }
+
+    /** Records that the process of a server has ended, not only its connections. */
+    public void recordServerEnded(String server) {
+        mDetector.recordServerEnded(server);
+    }
+
+    /** Records a call whose server ended the connection before the answer was complete. */
+    public void recordUnanswered(String request, UnansweredCall call) {
+        List<String> subjects = tracked(call.subjects());
+        if (subjects.isEmpty()) {
             return;
         }
         mLog.log(
                 QuarantineEvent.CALL_UNANSWERED,
-                field("request", callId),
-                field("server", server),
-                field("prompt_parts", String.join(",", reportedParts)));
+                field("request", request),
+                field("server", call.server()),
+                field("sent_after_crash", call.sentAfterCrash()),
+                field("subjects", String.join(",", subjects)));
         if (mUnreported.size() >= MAX_CALLS_PER_REPORT) {
-            mLog.log(QuarantineEvent.EVIDENCE_DROPPED, field("request", callId));
+            mLog.log(QuarantineEvent.EVIDENCE_DROPPED, field("request", request));
         } else {
             if (mUnreported.isEmpty()) {
                 schedule(this::report, REPORT_DELAY);
             }
             mUnreported.add(
-                    UnansweredCall.newBuilder()
-                            .setServer(server)
-                            .setCallId(callId)
-                            .addAllPromptParts(reportedParts)
+                    org.vanillaslip.messages.UnansweredCall.newBuilder()
+                            .setServer(call.server())
+                            .setCallId(call.callId())
+                            .addAllPromptParts(subjects)
                             .build());
         }
-        addEvidence(server, callId, reportedParts);
+        addEvidence(call.server(), call.callId(), subjects, call.sentAfterCrash());
         considerEvidence();
     }
 
-    /** Callers choose the ids, so their number and length are bounded. */
-    private static List<String> tracked(List<String> parts) {
-        return parts.stream()
-                .filter(part -> part.length() <= MAX_PART_LENGTH)
-                .limit(MAX_PARTS_PER_CALL)
+    /** Callers choose the ids of parts, so their number and length are bounded. */
+    private static List<String> tracked(List<String> subjects) {
+        return subjects.stream()
+                .filter(subject -> subject.length() <= MAX_PART_LENGTH)
+                .limit(MAX_SUBJECTS_PER_CALL)
                 .toList();
     }
 
@@ -185,8 +218,8 @@
             long age = Duration.ofMillis(answer.getAgeMillis()).toNanos();
             mDetector.recordAnswer(answer.getPart(), now() - age);
         }
-        for (UnansweredCall call : faults.getUnansweredCallsList()) {
-            addEvidence(call.getServer(), call.getCallId(), call.getPromptPartsList());
+        for (var call : faults.getUnansweredCallsList()) {
+            addEvidence(call.getServer(), call.getCallId(), call.getPromptPartsList(), false);
         }
         for (QuarantinedPart part : faults.getQuarantinedPartsList()) {
             adopt(part);
@@ -195,14 +228,36 @@
         return Mono.empty();
     }
 
-    private void addEvidence(String server, String callId, List<String> parts) {
-        if (mQuarantine.find(parts, now()).isPresent()) {
+    private void addEvidence(
+            String server, String callId, List<String> subjects, boolean sentAfterCrash) {
+        if (mQuarantine.find(subjects, now()).isPresent()) {
             mDetector.explainCrash(server);
             return;
         }
+        String failureDomain = mFailureDomains.apply(server).orElse("");
         mDetector.recordUnanswered(
-                new org.vanillaslip.internal.quarantine.UnansweredCall(server, callId, parts),
-                now());
+                new UnansweredCall(server, failureDomain, callId, subjects, sentAfterCrash), now());
+        scheduleServerCheck();
+    }
+
+    private void scheduleServerCheck() {
+        if (!mServerCheckScheduled) {
+            mServerCheckScheduled = true;
+            schedule(this::checkServers, SERVER_CHECK_INTERVAL);
+        }
+    }
+
+    /** A process that has ended leaves the list of servers, or another one takes its place. */
+    private void checkServers() {
+        mServerCheckScheduled = false;
+        List<String> unconfirmed = mDetector.unconfirmedServers(now());
+        unconfirmed.stream()
+                .filter(server -> mFailureDomains.apply(server).isEmpty())
+                .forEach(mDetector::recordServerEnded);
+        if (!unconfirmed.isEmpty()) {
+            considerEvidence();
+            scheduleServerCheck();
+        }
     }
 
     private void considerEvidence() {
@@ -219,7 +274,7 @@
     private Map<String, Long> unknownAnswers() {
         Map<String, Long> answers = new LinkedHashMap<>();
         for (String part : mSuspects) {
-            Long answered = mOwnAnswers.get(part);
+            Long answered = ownAnswers(part).get(part);
             if (answered != null && mDetector.isNewerAnswer(part, answered)) {
                 answers.put(part, answered);
             }
@@ -271,7 +326,7 @@
         Optional<String> found = mDetector.findCrashingPart(confirmedUntil);
         while (found.isPresent()) {
             PromptQuarantine.Entry entry = new PromptQuarantine.Entry(found.get(), QUARANTINE_TIME);
-            if (quarantine(entry, QuarantineEvent.PART_FOUND)) {
+            if (quarantine(entry, true)) {
                 entries.add(entry);
             }
             found = mDetector.findCrashingPart(confirmedUntil);
@@ -294,16 +349,15 @@
     private void adopt(PromptQuarantine.Entry entry) {
         boolean tooLong = entry.remaining().compareTo(QUARANTINE_TIME) > 0;
         quarantine(
-                tooLong ? new PromptQuarantine.Entry(entry.part(), QUARANTINE_TIME) : entry,
-                QuarantineEvent.PART_ADOPTED);
+                tooLong ? new PromptQuarantine.Entry(entry.part(), QUARANTINE_TIME) : entry, false);
     }
 
-    private boolean quarantine(PromptQuarantine.Entry entry, QuarantineEvent event) {
+    private boolean quarantine(PromptQuarantine.Entry entry, boolean found) {
         boolean added = mQuarantine.add(entry, now());
         mDetector.explainCrashes(entry.part());
         if (added) {
             mLog.log(
-                    event,
+                    QuarantineEvent.of(entry.part(), found),
                     field("part", entry.part()),
                     field("remaining_ms", entry.remaining().toMillis()));
             mOnQuarantine.accept(entry.part(), refusal(entry));
--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/QuarantineEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/QuarantineEvent.java
@@ -5,13 +5,15 @@
 
 import org.vanillaslip.internal.logging.LogEvent;
 
-/** Log events of prompt parts under which servers crash, with numbers 580 to 589. */
+/** Log events of prompt parts and calls under which servers crash, with numbers 580 to 589. */
 public enum QuarantineEvent implements LogEvent {
-    CALL_UNANSWERED(580, INFO, "A server ended a connection before it began to answer."),
+    CALL_UNANSWERED(580, INFO, "A server ended a connection before an answer was complete."),
     PART_FOUND(581, WARNING, "Servers crashed under a part of prompts; it is kept from them."),
     PART_ADOPTED(582, WARNING, "Another host keeps a part of prompts from the servers."),
     EVIDENCE_DROPPED(583, WARNING, "Too many unanswered calls at once; the rest is not reported."),
-    RECORD_FAILED(584, WARNING, "The record of quarantined prompt parts cannot be used.");
+    RECORD_FAILED(584, WARNING, "The record of what is kept from the servers cannot be used."),
+    CALL_FOUND(585, WARNING, "Servers crashed under a repeated call; it is kept from them."),
+    CALL_ADOPTED(586, WARNING, "Another host keeps a repeated call from the servers.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
@@ -23,6 +25,14 @@
         mText = text;
     }
 
+    /** Returns the event for a part or call that this host found or another one has named. */
+    static QuarantineEvent of(String subject, boolean found) {
+        if (CallSubject.isCall(subject)) {
+            return found ? CALL_FOUND : CALL_ADOPTED;
+        }
+        return found ? PART_FOUND : PART_ADOPTED;
+    }
+
     @Override
     public int number() {
         return mNumber;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
@@ -2,10 +2,12 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
 import org.reactivestreams.Publisher;
@@ -93,7 +95,14 @@
         if (sent && error instanceof IOException) {
             return SendFailedException.connectionLost(message);
         }
+        if (!sent && isConnectionRefused(error)) {
+            return SendFailedException.connectionRefused(message);
+        }
         return new SendFailedException(
                 sent ? SendFailureKind.UNKNOWN : SendFailureKind.UNREACHED, message);
     }
+
+    private static boolean isConnectionRefused(Throwable error) {
+        return error instanceof ConnectException && !(error instanceof ConnectTimeoutException);
+    }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -128,6 +128,7 @@
                 .flatMap(
                         body -> {
                             mSender.recordAnswerBegun(call, server);
+                            mSender.recordAnswerComplete(call);
                             boolean failed = status >= 500;
                             if (failed && call.allowsAnotherRun()) {
                                 return Mono.error(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
@@ -72,7 +72,7 @@
         CallTarget target = target(plan, route, head);
         String fingerprint = CallFingerprint.of(received, policy.flatMap(found -> head.apiKey()));
         RelayCall call = new RelayCall(received, head, fingerprint, route, target, policy);
-        mPromptFaults.checkParts(call.sharedPromptParts());
+        mPromptFaults.checkParts(call.crashSubjects());
         policy.ifPresent(foundPolicy -> call.recordCharge(charge(foundPolicy, head)));
         return call;
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -4,6 +4,8 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BiFunction;
@@ -18,7 +20,9 @@
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.gateway.RefusedException;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.quarantine.CallSubject;
 import org.vanillaslip.internal.quarantine.PromptFaultExchange;
+import org.vanillaslip.internal.quarantine.UnansweredCall;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.WorkspacePolicy;
 import reactor.core.publisher.Flux;
@@ -71,7 +75,7 @@
     Mono<RequestSlot> acquireSlot(RelayCall call, Duration minRunTime) {
         return Mono.defer(
                         () -> {
-                            mPromptFaults.checkParts(call.sharedPromptParts());
+                            mPromptFaults.checkParts(call.crashSubjects());
                             if (mSelector.serversWith(call.target()).stream()
                                     .allMatch(
                                             server ->
@@ -88,7 +92,7 @@
 
     /** Reserves a request slot now on another server, and takes the run out of the retry budget. */
     Optional<RequestSlot> reserveStandby(RelayCall call, FleetMember current) {
-        if (mPromptFaults.isQuarantined(call.sharedPromptParts())) {
+        if (mPromptFaults.isQuarantined(call.crashSubjects())) {
             return Optional.empty();
         }
         Optional<RequestSlot> slot =
@@ -114,6 +118,8 @@
         FleetMember server = slot.server();
         return Flux.defer(
                         () -> {
+                            mPromptFaults.checkParts(call.crashSubjects());
+                            boolean sentAfterCrash = mPromptFaults.hasCrashes(call.callSubject());
                             int send = call.recordSend(server.instance());
                             mBudgets.recordSend(call);
                             logServerChosen(call, server);
@@ -139,9 +145,13 @@
                                                             chunks,
                                                             onResponse))
                                     .doOnError(
-                                            error -> recordSendFailure(call, server, send, error))
+                                            error -> {
+                                                recordSendFailure(call, server, send, error);
+                                                recordCrash(call, server, sentAfterCrash, error);
+                                            })
                                     .doOnCancel(call::recordCancelledSend);
                         })
+                .doOnError(RefusedException.class, refused -> mBudgets.cancelReservation(call))
                 .doFinally(signal -> release(call, slot, signal));
     }
 
@@ -173,10 +183,44 @@
     /** Records that the server began to answer. */
     void recordAnswerBegun(RelayCall call, FleetMember server) {
         if (call.recordAnswerBegun(server.instance())) {
-            mPromptFaults.recordAnswer(call.sharedPromptParts());
+            mPromptFaults.recordAnswer(CallSubject.withoutCalls(call.sharedPromptParts()));
         }
     }
 
+    /** Records that a server has sent its complete answer, whatever its status. */
+    void recordAnswerComplete(RelayCall call) {
+        mPromptFaults.recordAnswer(List.of(call.callSubject()));
+    }
+
+    /** Records what may have crashed the server, unless it has announced that it stops. */
+    private void recordCrash(
+            RelayCall call, FleetMember server, boolean sentAfterCrash, Throwable error) {
+        if (!(error instanceof SendFailedException failure)) {
+            return;
+        }
+        if (failure.isConnectionRefused()) {
+            mPromptFaults.recordServerEnded(server.startId());
+        }
+        if (!failure.isConnectionLost()) {
+            return;
+        }
+        List<String> subjects = new ArrayList<>();
+        if (!server.registered().leaving()) {
+            subjects.add(call.callSubject());
+        }
+        if (!call.hasAnswerBegun(server.instance())) {
+            subjects.addAll(CallSubject.withoutCalls(call.sharedPromptParts()));
+        }
+        mPromptFaults.recordUnanswered(
+                call.head().id(),
+                new UnansweredCall(
+                        server.startId(),
+                        server.registered().failureDomain().name(),
+                        call.repeatableId(),
+                        subjects,
+                        sentAfterCrash));
+    }
+
     /** Returns whether the failed call is retried, and takes the retry out of the budget. */
     boolean tryRetry(RelayCall call, SendFailedException failure) {
         if (call.callerDisconnected() || !call.mayRetryAfter(failure.kind())) {
@@ -228,6 +272,7 @@
             }
             case NOT_RUN_OTHER_SERVER -> {
                 server.recordReplaced();
+                mPromptFaults.recordServerEnded(server.startId());
                 yield notRun("another server responded at the address");
             }
             case FOREIGN ->
@@ -258,10 +303,6 @@
             case UNKNOWN -> {
                 call.recordPossibleRun();
                 recordFailure(call, server);
-                if (failure.isConnectionLost() && !call.hasAnswerBegun(server.instance())) {
-                    mPromptFaults.recordUnanswered(
-                            server.startId(), call.head().id(), call.sharedPromptParts());
-                }
             }
         }
         mLog.log(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import org.vanillaslip.internal.fleet.CallTarget;
 import org.vanillaslip.internal.fleet.ServerRequest;
 import org.vanillaslip.internal.fleet.WaitBounds;
+import org.vanillaslip.internal.quarantine.CallSubject;
 import org.vanillaslip.internal.quota.WorkspaceCharge;
 import org.vanillaslip.internal.serving.ServedRoute;
 import org.vanillaslip.internal.serving.WorkspacePolicy;
@@ -147,6 +149,24 @@
         return parts == 0 ? List.of() : mHead.promptParts().subList(0, parts - 1);
     }
 
+    /** Returns the call itself, as a subject of crashes. */
+    String callSubject() {
+        return CallSubject.of(mFingerprint);
+    }
+
+    /** Returns what may crash a server that runs the call. */
+    List<String> crashSubjects() {
+        List<String> subjects = new ArrayList<>();
+        subjects.add(callSubject());
+        subjects.addAll(CallSubject.withoutCalls(sharedPromptParts()));
+        return List.copyOf(subjects);
+    }
+
+    /** Returns an id that the call shares with its repetitions, and not with other sessions. */
+    String repeatableId() {
+        return mFingerprint + sessionPrefix().map(session -> "/" + session).orElse("");
+    }
+
     ServerRequest serverRequest() {
         return serverRequest(mTriedServers);
     }
@@ -160,7 +180,12 @@
 
     private ServerRequest serverRequest(Set<String> excluded) {
         return new ServerRequest(
-                mHead.id(), mTarget, sharedPromptParts(), sessionPrefix(), Set.copyOf(excluded));
+                mHead.id(),
+                mTarget,
+                crashSubjects(),
+                sharedPromptParts(),
+                sessionPrefix(),
+                Set.copyOf(excluded));
     }
 
     /**
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -299,9 +299,9 @@
     }
 
     private PromptFaultExchange promptFaults() {
-        QuarantineRecord quarantined =
-                new QuarantineRecord(mStore, InstantSource.system(), mLoop, mLog);
-        return new PromptFaultExchange(mLinks, quarantined, mLoop, mRandom, mLog);
+        QuarantineRecord record = new QuarantineRecord(mStore, InstantSource.system(), mLoop, mLog);
+        return new PromptFaultExchange(
+                mLinks, record, mDirectory::failureDomain, mLoop, mRandom, mLog);
     }
 
     private CallRelay callRelay(ServerSelector selector, DemandReporter demandReporter) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -156,7 +156,7 @@
         if (!success) {
             mResponseHead = head;
             mSender.recordFailure(mCall, server);
-            return chunks;
+            return chunks.doOnComplete(() -> mSender.recordAnswerComplete(mCall));
         }
         ResponseMemoryLimit.Reservation reservation = mMemoryLimit.newReservation();
         return chunks.concatMapIterable(chunk -> frame(framer, reservation, chunk), 1)
@@ -215,10 +215,14 @@
         boolean endIsCertain = framing != BodyFraming.CONNECTION_END;
         if (incompleteBytes == 0 && (endIsCertain || hasEvents())) {
             mEndIsCertain = endIsCertain;
+            if (endIsCertain) {
+                mSender.recordAnswerComplete(mCall);
+            }
             useHead(head);
             return Flux.empty();
         }
         if (endIsCertain && !isEventStream(response)) {
+            mSender.recordAnswerComplete(mCall);
             useHead(head);
             return Flux.just(framer.incompleteEvent());
         }
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedCallsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedCallsTest.java
@@ -182,7 +182,8 @@
     private void submit(String call, int priority, int seconds) {
         long deadline = mLoop.clock().nowNanos() + seconds * SECOND;
         mQueue.awaitSlot(
-                        new ServerRequest(call, TARGET, List.of(), Optional.empty(), Set.of()),
+                        new ServerRequest(
+                                call, TARGET, List.of(), List.of(), Optional.empty(), Set.of()),
                         new WaitBounds(priority, deadline, deadline, false))
                 .subscribe(
                         slot -> mOutcomes.add(slot.server().instance()),
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedServerSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedServerSimulation.java
@@ -199,7 +199,8 @@
         long deadline = now() + MAX_WAIT.toNanos();
         sender.queue()
                 .awaitSlot(
-                        new ServerRequest("c", TARGET, List.of(), Optional.empty(), Set.of()),
+                        new ServerRequest(
+                                "c", TARGET, List.of(), List.of(), Optional.empty(), Set.of()),
                         new WaitBounds(1, deadline, deadline, false))
                 .subscribe(slot -> send(host, sender, slot), error -> mRefused++);
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/WaitingCallQueueTest.java
@@ -159,7 +159,8 @@
         long now = mLoop.clock().nowNanos();
         long deadline = now + CALLER_TIMEOUT.toNanos();
         mQueue.awaitSlot(
-                        new ServerRequest("c", TARGET, List.of(), Optional.empty(), Set.of()),
+                        new ServerRequest(
+                                "c", TARGET, List.of(), List.of(), Optional.empty(), Set.of()),
                         new WaitBounds(1, deadline, deadline, false))
                 .subscribe(
                         slot -> mOutcomes.add(slot.server().instance()),
--- a/daemon/src/test/java/org/vanillaslip/internal/quarantine/PromptFaultExchangeTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quarantine/PromptFaultExchangeTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -163,7 +164,8 @@
     private static void crashServers(
             FakePeerNetwork network, PromptFaultExchange exchange, List<String> parts) {
         for (int server = 0; server < 3; server++) {
-            exchange.recordUnanswered("s" + server, "c" + server, parts);
+            exchange.recordUnanswered(
+                    "c" + server, new UnansweredCall("s" + server, "", "c" + server, parts, false));
             network.advanceTime(Duration.ofSeconds(1));
         }
     }
@@ -181,6 +183,11 @@
                         network.loop(),
                         (event, fields) -> {});
         return new PromptFaultExchange(
-                links, record, network.loop(), new SplittableRandom(1), (event, fields) -> {});
+                links,
+                record,
+                server -> Optional.empty(),
+                network.loop(),
+                new SplittableRandom(1),
+                (event, fields) -> {});
     }
 }
--- a/decisions/src/main/java/org/vanillaslip/ResultCode.java
+++ b/decisions/src/main/java/org/vanillaslip/ResultCode.java
@@ -115,6 +115,12 @@
             true,
             "A part of the prompt crashed backend servers and is kept from them.",
             "Leave the part out, or try again after the time in Retry-After."),
+    CALL_QUARANTINED(
+            3010,
+            502,
+            false,
+            "This call crashed the backend servers that ran it and is kept from them.",
+            "Do not repeat the call; the operator finds its id in the log."),
     OUTCOME_UNKNOWN(
             4001,
             409,
--- a/decisions/src/test/java/org/vanillaslip/internal/quarantine/CrashingPartDetectorTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/quarantine/CrashingPartDetectorTest.java
@@ -149,7 +149,8 @@
     }
 
     private void record(String server, String call, String... parts) {
-        mDetector.recordUnanswered(new UnansweredCall(server, call, List.of(parts)), mNow);
+        mDetector.recordUnanswered(
+                new UnansweredCall(server, "", call, List.of(parts), false), mNow);
     }
 
     private void advance(long millis) {
