Let an operator list and release what hosts keep from the servers

A part or call that crashed servers was refused for five minutes, and neither could be looked at nor released.

Change: each host has the page /quarantine at its metrics address; 'vanillaslip quarantine list' and 'quarantine release' use it. A release is sent to all hosts as a subject without remaining time, is repeated in heartbeats for ten seconds, and removes the entry from the store. A quarantine that began before the release isn't taken up again; one that began after it is. SharedQuarantine takes what is in force out of PromptFaultExchange.

--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandContext.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandContext.java
@@ -9,9 +9,11 @@
  *
  * @param storeFactory creates a client of the platform at {@code ip:port}
  * @param statusReader reads the status of a host
+ * @param quarantineClient reads and changes what a host keeps from the backend servers
  * @param keyGenerator creates a key that cannot be guessed
  */
 record CommandContext(
         Function<String, ObjectStore> storeFactory,
         StatusReader statusReader,
+        QuarantineClient quarantineClient,
         Supplier<String> keyGenerator) {}
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandLineMain.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandLineMain.java
@@ -29,6 +29,7 @@
                 new CommandContext(
                         CommandLineMain::connect,
                         new HttpStatusReader(HttpClient.create(), new ObjectMapper()),
+                        new HttpQuarantineClient(HttpClient.create(), new ObjectMapper()),
                         () -> Keys.create(random));
         int exitCode = new CommandLine(context, System.out, System.err).run(arguments);
         System.exit(exitCode);
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/Commands.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/Commands.java
@@ -35,6 +35,9 @@
         builder.withGroup("keys")
                 .withDescription("Keys of workspaces")
                 .withCommands(List.of(ListKeys.class, AddKey.class, WithdrawKey.class));
+        builder.withGroup("quarantine")
+                .withDescription("Prompt parts and calls that are kept from backend servers")
+                .withCommands(List.of(ListQuarantine.class, ReleaseQuarantine.class));
         return builder.build();
     }
 
--- a/command-line/src/test/java/org/vanillaslip/internal/commandline/OperatorFixture.java
+++ b/command-line/src/test/java/org/vanillaslip/internal/commandline/OperatorFixture.java
@@ -29,6 +29,7 @@
 
     final ObjectStorage mStorage = new ObjectStorage(1000);
     final PlatformFaults mFaults = new PlatformFaults();
+    final FakeQuarantine mQuarantine = new FakeQuarantine("127.0.0.1:1");
     Runnable mAfterList = () -> {};
     Runnable mAfterWrite = () -> {};
     String mOutput = "";
@@ -44,7 +45,8 @@
     int runWithoutPlatform(String... arguments) {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         ByteArrayOutputStream errors = new ByteArrayOutputStream();
-        CommandContext context = new CommandContext(address -> connect(), this::status, () -> KEY);
+        CommandContext context =
+                new CommandContext(address -> connect(), this::status, mQuarantine, () -> KEY);
         int exitCode =
                 new CommandLine(context, new PrintStream(output), new PrintStream(errors))
                         .run(arguments);
--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
@@ -13,8 +13,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
-import org.vanillaslip.Refusal;
-import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.gateway.RefusedException;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.peer.PeerLinks;
@@ -33,8 +31,7 @@
  */
 public final class PromptFaultExchange {
 
-    /** A part or call is kept from the servers for this long after they have crashed under it. */
-    static final Duration QUARANTINE_TIME = Duration.ofMinutes(5);
+    static final Duration QUARANTINE_TIME = SharedQuarantine.QUARANTINE_TIME;
 
     /** Hosts answer a suspicion within this time; those that know no later answer stay silent. */
     private static final Duration MAX_ANNOUNCEMENT_DELAY = Duration.ofMillis(100);
@@ -65,11 +62,10 @@
     private final RandomGenerator mRandom;
     private final EventLog mLog;
     private final CrashingPartDetector mDetector = new CrashingPartDetector();
-    private final PromptQuarantine mQuarantine = new PromptQuarantine();
+    private final SharedQuarantine mQuarantine;
     private final Map<String, Long> mPartAnswers = new BoundedMap<>(MAX_ANSWERED_SUBJECTS);
     private final Map<String, Long> mCallAnswers = new BoundedMap<>(MAX_ANSWERED_SUBJECTS);
     private final List<org.vanillaslip.messages.UnansweredCall> mUnreported = new ArrayList<>();
-    private BiConsumer<String, RefusedException> mOnQuarantine = (part, refusal) -> {};
     private Set<String> mSuspects = Set.of();
     private boolean mAnnouncementScheduled;
     private boolean mDecisionScheduled;
@@ -93,6 +89,7 @@
         mLoop = loop;
         mRandom = random;
         mLog = log;
+        mQuarantine = new SharedQuarantine(loop, log);
     }
 
     /** Starts to receive what other hosts have seen. */
@@ -111,35 +108,42 @@
 
     /** Registers a listener for parts and calls that no server may get from now on. */
     public void onQuarantine(BiConsumer<String, RefusedException> listener) {
-        mOnQuarantine = listener;
+        mQuarantine.onQuarantine(listener);
     }
 
     /** Throws {@link RefusedException} if no server may get one of the parts or calls. */
     public void checkParts(List<String> parts) {
-        mQuarantine
-                .find(parts, now())
-                .ifPresent(
-                        entry -> {
-                            throw refusal(entry);
-                        });
+        mQuarantine.check(parts);
     }
 
     /** Returns whether no server may get one of the parts or calls. */
     public boolean isQuarantined(List<String> parts) {
-        return mQuarantine.find(parts, now()).isPresent();
+        return mQuarantine.containsAny(parts);
     }
 
-    private static RefusedException refusal(PromptQuarantine.Entry entry) {
-        return new RefusedException(
-                CallSubject.isCall(entry.part())
-                        ? Refusal.of(ResultCode.CALL_QUARANTINED, entry.part())
-                        : Refusal.retryable(
-                                ResultCode.PROMPT_QUARANTINED, entry.part(), entry.remaining()));
+    /** Returns all parts and calls that no server may get, and releases, for heartbeats. */
+    public List<QuarantinedPart> quarantinedParts() {
+        return mQuarantine.toMessages();
     }
 
-    /** Returns all parts and calls that no server may get, for heartbeats. */
-    public List<QuarantinedPart> quarantinedParts() {
-        return mQuarantine.entries(now()).stream().map(PromptFaultExchange::toMessage).toList();
+    /** Returns all parts and calls that no server may get. */
+    public List<PromptQuarantine.Entry> quarantined() {
+        return mQuarantine.entries();
+    }
+
+    /** Lets a part or call reach servers again, at all hosts; returns whether it was known. */
+    public boolean release(String subject) {
+        boolean known = mQuarantine.release(subject);
+        if (known) {
+            mLinks.broadcast(
+                    Envelope.newBuilder()
+                            .setPromptFaults(
+                                    PromptFaults.newBuilder()
+                                            .addQuarantinedParts(
+                                                    SharedQuarantine.releaseMessage(subject))));
+            mRecord.remove(subject);
+        }
+        return known;
     }
 
     /** Records that a server answered a call, or began to answer one with a part. */
@@ -230,7 +234,7 @@
 
     private void addEvidence(
             String server, String callId, List<String> subjects, boolean sentAfterCrash) {
-        if (mQuarantine.find(subjects, now()).isPresent()) {
+        if (mQuarantine.containsAny(subjects)) {
             mDetector.explainCrash(server);
             return;
         }
@@ -326,14 +330,15 @@
         Optional<String> found = mDetector.findCrashingPart(confirmedUntil);
         while (found.isPresent()) {
             PromptQuarantine.Entry entry = new PromptQuarantine.Entry(found.get(), QUARANTINE_TIME);
-            if (quarantine(entry, true)) {
+            mDetector.explainCrashes(entry.part());
+            if (mQuarantine.addFound(entry)) {
                 entries.add(entry);
             }
             found = mDetector.findCrashingPart(confirmedUntil);
         }
         if (!entries.isEmpty()) {
             PromptFaults.Builder faults = PromptFaults.newBuilder();
-            entries.forEach(entry -> faults.addQuarantinedParts(toMessage(entry)));
+            entries.forEach(entry -> faults.addQuarantinedParts(SharedQuarantine.toMessage(entry)));
             mLinks.broadcast(Envelope.newBuilder().setPromptFaults(faults));
             mRecord.save(entries);
         }
@@ -341,35 +346,20 @@
     }
 
     private void adopt(QuarantinedPart part) {
+        if (part.getRemainingMillis() == 0) {
+            mQuarantine.release(part.getPart());
+            return;
+        }
         adopt(
                 new PromptQuarantine.Entry(
                         part.getPart(), Duration.ofMillis(part.getRemainingMillis())));
     }
 
     private void adopt(PromptQuarantine.Entry entry) {
-        boolean tooLong = entry.remaining().compareTo(QUARANTINE_TIME) > 0;
-        quarantine(
-                tooLong ? new PromptQuarantine.Entry(entry.part(), QUARANTINE_TIME) : entry, false);
-    }
-
-    private boolean quarantine(PromptQuarantine.Entry entry, boolean found) {
-        boolean added = mQuarantine.add(entry, now());
-        mDetector.explainCrashes(entry.part());
-        if (added) {
-            mLog.log(
-                    QuarantineEvent.of(entry.part(), found),
-                    field("part", entry.part()),
-                    field("remaining_ms", entry.remaining().toMillis()));
-            mOnQuarantine.accept(entry.part(), refusal(entry));
+        mQuarantine.adopt(entry);
+        if (mQuarantine.containsAny(List.of(entry.part()))) {
+            mDetector.explainCrashes(entry.part());
         }
-        return added;
-    }
-
-    private static QuarantinedPart toMessage(PromptQuarantine.Entry entry) {
-        return QuarantinedPart.newBuilder()
-                .setPart(entry.part())
-                .setRemainingMillis((int) entry.remaining().toMillis())
-                .build();
     }
 
     private void schedule(Runnable task, Duration delay) {
--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/QuarantineEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/QuarantineEvent.java
@@ -13,7 +13,8 @@
     EVIDENCE_DROPPED(583, WARNING, "Too many unanswered calls at once; the rest is not reported."),
     RECORD_FAILED(584, WARNING, "The record of what is kept from the servers cannot be used."),
     CALL_FOUND(585, WARNING, "Servers crashed under a repeated call; it is kept from them."),
-    CALL_ADOPTED(586, WARNING, "Another host keeps a repeated call from the servers.");
+    CALL_ADOPTED(586, WARNING, "Another host keeps a repeated call from the servers."),
+    RELEASED(587, WARNING, "An operator lets a part or call reach the servers again.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
@@ -25,12 +26,14 @@
         mText = text;
     }
 
-    /** Returns the event for a part or call that this host found or another one has named. */
-    static QuarantineEvent of(String subject, boolean found) {
-        if (CallSubject.isCall(subject)) {
-            return found ? CALL_FOUND : CALL_ADOPTED;
-        }
-        return found ? PART_FOUND : PART_ADOPTED;
+    /** Returns the event for a part or call that this host has found. */
+    static QuarantineEvent found(String subject) {
+        return CallSubject.isCall(subject) ? CALL_FOUND : PART_FOUND;
+    }
+
+    /** Returns the event for a part or call that another host or the store has named. */
+    static QuarantineEvent adopted(String subject) {
+        return CallSubject.isCall(subject) ? CALL_ADOPTED : PART_ADOPTED;
     }
 
     @Override
--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/QuarantineRecord.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/QuarantineRecord.java
@@ -72,38 +72,54 @@
 
     /** Adds the parts to those in the store, with retries. */
     void save(List<PromptQuarantine.Entry> added) {
-        save(added, MAX_ATTEMPTS);
+        Map<String, PromptQuarantine.Entry> entries = new LinkedHashMap<>();
+        added.forEach(entry -> entries.put(entry.part(), entry));
+        change(
+                stored -> {
+                    if (!stored.keySet().containsAll(entries.keySet())) {
+                        stored.putAll(entries);
+                    }
+                },
+                MAX_ATTEMPTS);
     }
 
-    private void save(List<PromptQuarantine.Entry> added, int attempts) {
+    /** Removes the part from those in the store, with retries. */
+    void remove(String part) {
+        change(stored -> stored.remove(part), MAX_ATTEMPTS);
+    }
+
+    private void change(Consumer<Map<String, PromptQuarantine.Entry>> change, int attempts) {
         mStore.read(PlatformCollections.PROMPT_QUARANTINES, OBJECT_NAME)
-                .flatMap(found -> write(found, added))
+                .flatMap(found -> write(found, change))
                 .publishOn(mLoop.scheduler())
                 .subscribe(
                         failure ->
                                 failure.ifPresent(
-                                        cause -> retrySave(added, attempts, cause.name())),
-                        error -> retrySave(added, attempts, error.toString()));
+                                        cause -> retryChange(change, attempts, cause.name())),
+                        error -> retryChange(change, attempts, error.toString()));
     }
 
-    private void retrySave(List<PromptQuarantine.Entry> added, int attempts, String cause) {
+    private void retryChange(
+            Consumer<Map<String, PromptQuarantine.Entry>> change, int attempts, String cause) {
         mLog.log(QuarantineEvent.RECORD_FAILED, field("cause", cause));
         if (attempts > 1) {
-            retry(() -> save(added, attempts - 1));
+            retry(() -> change(change, attempts - 1));
         }
     }
 
     private Mono<Optional<PlatformFailure>> write(
-            Either<PlatformFailure, StoredObject> found, List<PromptQuarantine.Entry> added) {
+            Either<PlatformFailure, StoredObject> found,
+            Consumer<Map<String, PromptQuarantine.Entry>> change) {
         if (found.isLeft() && found.getLeft() != PlatformFailure.NOT_FOUND) {
             return Mono.just(Optional.of(found.getLeft()));
         }
         Map<String, PromptQuarantine.Entry> entries =
                 found.map(this::entries).getOrElse(new LinkedHashMap<>());
-        if (added.stream().allMatch(entry -> entries.containsKey(entry.part()))) {
+        Map<String, PromptQuarantine.Entry> before = Map.copyOf(entries);
+        change.accept(entries);
+        if (entries.equals(before)) {
             return Mono.just(Optional.empty());
         }
-        added.forEach(entry -> entries.put(entry.part(), entry));
         ObjectNode spec = encode(entries);
         Mono<Either<PlatformFailure, StoredObject>> written =
                 found.isLeft()
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -338,6 +338,7 @@
                 this::isReady,
                 mServing.metricsAddress(),
                 mMetrics::scrape,
+                new QuarantinePage(mPromptFaults),
                 mLog);
     }
 
@@ -388,9 +389,8 @@
     }
 
     private int hostCount() {
-        long otherHosts =
-                mHosts.hosts().stream().filter(host -> !host.name().equals(mHost.name())).count();
-        return (int) otherHosts + 1;
+        String self = mHost.name();
+        return (int) mHosts.hosts().stream().filter(host -> !host.name().equals(self)).count() + 1;
     }
 
     private Heartbeat heartbeat() {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHttpServers.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHttpServers.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.vanillaslip.internal.logging.EventLog;
@@ -41,6 +42,7 @@
             BooleanSupplier ready,
             InetSocketAddress metricsAddress,
             Supplier<String> metrics,
+            QuarantinePage quarantine,
             EventLog log) {
         mRelay = relay;
         mEventLoop = eventLoop;
@@ -48,17 +50,21 @@
         mReadiness =
                 new TextPageServer(
                         readinessAddress,
-                        readinessPath,
-                        () ->
-                                ready.getAsBoolean()
-                                        ? new TextPageServer.Page(200, "ready\n")
-                                        : new TextPageServer.Page(503, "not ready\n"),
+                        Map.of(
+                                readinessPath,
+                                request ->
+                                        ready.getAsBoolean()
+                                                ? new TextPageServer.Page(200, "ready\n")
+                                                : new TextPageServer.Page(503, "not ready\n")),
                         eventLoop);
         mMetrics =
                 new TextPageServer(
                         metricsAddress,
-                        METRICS_PATH,
-                        () -> new TextPageServer.Page(200, metrics.get()),
+                        Map.of(
+                                METRICS_PATH,
+                                request -> new TextPageServer.Page(200, metrics.get()),
+                                QuarantinePage.PATH,
+                                quarantine::handle),
                         eventLoop);
         mLog = log;
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/TextPageServer.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/TextPageServer.java
@@ -3,30 +3,35 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.function.Supplier;
+import java.util.Map;
+import java.util.function.Function;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.LoopResources;
 
-/** HTTP server that serves a single plain-text page, such as readiness or metrics. */
+/** HTTP server for plain-text pages, such as readiness or metrics. */
 final class TextPageServer {
 
+    /** What a request asks for; its query is decoded by the page. */
+    record PageRequest(String method, String query) {}
+
     /** Status code and body of the page. */
     record Page(int status, String text) {}
 
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
 
     private final InetSocketAddress mAddress;
-    private final String mPath;
-    private final Supplier<Page> mPage;
+    private final Map<String, Function<PageRequest, Page>> mPages;
     private final LoopResources mEventLoop;
 
+    /** Creates a server that is not started and has a page at each of the paths. */
     TextPageServer(
-            InetSocketAddress address, String path, Supplier<Page> page, LoopResources eventLoop) {
+            InetSocketAddress address,
+            Map<String, Function<PageRequest, Page>> pages,
+            LoopResources eventLoop) {
         mAddress = address;
-        mPath = path;
-        mPage = page;
+        mPages = Map.copyOf(pages);
         mEventLoop = eventLoop;
     }
 
@@ -37,11 +42,7 @@
                 .idleTimeout(IDLE_TIMEOUT)
                 .handle(
                         (request, response) -> {
-                            String path = request.uri().split("\\?", 2)[0];
-                            Page page =
-                                    path.equals(mPath)
-                                            ? mPage.get()
-                                            : new Page(404, "unknown path\n");
+                            Page page = page(request.method().name(), request.uri());
                             byte[] body = page.text().getBytes(StandardCharsets.UTF_8);
                             return response.status(page.status())
                                     .header("Content-Type", "text/plain; charset=utf-8")
@@ -50,4 +51,13 @@
                         })
                 .bind();
     }
+
+    private Page page(String method, String uri) {
+        String[] pathAndQuery = uri.split("\\?", 2);
+        Function<PageRequest, Page> page = mPages.get(pathAndQuery[0]);
+        return page == null
+                ? new Page(404, "unknown path\n")
+                : page.apply(
+                        new PageRequest(method, pathAndQuery.length > 1 ? pathAndQuery[1] : ""));
+    }
 }
--- a/decisions/src/main/java/org/vanillaslip/ResultCode.java
+++ b/decisions/src/main/java/org/vanillaslip/ResultCode.java
@@ -120,7 +120,7 @@
             502,
             false,
             "This call crashed the backend servers that ran it and is kept from them.",
-            "Do not repeat the call; the operator finds its id in the log."),
+            "Do not repeat the call; the operator can release it."),
     OUTCOME_UNKNOWN(
             4001,
             409,
