Put no third server at risk before the first crashes are understood

What callers saw: in the incident a call came at several hosts at once, and a standby run put it at one more server (14.174 s); four servers ended within 0.3 s each time.

Cause: hosts need up to half a second to tell each other of crashes and answers, and send the call on meanwhile.

Change: a call under which two servers have crashed since it was last answered waits up to 450 ms before it is sent again, less when it is answered or found meanwhile. There is no standby run of a call under which a server has crashed.

--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
@@ -163,7 +163,17 @@
 
     /** Returns whether a server has crashed under the call since it was last answered. */
     public boolean hasCrashes(String call) {
-        return mDetector.hasCrashes(call, Optional.ofNullable(mCallAnswers.get(call)), now());
+        return crashesSinceAnswer(call) > 0;
+    }
+
+    /** Returns whether one more crash under the call may keep it from the servers. */
+    public boolean isSuspicious(String call) {
+        return CrashingPartDetector.isSuspicious(crashesSinceAnswer(call));
+    }
+
+    private int crashesSinceAnswer(String call) {
+        Optional<Long> answered = Optional.ofNullable(mCallAnswers.get(call));
+        return mDetector.crashesSinceAnswer(call, answered, now());
     }
 
     /** Records that the process of a server has ended, not only its connections. */
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -35,6 +35,11 @@
 
     private static final Duration RETRY_AFTER_SEND_FAILURE = Duration.ofMillis(500);
 
+    /** Long enough for all hosts to tell each other of crashes and answers, and to decide. */
+    private static final Duration MAX_EVIDENCE_WAIT = Duration.ofMillis(450);
+
+    private static final Duration EVIDENCE_CHECK_INTERVAL = Duration.ofMillis(25);
+
     private final BackendRequestSender mRequestSender;
     private final CallDialect mDialect;
     private final WaitingCallQueue mWaitingCalls;
@@ -73,26 +78,47 @@
 
     /** Waits for a server with a free request slot and reserves that slot for the call. */
     Mono<RequestSlot> acquireSlot(RelayCall call, Duration minRunTime) {
-        return Mono.defer(
-                        () -> {
-                            mPromptFaults.checkParts(call.crashSubjects());
-                            if (mSelector.serversWith(call.target()).stream()
-                                    .allMatch(
-                                            server ->
-                                                    call.triedServers()
-                                                            .contains(server.instance()))) {
-                                call.triedServers().clear();
-                            }
-                            return mWaitingCalls.awaitSlot(
-                                    call.serverRequest(), call.waitBounds(minRunTime));
-                        })
+        return awaitEvidence(call)
+                .then(awaitSlot(call, minRunTime))
                 .doOnError(error -> mBudgets.cancelReservation(call))
                 .doOnCancel(() -> mBudgets.cancelReservation(call));
     }
 
+    /** Puts no third server at risk before what all hosts know of the earlier crashes is here. */
+    private Mono<Void> awaitEvidence(RelayCall call) {
+        return Mono.defer(
+                () ->
+                        isUndecided(call)
+                                ? Flux.interval(EVIDENCE_CHECK_INTERVAL, mLoop.scheduler())
+                                        .onBackpressureDrop()
+                                        .take(MAX_EVIDENCE_WAIT)
+                                        .takeUntil(tick -> !isUndecided(call))
+                                        .then()
+                                : Mono.empty());
+    }
+
+    private boolean isUndecided(RelayCall call) {
+        return mPromptFaults.isSuspicious(call.callSubject())
+                && !mPromptFaults.isQuarantined(call.crashSubjects());
+    }
+
+    private Mono<RequestSlot> awaitSlot(RelayCall call, Duration minRunTime) {
+        return Mono.defer(
+                () -> {
+                    mPromptFaults.checkParts(call.crashSubjects());
+                    if (mSelector.serversWith(call.target()).stream()
+                            .allMatch(server -> call.triedServers().contains(server.instance()))) {
+                        call.triedServers().clear();
+                    }
+                    return mWaitingCalls.awaitSlot(
+                            call.serverRequest(), call.waitBounds(minRunTime));
+                });
+    }
+
     /** Reserves a request slot now on another server, and takes the run out of the retry budget. */
     Optional<RequestSlot> reserveStandby(RelayCall call, FleetMember current) {
-        if (mPromptFaults.isQuarantined(call.crashSubjects())) {
+        if (mPromptFaults.isQuarantined(call.crashSubjects())
+                || mPromptFaults.hasCrashes(call.callSubject())) {
             return Optional.empty();
         }
         Optional<RequestSlot> slot =
--- a/decisions/src/main/java/org/vanillaslip/internal/quarantine/CrashingPartDetector.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quarantine/CrashingPartDetector.java
@@ -67,18 +67,27 @@
     }
 
     /**
-     * Returns whether a server has crashed under the subject since it was last answered.
+     * Returns how many servers have crashed under the subject since it was last answered.
      *
      * @param answeredNanos an answer that is not recorded yet, if there is one
      */
-    public boolean hasCrashes(String subject, Optional<Long> answeredNanos, long nowNanos) {
-        return mRecord.crashCount(subject) > 0
-                && crashes(subject, nowNanos).stream()
-                        .anyMatch(
+    public int crashesSinceAnswer(String subject, Optional<Long> answeredNanos, long nowNanos) {
+        if (mRecord.crashCount(subject) == 0) {
+            return 0;
+        }
+        return (int)
+                crashes(subject, nowNanos).stream()
+                        .filter(
                                 crash ->
                                         answeredNanos.isEmpty()
                                                 || answeredNanos.get() - crash.firstSeenNanos()
-                                                        <= 0);
+                                                        <= 0)
+                        .count();
+    }
+
+    /** Returns whether one more crash may turn a subject with so many crashes into a finding. */
+    public static boolean isSuspicious(int crashesSinceAnswer) {
+        return crashesSinceAnswer >= MIN_SERVERS - 1;
     }
 
     /** Returns the subjects that one more crash may turn into a finding; answers to them matter. */
