Look a start of a server up by the name of the server

Cause: each check of whether the servers of lost calls have ended compared their starts with those of all servers, ten times a second; and a host that had not read the list yet took all servers for ended, so that resets counted as crashes. Read in the code, not seen.

Change: the name is taken from the start's id. Before the list is read no server has ended.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -86,11 +86,16 @@
         return Optional.ofNullable(mMembers.get(instance));
     }
 
-    /** Returns the failure domain of a start of a server, while it is listed. */
+    /**
+     * Returns the failure domain of a start of a server while it is listed, and an empty name
+     * before the list has been read.
+     */
     public Optional<String> failureDomain(String startId) {
-        return mMembers.values().stream()
+        if (!mListed) {
+            return Optional.of("");
+        }
+        return member(FleetMember.instance(startId))
                 .filter(member -> member.startId().equals(startId))
-                .findFirst()
                 .map(member -> member.registered().failureDomain().name());
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -29,6 +29,8 @@
     /** A report takes precedence over registrations for this long. */
     private static final long REPORT_VALID_NANOS = Duration.ofSeconds(3).toNanos();
 
+    private static final String START_SEPARATOR = "@";
+
     /** Far more than any server runs; sums with it do not overflow. */
     private static final int MAX_OTHER_CALLS = 1_000_000;
 
@@ -78,7 +80,13 @@
 
     /** Returns the name of the server and the time of its start, which no other process shares. */
     public String startId() {
-        return instance() + "@" + mRegistered.startedAtMillis();
+        return instance() + START_SEPARATOR + mRegistered.startedAtMillis();
+    }
+
+    /** Returns the name of the server from the id of one of its starts. */
+    static String instance(String startId) {
+        int separator = startId.lastIndexOf(START_SEPARATOR);
+        return separator < 0 ? startId : startId.substring(0, separator);
     }
 
     /** Returns the models that the server holds, as far as known. */
