Make the call of a test wait for its server

CrashSubjectsTest.aCallThatIsFoundWhileItWaitsIsRefusedAtOnce failed on: a server without a model engine takes any number of calls, so none waited. Now the server can't be reached. The test passes.

--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/CrashSubjectsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/CrashSubjectsTest.java
@@ -25,7 +25,6 @@
 
     private static final CallTarget TARGET = new CallTarget("pool", Optional.empty());
     private static final String CRASHING = "call:bad";
-    private static final int MORE_THAN_ONE_SERVER_TAKES = 50;
 
     private final VirtualTimeScheduler mScheduler = VirtualTimeScheduler.create();
     private final DecisionLoop mLoop =
@@ -72,14 +71,13 @@
                                 Optional::empty,
                                 new FailureDomain("d0"),
                                 () -> 1,
-                                (server, calls, deadline) -> {},
+                                PermitSource.NONE,
                                 mLoop,
                                 new Random(1)),
                         mLoop,
                         100);
-        for (int call = 0; call < MORE_THAN_ONE_SERVER_TAKES; call++) {
-            submit(queue, "running", List.of());
-        }
+        queue.setLeaseHolderReachable(() -> true);
+        makeTheServerUnreachable();
         submit(queue, "crashing", List.of(CRASHING));
         submit(queue, "sound", List.of("call:sound"));
 
@@ -89,6 +87,12 @@
         assertThat(mRefused).containsExactly("crashing CALL_QUARANTINED");
     }
 
+    private void makeTheServerUnreachable() {
+        FleetMember server = mDirectory.member("s1").orElseThrow();
+        server.health().recordUnreachable(mLoop.clock().nowNanos());
+        server.health().recordUnreachable(mLoop.clock().nowNanos());
+    }
+
     private void submit(WaitingCallQueue queue, String call, List<String> crashSubjects) {
         long deadline = mLoop.clock().nowNanos() + Duration.ofSeconds(10).toNanos();
         queue.awaitSlot(
