--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
@@ -40,15 +40,12 @@
     /** Deployments state up to 14 ms from the store; the rest is the transfer of the order. */
     private static final Duration ADAPTER_LOAD_TIME = Duration.ofMillis(25);
 
-    /** The wall clocks of two machines may differ by this much, as they can jump by seconds. */
-    private static final Duration CLOCK_ERROR = Duration.ofSeconds(5);
-
     private final String mHost;
     private final FleetLease mLease;
     private final FleetDirectory mDirectory;
     private final EngineControl mEngines;
     private final DecisionLoop mLoop;
-    private final InstantSource mWallClock;
+    private final LateOrderGuard mLateOrders;
     private final OrderEventLogger mLog;
     private final UnconfirmedOrders mUnconfirmedOrders = new UnconfirmedOrders();
     private final Map<String, PendingOrder> mPending = new HashMap<>();
@@ -76,7 +73,7 @@
         mStoreParallelism = storeParallelism;
         mPoller = new ReportPoller(lease, engines, loop, log, this::handleReport);
         mLoop = loop;
-        mWallClock = wallClock;
+        mLateOrders = new LateOrderGuard(lease, loop, wallClock, log);
         mLog = new OrderEventLogger(log);
     }
 
@@ -90,6 +87,7 @@
         mPending.clear();
         mAssumedDone.clear();
         mRetries.clear();
+        mLateOrders.clear();
         mPoller.clear();
     }
 
@@ -114,20 +112,22 @@
                 .isPresent();
     }
 
-    /** Returns whether the engine has sent a trusted report since its last start. */
-    boolean hasTrustedReport(FleetMember member) {
-        return mPoller.isTrusted(member);
+    /** Returns whether the engine's state is known and only orders of this host can reach it. */
+    boolean canOrder(FleetMember member) {
+        return mPoller.isTrusted(member) && !mLateOrders.mustWait(member);
+    }
+
+    /** Returns the servers that have not answered an order. */
+    Set<String> unansweredServers() {
+        return mUnconfirmedOrders.unansweredServers(now());
     }
 
     /** Returns what unconfirmed orders may still load after the engine accepts the next order. */
     UnconfirmedLoads unconfirmedLoads(FleetMember member, EngineProfile profile) {
-        Duration age =
-                Duration.ofMillis(mWallClock.millis() - member.registered().startedAtMillis())
-                        .minus(CLOCK_ERROR);
         return mUnconfirmedOrders.possibleLoads(
                 member.instance(),
                 member.modelState().orderCount() + 1,
-                age,
+                mLateOrders.age(member),
                 member.firstStart(),
                 profile,
                 now());
@@ -162,7 +162,7 @@
                         member.modelState().orderCount(),
                         mHost,
                         mLease.term());
-        mLog.logSent(planned, order);
+        mLog.logSent(planned, order, member.registered().startedAtMillis());
         mOrderedAt.put(planned.instance(), now);
         mPending.put(
                 planned.instance(),
@@ -197,6 +197,9 @@
             return;
         }
         mLog.logAnswer(planned, answer);
+        if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY) {
+            member.orderCounts().recordOwnOrder(pending.expectedOrders());
+        }
         switch (answer) {
             case ACCEPTED -> handleAccepted(member, pending);
             case ALREADY -> {
@@ -237,13 +240,6 @@
         }
     }
 
-    /** Engines accept orders only when idle, so a state with an executing order is outdated. */
-    private static ServerModelState stateAtAccept(FleetMember member, PendingOrder pending) {
-        ServerModelState known = member.modelState();
-        boolean outdated = known.executingOrder() && known.orderCount() == pending.expectedOrders();
-        return outdated ? pending.stateBefore() : known;
-    }
-
     private void handleAccepted(FleetMember member, PendingOrder pending) {
         PlannedOrder planned = pending.order();
         long now = now();
@@ -264,7 +260,8 @@
             return;
         }
         ServerModelState modelState =
-                ModelStateChanges.afterAcceptance(stateAtAccept(member, pending), planned);
+                ModelStateChanges.afterAcceptance(
+                        pending.stateAtAccept(member.modelState()), planned);
         member.setModelState(
                 ModelStateChanges.withMinimumOrderCount(modelState, pending.expectedOrders() + 1));
         if (planned.fromStore()) {
@@ -328,7 +325,8 @@
     private void completeAdapter(FleetMember member, PendingOrder pending, int count) {
         mPending.remove(member.instance());
         ServerModelState done =
-                ModelStateChanges.afterCompletion(stateAtAccept(member, pending), pending.order());
+                ModelStateChanges.afterCompletion(
+                        pending.stateAtAccept(member.modelState()), pending.order());
         // A report may already include the order in its count.
         member.setModelState(
                 ModelStateChanges.withMinimumOrderCount(done, pending.expectedOrders() + count));
@@ -345,7 +343,11 @@
         if (newer) {
             mPoller.trust(member);
         }
+        long raisedBefore = member.orderCounts().raisedAtNanos();
         mDirectory.applyReport(instance, member.registered().startedAtMillis(), report, newer);
+        if (member.orderCounts().raisedAtNanos() != raisedBefore) {
+            mLog.logCountRaised(member, mLease.term());
+        }
         if (pending != null) {
             updatePending(member, pending, report);
         }
@@ -372,7 +374,7 @@
                 current
                         && counted
                         && !report.modelState().executingOrder()
-                        && showsResultOf(report.modelState(), pending);
+                        && pending.isShownBy(report.modelState());
         if (done || now - pending.expectedDoneNanos() > OVERDUE_AFTER.toNanos()) {
             if (done && pending.order().fromStore()) {
                 mStoreParallelism.recordLoadEnd(
@@ -387,13 +389,6 @@
         }
     }
 
-    private static boolean showsResultOf(ServerModelState modelState, PendingOrder pending) {
-        PlannedOrder order = pending.order();
-        Set<String> adapters = modelState.loaded().get(order.model());
-        boolean loaded = adapters != null && order.adapter().map(adapters::contains).orElse(true);
-        return loaded == (pending.order().kind() == OrderKind.LOAD);
-    }
-
     private long now() {
         return mLoop.clock().nowNanos();
     }
--- a/decisions/src/main/java/org/vanillaslip/ResultCode.java
+++ b/decisions/src/main/java/org/vanillaslip/ResultCode.java
@@ -66,6 +66,12 @@
             true,
             "The request needs more tokens than the burst of the plan.",
             "Ask for fewer tokens."),
+    BODIES_EXCEED_MEMORY(
+            2006,
+            503,
+            true,
+            "The bodies of all requests at this host exceed its memory.",
+            "Try again after the time in Retry-After."),
     HOST_STOPPING(3001, 503, true, "This host is stopping.", "Try again at once."),
     NOT_READY(
             3002,
@@ -120,7 +126,7 @@
             502,
             false,
             "This call crashed the backend servers that ran it and is kept from them.",
-            "Do not repeat the call; the operator finds its id in the log."),
+            "Do not repeat the call; the operator can release it."),
     OUTCOME_UNKNOWN(
             4001,
             409,
