--- a/decisions/src/main/java/org/vanillaslip/internal/quarantine/CrashingPartDetector.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quarantine/CrashingPartDetector.java
@@ -67,18 +67,27 @@
     }
 
     /**
-     * Returns whether a server has crashed under the subject since it was last answered.
+     * Returns how many servers have crashed under the subject since it was last answered.
      *
      * @param answeredNanos an answer that is not recorded yet, if there is one
      */
-    public boolean hasCrashes(String subject, Optional<Long> answeredNanos, long nowNanos) {
-        return mRecord.crashCount(subject) > 0
-                && crashes(subject, nowNanos).stream()
-                        .anyMatch(
+    public int crashesSinceAnswer(String subject, Optional<Long> answeredNanos, long nowNanos) {
+        if (mRecord.crashCount(subject) == 0) {
+            return 0;
+        }
+        return (int)
+                crashes(subject, nowNanos).stream()
+                        .filter(
                                 crash ->
                                         answeredNanos.isEmpty()
                                                 || answeredNanos.get() - crash.firstSeenNanos()
-                                                        <= 0);
+                                                        <= 0)
+                        .count();
+    }
+
+    /** Returns whether one more crash may turn a subject with so many crashes into a finding. */
+    public static boolean isSuspicious(int crashesSinceAnswer) {
+        return crashesSinceAnswer >= MIN_SERVERS - 1;
     }
 
     /** Returns the subjects that one more crash may turn into a finding; answers to them matter. */
@@ -137,17 +146,33 @@
     }
 
     private boolean partCrashesServers(String part, long untilNanos) {
-        List<ServerCrash> crashes = crashes(part, untilNanos);
+        List<ServerCrash> crashes =
+                crashes(part, untilNanos).stream()
+                        .filter(crash -> !hasRepeatedlyLostCall(crash, untilNanos))
+                        .toList();
         Set<String> calls = new HashSet<>();
         crashes.forEach(crash -> calls.addAll(crash.callsWith(part)));
         return crashes.size() >= MIN_SERVERS
                 && calls.size() >= MIN_CALLS
-                && calls.stream().noneMatch(call -> explainsAll(call, part, crashes))
                 && moments(crashes) >= MIN_MOMENTS;
     }
 
-    private static boolean explainsAll(String call, String part, List<ServerCrash> crashes) {
-        return crashes.stream().allMatch(crash -> crash.callsWith(part).contains(call));
+    /** Returns whether one call, which may be to blame itself, ran on this and other servers. */
+    private boolean hasRepeatedlyLostCall(ServerCrash crash, long untilNanos) {
+        return crash.callSubjectsById().entrySet().stream()
+                .anyMatch(
+                        call -> {
+                            List<ServerCrash> lost = crashes(call.getValue(), untilNanos);
+                            return lost.contains(crash)
+                                    && lost.stream()
+                                                    .filter(
+                                                            other ->
+                                                                    other.callSubjectsById()
+                                                                            .containsKey(
+                                                                                    call.getKey()))
+                                                    .count()
+                                            >= MIN_SERVERS;
+                        });
     }
 
     /** Returns the call under which most servers crashed, unless another one is as likely. */
