Let simulated servers stay listed for a while after they end

CrashSimulation took servers for ended at once. Now their entries stay for 2.8 s, as in the incident.

--- a/daemon/src/test/java/org/vanillaslip/internal/quarantine/CrashSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quarantine/CrashSimulation.java
@@ -34,6 +34,9 @@
     private static final long RESTART_MILLIS = 4000;
     private static final long RETRY_MILLIS = 5;
 
+    /** The store keeps the entry of a server for so long after its end. */
+    private static final long ENTRY_MILLIS = 2800;
+
     private final RelaySimulation mNetwork;
     private final SplittableRandom mRandom;
     private final OneObjectStore mStore = new OneObjectStore();
@@ -41,6 +44,7 @@
     private final List<Server> mServers = new ArrayList<>();
     private final List<Long> mCrashTimes = new ArrayList<>();
     private final List<Long> mCrashingSendTimes = new ArrayList<>();
+    private final Map<String, Long> mEndTimesByStart = new HashMap<>();
     private final Map<String, List<Long>> mSendTimesByCall = new HashMap<>();
     private final Map<String, List<Long>> mCrashTimesByCall = new HashMap<>();
     private final Set<String> mQuarantined = new TreeSet<>();
@@ -60,7 +64,7 @@
                                     () -> Instant.EPOCH.plusNanos(now()),
                                     mNetwork.loop(),
                                     (event, fields) -> {}),
-                            server -> Optional.empty(),
+                            this::failureDomain,
                             mNetwork.loop(),
                             mRandom.split(),
                             (event, fields) -> {});
@@ -291,6 +295,7 @@
         server.mRunning = false;
         server.mStarts++;
         mCrashTimes.add(now());
+        mEndTimesByStart.put(startId, now());
         List<Run> unanswered = List.copyOf(server.mRuns);
         server.mRuns.clear();
         for (Run run : unanswered) {
@@ -311,6 +316,12 @@
         after(RESTART_MILLIS, () -> server.mRunning = true);
     }
 
+    private Optional<String> failureDomain(String startId) {
+        Long ended = mEndTimesByStart.get(startId);
+        boolean listed = ended == null || now() - ended < Duration.ofMillis(ENTRY_MILLIS).toNanos();
+        return listed ? Optional.of(startId.substring(0, startId.indexOf('@'))) : Optional.empty();
+    }
+
     private void every(Duration interval, Runnable task) {
         mNetwork.loop()
                 .scheduler()
