--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -86,6 +86,19 @@
         return Optional.ofNullable(mMembers.get(instance));
     }
 
+    /**
+     * Returns the failure domain of a start of a server while it is listed, and an empty name
+     * before the list has been read.
+     */
+    public Optional<String> failureDomain(String startId) {
+        if (!mListed) {
+            return Optional.of("");
+        }
+        return member(FleetMember.instance(startId))
+                .filter(member -> member.startId().equals(startId))
+                .map(member -> member.registered().failureDomain().name());
+    }
+
     /** Returns the servers of a pool that may get new calls, including those at capacity. */
     public List<FleetMember> inService(String pool) {
         return mMembers.values().stream()
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -122,17 +122,20 @@
                     String uri = request.uri();
                     response.keepAlive(!mClosingConnections);
                     BodyMemoryLimit.Reservation bodyMemory = mRequestMemoryLimit.newReservation();
-                    return RequestBody.read(request, bodyMemory, maxBodyBytes())
+                    BodyDigest bodyDigest = new BodyDigest();
+                    return RequestBody.read(request, bodyMemory, maxBodyBytes(), bodyDigest)
                             .flatMap(this::awaitPendingReads)
                             .filter(body -> callerIsConnected(response, headers, arrivedNanos))
                             .flatMap(
                                     body ->
                                             serve(
-                                                    method,
-                                                    uri,
-                                                    headers,
-                                                    body,
-                                                    arrivedNanos,
+                                                    new ReceivedCall(
+                                                            method,
+                                                            uri,
+                                                            headers,
+                                                            body,
+                                                            bodyDigest.finish(),
+                                                            arrivedNanos),
                                                     response))
                             .onErrorResume(
                                     error -> refuse(response, headers, error, "", arrivedNanos))
@@ -183,18 +186,12 @@
         }
     }
 
-    private Mono<Void> serve(
-            HttpMethod method,
-            String uri,
-            HttpHeaders headers,
-            byte[] body,
-            long arrivedNanos,
-            HttpServerResponse response) {
+    private Mono<Void> serve(ReceivedCall received, HttpServerResponse response) {
         if (mRefusingNewCalls) {
             throw new RefusedException(
                     Refusal.retryable(ResultCode.HOST_STOPPING, "", STOPPING_RETRY_AFTER));
         }
-        RelayCall call = mAdmission.admit(method, uri, headers, body, arrivedNanos);
+        RelayCall call = mAdmission.admit(received);
         mSender.recordCall(call);
         mDemandReporter.recordCall(call.target(), call.route().objective());
         Mono<Void> completion =
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -4,6 +4,8 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BiFunction;
@@ -18,7 +20,9 @@
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.gateway.RefusedException;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.quarantine.CallSubject;
 import org.vanillaslip.internal.quarantine.PromptFaultExchange;
+import org.vanillaslip.internal.quarantine.UnansweredCall;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.WorkspacePolicy;
 import reactor.core.publisher.Flux;
@@ -31,6 +35,11 @@
 
     private static final Duration RETRY_AFTER_SEND_FAILURE = Duration.ofMillis(500);
 
+    /** Long enough for all hosts to tell each other of crashes and answers, and to decide. */
+    private static final Duration MAX_EVIDENCE_WAIT = Duration.ofMillis(450);
+
+    private static final Duration EVIDENCE_CHECK_INTERVAL = Duration.ofMillis(25);
+
     private final BackendRequestSender mRequestSender;
     private final CallDialect mDialect;
     private final WaitingCallQueue mWaitingCalls;
@@ -69,26 +78,47 @@
 
     /** Waits for a server with a free request slot and reserves that slot for the call. */
     Mono<RequestSlot> acquireSlot(RelayCall call, Duration minRunTime) {
-        return Mono.defer(
-                        () -> {
-                            mPromptFaults.checkParts(call.sharedPromptParts());
-                            if (mSelector.serversWith(call.target()).stream()
-                                    .allMatch(
-                                            server ->
-                                                    call.triedServers()
-                                                            .contains(server.instance()))) {
-                                call.triedServers().clear();
-                            }
-                            return mWaitingCalls.awaitSlot(
-                                    call.serverRequest(), call.waitBounds(minRunTime));
-                        })
+        return awaitEvidence(call)
+                .then(awaitSlot(call, minRunTime))
                 .doOnError(error -> mBudgets.cancelReservation(call))
                 .doOnCancel(() -> mBudgets.cancelReservation(call));
     }
 
+    /** Puts no third server at risk before what all hosts know of the earlier crashes is here. */
+    private Mono<Void> awaitEvidence(RelayCall call) {
+        return Mono.defer(
+                () ->
+                        isUndecided(call)
+                                ? Flux.interval(EVIDENCE_CHECK_INTERVAL, mLoop.scheduler())
+                                        .onBackpressureDrop()
+                                        .take(MAX_EVIDENCE_WAIT)
+                                        .takeUntil(tick -> !isUndecided(call))
+                                        .then()
+                                : Mono.empty());
+    }
+
+    private boolean isUndecided(RelayCall call) {
+        return mPromptFaults.isSuspicious(call.callSubject())
+                && !mPromptFaults.isQuarantined(call.crashSubjects());
+    }
+
+    private Mono<RequestSlot> awaitSlot(RelayCall call, Duration minRunTime) {
+        return Mono.defer(
+                () -> {
+                    mPromptFaults.checkParts(call.crashSubjects());
+                    if (mSelector.serversWith(call.target()).stream()
+                            .allMatch(server -> call.triedServers().contains(server.instance()))) {
+                        call.triedServers().clear();
+                    }
+                    return mWaitingCalls.awaitSlot(
+                            call.serverRequest(), call.waitBounds(minRunTime));
+                });
+    }
+
     /** Reserves a request slot now on another server, and takes the run out of the retry budget. */
     Optional<RequestSlot> reserveStandby(RelayCall call, FleetMember current) {
-        if (mPromptFaults.isQuarantined(call.sharedPromptParts())) {
+        if (mPromptFaults.isQuarantined(call.crashSubjects())
+                || mPromptFaults.hasCrashes(call.callSubject())) {
             return Optional.empty();
         }
         Optional<RequestSlot> slot =
@@ -114,6 +144,8 @@
         FleetMember server = slot.server();
         return Flux.defer(
                         () -> {
+                            mPromptFaults.checkParts(call.crashSubjects());
+                            boolean sentAfterCrash = mPromptFaults.hasCrashes(call.callSubject());
                             int send = call.recordSend(server.instance());
                             mBudgets.recordSend(call);
                             logServerChosen(call, server);
@@ -139,9 +171,13 @@
                                                             chunks,
                                                             onResponse))
                                     .doOnError(
-                                            error -> recordSendFailure(call, server, send, error))
+                                            error -> {
+                                                recordSendFailure(call, server, send, error);
+                                                recordCrash(call, server, sentAfterCrash, error);
+                                            })
                                     .doOnCancel(call::recordCancelledSend);
                         })
+                .doOnError(RefusedException.class, refused -> mBudgets.cancelReservation(call))
                 .doFinally(signal -> release(call, slot, signal));
     }
 
@@ -173,10 +209,44 @@
     /** Records that the server began to answer. */
     void recordAnswerBegun(RelayCall call, FleetMember server) {
         if (call.recordAnswerBegun(server.instance())) {
-            mPromptFaults.recordAnswer(call.sharedPromptParts());
+            mPromptFaults.recordAnswer(CallSubject.withoutCalls(call.sharedPromptParts()));
         }
     }
 
+    /** Records that a server has sent its complete answer, whatever its status. */
+    void recordAnswerComplete(RelayCall call) {
+        mPromptFaults.recordAnswer(List.of(call.callSubject()));
+    }
+
+    /** Records what may have crashed the server, unless it has announced that it stops. */
+    private void recordCrash(
+            RelayCall call, FleetMember server, boolean sentAfterCrash, Throwable error) {
+        if (!(error instanceof SendFailedException failure)) {
+            return;
+        }
+        if (failure.isConnectionRefused()) {
+            mPromptFaults.recordServerEnded(server.startId());
+        }
+        if (!failure.isConnectionLost()) {
+            return;
+        }
+        List<String> subjects = new ArrayList<>();
+        if (!server.registered().leaving()) {
+            subjects.add(call.callSubject());
+        }
+        if (!call.hasAnswerBegun(server.instance())) {
+            subjects.addAll(CallSubject.withoutCalls(call.sharedPromptParts()));
+        }
+        mPromptFaults.recordUnanswered(
+                call.head().id(),
+                new UnansweredCall(
+                        server.startId(),
+                        server.registered().failureDomain().name(),
+                        call.repeatableId(),
+                        subjects,
+                        sentAfterCrash));
+    }
+
     /** Returns whether the failed call is retried, and takes the retry out of the budget. */
     boolean tryRetry(RelayCall call, SendFailedException failure) {
         if (call.callerDisconnected() || !call.mayRetryAfter(failure.kind())) {
@@ -228,6 +298,7 @@
             }
             case NOT_RUN_OTHER_SERVER -> {
                 server.recordReplaced();
+                mPromptFaults.recordServerEnded(server.startId());
                 yield notRun("another server responded at the address");
             }
             case FOREIGN ->
@@ -258,15 +329,12 @@
             case UNKNOWN -> {
                 call.recordPossibleRun();
                 recordFailure(call, server);
-                if (failure.isConnectionLost() && !call.hasAnswerBegun(server.instance())) {
-                    mPromptFaults.recordUnanswered(
-                            server.startId(), call.head().id(), call.sharedPromptParts());
-                }
             }
         }
         mLog.log(
                 RelayEvent.SEND_FAILED,
                 field("request", call.head().id()),
+                field("fingerprint", call.fingerprint()),
                 field("server", server.instance()),
                 field("send", send),
                 field("outcome", failure.kind()),
@@ -291,6 +359,7 @@
         mLog.log(
                 RelayEvent.SERVER_CHOSEN,
                 field("request", call.head().id()),
+                field("fingerprint", call.fingerprint()),
                 field("server", server.instance()),
                 field("failure_domain", server.registered().failureDomain().name()),
                 field("send", call.sendCount()),
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import org.vanillaslip.internal.fleet.CallTarget;
 import org.vanillaslip.internal.fleet.ServerRequest;
 import org.vanillaslip.internal.fleet.WaitBounds;
+import org.vanillaslip.internal.quarantine.CallSubject;
 import org.vanillaslip.internal.quota.WorkspaceCharge;
 import org.vanillaslip.internal.serving.ServedRoute;
 import org.vanillaslip.internal.serving.WorkspacePolicy;
@@ -20,15 +22,12 @@
     /** Includes sends that a server refused. */
     private static final int MAX_SENDS = 6;
 
+    private final ReceivedCall mReceived;
     private final CallHead mHead;
-    private final HttpMethod mMethod;
-    private final String mUri;
-    private final HttpHeaders mHeaders;
-    private final byte[] mBody;
+    private final String mFingerprint;
     private final ServedRoute mRoute;
     private final CallTarget mTarget;
     private final Optional<WorkspacePolicy> mPolicy;
-    private final long mArrivedNanos;
     private final long mDeadlineNanos;
     private final Set<String> mTriedServers = new HashSet<>();
     private Optional<WorkspaceCharge> mCharge = Optional.empty();
@@ -45,49 +44,48 @@
     private String mLastServer = "";
 
     RelayCall(
+            ReceivedCall received,
             CallHead head,
-            HttpMethod method,
-            String uri,
-            HttpHeaders headers,
-            byte[] body,
+            String fingerprint,
             ServedRoute route,
             CallTarget target,
-            Optional<WorkspacePolicy> policy,
-            long arrivedNanos) {
+            Optional<WorkspacePolicy> policy) {
+        mReceived = received;
         mHead = head;
-        mMethod = method;
-        mUri = uri;
-        mHeaders = headers;
-        mBody = body;
+        mFingerprint = fingerprint;
         mRoute = route;
         mTarget = target;
         mPolicy = policy;
-        mArrivedNanos = arrivedNanos;
         Duration timeout =
                 head.timeLeft()
                         .filter(timeLeft -> timeLeft.compareTo(route.timeout()) < 0)
                         .orElse(route.timeout());
-        mDeadlineNanos = arrivedNanos + timeout.toNanos();
+        mDeadlineNanos = received.arrivedNanos() + timeout.toNanos();
     }
 
     CallHead head() {
         return mHead;
     }
 
+    /** Identifies the call and its repetitions. */
+    String fingerprint() {
+        return mFingerprint;
+    }
+
     HttpMethod method() {
-        return mMethod;
+        return mReceived.method();
     }
 
     String uri() {
-        return mUri;
+        return mReceived.uri();
     }
 
     HttpHeaders headers() {
-        return mHeaders;
+        return mReceived.headers();
     }
 
     byte[] body() {
-        return mBody;
+        return mReceived.body();
     }
 
     ServedRoute route() {
@@ -126,7 +124,7 @@
     }
 
     long arrivedNanos() {
-        return mArrivedNanos;
+        return mReceived.arrivedNanos();
     }
 
     /** Returns the priority of the workspace if it has one, otherwise that of the route. */
@@ -151,6 +149,24 @@
         return parts == 0 ? List.of() : mHead.promptParts().subList(0, parts - 1);
     }
 
+    /** Returns the call itself, as a subject of crashes. */
+    String callSubject() {
+        return CallSubject.of(mFingerprint);
+    }
+
+    /** Returns what may crash a server that runs the call. */
+    List<String> crashSubjects() {
+        List<String> subjects = new ArrayList<>();
+        subjects.add(callSubject());
+        subjects.addAll(CallSubject.withoutCalls(sharedPromptParts()));
+        return List.copyOf(subjects);
+    }
+
+    /** Returns an id that the call shares with its repetitions, and not with other sessions. */
+    String repeatableId() {
+        return mFingerprint + sessionPrefix().map(session -> "/" + session).orElse("");
+    }
+
     ServerRequest serverRequest() {
         return serverRequest(mTriedServers);
     }
@@ -164,7 +180,12 @@
 
     private ServerRequest serverRequest(Set<String> excluded) {
         return new ServerRequest(
-                mHead.id(), mTarget, sharedPromptParts(), sessionPrefix(), Set.copyOf(excluded));
+                mHead.id(),
+                mTarget,
+                crashSubjects(),
+                sharedPromptParts(),
+                sessionPrefix(),
+                Set.copyOf(excluded));
     }
 
     /**
@@ -176,10 +197,10 @@
         long maxWaitEndNanos =
                 mLastEventNanos
                         .map(lastEvent -> lastEvent + mRoute.callerTimeout().toNanos())
-                        .orElseGet(() -> mArrivedNanos + maxWaitForFirstServer().toNanos());
+                        .orElseGet(() -> arrivedNanos() + maxWaitForFirstServer().toNanos());
         return new WaitBounds(
                 priority(),
-                mArrivedNanos + mRoute.objective().toNanos(),
+                arrivedNanos() + mRoute.objective().toNanos(),
                 Math.min(mDeadlineNanos, maxWaitEndNanos) - minRunTime.toNanos(),
                 mLastEventNanos.isPresent());
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RequestBody.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RequestBody.java
@@ -36,13 +36,18 @@
      * Reads the body of a request, or signals {@link RefusedException}.
      *
      * @param memory reservation that is to be released when the call has ended
+     * @param digest gets the chunks as they arrive
      */
     static Mono<byte[]> read(
-            HttpServerRequest request, BodyMemoryLimit.Reservation memory, int maxBytes) {
+            HttpServerRequest request,
+            BodyMemoryLimit.Reservation memory,
+            int maxBytes,
+            BodyDigest digest) {
         int statedBytes =
                 request.requestHeaders().getInt(HttpHeaderNames.CONTENT_LENGTH, INITIAL_BYTES);
         return request.receive()
                 .asByteArray()
+                .doOnNext(digest::add)
                 .collect(
                         () -> new RequestBody(memory, maxBytes),
                         (body, chunk) -> body.add(chunk, statedBytes))
