Consider the evidence when the last server of a crash is confirmed

Cause: a crash counts only when its server is known to have ended, and the evidence was considered again only while a server was unconfirmed. A call that finds all servers down is refused a connection by each within some milliseconds, which confirms them all at once, so that nothing considered the evidence until the next crash.

Change: evidence is considered when a refused connection or a reused address confirms a crash.

Evidence: EndedServersTest.findsACallWhenConnectionsToAllItsServersAre... failed before and passes; the crash simulation never listed its servers, so it could not show this.

--- a/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quarantine/PromptFaultExchange.java
@@ -178,7 +178,9 @@
 
     /** Records that the process of a server has ended, not only its connections. */
     public void recordServerEnded(String server) {
-        mDetector.recordServerEnded(server);
+        if (mDetector.recordServerEnded(server)) {
+            considerEvidence();
+        }
     }
 
     /** Records a call whose server ended the connection before the answer was complete. */
--- a/decisions/src/main/java/org/vanillaslip/internal/quarantine/CrashRecord.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quarantine/CrashRecord.java
@@ -76,12 +76,15 @@
         return mLastAnswers.containsKey(subject);
     }
 
-    void recordServerEnded(String server) {
+    /** Returns whether this confirms a crash. */
+    boolean recordServerEnded(String server) {
         mEndedServers.add(server);
         ServerCrash crash = mCrashes.get(server);
-        if (crash != null) {
-            crash.setServerEnded();
+        if (crash == null || crash.serverEnded()) {
+            return false;
         }
+        crash.setServerEnded();
+        return true;
     }
 
     /** Returns the servers that ended connections and are not known to have ended themselves. */
--- a/decisions/src/main/java/org/vanillaslip/internal/quarantine/CrashingPartDetector.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/quarantine/CrashingPartDetector.java
@@ -56,9 +56,9 @@
         return mRecord.isNewerAnswer(subject, answeredNanos);
     }
 
-    /** Records that the process of the server has ended. */
-    public void recordServerEnded(String server) {
-        mRecord.recordServerEnded(server);
+    /** Records that the process of the server has ended; returns whether this is new evidence. */
+    public boolean recordServerEnded(String server) {
+        return mRecord.recordServerEnded(server);
     }
 
     /** Returns the servers that ended connections and are not known to have ended themselves. */
