Count only answers without a server's failure as answers to a call

Callers kept crashing servers whenever one of them answered the call with a status of 500 between two crashes: that answer dropped the evidence before it, and the call needed six crashes from then on.

Change: a complete answer speaks for its call only below status 500.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -125,7 +125,6 @@
                 .flatMap(
                         body -> {
                             mSender.recordAnswerBegun(call, server);
-                            mSender.recordAnswerComplete(call);
                             boolean failed = status >= 500;
                             if (failed && call.allowsAnotherRun()) {
                                 return Mono.error(
@@ -135,6 +134,7 @@
                             if (failed) {
                                 mSender.recordFailure(call, server);
                             } else {
+                                mSender.recordAnswerComplete(call);
                                 server.health().recordSuccess(mLoop.clock().nowNanos());
                                 mStandbys.recordHeard(server);
                             }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -213,7 +213,7 @@
         }
     }
 
-    /** Records that a server has sent its complete answer, whatever its status. */
+    /** Records that a server has sent its complete answer, and not that it failed. */
     void recordAnswerComplete(RelayCall call) {
         mPromptFaults.recordAnswer(List.of(call.callSubject()));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -156,7 +156,9 @@
         if (!success) {
             mResponseHead = head;
             mSender.recordFailure(mCall, server);
-            return chunks.doOnComplete(() -> mSender.recordAnswerComplete(mCall));
+            return status < 500
+                    ? chunks.doOnComplete(() -> mSender.recordAnswerComplete(mCall))
+                    : chunks;
         }
         BodyMemoryLimit.Reservation reservation = mMemoryLimit.newReservation();
         return chunks.concatMapIterable(chunk -> frame(framer, reservation, chunk), 1)
