--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RequestBody.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RequestBody.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.function.Consumer;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.gateway.RefusedException;
@@ -36,13 +37,18 @@
      * Reads the body of a request, or signals {@link RefusedException}.
      *
      * @param memory reservation that is to be released when the call has ended
+     * @param onChunk called with each part of the body as it is read
      */
     static Mono<byte[]> read(
-            HttpServerRequest request, BodyMemoryLimit.Reservation memory, int maxBytes) {
+            HttpServerRequest request,
+            BodyMemoryLimit.Reservation memory,
+            int maxBytes,
+            Consumer<byte[]> onChunk) {
         int statedBytes =
                 request.requestHeaders().getInt(HttpHeaderNames.CONTENT_LENGTH, INITIAL_BYTES);
         return request.receive()
                 .asByteArray()
+                .doOnNext(onChunk)
                 .collect(
                         () -> new RequestBody(memory, maxBytes),
                         (body, chunk) -> body.add(chunk, statedBytes))
