Check that a server still runs when only its connection ends a response

Cause: without a length or chunks, the orderly end of a connection was taken for the end of the response.

Change: after such an end the host opens one connection to the server. If it is refused, the process has ended, and the response counts as broken off: a resumable stream goes on at another server, a repeatable call is repeated, other calls fail. A server that accepts, or cannot be reached, is believed as before. Responses with a length or chunks cost nothing.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
@@ -13,10 +13,13 @@
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
+import reactor.netty.tcp.TcpClient;
+import reactor.netty.transport.AddressUtils;
 
 /**
  * Sends requests to backend servers, each on a new connection. A pooled connection may be
@@ -28,8 +31,13 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
     private final HttpClient mClient;
+    private final TcpClient mConnectionTest;
 
     BackendRequestSender(LoopResources eventLoop) {
+        mConnectionTest =
+                TcpClient.newConnection()
+                        .runOn(eventLoop)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
         mClient =
                 HttpClient.create(ConnectionProvider.newConnection())
                         .runOn(eventLoop)
@@ -79,6 +87,16 @@
                 });
     }
 
+    /** Returns whether the process at the address has ended, which a refused connection shows. */
+    Mono<Boolean> hasEnded(String address) {
+        return mConnectionTest
+                .remoteAddress(() -> AddressUtils.parseAddress(address, 0, true))
+                .connect()
+                .doOnNext(Connection::dispose)
+                .map(connected -> false)
+                .onErrorResume(error -> Mono.just(isConnectionRefused(error)));
+    }
+
     private static void writeHeaders(HttpHeaders requestHeaders, HttpHeaders headers, byte[] body) {
         requestHeaders.remove(HttpHeaderNames.USER_AGENT);
         headers.names().forEach(name -> requestHeaders.set(name, headers.getAll(name)));
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -122,6 +122,7 @@
                         () ->
                                 new SendFailedException(
                                         SendFailureKind.UNKNOWN, "the response is too large"))
+                .flatMap(body -> failIfServerEnded(server, response, body))
                 .flatMap(
                         body -> {
                             mSender.recordAnswerBegun(call, server);
@@ -146,4 +147,20 @@
                                             body));
                         });
     }
+
+    /** Fails a response that ended together with its server, if nothing else shows its end. */
+    private Mono<byte[]> failIfServerEnded(
+            FleetMember server, HttpClientResponse response, byte[] body) {
+        if (BodyFraming.of(response.responseHeaders()) != BodyFraming.CONNECTION_END) {
+            return Mono.just(body);
+        }
+        return mSender.hasEnded(server)
+                .flatMap(
+                        ended ->
+                                ended
+                                        ? Mono.error(
+                                                SendFailedException.connectionLost(
+                                                        "the response ended with its server"))
+                                        : Mono.just(body));
+    }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -187,6 +187,14 @@
         }
     }
 
+    /**
+     * Returns whether a server has ended whose connection ended in order. A process that is killed
+     * closes its connections as if its responses were complete.
+     */
+    Mono<Boolean> hasEnded(FleetMember server) {
+        return mRequestSender.hasEnded(server.registered().address());
+    }
+
     /** Records that a server has sent its complete answer, whatever its status. */
     void recordAnswerComplete(RelayCall call) {
         mPromptFaults.recordAnswer(List.of(call.callSubject()));
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -204,7 +204,10 @@
         }
     }
 
-    /** Fails a stream that ends within an event or that broke off before its first event. */
+    /**
+     * Fails a stream that ends within an event, before its first event, or with its server if only
+     * the end of the connection shows the end of the stream.
+     */
     private Flux<byte[]> checkEnd(
             FleetMember server,
             HttpClientResponse response,
@@ -213,32 +216,50 @@
         BodyFraming framing = head.framing();
         int incompleteBytes = framer.incompleteEventSize();
         boolean endIsCertain = framing != BodyFraming.CONNECTION_END;
-        if (incompleteBytes == 0 && (endIsCertain || hasEvents())) {
-            mEndIsCertain = endIsCertain;
-            if (endIsCertain) {
-                mSender.recordAnswerComplete(mCall);
-            }
+        if (incompleteBytes == 0 && endIsCertain) {
+            mEndIsCertain = true;
+            mSender.recordAnswerComplete(mCall);
             useHead(head);
             return Flux.empty();
         }
+        if (incompleteBytes == 0 && hasEvents()) {
+            return mSender.hasEnded(server)
+                    .flatMapMany(
+                            ended ->
+                                    ended
+                                            ? truncated(server, head, framer, "with its server")
+                                            : passOnUncertainEnd(head));
+        }
         if (endIsCertain && !isEventStream(response)) {
             mSender.recordAnswerComplete(mCall);
             useHead(head);
             return Flux.just(framer.incompleteEvent());
         }
+        return truncated(
+                server,
+                head,
+                framer,
+                incompleteBytes == 0 ? "before its first event" : "within an event");
+    }
+
+    private Flux<byte[]> passOnUncertainEnd(ResponseHead head) {
+        mEndIsCertain = false;
+        useHead(head);
+        return Flux.empty();
+    }
+
+    private Flux<byte[]> truncated(
+            FleetMember server, ResponseHead head, EventFramer framer, String where) {
         mLog.log(
                 RelayEvent.STREAM_TRUNCATED,
                 field("request", mCall.head().id()),
                 field("server", server.instance()),
-                field("framing", framing),
+                field("framing", head.framing()),
                 field("after_event", mLastEventId.orElse(-1)),
-                field("incomplete_bytes", incompleteBytes));
-        String message =
-                incompleteBytes == 0
-                        ? "the stream ended before its first event"
-                        : "the stream ended within an event";
+                field("incomplete_bytes", framer.incompleteEventSize()));
+        String message = "the stream ended " + where;
         return Flux.error(
-                framing == BodyFraming.CONNECTION_END
+                head.framing() == BodyFraming.CONNECTION_END
                         ? SendFailedException.connectionLost(message)
                         : new SendFailedException(SendFailureKind.UNKNOWN, message));
     }
