--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/EvictionSelector.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/EvictionSelector.java
@@ -30,6 +30,9 @@
     /** Time that an unload waits for the running calls of the model, and its cost. */
     private static final double RUNNING_CALLS_COST_MILLIS = 1500;
 
+    /** Cost that keeps a model with waiting callers loaded unless nothing else can be evicted. */
+    private static final double REQUESTED_COST_MILLIS = 60_000;
+
     private final EngineProfile mProfile;
     private final DemandHistory mHistory;
     private final Map<String, Integer> mReplicas;
@@ -58,7 +61,6 @@
         List<String> evicted = new ArrayList<>();
         List<String> candidates =
                 engine.modelState().loaded().keySet().stream()
-                        .filter(name -> !isProtected(engine, name))
                         .sorted(
                                 Comparator.comparingDouble(
                                                 (String name) -> evictionCost(engine, name))
@@ -103,17 +105,11 @@
             cost += urgentRate * REPLICATED_COST_MILLIS / otherReplicas;
         }
         cost += engine.running().getOrDefault(model, 0) > 0 ? RUNNING_CALLS_COST_MILLIS : 0;
+        boolean requested = mRequested.contains(model) || engine.recentlyLoaded().contains(model);
+        cost += requested ? REQUESTED_COST_MILLIS : 0;
         return cost;
     }
 
-    /**
-     * Returns whether callers wait for the model or one of its adapters, or may not have reached it
-     * since its load, which an unload would undo.
-     */
-    private boolean isProtected(EngineState engine, String model) {
-        return mRequested.contains(model) || engine.recentlyLoaded().contains(model);
-    }
-
     /** Returns the expected time to unload the models. */
     Duration unloadTime(EngineState engine, List<String> evicted) {
         boolean running =
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/LoadPlanner.java
@@ -203,7 +203,7 @@
         if (loading) {
             return;
         }
-        Optional<PlannedOrder> order =
+        Optional<EngineState> selected =
                 enginesWithModel.stream()
                         .filter(
                                 engine ->
@@ -212,19 +212,16 @@
                         .filter(
                                 engine ->
                                         mEviction.hasRoomForAdapter(engine, demand.model().model()))
-                        .sorted(Comparator.comparingInt(EngineState::activeCalls))
-                        .map(engine -> mAdapterPlacement.nextOrder(engine, demand.model()))
-                        .flatMap(Optional::stream)
-                        .min(Comparator.comparing(next -> next.kind() == OrderKind.UNLOAD));
-        if (order.isEmpty()) {
+                        .min(Comparator.comparingInt(EngineState::activeCalls));
+        if (selected.isEmpty()) {
             enginesWithModel.stream()
                     .map(EngineState::busyFor)
                     .min(Comparator.naturalOrder())
                     .ifPresent(wait -> mWaits.put(demand.model(), wait.plus(ORDER_TIME)));
             return;
         }
-        mOrdered.add(order.get().instance());
-        mOrders.add(order.get());
+        mOrdered.add(selected.get().instance());
+        mAdapterPlacement.nextOrder(selected.get(), demand.model()).ifPresent(mOrders::add);
     }
 
     /** Replicates busy models if that requires no costly eviction. */
