Send nothing new to a server that says in an answer that it leaves

Callers' requests went to a leaving server until the store's entry said so: a host without the store, or with old news, sent it calls that the server would cut when it ended.

Cause: only the entry of the store was an input of the directory; what servers say in their answers was decoded for limits only.

Server-Leaving: 1 is now decoded with the limit, from the same answers (calls whatever the status, orders, reports), and is a field of the server's record, asked where the sending is decided: new and waiting calls, retries, resumed streams, standby runs and loads, orders up to the moment in which they are written. It belongs to the start: entries, older lists, a removal and a relisting do not take it back, a new start begins without. If all servers of a service leave, calls without an answer are refused at once with a Retry-After; a call whose answer has begun waits for a new server. Event 558, a counter.

A crash of a server that said that it leaves is not blamed on the call, as with an announcement in the entry.

OrderDispatcherTest's new test fails with the field ignored.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -102,6 +102,20 @@
                 .toList();
     }
 
+    /** Returns whether servers of the pool are listed and all of them leave. */
+    boolean allLeaving(String pool) {
+        boolean listed = false;
+        for (FleetMember member : mMembers.values()) {
+            if (member.registered().pool().equals(pool)) {
+                if (!member.leaving()) {
+                    return false;
+                }
+                listed = true;
+            }
+        }
+        return listed;
+    }
+
     /** Returns whether the server may get new calls. */
     public boolean inService(FleetMember member) {
         return member.inService() && !mDrains.isDrained(member.registered().failureDomain());
@@ -335,7 +349,7 @@
                             mLoop.clock().nowNanos(),
                             removed.registered().startedAtMillis(),
                             entryVersion,
-                            removed.registered().leaving()));
+                            removed.leaving()));
             logLeft(name, reason);
         }
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -64,7 +64,8 @@
     ORDERS_WAIT(
             557,
             INFO,
-            "A backend server gets no orders for now, as it may execute those of another host.");
+            "A backend server gets no orders for now, as it may execute those of another host."),
+    LEAVING_SAID(558, INFO, "A backend server says in an answer that it leaves; no new calls.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -49,6 +49,7 @@
     private long mColdUntil;
     private long mFullAt = Long.MIN_VALUE;
     private boolean mReplaced;
+    private boolean mSaidLeaving;
 
     FleetMember(RegisteredServer registered, boolean firstStart, long nowNanos) {
         mRegistered = registered;
@@ -222,9 +223,25 @@
         mReplaced = true;
     }
 
-    /** Returns whether the server is neither stopping nor replaced by another one. */
+    /**
+     * Records that the server said in an answer that it leaves; this holds until its next start.
+     *
+     * @return whether this is news
+     */
+    boolean recordLeaving() {
+        boolean news = !mSaidLeaving;
+        mSaidLeaving = true;
+        return news;
+    }
+
+    /** Returns whether the server has announced, in its entry or in an answer, that it leaves. */
+    public boolean leaving() {
+        return mSaidLeaving || mRegistered.leaving();
+    }
+
+    /** Returns whether the server is neither leaving nor replaced by another one. */
     public boolean inService() {
-        return !mRegistered.leaving() && !mReplaced;
+        return !leaving() && !mReplaced;
     }
 
     /** Returns whether a call may be sent now. */
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
@@ -6,10 +6,14 @@
 import java.time.InstantSource;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 
-/** Finds the servers that this host must not order yet because of orders of previous holders. */
+/**
+ * Finds the servers that this host must not order yet because of orders of previous holders, and
+ * the orders that have become too late because of this host's lease or their server.
+ */
 final class LateOrderGuard {
 
     /** The wall clocks of two machines may differ by this much, as they can jump by seconds. */
@@ -33,6 +37,11 @@
         mLogged.clear();
     }
 
+    /** Returns whether the order may be written, asked again in that moment. */
+    BooleanSupplier permission(FleetMember member, EngineOrder order) {
+        return () -> mLease.mayOrder(order.term()) && member.inService();
+    }
+
     /** Returns whether an order to the server could come in turn with one of another host. */
     boolean mustWait(FleetMember member) {
         boolean restarted = mayFitAfterRestart(member);
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
@@ -180,7 +180,7 @@
             mDirectory.changed();
         }
         mUnconfirmedOrders.recordSent(planned, order.expectedOrders(), now);
-        mEngines.sendOrder(member.registered(), order, () -> mLease.mayOrder(order.term()))
+        mEngines.sendOrder(member.registered(), order, mLateOrders.permission(member, order))
                 .publishOn(mLoop.scheduler())
                 .subscribe(
                         answer -> handleAnswer(member, planned, answer),
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerLimitExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerLimitExchange.java
@@ -7,12 +7,13 @@
 import org.vanillaslip.internal.peer.RelayNetwork;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 
-/** Creates and starts what keeps to the limits that servers name. */
+/** Creates and starts what keeps to what servers say of themselves, such as their limits. */
 public final class ServerLimitExchange {
 
     private final FleetDirectory mDirectory;
     private final DecisionLoop mLoop;
     private final ServerLimits mLimits;
+    private final ServerNotices mNotices;
     private final SendPermitExchange mPermits;
 
     /** Creates the exchange without starting it. */
@@ -26,6 +27,7 @@
         mDirectory = directory;
         mLoop = loop;
         mLimits = new ServerLimits(directory, links, loop, metrics, log);
+        mNotices = new ServerNotices(directory, mLimits, loop, metrics, log);
         mPermits = new SendPermitExchange(directory, mLimits, network, links, loop, metrics, log);
     }
 
@@ -44,15 +46,15 @@
                 .filter(member -> member.registered().startedAtMillis() == server.startedAtMillis())
                 .ifPresent(
                         member ->
-                                mLimits.record(
+                                mNotices.record(
                                         member,
                                         notice,
                                         mLoop.clock().nowNanos() - sinceSent.toNanos()));
     }
 
-    /** Returns the limits that servers have named. */
-    public ServerLimits limits() {
-        return mLimits;
+    /** Returns the recorder of what servers say in their answers. */
+    public ServerNotices notices() {
+        return mNotices;
     }
 
     /** Returns the source of permits for servers with a limit. */
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -119,6 +119,11 @@
                 .toList();
     }
 
+    /** Returns whether all servers of the target's pool leave, so that none will get calls. */
+    boolean allLeaving(CallTarget target) {
+        return mDirectory.allLeaving(target.pool());
+    }
+
     /**
      * Requests permits for calls that wait, because no server without a limit has room.
      *
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -31,6 +31,9 @@
     /** By then another host reaches the lease holder, or a new one has acquired the lease. */
     private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(1500);
 
+    /** A server that starts is listed with its first heartbeat, so an earlier retry fails again. */
+    private static final Duration LEAVING_RETRY_AFTER = Duration.ofMillis(1200);
+
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(250);
 
     /** Part of its time that a call leaves for the answer of a server with a limit. */
@@ -39,6 +42,9 @@
     /** Detail of refusals because of limits; {@code vanillaslip explain} recognizes it. */
     private static final String LIMITED_DETAIL = "all servers limit their requests";
 
+    /** Detail of refusals because no server of a pool takes new calls. */
+    private static final String LEAVING_DETAIL = "all servers leave";
+
     private static final Comparator<WaitingCall> BY_PRIORITY_AND_AGE =
             Comparator.comparingInt(WaitingCall::priority)
                     .thenComparingLong(WaitingCall::enqueuedNanos);
@@ -99,6 +105,15 @@
                                     UNREACHABLE_RETRY_AFTER)));
             return;
         }
+        if (cannotStart(request.target(), bounds.answerBegun())) {
+            sink.error(
+                    new RefusedException(
+                            Refusal.retryable(
+                                    ResultCode.NO_BACKEND_SERVER,
+                                    LEAVING_DETAIL,
+                                    LEAVING_RETRY_AFTER)));
+            return;
+        }
         if (mCount >= mMaxWaiting) {
             sink.error(
                     new RefusedException(
@@ -272,6 +287,14 @@
                         .allMatch(member -> member.health().failing());
     }
 
+    /**
+     * Returns whether no listed server will take the call. A call whose answer has begun cannot be
+     * sent again by its caller, so it waits for a new server as long as it can.
+     */
+    private boolean cannotStart(CallTarget target, boolean answerBegun) {
+        return !answerBegun && mSelector.allLeaving(target);
+    }
+
     private boolean isModelMissing(CallTarget target) {
         return mSelector.serversWith(target).isEmpty();
     }
@@ -294,6 +317,8 @@
                     refuse(call, ResultCode.DEADLINE_UNREACHABLE, MIN_RETRY_AFTER);
                 } else if (cannotBeServed(call.request().target())) {
                     refuse(call, ResultCode.NO_BACKEND_SERVER, UNREACHABLE_RETRY_AFTER);
+                } else if (cannotStart(call.request().target(), call.answerBegun())) {
+                    refuse(call, ResultCode.NO_BACKEND_SERVER, LEAVING_RETRY_AFTER, LEAVING_DETAIL);
                 }
             }
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -84,6 +84,11 @@
             "vanillaslip_server_limits_total",
             "Limits of backend servers that this host learned of, and their ends.",
             "change"),
+    SERVERS_LEAVING(
+            "vanillaslip.servers.leaving",
+            "vanillaslip_servers_leaving_total",
+            "Backend servers of which this host learned from an answer that they leave.",
+            "source"),
     SEND_PERMITS(
             "vanillaslip.send.permits",
             "vanillaslip_send_permits_total",
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -118,6 +118,11 @@
         count(DaemonMetric.SERVER_LIMITS, 1, limited ? "named" : "ended");
     }
 
+    /** Counts a start of a backend server that said in an answer that it leaves. */
+    public void serverSaidLeaving() {
+        count(DaemonMetric.SERVERS_LEAVING, 1, "answer");
+    }
+
     /**
      * Counts a request for a permit to send to a backend server with a limit.
      *
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -15,7 +15,7 @@
 import org.vanillaslip.internal.fleet.FleetEvent;
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.fleet.RequestSlot;
-import org.vanillaslip.internal.fleet.ServerLimits;
+import org.vanillaslip.internal.fleet.ServerNotices;
 import org.vanillaslip.internal.fleet.ServerSelector;
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.gateway.RefusedException;
@@ -39,7 +39,7 @@
     private final CallDialect mDialect;
     private final WaitingCallQueue mWaitingCalls;
     private final ServerSelector mSelector;
-    private final ServerLimits mLimits;
+    private final ServerNotices mNotices;
     private final RetryBudgets mBudgets;
     private final PromptFaultExchange mPromptFaults;
     private final DecisionLoop mLoop;
@@ -50,7 +50,7 @@
             CallDialect dialect,
             WaitingCallQueue waitingCalls,
             ServerSelector selector,
-            ServerLimits limits,
+            ServerNotices notices,
             RetryBudgets budgets,
             PromptFaultExchange promptFaults,
             DecisionLoop loop,
@@ -59,7 +59,7 @@
         mDialect = dialect;
         mWaitingCalls = waitingCalls;
         mSelector = selector;
-        mLimits = limits;
+        mNotices = notices;
         mBudgets = budgets;
         mPromptFaults = promptFaults;
         mLoop = loop;
@@ -213,7 +213,7 @@
             return;
         }
         List<String> subjects = new ArrayList<>();
-        if (!server.registered().leaving()) {
+        if (!server.leaving()) {
             subjects.add(call.callSubject());
         }
         if (!call.hasAnswerBegun(server.instance())) {
@@ -265,7 +265,7 @@
                         call.head().id(),
                         server.instance());
         if (outcome != ResponseOutcome.FOREIGN && outcome != ResponseOutcome.NOT_RUN_OTHER_SERVER) {
-            mLimits.record(
+            mNotices.record(
                     server, mDialect.parseServerNotice(response.responseHeaders()), sentNanos);
         }
         return switch (outcome) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -311,7 +311,7 @@
                         mAdapters.dialect(),
                         mWaitingCalls,
                         selector,
-                        mServerLimits.limits(),
+                        mServerLimits.notices(),
                         mRetryBudgets,
                         mPromptFaults,
                         mLoop,
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedServerSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/LimitedServerSimulation.java
@@ -223,7 +223,7 @@
                 .schedule(
                         () -> {
                             slot.release();
-                            sender.limits().limits().record(slot.server(), notice, sentAt);
+                            sender.limits().notices().record(slot.server(), notice, sentAt);
                             if (notice.requestsPerSecond().isPresent()) {
                                 mToldAt.putIfAbsent(host, now());
                                 mNamedAt = OptionalLong.of(mNamedAt.orElse(now()));
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDispatcherTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OrderDispatcherTest.java
@@ -40,6 +40,27 @@
         assertThat(mSimulation.mViolations).isEmpty();
     }
 
+    /** Guards against a load on a server that said that it leaves while it was connected to. */
+    @Test
+    void anOrderIsNotWrittenToAServerThatHasSaidThatItLeaves() {
+        start(1);
+        Set<EngineOrder> connecting = new HashSet<>();
+        mSimulation.mConnectMillis =
+                order -> {
+                    connecting.add(order);
+                    return 100;
+                };
+        requestModels("m9");
+        for (int step = 0; step < 400 && connecting.isEmpty(); step++) {
+            run(Duration.ofMillis(10));
+        }
+        assertThat(connecting).isNotEmpty();
+        mDirectory.members().forEach(FleetMember::recordLeaving);
+        run(Duration.ofSeconds(4));
+
+        assertThat(isLoadedOnAnyEngine("m9")).isFalse();
+    }
+
     /** Guards against an engine that is never polled again after one report without a body. */
     @Test
     void anEngineThatSendsAnEmptyReportIsPolledAgain() {
