Leave a server alone for the time that it asks for with Retry-After

A server that turned a call away with 503 and Retry-After got the next calls after 60 ms, as if it was only full; if the answer was signed, it counted as a failure and opened the circuit breaker.

Retry-After of a 503 is now decoded with the other notices, in seconds with or without a fraction, and is a time on the server's record, asked when a call is sent. It is no failure and no success. A later answer counts if its pause ends later, or after a success since. The pause needs nothing to end: waiting calls are looked through every 25 ms. If all usable servers pause beyond the time of a call without an answer, it is refused at once with the time to the first end. Event 559, a counter.

Reports and orders to a pausing server go on, and waiting calls are not spread at the end of a pause.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -65,7 +65,8 @@
             557,
             INFO,
             "A backend server gets no orders for now, as it may execute those of another host."),
-    LEAVING_SAID(558, INFO, "A backend server says in an answer that it leaves; no new calls.");
+    LEAVING_SAID(558, INFO, "A backend server says in an answer that it leaves; no new calls."),
+    PAUSE_ASKED(559, INFO, "A backend server turns calls away and names the time to come back.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -35,6 +35,7 @@
     private final ServerHealth mHealth = new ServerHealth();
     private final ColdServerRateLimiter mColdRateLimiter = new ColdServerRateLimiter();
     private final ServerLimit mLimit = new ServerLimit();
+    private final ServerPause mPause = new ServerPause();
     private final SendPermits mPermits = new SendPermits();
     private final Map<String, Integer> mOwnCallsByModel = new HashMap<>();
     private final Map<ModelName, Long> mModelMissingAt = new HashMap<>();
@@ -102,6 +103,11 @@
         return mLimit;
     }
 
+    /** Returns the pause that the server has asked for. */
+    ServerPause pause() {
+        return mPause;
+    }
+
     /** Returns this host's permits for requests to the server while it has a limit. */
     public SendPermits permits() {
         return mPermits;
@@ -255,6 +261,7 @@
         boolean full = mFullAt != Long.MIN_VALUE && nowNanos - mFullAt < FULL_RETRY_NANOS;
         return inService()
                 && !full
+                && !mPause.holds(nowNanos)
                 && mHealth.usable(nowNanos)
                 && (!isCold(nowNanos) || mColdRateLimiter.allows(nowNanos));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LimitedServers.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LimitedServers.java
@@ -52,7 +52,7 @@
     /** Requests a permit for each server whose limit has not been confirmed for a while. */
     void requestConfirmations(List<FleetMember> servers, long nowNanos) {
         for (FleetMember server : servers) {
-            if (server.limit().isConfirmationDue(nowNanos)) {
+            if (server.limit().isConfirmationDue(nowNanos) && !server.pause().holds(nowNanos)) {
                 mPermits.request(server, 1, nowNanos + CONFIRMATION_TIME_NANOS);
             }
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerNotices.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerNotices.java
@@ -2,6 +2,7 @@
 
 import static org.vanillaslip.internal.logging.LogField.field;
 
+import java.time.Duration;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.metrics.DaemonMetrics;
 import org.vanillaslip.internal.runtime.DecisionLoop;
@@ -37,6 +38,7 @@
      */
     public void record(FleetMember server, ServerNotice notice, long sentNanos) {
         mLimits.record(server, notice, sentNanos);
+        notice.pause().ifPresent(pause -> recordPause(server, pause, sentNanos));
         if (notice.leaving() && server.recordLeaving()) {
             mMetrics.serverSaidLeaving();
             mLog.log(
@@ -49,4 +51,18 @@
             mDirectory.changed();
         }
     }
+
+    private void recordPause(FleetMember server, Duration asked, long sentNanos) {
+        long now = mLoop.clock().nowNanos();
+        if (server.pause().record(asked, server.health(), now)) {
+            mMetrics.serverPauseAsked();
+            mLog.log(
+                    FleetEvent.PAUSE_ASKED,
+                    field("server", server.instance()),
+                    field("born", server.registered().startedAtMillis()),
+                    field("pause_ms", server.pause().remaining(now).toMillis()),
+                    field("source", "answer"),
+                    field("age_ms", (now - sentNanos) / 1_000_000));
+        }
+    }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.fleet;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.IntSupplier;
@@ -145,6 +146,23 @@
                 : Optional.empty();
     }
 
+    /** Returns the time until the first pause ends, if all usable servers have asked for one. */
+    Optional<Duration> pauseOfAll(CallTarget target) {
+        long now = now();
+        Optional<Duration> first = Optional.empty();
+        for (FleetMember server : serversWith(target)) {
+            if (server.pause().holds(now)) {
+                Duration remaining = server.pause().remaining(now);
+                first =
+                        first.filter(one -> one.compareTo(remaining) <= 0)
+                                .or(() -> Optional.of(remaining));
+            } else if (!server.health().failing()) {
+                return Optional.empty();
+            }
+        }
+        return first;
+    }
+
     private long now() {
         return mLoop.clock().nowNanos();
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -45,6 +45,9 @@
     /** Detail of refusals because no server of a pool takes new calls. */
     private static final String LEAVING_DETAIL = "all servers leave";
 
+    /** Detail of refusals because of pauses. */
+    private static final String PAUSING_DETAIL = "all servers asked for a pause";
+
     private static final Comparator<WaitingCall> BY_PRIORITY_AND_AGE =
             Comparator.comparingInt(WaitingCall::priority)
                     .thenComparingLong(WaitingCall::enqueuedNanos);
@@ -141,7 +144,8 @@
         if (request.target().model().isPresent() && isModelMissing(request.target())) {
             mOnModelMissing.accept(request.target());
         }
-        requestPermits(request.target(), waiting);
+        refuseBeyondPauses(request.target());
+        requestPermits(request.target(), mWaiting.getOrDefault(request.target(), List.of()));
         scheduleTick();
     }
 
@@ -198,6 +202,20 @@
         }
     }
 
+    /** Refuses the calls whose time ends before the first server takes calls again. */
+    private void refuseBeyondPauses(CallTarget target) {
+        Optional<Duration> pause = mSelector.pauseOfAll(target);
+        if (pause.isEmpty()) {
+            return;
+        }
+        long endNanos = mLoop.clock().nowNanos() + pause.get().toNanos();
+        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+            if (!call.answerBegun() && endNanos - call.deadlineNanos() >= 0) {
+                refuse(call, ResultCode.DEADLINE_UNREACHABLE, pause.get(), PAUSING_DETAIL);
+            }
+        }
+    }
+
     /** Refuses the calls whose deadline is before the expected end of the load. */
     public void applyForecast(CallTarget target, Duration expected) {
         long readyAt = mLoop.clock().nowNanos() + expected.toNanos();
@@ -322,6 +340,7 @@
                 }
             }
         }
+        List.copyOf(mWaiting.keySet()).forEach(this::refuseBeyondPauses);
         List.copyOf(mWaiting.keySet()).forEach(this::refuseBeyondLimits);
         dispatch();
         scheduleTick();
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -89,6 +89,11 @@
             "vanillaslip_servers_leaving_total",
             "Backend servers of which this host learned from an answer that they leave.",
             "source"),
+    SERVER_PAUSES(
+            "vanillaslip.server.pauses",
+            "vanillaslip_server_pauses_total",
+            "Pauses that backend servers asked this host for when they turned a call away.",
+            "source"),
     SEND_PERMITS(
             "vanillaslip.send.permits",
             "vanillaslip_send_permits_total",
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -123,6 +123,11 @@
         count(DaemonMetric.SERVERS_LEAVING, 1, "answer");
     }
 
+    /** Counts a pause that a backend server has asked for. */
+    public void serverPauseAsked() {
+        count(DaemonMetric.SERVER_PAUSES, 1, "answer");
+    }
+
     /**
      * Counts a request for a permit to send to a backend server with a limit.
      *
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallDialect.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallDialect.java
@@ -23,7 +23,7 @@
             int status, HttpHeaders responseHeaders, String callId, String expectedInstance);
 
     /** Returns what a server says of itself in the head of a response. */
-    ServerNotice parseServerNotice(HttpHeaders responseHeaders);
+    ServerNotice parseServerNotice(int status, HttpHeaders responseHeaders);
 
     /** Sets the header that tells a caller when to retry. */
     void setRetryAfter(HttpHeaders responseHeaders, Duration retryAfter);
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -15,6 +15,7 @@
 import org.vanillaslip.internal.fleet.FleetEvent;
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.fleet.RequestSlot;
+import org.vanillaslip.internal.fleet.ServerNotice;
 import org.vanillaslip.internal.fleet.ServerNotices;
 import org.vanillaslip.internal.fleet.ServerSelector;
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
@@ -165,9 +166,11 @@
         }
     }
 
-    /** Records a failed call in the health of the server. */
+    /** Records a failed call in the health of the server, unless it asked for a pause instead. */
     void recordFailure(RelayCall call, FleetMember server) {
-        if (server.health().recordFailure(now())) {
+        if (call.wasTurnedAwayBy(server.instance())) {
+            server.health().recordInconclusive();
+        } else if (server.health().recordFailure(now())) {
             logPaused(call, server, "failed");
         }
     }
@@ -265,13 +268,20 @@
                         call.head().id(),
                         server.instance());
         if (outcome != ResponseOutcome.FOREIGN && outcome != ResponseOutcome.NOT_RUN_OTHER_SERVER) {
-            mNotices.record(
-                    server, mDialect.parseServerNotice(response.responseHeaders()), sentNanos);
+            ServerNotice notice =
+                    mDialect.parseServerNotice(
+                            response.status().code(), response.responseHeaders());
+            mNotices.record(server, notice, sentNanos);
+            if (notice.pause().isPresent()) {
+                call.recordTurnedAway(server.instance());
+            }
         }
         return switch (outcome) {
             case SUCCEEDED, FAILED -> onResponse.apply(response, chunks);
             case NOT_RUN_FULL -> {
-                server.recordFull(now());
+                if (!call.wasTurnedAwayBy(server.instance())) {
+                    server.recordFull(now());
+                }
                 yield notRun("the server is full");
             }
             case NOT_RUN_ABSENT -> {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -38,6 +38,7 @@
     private boolean mPossiblyRun;
     private boolean mSendInProgress;
     private final Set<String> mAnsweringServers = new HashSet<>();
+    private final Set<String> mTurnedAwayBy = new HashSet<>();
     private boolean mCallerDisconnected;
     private boolean mRetryReserved;
     private boolean mRetryRefused;
@@ -224,6 +225,7 @@
         mLastServer = instance;
         mSendInProgress = true;
         mAnsweringServers.remove(instance);
+        mTurnedAwayBy.remove(instance);
         return ++mSendCount;
     }
 
@@ -246,6 +248,16 @@
         return mAnsweringServers.contains(instance);
     }
 
+    /** Records that the server answered the last send by asking for a pause. */
+    void recordTurnedAway(String instance) {
+        mTurnedAwayBy.add(instance);
+    }
+
+    /** Returns whether the server answered the last send by asking for a pause. */
+    boolean wasTurnedAwayBy(String instance) {
+        return mTurnedAwayBy.contains(instance);
+    }
+
     /** Records that the send failed, so that no server is processing the call. */
     void recordSendFailed() {
         mSendInProgress = false;
