--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -37,6 +37,7 @@
     private final ServerHealth mHealth = new ServerHealth();
     private final ColdServerRateLimiter mColdRateLimiter = new ColdServerRateLimiter();
     private final ServerLimit mLimit = new ServerLimit();
+    private final ServerPause mPause = new ServerPause();
     private final SendPermits mPermits = new SendPermits();
     private final Map<String, Integer> mOwnCallsByModel = new HashMap<>();
     private final Map<ModelName, Long> mModelMissingAt = new HashMap<>();
@@ -51,6 +52,7 @@
     private long mColdUntil;
     private long mFullAt = Long.MIN_VALUE;
     private boolean mReplaced;
+    private boolean mSaidLeaving;
 
     FleetMember(RegisteredServer registered, boolean firstStart, long nowNanos) {
         mRegistered = registered;
@@ -109,6 +111,11 @@
         return mLimit;
     }
 
+    /** Returns the pause that the server has asked for. */
+    ServerPause pause() {
+        return mPause;
+    }
+
     /** Returns this host's permits for requests to the server while it has a limit. */
     public SendPermits permits() {
         return mPermits;
@@ -230,9 +237,25 @@
         mReplaced = true;
     }
 
-    /** Returns whether the server is neither stopping nor replaced by another one. */
+    /**
+     * Records that the server said in an answer that it leaves; this holds until its next start.
+     *
+     * @return whether this is news
+     */
+    boolean recordLeaving() {
+        boolean news = !mSaidLeaving;
+        mSaidLeaving = true;
+        return news;
+    }
+
+    /** Returns whether the server has announced, in its entry or in an answer, that it leaves. */
+    public boolean leaving() {
+        return mSaidLeaving || mRegistered.leaving();
+    }
+
+    /** Returns whether the server is neither leaving nor replaced by another one. */
     public boolean inService() {
-        return !mRegistered.leaving() && !mReplaced;
+        return !leaving() && !mReplaced;
     }
 
     /** Returns whether a call may be sent now. */
@@ -246,6 +269,7 @@
         boolean full = mFullAt != Long.MIN_VALUE && nowNanos - mFullAt < FULL_RETRY_NANOS;
         return inService()
                 && !full
+                && !mPause.holds(nowNanos)
                 && mHealth.usable(nowNanos)
                 && (!isCold(nowNanos) || mColdRateLimiter.allows(nowNanos));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.fleet;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.IntSupplier;
@@ -119,6 +120,11 @@
                 .toList();
     }
 
+    /** Returns whether all servers of the target's pool leave, so that none will get calls. */
+    boolean allLeaving(CallTarget target) {
+        return mDirectory.allLeaving(target.pool());
+    }
+
     /**
      * Requests permits for calls that wait, because no server without a limit has room.
      *
@@ -140,6 +146,23 @@
                 : Optional.empty();
     }
 
+    /** Returns the time until the first pause ends, if all usable servers have asked for one. */
+    Optional<Duration> pauseOfAll(CallTarget target) {
+        long now = now();
+        Optional<Duration> first = Optional.empty();
+        for (FleetMember server : serversWith(target)) {
+            if (server.pause().holds(now)) {
+                Duration remaining = server.pause().remaining(now);
+                first =
+                        first.filter(one -> one.compareTo(remaining) <= 0)
+                                .or(() -> Optional.of(remaining));
+            } else if (!server.health().failing()) {
+                return Optional.empty();
+            }
+        }
+        return first;
+    }
+
     private long now() {
         return mLoop.clock().nowNanos();
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -15,7 +15,8 @@
 import org.vanillaslip.internal.fleet.FleetEvent;
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.fleet.RequestSlot;
-import org.vanillaslip.internal.fleet.ServerLimits;
+import org.vanillaslip.internal.fleet.ServerNotice;
+import org.vanillaslip.internal.fleet.ServerNotices;
 import org.vanillaslip.internal.fleet.ServerSelector;
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.gateway.RefusedException;
@@ -44,7 +45,7 @@
     private final CallDialect mDialect;
     private final WaitingCallQueue mWaitingCalls;
     private final ServerSelector mSelector;
-    private final ServerLimits mLimits;
+    private final ServerNotices mNotices;
     private final RetryBudgets mBudgets;
     private final PromptFaultExchange mPromptFaults;
     private final DecisionLoop mLoop;
@@ -55,7 +56,7 @@
             CallDialect dialect,
             WaitingCallQueue waitingCalls,
             ServerSelector selector,
-            ServerLimits limits,
+            ServerNotices notices,
             RetryBudgets budgets,
             PromptFaultExchange promptFaults,
             DecisionLoop loop,
@@ -64,7 +65,7 @@
         mDialect = dialect;
         mWaitingCalls = waitingCalls;
         mSelector = selector;
-        mLimits = limits;
+        mNotices = notices;
         mBudgets = budgets;
         mPromptFaults = promptFaults;
         mLoop = loop;
@@ -191,9 +192,11 @@
         }
     }
 
-    /** Records a failed call in the health of the server. */
+    /** Records a failed call in the health of the server, unless it asked for a pause instead. */
     void recordFailure(RelayCall call, FleetMember server) {
-        if (server.health().recordFailure(now())) {
+        if (call.wasTurnedAwayBy(server.instance())) {
+            server.health().recordInconclusive();
+        } else if (server.health().recordFailure(now())) {
             logPaused(call, server, "failed");
         }
     }
@@ -239,7 +242,7 @@
             return;
         }
         List<String> subjects = new ArrayList<>();
-        if (!server.registered().leaving()) {
+        if (!server.leaving()) {
             subjects.add(call.callSubject());
         }
         if (!call.hasAnswerBegun(server.instance())) {
@@ -291,13 +294,20 @@
                         call.head().id(),
                         server.instance());
         if (outcome != ResponseOutcome.FOREIGN && outcome != ResponseOutcome.NOT_RUN_OTHER_SERVER) {
-            mLimits.record(
-                    server, mDialect.parseServerNotice(response.responseHeaders()), sentNanos);
+            ServerNotice notice =
+                    mDialect.parseServerNotice(
+                            response.status().code(), response.responseHeaders());
+            mNotices.record(server, notice, sentNanos);
+            if (notice.pause().isPresent()) {
+                call.recordTurnedAway(server.instance());
+            }
         }
         return switch (outcome) {
             case SUCCEEDED, FAILED -> onResponse.apply(response, chunks);
             case NOT_RUN_FULL -> {
-                server.recordFull(now());
+                if (!call.wasTurnedAwayBy(server.instance())) {
+                    server.recordFull(now());
+                }
                 yield notRun("the server is full");
             }
             case NOT_RUN_ABSENT -> {
