--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LateOrderGuard.java
@@ -87,7 +87,8 @@
 
     /**
      * A restarted server reaches again the order count that an order sent before its restart
-     * expects. Without a restart, the first order of this host makes the count exceed it.
+     * expects. Without a restart, the first order of this host makes the count exceed it, unless
+     * the sender assumed a count ahead of the server's.
      */
     private boolean mayFitAfterRestart(FleetMember member) {
         return hasRestarted(member)
