--- a/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
@@ -39,6 +39,8 @@
         mMetrics.relayBroken(CallKind.STREAM);
         mMetrics.serverLimitChanged(true);
         mMetrics.sendPermitRequested("granted");
+        mMetrics.serverSaidLeaving();
+        mMetrics.serverPauseAsked();
 
         String scrape = mMetrics.scrape();
 
@@ -58,6 +60,8 @@
                 .contains("vanillaslip_relay_answers_total{kind=\"stream\",status=\"2xx\"} 1.0")
                 .contains("vanillaslip_relay_refusals_total{code=\"2001\"} 1.0")
                 .contains("vanillaslip_server_limits_total{change=\"named\"} 1.0")
-                .contains("vanillaslip_send_permits_total{result=\"granted\"} 1.0");
+                .contains("vanillaslip_send_permits_total{result=\"granted\"} 1.0")
+                .contains("vanillaslip_servers_leaving_total{source=\"answer\"} 1.0")
+                .contains("vanillaslip_server_pauses_total{source=\"answer\"} 1.0");
     }
 }
