Add settings, calls and rights for duties that one host has for all

Platforms may ask one host at a time to report usage and to order the number of servers. The section [duties] and the scaling of a service switch this on; unknown duties and contradicting limits are logged and left out.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -39,6 +39,10 @@
             INFO,
             "A removed server is listed as before its removal; it gets no calls unless it stays"
                     + " listed."),
+    PLAN_ENTRIES_IGNORED(
+            535,
+            WARNING,
+            "Entries of a configuration version contradict each other and are not in force."),
     LEASE_TAKEN(540, INFO, "This host acquired the lease and orders loads from now on."),
     LEASE_LOST(541, WARNING, "This host lost the lease and no longer orders loads."),
     LEASE_WRITE_FAILED(542, WARNING, "The lease on orders could not be written."),
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -149,7 +149,7 @@
     }
 
     /** Returns whether this host may send an order of the term. */
-    boolean mayOrder(long term) {
+    public boolean mayOrder(long term) {
         return mState.term() == term && mayOrder();
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/PlanFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/PlanFollower.java
@@ -77,5 +77,11 @@
                 field("version", plan.version()),
                 field("routes", plan.routes().size()),
                 field("workspaces", plan.workspaces().size()));
+        if (!plan.ignored().isEmpty()) {
+            mLog.log(
+                    FleetEvent.PLAN_ENTRIES_IGNORED,
+                    field("version", plan.version()),
+                    field("ignored", String.join("; ", plan.ignored())));
+        }
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingTypes.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingTypes.java
@@ -27,6 +27,10 @@
     }
 
     /** With port 0, the operating system selects a free port. */
+    static SettingType<String> text() {
+        return new SettingType<>("text", Optional::of);
+    }
+
     static SettingType<InetSocketAddress> listenAddress() {
         return new SettingType<>("ip:port, port 0 to 65535", text -> parseAddress(text, 0));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/Settings.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/Settings.java
@@ -11,7 +11,8 @@
         AdmissionSettings admission,
         PlacementSettings placement,
         LogSettings log,
-        Optional<ServingSettings> serving) {
+        Optional<ServingSettings> serving,
+        Optional<DutySettings> duties) {
 
     /** Returns the failure domain of this host. */
     public FailureDomain failureDomain() {
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
@@ -212,6 +212,50 @@
                             "Units by which a workspace may exceed its rate and burst in a window,"
                                     + " because hosts learn of each other's use with a lag.")
                     .orDefault("0");
+    static final Setting<InetSocketAddress> DUTY_ADDRESS =
+            optional(
+                    "duties",
+                    "address",
+                    SettingTypes.remoteAddress(),
+                    "Address of the platform's API for calls that one host makes for all;"
+                            + " the section is only read when it is set.");
+    static final Setting<String> DUTIES =
+            optional(
+                            "duties",
+                            "duties",
+                            SettingTypes.text(),
+                            "Duties of the hosts, separated by commas: usage_report, autoscale."
+                                    + " Others are logged and left out.")
+                    .orDefault("");
+    static final Setting<Double> DUTY_CALLS_PER_SECOND =
+            optional(
+                            "duties",
+                            "calls_per_second",
+                            SettingTypes.decimal(0, 1e6),
+                            "Calls that the API accepts from all hosts together.")
+                    .orDefault("10");
+    static final Setting<Double> USAGE_WINDOW_SECONDS =
+            optional(
+                            "duties",
+                            "usage_window_seconds",
+                            SettingTypes.decimal(-1e9, 1e9),
+                            "Length of the windows of usage reports; without a positive one, none"
+                                    + " are sent.")
+                    .orDefault("0");
+    static final Setting<Double> USAGE_TOLERANCE =
+            optional(
+                            "duties",
+                            "usage_tolerance",
+                            SettingTypes.decimal(0, 1),
+                            "Allowed relative error of a reported count.")
+                    .orDefault("0.05");
+    static final Setting<Duration> USAGE_DUE =
+            optional(
+                            "duties",
+                            "usage_due_seconds",
+                            SettingTypes.fractionalDuration(0, 86_400, Duration.ofSeconds(1)),
+                            "Time after the end of a window at which its report is due.")
+                    .orDefault("10");
     static final Setting<LogFormat> LOG_FORMAT =
             optional(
                             "log",
@@ -264,6 +308,12 @@
                     RETRY_EXTRA,
                     RETRY_WINDOW,
                     RATE_SLACK,
+                    DUTY_ADDRESS,
+                    DUTIES,
+                    DUTY_CALLS_PER_SECOND,
+                    USAGE_WINDOW_SECONDS,
+                    USAGE_TOLERANCE,
+                    USAGE_DUE,
                     LOG_FORMAT,
                     LOG_LEVEL);
 
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsValidator.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsValidator.java
@@ -104,7 +104,21 @@
                         value(SettingsCatalogue.LEASE)),
                 new LogSettings(
                         value(SettingsCatalogue.LOG_FORMAT), value(SettingsCatalogue.LOG_LEVEL)),
-                buildServingSettings());
+                buildServingSettings(),
+                buildDutySettings());
+    }
+
+    private Optional<DutySettings> buildDutySettings() {
+        return Optional.ofNullable(valueOrNull(SettingsCatalogue.DUTY_ADDRESS))
+                .map(
+                        address ->
+                                DutySettingsBuilder.build(
+                                        address,
+                                        value(SettingsCatalogue.DUTIES),
+                                        value(SettingsCatalogue.DUTY_CALLS_PER_SECOND),
+                                        value(SettingsCatalogue.USAGE_WINDOW_SECONDS),
+                                        value(SettingsCatalogue.USAGE_TOLERANCE),
+                                        value(SettingsCatalogue.USAGE_DUE)));
     }
 
     private Optional<ServingSettings> buildServingSettings() {
--- a/decisions/src/main/java/org/vanillaslip/internal/serving/ServingPlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/serving/ServingPlan.java
@@ -15,6 +15,7 @@
     private final List<WorkspacePolicy> mWorkspaces;
     private final Map<String, WorkspacePolicy> mByKeyDigest;
     private final CallerLimits mLimits;
+    private final List<String> mIgnored;
 
     /**
      * Creates a plan from the parts of a configuration.
@@ -28,6 +29,23 @@
             List<WorkspacePolicy> workspaces,
             Map<String, WorkspacePolicy> byKeyDigest,
             CallerLimits limits) {
+        this(version, routes, pools, workspaces, byKeyDigest, limits, List.of());
+    }
+
+    /**
+     * Creates a plan from the parts of a configuration, some of which are left out.
+     *
+     * @param byKeyDigest policies by the digest of each API key of the workspace
+     * @param ignored what the configuration names and is not in force, with the reason
+     */
+    public ServingPlan(
+            long version,
+            List<ServedRoute> routes,
+            Map<String, ServicePool> pools,
+            List<WorkspacePolicy> workspaces,
+            Map<String, WorkspacePolicy> byKeyDigest,
+            CallerLimits limits,
+            List<String> ignored) {
         mVersion = version;
         mRoutes = List.copyOf(routes);
         mTable = new RouteTable(routes);
@@ -35,6 +53,7 @@
         mWorkspaces = List.copyOf(workspaces);
         mByKeyDigest = Map.copyOf(byKeyDigest);
         mLimits = limits;
+        mIgnored = List.copyOf(ignored);
     }
 
     /** Returns the configuration version. */
@@ -71,4 +90,9 @@
     public CallerLimits limits() {
         return mLimits;
     }
+
+    /** Returns what the configuration names and is not in force, with the reason. */
+    public List<String> ignored() {
+        return mIgnored;
+    }
 }
