Send no order that expects an uncounted adapter unload

Cause: the unload of an adapter is answered with 200 whether the server had the adapter and counted the order, or lacked it and did not. The sender always counted it. The next order could expect one order more than the server had counted, and when it was executed late, it fitted after the first order of the next holder.

Change: after such an answer the next order expects the lower count. If it is refused, it is repeated at once with the higher one. An adapter that an order of this host has loaded is certain to be there, so its unload is counted as before. What is assumed as completed moves to AssumedCompletions.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -81,6 +81,11 @@
         return mMembers.values();
     }
 
+    /** Returns the ids of the starts of all listed servers. */
+    Set<String> startIds() {
+        return mMembers.values().stream().map(FleetMember::startId).collect(Collectors.toSet());
+    }
+
     /** Returns a server by name. */
     public Optional<FleetMember> member(String instance) {
         return Optional.ofNullable(mMembers.get(instance));
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
@@ -25,18 +25,6 @@
     /** An accepted order that no report shows as completed is dropped if it is overdue by more. */
     private static final Duration OVERDUE_AFTER = Duration.ofSeconds(20);
 
-    /** Longest unload of a model without running calls. */
-    private static final Duration UNLOAD_TIME = Duration.ofMillis(40);
-
-    /** First retry delay of an order refused after an unload, which may wait for running calls. */
-    private static final Duration FIRST_RETRY_DELAY = Duration.ofMillis(25);
-
-    /** The delay doubles with each retry; by the last one, reports show the end of the unload. */
-    private static final int MAX_RETRIES = 4;
-
-    /** Added to the usual time of a load from disk or memory for the transfer of the order. */
-    private static final Duration LOAD_MARGIN = Duration.ofMillis(30);
-
     /** Deployments state up to 14 ms from the store; the rest is the transfer of the order. */
     private static final Duration ADAPTER_LOAD_TIME = Duration.ofMillis(25);
 
@@ -48,9 +36,9 @@
     private final LateOrderGuard mLateOrders;
     private final OrderEventLogger mLog;
     private final UnconfirmedOrders mUnconfirmedOrders = new UnconfirmedOrders();
+    private final UncertainOrderCounts mCounts = new UncertainOrderCounts();
     private final Map<String, PendingOrder> mPending = new HashMap<>();
-    private final Map<String, PendingOrder> mAssumedDone = new HashMap<>();
-    private final Map<String, Integer> mRetries = new HashMap<>();
+    private final AssumedCompletions mAssumedDone = new AssumedCompletions();
     private final Map<String, Long> mOrderedAt = new HashMap<>();
     private final ReportPoller mPoller;
     private final RecentLoads mRecentLoads = new RecentLoads();
@@ -86,8 +74,8 @@
     void clear() {
         mPending.clear();
         mAssumedDone.clear();
-        mRetries.clear();
         mLateOrders.clear();
+        mCounts.clear();
         mPoller.clear();
     }
 
@@ -100,6 +88,7 @@
     void refresh(Collection<FleetMember> engines) {
         long now = now();
         mPending.values().removeIf(pending -> !isListed(pending));
+        mCounts.retainStarts(mDirectory.startIds());
         mRecentLoads.removeServers(instance -> mDirectory.member(instance).isEmpty());
         mStoreParallelism.setRunningLoads(runningStoreLoads(), now);
         engines.forEach(mPoller::pollIfDue);
@@ -124,13 +113,8 @@
 
     /** Returns what unconfirmed orders may still load after the engine accepts the next order. */
     UnconfirmedLoads unconfirmedLoads(FleetMember member, EngineProfile profile) {
-        return mUnconfirmedOrders.possibleLoads(
-                member.instance(),
-                member.modelState().orderCount() + 1,
-                mLateOrders.age(member),
-                member.firstStart(),
-                profile,
-                now());
+        return mCounts.possibleLoads(
+                mUnconfirmedOrders, member, mLateOrders.age(member), profile, now());
     }
 
     Optional<PendingOrder> pendingOrder(String instance) {
@@ -159,7 +143,7 @@
                         planned.kind(),
                         planned.model(),
                         planned.adapter(),
-                        member.modelState().orderCount(),
+                        mCounts.lowestCount(member),
                         mHost,
                         mLease.term());
         mLog.logSent(planned, order, member.registered().startedAtMillis());
@@ -179,6 +163,7 @@
             member.setModelState(ModelStateChanges.afterCompletion(member.modelState(), planned));
             mDirectory.changed();
         }
+        mCounts.recordSent(member, planned);
         mUnconfirmedOrders.recordSent(planned, order.expectedOrders(), now);
         mEngines.sendOrder(member.registered(), order, mLateOrders.permission(member, order))
                 .publishOn(mLoop.scheduler())
@@ -203,8 +188,12 @@
             case ALREADY -> {
                 mPending.remove(instance);
                 if (planned.adapter().isPresent()) {
+                    boolean unload = planned.kind() == OrderKind.UNLOAD;
+                    if (unload) {
+                        mCounts.recordUnloaded(member, pending.expectedOrders());
+                    }
                     // An unused adapter is unloaded at once, which the engine counts as an order.
-                    completeAdapter(member, pending, planned.kind() == OrderKind.UNLOAD ? 1 : 0);
+                    completeAdapter(member, pending, unload ? 1 : 0);
                 } else {
                     // The server's models differ from the known ones.
                     mPoller.distrust(instance);
@@ -213,7 +202,7 @@
             }
             case REFUSED -> {
                 restoreModelState(member, pending);
-                handleRefused(member, planned);
+                handleRefused(member, pending);
             }
             case OTHER_SERVER -> {
                 mPending.remove(instance);
@@ -237,7 +226,7 @@
 
     /** Undoes the assumed effect of an order that was not executed. */
     private static void restoreModelState(FleetMember member, PendingOrder pending) {
-        if (member.modelState().orderCount() == pending.expectedOrders()) {
+        if (member.modelState().orderCount() == pending.stateBefore().orderCount()) {
             member.setModelState(pending.stateBefore());
         }
     }
@@ -245,8 +234,8 @@
     private void handleAccepted(FleetMember member, PendingOrder pending) {
         PlannedOrder planned = pending.order();
         long now = now();
-        mAssumedDone.remove(planned.instance());
-        mRetries.remove(planned.instance());
+        mAssumedDone.recordAccepted(planned.instance());
+        mCounts.recordAccepted(member, planned);
         mPending.put(planned.instance(), pending.asAccepted(now));
         if (planned.adapter().isPresent() && planned.kind() == OrderKind.LOAD) {
             // Adapter orders do not occupy the engine, and reports lag behind their completion.
@@ -271,8 +260,10 @@
             mPoller.pollAfter(member, planned.expectedDuration().plus(ReportPoller.POLL_INTERVAL));
             return;
         }
-        boolean unload = planned.kind() == OrderKind.UNLOAD;
-        Duration delay = unload ? UNLOAD_TIME : planned.expectedDuration().plus(LOAD_MARGIN);
+        assumeDoneAfter(member, planned, AssumedCompletions.usualTime(planned));
+    }
+
+    private void assumeDoneAfter(FleetMember member, PlannedOrder planned, Duration delay) {
         mLoop.scheduler()
                 .schedule(() -> assumeDone(member, planned), delay.toNanos(), TimeUnit.NANOSECONDS);
     }
@@ -284,7 +275,7 @@
             return;
         }
         mPending.remove(planned.instance());
-        mAssumedDone.put(planned.instance(), pending);
+        mAssumedDone.record(pending);
         ServerModelState modelState =
                 planned.kind() == OrderKind.LOAD
                         ? ModelStateChanges.afterCompletion(member.modelState(), planned)
@@ -296,32 +287,39 @@
         mOnProgress.run();
     }
 
-    private void handleRefused(FleetMember member, PlannedOrder planned) {
-        PendingOrder assumedDone = mAssumedDone.remove(planned.instance());
-        if (assumedDone != null) {
-            // An unload still waits for calls that run on the model.
-            mPending.put(planned.instance(), assumedDone);
-            mPoller.pollAfter(member, ReportPoller.POLL_INTERVAL);
-            if (assumedDone.order().kind() == OrderKind.UNLOAD) {
-                retryLater(member, assumedDone);
-            }
+    private void handleRefused(FleetMember member, PendingOrder refused) {
+        PlannedOrder planned = refused.order();
+        if (mCounts.isUncertain(member)
+                && !mUnconfirmedOrders.mayExecute(
+                        planned.instance(), refused.expectedOrders(), now())) {
+            // The server was idle at the lower count, so it has counted the unload before.
+            mCounts.recordCertain(member);
+            mPending.remove(planned.instance());
+            send(planned);
+            return;
+        }
+        Optional<PendingOrder> assumedDone = mAssumedDone.withdraw(planned.instance());
+        if (assumedDone.isPresent()) {
+            handleNotDone(member, assumedDone.get());
             return;
         }
         // The known state of the server is wrong, so wait for a report newer than all orders.
         mPending.remove(planned.instance());
+        mCounts.recordOtherOrder(member);
         mPoller.distrust(planned.instance());
         mPoller.pollAfter(member, FleetMember.MAX_REPORT_LAG.plus(ReportPoller.POLL_INTERVAL));
     }
 
     /** Reports lag, so the order after an unload is retried before they show the unload's end. */
-    private void retryLater(FleetMember member, PendingOrder unload) {
-        int retries = mRetries.merge(member.instance(), 1, Integer::sum);
-        if (retries > MAX_RETRIES) {
-            return;
+    private void handleNotDone(FleetMember member, PendingOrder assumedDone) {
+        // An unload still waits for calls that run on the model.
+        mPending.put(member.instance(), assumedDone);
+        mPoller.pollAfter(member, ReportPoller.POLL_INTERVAL);
+        if (assumedDone.order().kind() == OrderKind.UNLOAD) {
+            mAssumedDone
+                    .nextRetryDelay(assumedDone)
+                    .ifPresent(delay -> assumeDoneAfter(member, assumedDone.order(), delay));
         }
-        long delay = FIRST_RETRY_DELAY.toNanos() << (retries - 1);
-        mLoop.scheduler()
-                .schedule(() -> assumeDone(member, unload.order()), delay, TimeUnit.NANOSECONDS);
     }
 
     private void completeAdapter(FleetMember member, PendingOrder pending, int count) {
@@ -345,10 +343,14 @@
         if (newer) {
             mPoller.trust(member);
         }
+        if (newer || report.modelState().orderCount() >= member.modelState().orderCount()) {
+            mCounts.recordCertain(member);
+        }
         long raisedBefore = member.orderCounts().raisedAtNanos();
         mDirectory.applyReport(instance, member.registered().startedAtMillis(), report, newer);
         if (member.orderCounts().raisedAtNanos() != raisedBefore) {
             mLog.logCountRaised(member, mLease.term());
+            mCounts.recordOtherOrder(member);
         }
         if (pending != null) {
             updatePending(member, pending, report);
--- a/decisions/src/main/java/org/vanillaslip/internal/fleet/UnconfirmedOrders.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/fleet/UnconfirmedOrders.java
@@ -52,6 +52,12 @@
         return Set.copyOf(mSent.keySet());
     }
 
+    /** Returns whether the server may execute an unanswered order at the given order count. */
+    public boolean mayExecute(String instance, long orderCount, long nowNanos) {
+        return unansweredOrders(instance, nowNanos).stream()
+                .anyMatch(sent -> sent.expectedOrders() == orderCount);
+    }
+
     /** Records that this host took over from another one, whose unanswered orders are unknown. */
     public void recordTakeover(long nowNanos) {
         mTakeoverAt = Optional.of(nowNanos);
