Do not take a start after a silent list for the first one

Cause: a server whose name was not listed before counted as newly started, also when the host had heard nothing of the list for some time. An earlier start of the name could have come and gone meanwhile, and a late order to it fitted after the first order of the new holder.

Events have the same gap as lists, since relays forward only the last change of an entry.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -44,9 +44,9 @@
     private final Map<String, Long> mVersions = new HashMap<>();
     private final List<Runnable> mListeners = new ArrayList<>();
     private final Map<String, RemovedServer> mRemoved = new HashMap<>();
+    private final ListContinuity mContinuity = new ListContinuity();
     private long mEra;
     private boolean mListed;
-    private long mFirstListedAt;
 
     /**
      * Creates an empty directory.
@@ -172,6 +172,7 @@
 
     @Override
     public void listed(ObjectList list) {
+        mContinuity.recordHeard(mLoop.clock().nowNanos());
         long era = StoreVersion.era(list.version());
         if (mListed && era > mEra) {
             mLog.log(FleetEvent.STORE_RESTORED, field("era", era), field("before", mEra));
@@ -194,14 +195,12 @@
                                         && !names.contains(known.getKey())
                                         && !mMembers.containsKey(known.getKey()));
         changed();
-        if (!mListed) {
-            mListed = true;
-            mFirstListedAt = mLoop.clock().nowNanos();
-        }
+        mListed = true;
     }
 
     @Override
     public void changed(WatchEvent event) {
+        mContinuity.recordHeard(mLoop.clock().nowNanos());
         if (event.type() == WatchEventType.BOOKMARK) {
             return;
         }
@@ -305,13 +304,14 @@
 
     /**
      * Returns whether no server of this name can have been listed recently. Names that were listed
-     * before this host read the list for the first time are unknown to it.
+     * before this host read the list for the first time, or while it heard no changes, are unknown
+     * to it.
      */
     private boolean isFirstStart(String name, long nowNanos) {
         mRemoved.values()
                 .removeIf(removed -> nowNanos - removed.removedAtNanos() > NAME_RETENTION_NANOS);
         boolean knownBefore = mMembers.containsKey(name) || mRemoved.containsKey(name);
-        return !knownBefore && mListed && nowNanos - mFirstListedAt > NAME_RETENTION_NANOS;
+        return !knownBefore && mContinuity.coversLast(NAME_RETENTION_NANOS, nowNanos);
     }
 
     private static boolean isSameProcess(RegisteredServer one, RegisteredServer other) {
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/HolderChangeSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/HolderChangeSimulation.java
@@ -5,14 +5,18 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.StoredObject;
+import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.platform.WatchEventType;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.messages.DemandReport;
 import org.vanillaslip.messages.ModelDemand;
@@ -30,6 +34,10 @@
     final LeaseSimulation mLeases;
     final EngineSimulation mEngines;
     private final Map<String, Process> mProcesses = new HashMap<>();
+
+    /** Hosts that hear of the store's position all the time, as from relays. */
+    final Set<String> mFollowing = new HashSet<>();
+
     private List<String> mRequested = List.of();
     private long mRevision;
 
@@ -87,16 +95,7 @@
     /** Makes some hosts learn the present state of the engines. */
     void listEngines(Collection<String> hosts) {
         mRevision++;
-        List<StoredObject> objects =
-                mEngines.mEngines.keySet().stream()
-                        .map(
-                                name ->
-                                        new StoredObject(
-                                                "servers",
-                                                name,
-                                                mRevision,
-                                                JsonNodeFactory.instance.objectNode()))
-                        .toList();
+        List<StoredObject> objects = mEngines.mEngines.keySet().stream().map(this::entry).toList();
         hosts.forEach(
                 host ->
                         mProcesses
@@ -105,6 +104,17 @@
                                 .listed(new ObjectList(mRevision, objects)));
     }
 
+    /** Makes some hosts learn the present state of an engine by an event of their watches. */
+    void sendEvent(String engine, Collection<String> hosts) {
+        mRevision++;
+        WatchEvent event = new WatchEvent(WatchEventType.MODIFIED, entry(engine));
+        hosts.forEach(host -> mProcesses.get(host).directory().changed(event));
+    }
+
+    private StoredObject entry(String name) {
+        return new StoredObject("servers", name, mRevision, JsonNodeFactory.instance.objectNode());
+    }
+
     /** Sets the models and adapters, such as {@code m5:a1}, for which callers wait. */
     void request(String... models) {
         mRequested = List.of(models);
@@ -114,6 +124,8 @@
     void run(Duration time) {
         long end = mLeases.millis() + time.toMillis();
         while (mLeases.millis() < end) {
+            WatchEvent bookmark = new WatchEvent(WatchEventType.BOOKMARK, entry(""));
+            mFollowing.forEach(host -> mProcesses.get(host).directory().changed(bookmark));
             DemandReport demand = demand();
             mLeases.hosts().stream()
                     .filter(host -> !host.mSuspended && !host.mDead)
