Keep the schedule of a limited server that is not listed

Cause: with each request a relay dropped the schedules of servers that it did not list, the requested one included. Each request began a new schedule, which did not know the sends that were reserved already.

A schedule whose requests are passed on to another relay is kept as well, so that two relays which take turns as the first of the ranking do not begin anew each time.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/SendPermitExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/SendPermitExchange.java
@@ -7,8 +7,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.membership.RendezvousRanking;
 import org.vanillaslip.internal.metrics.DaemonMetrics;
@@ -31,9 +29,6 @@
     /** How far ahead a send can be reserved; calls that can wait longer ask again. */
     private static final Duration MAX_RESERVATION = Duration.ofMillis(1500);
 
-    /** A new holder of a schedule waits until most sends reserved by the previous one are over. */
-    private static final Duration HANDOVER = Duration.ofSeconds(1);
-
     /** From a host over its relay and another relay to the holder. */
     private static final int MAX_HOPS = 3;
 
@@ -50,7 +45,7 @@
     private final DaemonMetrics mMetrics;
     private final EventLog mLog;
     private final RendezvousRanking mRanking = new RendezvousRanking();
-    private final Map<String, SendSchedule> mSchedules = new HashMap<>();
+    private final Map<String, HeldSchedule> mSchedules = new HashMap<>();
 
     /** Creates the exchange without starting it. */
     public SendPermitExchange(
@@ -122,7 +117,12 @@
         if (holder.equals(Optional.of(mNetwork.hostName()))) {
             return Mono.just(lend(request));
         }
-        mSchedules.remove(request.startId());
+        mSchedules.computeIfPresent(
+                request.startId(),
+                (startId, schedule) -> {
+                    schedule.recordPassedOn();
+                    return schedule;
+                });
         SendRequest next = request.passedOn();
         if (holder.isEmpty() || next.hops() > MAX_HOPS) {
             return Mono.empty();
@@ -144,21 +144,12 @@
 
     private SendReply lend(SendRequest request) {
         long now = now();
-        dropSchedulesOfGoneServers();
+        dropSchedulesOfGoneServers(now);
         double perSecond = permittedPerSecond(request.limit()) * mNetwork.reachedPart();
         if (perSecond <= 0) {
             return new SendReply(false, MAX_RESERVATION.toMillis());
         }
-        SendSchedule schedule =
-                mSchedules.computeIfAbsent(
-                        request.startId(),
-                        startId -> {
-                            mLog.log(
-                                    FleetEvent.LIMIT_HELD,
-                                    field("server", startId),
-                                    field("per_second", perSecond));
-                            return new SendSchedule(now + HANDOVER.toNanos());
-                        });
+        SendSchedule schedule = heldSchedule(request.startId(), perSecond, now).use(now);
         long time = schedule.nextTime(perSecond, now);
         long delayMillis = (time - now + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
         if (delayMillis > request.withinMillis()) {
@@ -168,6 +159,18 @@
         return new SendReply(true, delayMillis);
     }
 
+    private HeldSchedule heldSchedule(String startId, double perSecond, long nowNanos) {
+        HeldSchedule held =
+                mSchedules.computeIfAbsent(startId, start -> new HeldSchedule(nowNanos));
+        if (!held.isHeld()) {
+            mLog.log(
+                    FleetEvent.LIMIT_HELD,
+                    field("server", startId),
+                    field("per_second", perSecond));
+        }
+        return held;
+    }
+
     /** Returns the rate known to this host, or that of the request for a server not yet listed. */
     private double permittedPerSecond(LimitNews limit) {
         return mDirectory
@@ -178,10 +181,19 @@
                 .orElseGet(() -> limit.requestsPerSecond().orElse(0));
     }
 
-    private void dropSchedulesOfGoneServers() {
-        Set<String> starts =
-                mDirectory.members().stream().map(FleetMember::startId).collect(Collectors.toSet());
-        mSchedules.keySet().removeIf(startId -> !starts.contains(startId));
+    /** The list of this host may lack a server that other hosts already send to. */
+    private void dropSchedulesOfGoneServers(long nowNanos) {
+        mSchedules
+                .entrySet()
+                .removeIf(
+                        entry -> entry.getValue().isUnused(nowNanos) && !isListed(entry.getKey()));
+    }
+
+    private boolean isListed(String startId) {
+        return mDirectory
+                .member(FleetMember.instance(startId))
+                .filter(server -> server.startId().equals(startId))
+                .isPresent();
     }
 
     private long now() {
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/SendSchedule.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/SendSchedule.java
@@ -22,6 +22,11 @@
         mLastTimeNanos = startNanos;
     }
 
+    /** Leaves out the times until another host, which has lent sends meanwhile, sends no more. */
+    public void resumeAt(long startNanos) {
+        mLastTimeNanos = Math.max(mLastTimeNanos, startNanos);
+    }
+
     /** Returns the next free time at the given rate. */
     public long nextTime(double perSecond, long nowNanos) {
         double interval = Math.min(MAX_INTERVAL_NANOS, NANOS_PER_SECOND / perSecond);
