Report the usage of workspaces from one host

The lease holder collects the calls that each host counts by window, records each window in the store by a conditional write and sends only what is recorded.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
@@ -65,6 +65,7 @@
     private long mHolderTerm;
     private long mDigestReceivedAt = Long.MIN_VALUE;
     private boolean mDemandScheduled;
+    private UsageMessages mUsage = UsageMessages.NONE;
 
     /**
      * Creates an exchange that is not started.
@@ -97,6 +98,11 @@
                 BATCH_DELAY, BATCH_DELAY_PER_HOST, MAX_BATCH_DELAY, hosts, send, loop);
     }
 
+    /** Sets what the messages carry about usage; called before the start. */
+    public void setUsage(UsageMessages usage) {
+        mUsage = usage;
+    }
+
     /** Starts to exchange messages. */
     public void start() {
         mLinks.handle(Envelope.BodyCase.DEMAND_REPORT, this::handleDemand);
@@ -131,18 +137,19 @@
 
     private void sendDemand() {
         mDemandScheduled = false;
-        Optional<DemandReport> report = mDemandReporter.takeReport();
+        Optional<DemandReport> demand = mDemandReporter.takeReport();
+        Optional<String> holder = mLease.held() ? Optional.of(mHost) : holder();
+        if (holder.isEmpty()) {
+            return;
+        }
+        Optional<DemandReport> report = mUsage.addCounts(demand, holder.get());
         if (report.isEmpty()) {
             return;
         }
         if (mLease.held()) {
             mController.recordDemand(mHost, report.get());
         } else {
-            holder().ifPresent(
-                            holder ->
-                                    mLinks.send(
-                                            holder,
-                                            Envelope.newBuilder().setDemandReport(report.get())));
+            mLinks.send(holder.get(), Envelope.newBuilder().setDemandReport(report.get()));
         }
     }
 
@@ -152,7 +159,14 @@
 
     private Mono<Envelope.Builder> handleDemand(Envelope message) {
         if (mLease.held()) {
-            mController.recordDemand(message.getSender(), message.getDemandReport());
+            DemandReport report = message.getDemandReport();
+            if (report.hasUsage()) {
+                mUsage.handleCounts(
+                        message.getSender(), message.getSenderIncarnation(), report.getUsage());
+            }
+            if (report.getModelsCount() + report.getRunningCount() > 0) {
+                mController.recordDemand(message.getSender(), report);
+            }
         }
         return Mono.empty();
     }
@@ -231,6 +245,7 @@
                 digest.addServers(state);
             }
         }
+        mUsage.addStatus(digest);
         broadcast(digest);
     }
 
@@ -275,6 +290,9 @@
         mHolderTerm = digest.getTerm();
         mHolder = message.getSender();
         mDigestReceivedAt = mLoop.clock().nowNanos();
+        if (digest.hasUsage()) {
+            mUsage.handleStatus(digest.getUsage());
+        }
         mDirectory.applyReports(
                 digest.getServersList().stream()
                         .map(this::toServerReport)
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -36,8 +36,8 @@
     /** Name of the stored object; one host holds the lease for all servers of the deployment. */
     static final String NAME = "fleet";
 
-    /** Term of the first holder. */
-    static final long FIRST_TERM = 1;
+    /** Term of the first holder of a deployment, if its store has never been restored. */
+    public static final long FIRST_TERM = 1;
 
     /** Terms of an era of the store; far more than hosts can take in one. */
     private static final int TERM_BITS_PER_ERA = 20;
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -98,7 +98,23 @@
             "vanillaslip.send.permits",
             "vanillaslip_send_permits_total",
             "Permits that this host requested for calls to backend servers with a limit.",
-            "result");
+            "result"),
+    USAGE_WINDOWS(
+            "vanillaslip.usage.windows",
+            "vanillaslip_usage_windows_total",
+            "Usage windows that this host, as lease holder, recorded to be reported or left out;"
+                    + " windows that are left out together count once.",
+            "result"),
+    USAGE_REPORTS(
+            "vanillaslip.usage.reports",
+            "vanillaslip_usage_reports_total",
+            "Calls with a usage report that this host made, by answer.",
+            "answer"),
+    USAGE_CALLS_LATE(
+            "vanillaslip.usage.calls.late",
+            "vanillaslip_usage_calls_late_total",
+            "Calls that the lease holder heard of after the report of their window was recorded.",
+            "source");
 
     private final String mMeterName;
     private final String mScrapeName;
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -159,6 +159,25 @@
         count(DaemonMetric.RELAY_BROKEN, 1, label(kind));
     }
 
+    /**
+     * Counts a usage window that is closed.
+     *
+     * @param result settled or left_out
+     */
+    public void usageWindow(String result) {
+        count(DaemonMetric.USAGE_WINDOWS, 1, result);
+    }
+
+    /** Counts a call with a usage report by its answer. */
+    public void usageReportSent(String answer) {
+        count(DaemonMetric.USAGE_REPORTS, 1, answer.toLowerCase(Locale.ROOT));
+    }
+
+    /** Counts calls that came too late for the report of their window. */
+    public void usageCallsLate(long calls) {
+        count(DaemonMetric.USAGE_CALLS_LATE, calls, "host");
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public String scrape() {
         return mRegistry.scrape();
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -139,6 +139,7 @@
                                 server.health().recordSuccess(mLoop.clock().nowNanos());
                                 mStandbys.recordHeard(server);
                             }
+                            call.usage().recordAnswer(server.instance());
                             return Mono.just(
                                     new BufferedResponse(
                                             status,
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,6 +17,7 @@
 import org.reactivestreams.Publisher;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
+import org.vanillaslip.internal.duty.UsageMeter;
 import org.vanillaslip.internal.fleet.DemandReporter;
 import org.vanillaslip.internal.gateway.RefusalWriter;
 import org.vanillaslip.internal.gateway.RefusedException;
@@ -50,6 +52,7 @@
     private final CallDialect mDialect;
     private final CallSender mSender;
     private final DemandReporter mDemandReporter;
+    private final Optional<UsageMeter> mUsage;
     private final Standbys mStandbys;
     private final BufferedRelay mBufferedRelay;
     private final RelayMetrics mMetrics;
@@ -64,6 +67,7 @@
     /**
      * Creates a relay.
      *
+     * @param usage counts calls; empty if no usage is reported
      * @param loopDelayed whether the event loop is stalled or was stalled recently
      */
     CallRelay(
@@ -71,6 +75,7 @@
             CallDialect dialect,
             CallSender sender,
             DemandReporter demandReporter,
+            Optional<UsageMeter> usage,
             RelayMetrics metrics,
             BooleanSupplier loopDelayed,
             DecisionLoop loop,
@@ -79,6 +84,7 @@
         mDialect = dialect;
         mSender = sender;
         mDemandReporter = demandReporter;
+        mUsage = usage;
         mStandbys = new Standbys(sender, loop, log);
         mBufferedRelay =
                 new BufferedRelay(sender, new Standbys(sender, loop, log), mMemoryLimit, loop);
@@ -194,6 +200,7 @@
         RelayCall call = mAdmission.admit(received);
         mSender.recordCall(call);
         mDemandReporter.recordCall(call.target(), call.route().objective());
+        mUsage.ifPresent(usage -> countUsage(call, usage));
         Mono<Void> completion =
                 call.route().kind() == CallKind.STREAM
                         ? relayStream(call, response)
@@ -203,6 +210,12 @@
                 .doOnCancel(() -> recordCallerDisconnected(call));
     }
 
+    private static void countUsage(RelayCall call, UsageMeter usage) {
+        boolean stream = call.route().kind() == CallKind.STREAM;
+        call.policy()
+                .ifPresent(policy -> call.setUsage(usage.begin(policy.workspace().name(), stream)));
+    }
+
     /** Signals an error when this host shuts down before the call is complete. */
     private Mono<Void> interruption(RelayCall call) {
         return mInterrupted
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.vanillaslip.internal.duty.CallUsage;
 import org.vanillaslip.internal.fleet.CallTarget;
 import org.vanillaslip.internal.fleet.ServerRequest;
 import org.vanillaslip.internal.fleet.WaitBounds;
@@ -43,6 +44,7 @@
     private boolean mRetryReserved;
     private boolean mRetryRefused;
     private String mLastServer = "";
+    private CallUsage mUsage = CallUsage.NONE;
 
     RelayCall(
             ReceivedCall received,
@@ -101,6 +103,15 @@
         return mPolicy;
     }
 
+    /** Sets the count of this call in the usage of its workspace. */
+    void setUsage(CallUsage usage) {
+        mUsage = usage;
+    }
+
+    CallUsage usage() {
+        return mUsage;
+    }
+
     void recordCharge(WorkspaceCharge charge) {
         mCharge = Optional.of(charge);
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -18,6 +18,7 @@
 import org.vanillaslip.internal.control.configuration.CollectionFollower;
 import org.vanillaslip.internal.control.configuration.CollectionListener;
 import org.vanillaslip.internal.control.configuration.HostListWatcher;
+import org.vanillaslip.internal.duty.DutyEvent;
 import org.vanillaslip.internal.fleet.DemandReporter;
 import org.vanillaslip.internal.fleet.DrainFollower;
 import org.vanillaslip.internal.fleet.FleetDirectory;
@@ -49,9 +50,11 @@
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.runtime.DecisionLoopMonitor;
 import org.vanillaslip.internal.runtime.RunningDaemon;
+import org.vanillaslip.internal.settings.DutySettings;
 import org.vanillaslip.internal.settings.HostSettings;
 import org.vanillaslip.internal.settings.ServingSettings;
 import org.vanillaslip.internal.settings.Settings;
+import org.vanillaslip.internal.usage.UsageSource;
 import org.vanillaslip.messages.Heartbeat;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -107,6 +110,7 @@
     private final FleetLease mLease;
     private final LoadController mLoadController;
     private final FleetExchange mExchange;
+    private final Optional<UsageReports> mUsage;
     private final PromptFaultExchange mPromptFaults;
     private final RetryBudgets mRetryBudgets;
     private final CallRelay mRelay;
@@ -170,6 +174,8 @@
                         mLinks,
                         this::hostCount,
                         mLoop);
+        mUsage = usageReports(settings);
+        mUsage.ifPresent(usage -> mExchange.setUsage(usage.exchange()));
         mPromptFaults = promptFaults();
         mRetryBudgets = new RetryBudgets(mHost.name(), serving, mHosts, storeAnswers, mLoop, log);
         mRelay = callRelay(selector, demandReporter);
@@ -199,6 +205,7 @@
         mPromptFaults.start();
         mLoadController.start();
         mLease.start();
+        mUsage.ifPresent(usage -> usage.reporter().start());
         mLoopMonitor.start();
     }
 
@@ -298,6 +305,29 @@
                 mLog);
     }
 
+    private Optional<UsageReports> usageReports(Settings settings) {
+        settings.duties()
+                .map(DutySettings::ignored)
+                .filter(ignored -> !ignored.isEmpty())
+                .ifPresent(
+                        ignored ->
+                                mLog.log(
+                                        DutyEvent.SETTINGS_IGNORED,
+                                        field("reasons", String.join("; ", ignored))));
+        return UsageReports.create(
+                settings.duties(),
+                mAdapters.dutyCalls(),
+                new UsageSource(mHost.name(), mIncarnation),
+                mLease,
+                mStore,
+                mNetwork,
+                this::listedHosts,
+                this::hostCount,
+                mLoop,
+                mMetrics,
+                mLog);
+    }
+
     private PromptFaultExchange promptFaults() {
         QuarantineRecord record = new QuarantineRecord(mStore, InstantSource.system(), mLoop, mLog);
         return new PromptFaultExchange(
@@ -322,6 +352,7 @@
                 mAdapters.dialect(),
                 sender,
                 demandReporter,
+                mUsage.map(UsageReports::meter),
                 new RelayMetrics(mMetrics),
                 mLoopMonitor::isBehind,
                 mLoop,
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -199,6 +199,7 @@
             mResponseHead = head;
             mEventReceived = true;
             mFirstEventNanos = mLoop.clock().nowNanos() - mCall.arrivedNanos();
+            mCall.usage().recordFirstEvent();
         }
         server.health().recordSuccess(mLoop.clock().nowNanos());
         if (event.id().isPresent()) {
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformCollections.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformCollections.java
@@ -21,5 +21,8 @@
     /** Prompt parts under which servers crashed; one object. */
     public static final String PROMPT_QUARANTINES = "promptquarantines";
 
+    /** Usage reports of the last windows; one object. */
+    public static final String USAGE_REPORTS = "usagereports";
+
     private PlatformCollections() {}
 }
