--- a/daemon/src/main/java/org/vanillaslip/internal/duty/UsageSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/UsageSender.java
@@ -35,7 +35,7 @@
     private final Set<Long> mAccepted = new HashSet<>();
     private final Set<Long> mGivenUp = new HashSet<>();
     private boolean mInFlight;
-    private long mNotBefore = Long.MIN_VALUE;
+    private long mNotBefore = Long.MIN_VALUE / 2;
     private Duration mBackoff = MIN_BACKOFF;
     private int mRejections;
 
