Order the number of backend servers ahead of demand

The holder of the fleet lease decides the number of servers of each scaled pool and failure domain from the demand reports of all hosts, records it in the store and sends it to the platform. Off unless the settings name the duty and the configuration has limits for the pool.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/DemandReporter.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/DemandReporter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.messages.DemandReport;
 import org.vanillaslip.messages.ModelDemand;
@@ -19,6 +20,7 @@
     private final FleetDirectory mDirectory;
     private final DecisionLoop mLoop;
     private final Map<CallTarget, Arrivals> mArrivalsByTarget = new HashMap<>();
+    private Predicate<CallTarget> mAllCallsReported = target -> false;
 
     /** Creates a reporter without recorded calls. */
     public DemandReporter(
@@ -28,6 +30,14 @@
         mLoop = loop;
     }
 
+    /**
+     * Also reports waiting calls of these targets whose model is loaded, and the running calls of
+     * those that need no model.
+     */
+    public void reportAllCallsOf(Predicate<CallTarget> targets) {
+        mAllCallsReported = targets;
+    }
+
     /** Records the arrival of a call, if it needs a model. */
     public void recordCall(CallTarget target, Duration objective) {
         if (target.model().isPresent()) {
@@ -53,7 +63,7 @@
                                 .setObjectiveMillis((int) arrivals.mObjective.toMillis()));
         mArrivalsByTarget.clear();
         mWaitingCalls
-                .callsMissingModel()
+                .callsMissingModel(mAllCallsReported)
                 .forEach(
                         (target, calls) ->
                                 addWaiting(
@@ -103,10 +113,24 @@
                                                     .setModel(model)
                                                     .setCount(count)
                                                     .build()));
+            addCallsWithoutModel(running, member);
         }
         return running;
     }
 
+    private void addCallsWithoutModel(List<RunningCalls> running, FleetMember member) {
+        int calls =
+                member.ownCalls()
+                        - member.ownCallsByModel().values().stream()
+                                .mapToInt(Integer::intValue)
+                                .sum();
+        CallTarget target = new CallTarget(member.registered().pool(), Optional.empty());
+        if (calls > 0 && mAllCallsReported.test(target)) {
+            running.add(
+                    RunningCalls.newBuilder().setServer(member.instance()).setCount(calls).build());
+        }
+    }
+
     /** Number of calls for one target since the last report, and their shortest objective. */
     private static final class Arrivals {
         private int mCount;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -153,6 +153,15 @@
         return mState.term() == term && mayOrder();
     }
 
+    /**
+     * Returns whether the store was restored between two terms, so that what the holder of the
+     * earlier one stored last may be lost.
+     */
+    public static boolean isOfEarlierEra(long term, long laterTerm) {
+        return (term - FIRST_TERM) >> TERM_BITS_PER_ERA
+                < (laterTerm - FIRST_TERM) >> TERM_BITS_PER_ERA;
+    }
+
     /** Returns the orders that are unanswered when the holder changes. */
     LeaseHandover handover() {
         return mHandover;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/LoadController.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.IntSupplier;
 import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.logging.EventLog;
@@ -40,6 +41,7 @@
     private final FleetDemand mDemand;
     private final OrderDispatcher mDispatcher;
     private final CoalescingTask mPlanningTask;
+    private BiConsumer<String, DemandReport> mDemandListener = (host, report) -> {};
     private ForecastListener mForecastListener = (target, expected, reportTimes) -> {};
     private final Map<String, RefusedDemand> mRefused = new HashMap<>();
 
@@ -81,6 +83,11 @@
         mForecastListener = listener;
     }
 
+    /** Registers the listener for the demand reports of all hosts. */
+    public void onDemand(BiConsumer<String, DemandReport> listener) {
+        mDemandListener = listener;
+    }
+
     /** Starts planning. */
     public void start() {
         long period = TICK.toNanos();
@@ -93,6 +100,7 @@
     /** Records the demand of a host and schedules planning. */
     public void recordDemand(String host, DemandReport report) {
         mDemand.recordReport(host, report, now());
+        mDemandListener.accept(host, report);
         schedulePlanning();
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.gateway.RefusedException;
@@ -255,12 +256,17 @@
         }
     }
 
-    /** Returns the calls whose model is not loaded on any server in service. */
-    public Map<CallTarget, Collection<WaitingCall>> callsMissingModel() {
+    /**
+     * Returns the calls whose model is not loaded on any server in service, and those of other
+     * targets that are asked for.
+     */
+    public Map<CallTarget, Collection<WaitingCall>> callsMissingModel(
+            Predicate<CallTarget> others) {
         Map<CallTarget, Collection<WaitingCall>> missing = new HashMap<>();
         mWaiting.forEach(
                 (target, queue) -> {
-                    if (target.model().isPresent() && isModelMissing(target)) {
+                    boolean missesModel = target.model().isPresent() && isModelMissing(target);
+                    if (missesModel || others.test(target)) {
                         missing.put(target, List.copyOf(queue));
                     }
                 });
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -98,7 +98,20 @@
             "vanillaslip.send.permits",
             "vanillaslip_send_permits_total",
             "Permits that this host requested for calls to backend servers with a limit.",
-            "result");
+            "result"),
+    SERVERS_ORDERED(
+            "vanillaslip.servers.ordered",
+            "vanillaslip_servers_ordered",
+            "Ordered number of backend servers; only on the host that holds the lease.",
+            "pool",
+            "failure_domain"),
+    SERVERS_LISTED(
+            "vanillaslip.servers.listed",
+            "vanillaslip_servers_listed",
+            "Listed backend servers of a scaled pool that do not leave; only on the host that"
+                    + " holds the lease.",
+            "pool",
+            "failure_domain");
 
     private final String mMeterName;
     private final String mScrapeName;
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -39,10 +39,12 @@
     private static final double MICRO_TOKENS_PER_TOKEN = 1e6;
 
     private final PrometheusMeterRegistry mRegistry;
+    private final ServerCountMetrics mServerCounts;
 
     /** Creates the metrics on the given registry. */
     public DaemonMetrics(PrometheusMeterRegistry registry) {
         mRegistry = registry;
+        mServerCounts = new ServerCountMetrics(registry);
     }
 
     /**
@@ -154,6 +156,11 @@
         count(DaemonMetric.RELAY_REFUSALS, 1, String.valueOf(code.number()));
     }
 
+    /** Returns the gauges of the numbers of backend servers. */
+    public ServerCountMetrics serverCounts() {
+        return mServerCounts;
+    }
+
     /** Counts a pass-through answer that broke off. */
     public void relayBroken(CallKind kind) {
         count(DaemonMetric.RELAY_BROKEN, 1, label(kind));
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -18,6 +18,8 @@
 import org.vanillaslip.internal.control.configuration.CollectionFollower;
 import org.vanillaslip.internal.control.configuration.CollectionListener;
 import org.vanillaslip.internal.control.configuration.HostListWatcher;
+import org.vanillaslip.internal.duty.ServerCountController;
+import org.vanillaslip.internal.duty.ServerCountDuty;
 import org.vanillaslip.internal.fleet.DemandReporter;
 import org.vanillaslip.internal.fleet.DrainFollower;
 import org.vanillaslip.internal.fleet.FleetDirectory;
@@ -53,7 +55,6 @@
 import org.vanillaslip.internal.settings.ServingSettings;
 import org.vanillaslip.internal.settings.Settings;
 import org.vanillaslip.messages.Heartbeat;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /** Creates, starts and stops all components of a host that serves pass-through routes. */
@@ -64,12 +65,6 @@
     /** Changes must take effect within two seconds, also after an outage of the store. */
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(400);
 
-    private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(50);
-
-    /** Time to send the error responses; the platform kills a host shortly afterwards. */
-    private static final Duration INTERRUPTED_RESPONSE_TIME = Duration.ofMillis(150);
-
-    private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(100);
     private static final Duration REMOVAL_TIMEOUT = Duration.ofMillis(500);
 
     /** Part of the rate slack; the rest covers calls that hosts admit at the same time. */
@@ -111,6 +106,7 @@
     private final RetryBudgets mRetryBudgets;
     private final CallRelay mRelay;
     private final ServingHttpServers mHttpServers;
+    private final Optional<ServerCountController> mServerCounts;
     private volatile boolean mLeaving;
 
     /** Creates the components; nothing runs before {@link #start()}. */
@@ -174,6 +170,7 @@
         mRetryBudgets = new RetryBudgets(mHost.name(), serving, mHosts, storeAnswers, mLoop, log);
         mRelay = callRelay(selector, demandReporter);
         mHttpServers = httpServers();
+        mServerCounts = serverCounts(settings, demandReporter);
     }
 
     @Override
@@ -198,6 +195,7 @@
         mPromptFaults.onQuarantine(mWaitingCalls::refuseCallsWith);
         mPromptFaults.start();
         mLoadController.start();
+        mServerCounts.ifPresent(ServerCountController::start);
         mLease.start();
         mLoopMonitor.start();
     }
@@ -221,7 +219,7 @@
                 .doOnNext(tick -> mRelay.refuseNewCalls())
                 .delayElement(schedule.closing().minus(schedule.refusal()), mLoop.scheduler())
                 .doOnNext(tick -> mHttpServers.stopAccepting())
-                .then(awaitActiveCalls(timeout))
+                .then(new ActiveCallsEnd(mRelay, mWaitingCalls, mLoop, mLog).await(timeout))
                 .then(
                         mRegistration
                                 .stop()
@@ -342,32 +340,24 @@
                 mLog);
     }
 
-    private Mono<Void> awaitActiveCalls(Duration timeout) {
-        Mono<Long> refuseWaitingCalls =
-                Mono.delay(timeout.dividedBy(2), mLoop.scheduler())
-                        .doOnNext(tick -> mWaitingCalls.refuseUnanswered(STOPPING_RETRY_AFTER));
-        Mono<Void> idle =
-                Flux.interval(Duration.ZERO, IDLE_CHECK_INTERVAL, mLoop.scheduler())
-                        .filter(tick -> mRelay.activeCalls() == 0)
-                        .next()
-                        .then();
-        Mono<Void> interrupted =
-                Mono.delay(timeout, mLoop.scheduler())
-                        .doOnNext(tick -> interruptActiveCalls())
-                        .then(Mono.delay(INTERRUPTED_RESPONSE_TIME, mLoop.scheduler()))
-                        .then();
-        return Mono.firstWithSignal(idle, interrupted)
-                .doOnSubscribe(
-                        started -> {
-                            mLog.log(
-                                    LifecycleEvent.REFUSING, field("active", mRelay.activeCalls()));
-                            refuseWaitingCalls.subscribe();
-                        });
-    }
-
-    private void interruptActiveCalls() {
-        mLog.log(LifecycleEvent.STOP_INCOMPLETE, field("unfinished", mRelay.activeCalls()));
-        mRelay.interruptActiveCalls();
+    private Optional<ServerCountController> serverCounts(
+            Settings settings, DemandReporter demandReporter) {
+        return ServerCountDuty.create(
+                settings.duties(),
+                mAdapters.dutyCalls(),
+                mHost.name(),
+                mStore,
+                mLease,
+                mDirectory,
+                mDrains,
+                mPlans,
+                mLoadController,
+                demandReporter,
+                this::listedHosts,
+                mNetwork::liveHosts,
+                mMetrics.serverCounts()::show,
+                mLoop,
+                mLog);
     }
 
     private void follow(String collection, CollectionListener listener) {
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformCollections.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformCollections.java
@@ -21,5 +21,8 @@
     /** Prompt parts under which servers crashed; one object. */
     public static final String PROMPT_QUARANTINES = "promptquarantines";
 
+    /** Ordered numbers of backend servers; one object. */
+    public static final String SERVER_COUNTS = "servercounts";
+
     private PlatformCollections() {}
 }
