--- a/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
@@ -5,11 +5,13 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.vanillaslip.ModelName;
 import org.vanillaslip.RequestClass;
 import org.vanillaslip.ResultCode;
+import org.vanillaslip.internal.duty.ServerCountGauge;
 import org.vanillaslip.internal.platform.PlatformFailure;
 import org.vanillaslip.internal.serving.CallKind;
 
@@ -37,6 +39,7 @@
         mMetrics.relayAnswered(CallKind.STREAM, 2, 300_000_000);
         mMetrics.relayRefused(ResultCode.RATE_EXCEEDED);
         mMetrics.relayBroken(CallKind.STREAM);
+        mMetrics.serverCounts().show(List.of(new ServerCountGauge("pool", "zone", 4, 3)));
         mMetrics.serverLimitChanged(true);
         mMetrics.sendPermitRequested("granted");
         mMetrics.serverSaidLeaving();
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/CallTrend.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/CallTrend.java
@@ -16,12 +16,12 @@
     private static final long AVERAGING_NANOS = Duration.ofSeconds(1).toNanos();
 
     /** Long enough to see a rise through the noise, short against a demand that doubles in 5 s. */
-    private static final long SLOPE_NANOS = Duration.ofSeconds(3).toNanos();
+    private static final long MIN_RISE_NANOS = Duration.ofSeconds(3).toNanos();
 
     /** Covers two waves of 17 s. */
     private static final long MEMORY_NANOS = Duration.ofSeconds(40).toNanos();
 
-    /** Bounds the error if a rise ends right after it was measured. */
+    /** Bounds the error of a rise from almost no calls. */
     private static final double MAX_GROWTH = 2;
 
     /** Random arrivals of a constant rate rarely exceed an earlier peak by more deviations. */
@@ -56,27 +56,35 @@
         return mSamples.isEmpty() ? 0 : mSamples.getLast().average();
     }
 
-    /** Returns the expected number of concurrent calls after the given time. */
+    /**
+     * Returns the expected number of concurrent calls after the given time: a rise within such a
+     * time to a new peak is expected to repeat once.
+     */
     double expectedAfter(Duration time) {
         if (mSamples.isEmpty()) {
             return 0;
         }
         Sample last = mSamples.getLast();
+        long history = last.atNanos() - mSamples.getFirst().atNanos();
+        if (history < MIN_RISE_NANOS) {
+            return last.average();
+        }
+        long rise = Math.max(MIN_RISE_NANOS, Math.min(time.toNanos(), history / 2));
         double earlierPeak = 0;
-        double before = -1;
+        double lowest = last.average();
         for (Sample sample : mSamples) {
-            if (last.atNanos() - sample.atNanos() < SLOPE_NANOS) {
-                break;
+            if (last.atNanos() - sample.atNanos() >= rise) {
+                earlierPeak = Math.max(earlierPeak, sample.average());
+                lowest = sample.average();
+            } else {
+                lowest = Math.min(lowest, sample.average());
             }
-            earlierPeak = Math.max(earlierPeak, sample.average());
-            before = sample.average();
         }
         double now = last.average();
-        if (before < 0 || now <= earlierPeak + NEW_PEAK_DEVIATIONS * Math.sqrt(earlierPeak)) {
+        if (now <= earlierPeak + NEW_PEAK_DEVIATIONS * Math.sqrt(earlierPeak)) {
             return now;
         }
-        double expected = now + (now - before) / SLOPE_NANOS * time.toNanos();
-        return Math.min(expected, now * MAX_GROWTH);
+        return Math.min(now + (now - lowest), now * MAX_GROWTH);
     }
 
     void clear() {
