Resume streams of a stopping server elsewhere before it is gone

In pools whose number of servers is ordered, a resumable stream that still runs three seconds before the announced stop is also sent to another server with room, which goes on when it has caught up.

--- a/daemon/src/main/java/org/vanillaslip/internal/duty/DomainViews.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/DomainViews.java
@@ -25,6 +25,7 @@
     private final Predicate<FailureDomain> mIsDrained;
     private final EventLog mLog;
     private final Set<String> mDomainsWithHosts = new HashSet<>();
+    private Set<String> mHeardHosts = Set.of();
     private final Map<ScaledGroup, DomainView> mLogged = new HashMap<>();
 
     /**
@@ -45,6 +46,11 @@
         mLog = log;
     }
 
+    /** Finds the hosts that are heard from now. */
+    void refresh() {
+        mHeardHosts = mLiveHosts.get();
+    }
+
     /**
      * Returns the view of a failure domain.
      *
@@ -72,13 +78,12 @@
 
     /** Hosts that are lost one by one are replaced; of a partitioned domain most are missing. */
     private boolean hearsHosts(String failureDomain) {
-        Set<String> liveHosts = mLiveHosts.get();
         int listed = 0;
         int live = 0;
         for (Host host : mHosts.get()) {
             if (host.failureDomain().name().equals(failureDomain) && !host.leaving()) {
                 listed++;
-                boolean isLive = host.name().equals(mSelf) || liveHosts.contains(host.name());
+                boolean isLive = host.name().equals(mSelf) || mHeardHosts.contains(host.name());
                 live += isLive ? 1 : 0;
             }
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/PoolObserver.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/PoolObserver.java
@@ -55,8 +55,11 @@
         }
     }
 
-    void removeExpired() {
+    /** Prepares the observation of all pools at this moment. */
+    void refresh() {
         mDemand.removeExpired(now());
+        mDemand.sumUp();
+        mViews.refresh();
     }
 
     void clear() {
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/ReportedDemand.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/ReportedDemand.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.fleet.FleetDirectory;
-import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.scaling.RecentModels;
 import org.vanillaslip.messages.DemandReport;
 import org.vanillaslip.messages.ModelDemand;
@@ -21,6 +20,8 @@
     private final FleetDirectory mDirectory;
     private final Map<String, Report> mReports = new HashMap<>();
     private final Map<String, RecentModels> mModels = new HashMap<>();
+    private final Map<String, Map<String, Integer>> mRunning = new HashMap<>();
+    private final Map<String, Map<String, Integer>> mWaiting = new HashMap<>();
 
     ReportedDemand(FleetDirectory directory) {
         mDirectory = directory;
@@ -49,38 +50,44 @@
         return mModels.computeIfAbsent(pool, name -> new RecentModels());
     }
 
-    /** Returns the running calls of a pool by model; calls without a model have an empty name. */
-    Map<String, Integer> runningByModel(String pool) {
-        Map<String, Integer> running = new HashMap<>();
+    /** Sums up the last reports of all hosts. */
+    void sumUp() {
+        mRunning.clear();
+        mWaiting.clear();
         for (Report report : mReports.values()) {
             for (RunningCalls calls : report.demand().getRunningList()) {
-                if (belongsTo(pool, calls.getServer())) {
-                    running.merge(calls.getModel(), calls.getCount(), Integer::sum);
+                mDirectory
+                        .member(calls.getServer())
+                        .ifPresent(
+                                server ->
+                                        callsOf(mRunning, server.registered().pool())
+                                                .merge(
+                                                        calls.getModel(),
+                                                        calls.getCount(),
+                                                        Integer::sum));
+            }
+            for (ModelDemand demand : report.demand().getModelsList()) {
+                if (demand.getWaiting() > 0) {
+                    callsOf(mWaiting, demand.getPool())
+                            .merge(demand.getModel(), demand.getWaiting(), Integer::sum);
                 }
             }
         }
-        return running;
     }
 
-    private boolean belongsTo(String pool, String server) {
-        return mDirectory
-                .member(server)
-                .map(FleetMember::registered)
-                .filter(registered -> registered.pool().equals(pool))
-                .isPresent();
+    private static Map<String, Integer> callsOf(
+            Map<String, Map<String, Integer>> callsByPool, String pool) {
+        return callsByPool.computeIfAbsent(pool, name -> new HashMap<>());
+    }
+
+    /** Returns the running calls of a pool by model; calls without a model have an empty name. */
+    Map<String, Integer> runningByModel(String pool) {
+        return mRunning.getOrDefault(pool, Map.of());
     }
 
     /** Returns the waiting calls of a pool by model; calls without a model have an empty name. */
     Map<String, Integer> waitingByModel(String pool) {
-        Map<String, Integer> waiting = new HashMap<>();
-        for (Report report : mReports.values()) {
-            for (ModelDemand demand : report.demand().getModelsList()) {
-                if (demand.getWaiting() > 0 && demand.getPool().equals(pool)) {
-                    waiting.merge(demand.getModel(), demand.getWaiting(), Integer::sum);
-                }
-            }
-        }
-        return waiting;
+        return mWaiting.getOrDefault(pool, Map.of());
     }
 
     private static ModelName modelName(ModelDemand demand) {
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountController.java
@@ -219,7 +219,7 @@
 
     private void plan(List<ServicePool> pools) {
         long now = now();
-        mObserver.removeExpired();
+        mObserver.refresh();
         List<ServerCountGauge> gauges = new ArrayList<>();
         for (ServicePool pool : pools) {
             ServerScaling scaling = pool.scaling().orElseThrow();
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -29,6 +29,9 @@
     /** A report takes precedence over registrations for this long. */
     private static final long REPORT_VALID_NANOS = Duration.ofSeconds(3).toNanos();
 
+    /** Far longer than any announced time until a stop, and short enough for any unit of time. */
+    private static final Duration MAX_STOP_TIME = Duration.ofDays(1);
+
     private static final String START_SEPARATOR = "@";
 
     /** Far more than any server runs; sums with it do not overflow. */
@@ -51,6 +54,8 @@
     private int mOwnCalls;
     private long mColdUntil;
     private long mFullAt = Long.MIN_VALUE;
+    private long mStopsAt;
+    private boolean mStops;
     private boolean mReplaced;
     private boolean mSaidLeaving;
 
@@ -60,6 +65,21 @@
         mModelState = registered.modelState();
         mOrderCounts = new OrderCountHistory(mModelState.orderCount(), nowNanos);
         mColdUntil = nowNanos + Duration.ofMillis(registered.remainingColdMillis()).toNanos();
+        recordStop(registered, nowNanos);
+    }
+
+    private void recordStop(RegisteredServer registered, long nowNanos) {
+        mStops = registered.leaving() && registered.stopsInMillis().isPresent();
+        if (mStops) {
+            long millis =
+                    Math.min(registered.stopsInMillis().getAsLong(), MAX_STOP_TIME.toMillis());
+            mStopsAt = nowNanos + Duration.ofMillis(Math.max(0, millis)).toNanos();
+        }
+    }
+
+    /** Returns whether the server has announced that it stops within the time. */
+    public boolean stopsWithin(Duration time, long nowNanos) {
+        return mStops && mStopsAt - nowNanos <= time.toNanos();
     }
 
     /** Returns the server's last registration. */
@@ -142,6 +162,7 @@
             mColdUntil = nowNanos + Duration.ofMillis(registered.remainingColdMillis()).toNanos();
         }
         mRegistered = registered;
+        recordStop(registered, nowNanos);
         boolean hasRecentReport =
                 mReportedAt != Long.MIN_VALUE && nowNanos - mReportedAt < REPORT_VALID_NANOS;
         if (!hasRecentReport) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallAdmission.java
@@ -45,6 +45,15 @@
         mRandom = random;
     }
 
+    /** Returns whether hosts order the number of servers of the pool. */
+    boolean isScaled(String pool) {
+        return mPlanView
+                .current()
+                .map(plan -> plan.pools().get(pool))
+                .filter(found -> found.scaling().isPresent())
+                .isPresent();
+    }
+
     /** Returns the current configuration, or throws {@link RefusedException} if there is none. */
     ServingPlan plan() {
         return mPlanView
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -79,9 +79,10 @@
         mDialect = dialect;
         mSender = sender;
         mDemandReporter = demandReporter;
-        mStandbys = new Standbys(sender, loop, log);
+        mStandbys = new Standbys(sender, admission::isScaled, loop, log);
         mBufferedRelay =
-                new BufferedRelay(sender, new Standbys(sender, loop, log), mMemoryLimit, loop);
+                new BufferedRelay(
+                        sender, new Standbys(sender, pool -> false, loop, log), mMemoryLimit, loop);
         mMetrics = metrics;
         mLoopDelayed = loopDelayed;
         mLoop = loop;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
@@ -24,7 +24,10 @@
     STANDBY_DELIVERED(
             571, INFO, "The other backend server delivered first; the silent one is cancelled."),
     STANDBY_ENDED(572, INFO, "One of two runs of a call ended without an effect."),
-    RETRY_REFUSED(573, INFO, "The retry budget of a pool does not allow a retry.");
+    RETRY_REFUSED(573, INFO, "The retry budget of a pool does not allow a retry."),
+    MOVE_STARTED(
+            574, INFO, "A call is also sent to another backend server, as its own stops soon."),
+    MOVED(575, INFO, "The other backend server has caught up; the stopping one is cancelled.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyRace.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StandbyRace.java
@@ -19,8 +19,9 @@
 
 /**
  * The run of a call at its server, which keeps the call while it is silent. Meanwhile there may be
- * one standby run at another server; whichever delivers first goes on and the other is cancelled.
- * Used on the decision loop only.
+ * one standby run at another server; whichever delivers first goes on and the other is cancelled. A
+ * server that stops soon goes on while another one catches up with it. Used on the decision loop
+ * only.
  *
  * @param <T> an item that a run delivers
  */
@@ -39,6 +40,7 @@
     private @Nullable Run mStandby;
     private long mRequested;
     private boolean mSilent;
+    private boolean mMoving;
     private boolean mEnded;
 
     /**
@@ -115,6 +117,15 @@
             mMeter.restart(now());
             return;
         }
+        if (mStandby == null && mStandbys.stopsSoon(mCall, leader.mServer)) {
+            mStandbys
+                    .tryMove(mCall, leader.mServer)
+                    .ifPresent(
+                            slot -> {
+                                mMoving = true;
+                                startStandby(slot);
+                            });
+        }
         if (!mMeter.check(now())) {
             return;
         }
@@ -140,11 +151,8 @@
             return;
         }
         if (run == mStandby) {
-            mLeader = run;
-            mStandby = null;
-            leader.cancel();
-            mStandbys.recordDelivered(mCall, leader.mServer, run.mServer);
-        } else {
+            replaceLeader(leader, run);
+        } else if (!mMoving) {
             cancelStandby("the silent server delivered");
         }
         mSilent = false;
@@ -155,23 +163,32 @@
         sink.next(item);
     }
 
+    private void replaceLeader(Run leader, Run standby) {
+        mLeader = standby;
+        mStandby = null;
+        leader.cancel();
+        if (mMoving) {
+            mMoving = false;
+            mStandbys.recordMoved(mCall, leader.mServer, standby.mServer);
+        } else {
+            mStandbys.recordDelivered(mCall, leader.mServer, standby.mServer);
+        }
+    }
+
     private void complete(Run run) {
         FluxSink<T> sink = mSink;
         if (mEnded || sink == null || mLeader == null) {
             return;
         }
         if (run == mStandby && mEndsCall.getAsBoolean()) {
-            Run silent = mLeader;
-            mLeader = run;
-            mStandby = null;
-            silent.cancel();
-            mStandbys.recordDelivered(mCall, silent.mServer, run.mServer);
+            replaceLeader(mLeader, run);
             mSilent = false;
             sink.complete();
             return;
         }
         if (run == mStandby) {
             mStandby = null;
+            mMoving = false;
             mStandbys.recordCancelled(
                     mCall, mLeader.mServer, run.mServer, "the standby run had nothing to add");
             return;
@@ -189,12 +206,14 @@
         }
         if (run == standby) {
             mStandby = null;
+            mMoving = false;
             recordFailedStandby(leader, run, error);
             return;
         }
         if (standby != null && error instanceof SendFailedException) {
             mLeader = standby;
             mStandby = null;
+            mMoving = false;
             mSilent = false;
             mMeter.restart(now());
             mStandbys.recordAlone(mCall, leader.mServer, standby.mServer);
@@ -219,6 +238,7 @@
         Run standby = mStandby;
         if (standby != null && mLeader != null) {
             mStandby = null;
+            mMoving = false;
             standby.cancel();
             mStandbys.recordCancelled(mCall, mLeader.mServer, standby.mServer, cause);
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/Standbys.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.fleet.RequestSlot;
 import org.vanillaslip.internal.logging.EventLog;
@@ -12,13 +13,26 @@
 /** Starts standby runs for the calls of silent servers, and records their results. */
 final class Standbys {
 
+    /**
+     * Time for another server to begin a stream; the list that names the stop may be two seconds
+     * old.
+     */
+    private static final Duration MOVE_TIME = Duration.ofSeconds(3);
+
     private final CallSender mSender;
+    private final Predicate<String> mMovesCallsOf;
     private final StandbyLimits mLimits = new StandbyLimits();
     private final DecisionLoop mLoop;
     private final EventLog mLog;
 
-    Standbys(CallSender sender, DecisionLoop loop, EventLog log) {
+    /**
+     * Creates standby runs.
+     *
+     * @param movesCallsOf whether the calls of a pool move away from a server that stops soon
+     */
+    Standbys(CallSender sender, Predicate<String> movesCallsOf, DecisionLoop loop, EventLog log) {
         mSender = sender;
+        mMovesCallsOf = movesCallsOf;
         mLoop = loop;
         mLog = log;
     }
@@ -50,6 +64,39 @@
         return slot;
     }
 
+    /** Returns whether the server stops so soon that its calls move to another one. */
+    boolean stopsSoon(RelayCall call, FleetMember server) {
+        return server.stopsWithin(MOVE_TIME, mLoop.clock().nowNanos())
+                && mMovesCallsOf.test(call.target().pool());
+    }
+
+    /** Reserves a slot for a call of a server that stops soon, on another one that has room now. */
+    Optional<RequestSlot> tryMove(RelayCall call, FleetMember stopping) {
+        if (!call.allowsStandby()) {
+            return Optional.empty();
+        }
+        Optional<RequestSlot> slot = mSender.reserveStandby(call, stopping);
+        slot.ifPresent(
+                reserved ->
+                        mLog.log(
+                                RelayEvent.MOVE_STARTED,
+                                field("request", call.head().id()),
+                                field("stopping_server", stopping.instance()),
+                                field("server", reserved.server().instance())));
+        return slot;
+    }
+
+    /** Records that the other server has caught up, so that the stopping one's run is cancelled. */
+    void recordMoved(RelayCall call, FleetMember stopping, FleetMember next) {
+        call.recordPossibleRun();
+        call.triedServers().add(stopping.instance());
+        mLog.log(
+                RelayEvent.MOVED,
+                field("request", call.head().id()),
+                field("stopping_server", stopping.instance()),
+                field("server", next.instance()));
+    }
+
     /**
      * Records that the standby run delivered first, so that the silent server's run is cancelled.
      */
