--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -114,7 +114,20 @@
             "vanillaslip.usage.calls.late",
             "vanillaslip_usage_calls_late_total",
             "Calls that the lease holder heard of after the report of their window was recorded.",
-            "source");
+            "source"),
+    SERVERS_ORDERED(
+            "vanillaslip.servers.ordered",
+            "vanillaslip_servers_ordered",
+            "Ordered number of backend servers; only on the host that holds the lease.",
+            "pool",
+            "failure_domain"),
+    SERVERS_LISTED(
+            "vanillaslip.servers.listed",
+            "vanillaslip_servers_listed",
+            "Listed backend servers of a scaled pool that do not leave; only on the host that"
+                    + " holds the lease.",
+            "pool",
+            "failure_domain");
 
     private final String mMeterName;
     private final String mScrapeName;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -85,9 +85,10 @@
         mSender = sender;
         mDemandReporter = demandReporter;
         mUsage = usage;
-        mStandbys = new Standbys(sender, loop, log);
+        mStandbys = new Standbys(sender, admission::isScaled, loop, log);
         mBufferedRelay =
-                new BufferedRelay(sender, new Standbys(sender, loop, log), mMemoryLimit, loop);
+                new BufferedRelay(
+                        sender, new Standbys(sender, pool -> false, loop, log), mMemoryLimit, loop);
         mMetrics = metrics;
         mLoopDelayed = loopDelayed;
         mLoop = loop;
