Do not take a refusal by a late load for an unload that waits

Cause: the end of an unload is assumed after its usual time. If the next load got no answer and was executed late, the refusal of the load after that was taken for an unload that still waits, and its end was assumed once more. By then a report had raised the count, but lacked the model of the late load, so that the next order fitted and overcommitted the server.

Change: after an unanswered order the end of an order is not assumed again, and never once the count has risen further; only a report shows the models. An order of an earlier start of the server explains no refusal either.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/OrderDispatcher.java
@@ -19,12 +19,6 @@
  */
 final class OrderDispatcher {
 
-    /** Reports lag, so an unanswered order stays pending until reports are newer than it. */
-    private static final Duration UNANSWERED_TIMEOUT = Duration.ofMillis(700);
-
-    /** An accepted order that no report shows as completed is dropped if it is overdue by more. */
-    private static final Duration OVERDUE_AFTER = Duration.ofSeconds(20);
-
     /** Deployments state up to 14 ms from the store; the rest is the transfer of the order. */
     private static final Duration ADAPTER_LOAD_TIME = Duration.ofMillis(25);
 
@@ -173,10 +167,12 @@
     }
 
     private void handleAnswer(FleetMember member, PlannedOrder planned, OrderAnswer answer) {
-        if (answer != OrderAnswer.UNKNOWN) {
+        String instance = planned.instance();
+        if (answer == OrderAnswer.UNKNOWN) {
+            mAssumedDone.recordUnanswered(instance);
+        } else {
             mUnconfirmedOrders.recordOutcome(planned);
         }
-        String instance = planned.instance();
         PendingOrder pending = mPending.get(instance);
         if (pending == null || pending.order() != planned) {
             return;
@@ -186,6 +182,7 @@
         switch (answer) {
             case ACCEPTED -> handleAccepted(member, pending);
             case ALREADY -> {
+                mAssumedDone.recordIdle(instance);
                 mPending.remove(instance);
                 if (planned.adapter().isPresent()) {
                     boolean unload = planned.kind() == OrderKind.UNLOAD;
@@ -234,7 +231,7 @@
     private void handleAccepted(FleetMember member, PendingOrder pending) {
         PlannedOrder planned = pending.order();
         long now = now();
-        mAssumedDone.recordAccepted(planned.instance());
+        mAssumedDone.recordIdle(planned.instance());
         mCounts.recordAccepted(member, planned);
         mPending.put(planned.instance(), pending.asAccepted(now));
         if (planned.adapter().isPresent() && planned.kind() == OrderKind.LOAD) {
@@ -274,6 +271,11 @@
         if (pending == null || pending.order() != planned) {
             return;
         }
+        if (!pending.isLastOf(member)) {
+            // An order that got no answer has been executed, so only a report shows the models.
+            mPoller.pollAfter(member, ReportPoller.POLL_INTERVAL);
+            return;
+        }
         mPending.remove(planned.instance());
         mAssumedDone.record(pending);
         ServerModelState modelState =
@@ -298,7 +300,7 @@
             send(planned);
             return;
         }
-        Optional<PendingOrder> assumedDone = mAssumedDone.withdraw(planned.instance());
+        Optional<PendingOrder> assumedDone = mAssumedDone.withdraw(member);
         if (assumedDone.isPresent()) {
             handleNotDone(member, assumedDone.get());
             return;
@@ -306,7 +308,7 @@
         // The known state of the server is wrong, so wait for a report newer than all orders.
         mPending.remove(planned.instance());
         mCounts.recordOtherOrder(member);
-        mPoller.distrust(planned.instance());
+        mPoller.distrust(member.instance());
         mPoller.pollAfter(member, FleetMember.MAX_REPORT_LAG.plus(ReportPoller.POLL_INTERVAL));
     }
 
@@ -315,11 +317,9 @@
         // An unload still waits for calls that run on the model.
         mPending.put(member.instance(), assumedDone);
         mPoller.pollAfter(member, ReportPoller.POLL_INTERVAL);
-        if (assumedDone.order().kind() == OrderKind.UNLOAD) {
-            mAssumedDone
-                    .nextRetryDelay(assumedDone)
-                    .ifPresent(delay -> assumeDoneAfter(member, assumedDone.order(), delay));
-        }
+        mAssumedDone
+                .nextRetryDelay(assumedDone)
+                .ifPresent(delay -> assumeDoneAfter(member, assumedDone.order(), delay));
     }
 
     private void completeAdapter(FleetMember member, PendingOrder pending, int count) {
@@ -360,26 +360,21 @@
 
     private void updatePending(FleetMember member, PendingOrder pending, ServerLoadReport report) {
         long now = now();
-        boolean current = report.modelState().orderCount() >= member.modelState().orderCount();
         boolean adapterOrder = pending.order().adapter().isPresent();
         if (adapterOrder && pending.accepted() && pending.order().kind() == OrderKind.LOAD) {
             return;
         }
         if (!pending.accepted()) {
-            if (now - pending.sentNanos() > UNANSWERED_TIMEOUT.toNanos()) {
+            if (pending.isOlderThanReports(now)) {
                 mPending.remove(member.instance());
             } else {
                 mPoller.pollAfter(member, ReportPoller.POLL_INTERVAL);
             }
             return;
         }
-        boolean counted = report.modelState().orderCount() > pending.expectedOrders();
-        boolean done =
-                current
-                        && counted
-                        && !report.modelState().executingOrder()
-                        && pending.isShownBy(report.modelState());
-        if (done || now - pending.expectedDoneNanos() > OVERDUE_AFTER.toNanos()) {
+        boolean current = report.modelState().orderCount() >= member.modelState().orderCount();
+        boolean done = current && pending.isDoneIn(report.modelState());
+        if (done || pending.isOverdue(now)) {
             if (done && pending.order().fromStore()) {
                 mStoreParallelism.recordLoadEnd(
                         member.instance(), pending.order().expectedDuration(), now);
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/PendingOrder.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/PendingOrder.java
@@ -1,5 +1,6 @@
 package org.vanillaslip.internal.fleet;
 
+import java.time.Duration;
 import java.util.Set;
 
 /**
@@ -21,6 +22,12 @@
         long expectedDoneNanos,
         boolean accepted) {
 
+    /** Reports lag, so an unanswered order stays pending until reports are newer than it. */
+    private static final Duration UNANSWERED_TIMEOUT = Duration.ofMillis(700);
+
+    /** An accepted order that no report shows as completed is dropped if it is overdue by more. */
+    private static final Duration OVERDUE_AFTER = Duration.ofSeconds(20);
+
     PendingOrder asAccepted(long nowNanos) {
         long expectedNanos = order.expectedDuration().toNanos();
         return new PendingOrder(
@@ -39,8 +46,35 @@
         return outdated ? stateBefore : known;
     }
 
+    /** Returns whether the order was sent to this process of the server. */
+    boolean isOf(FleetMember member) {
+        return member.registered().startedAtMillis() == startedAtMillis;
+    }
+
+    /** Returns whether the server, as far as known, has executed no other order after this one. */
+    boolean isLastOf(FleetMember member) {
+        return isOf(member) && member.modelState().orderCount() == expectedOrders + 1;
+    }
+
+    /** Returns whether reports that arrive now are newer than the order, if it is unanswered. */
+    boolean isOlderThanReports(long nowNanos) {
+        return nowNanos - sentNanos > UNANSWERED_TIMEOUT.toNanos();
+    }
+
+    /** Returns whether the order should have been completed long ago. */
+    boolean isOverdue(long nowNanos) {
+        return nowNanos - expectedDoneNanos > OVERDUE_AFTER.toNanos();
+    }
+
+    /** Returns whether a reported state shows that the order has been completed. */
+    boolean isDoneIn(ServerModelState reported) {
+        return reported.orderCount() > expectedOrders
+                && !reported.executingOrder()
+                && isShownBy(reported);
+    }
+
     /** Returns whether the state contains the result of the order. */
-    boolean isShownBy(ServerModelState modelState) {
+    private boolean isShownBy(ServerModelState modelState) {
         Set<String> adapters = modelState.loaded().get(order.model());
         boolean loaded = adapters != null && order.adapter().map(adapters::contains).orElse(true);
         return loaded == (order.kind() == OrderKind.LOAD);
