Read the end of a caller's connection before a call is sent

Cause: the event loop reads a request and the end of the same connection in two iterations. A call was admitted and sent in between, unless the loop had been seen to stall for 100 ms. A call that may not be repeated was also sent when its caller left between the choice of the server and the first byte, because a send counted as begun before it was written. Behind 32 parts of pipelined requests the HTTP server stops reading, so the end stayed unread for the whole call.

Change: CallerConnection lets the loop poll its sockets once, then tells whether the connection is open. It is asked before a call is admitted, which replaces the wait after a noticed stall, and between the connect and the first byte of each send. A call that is not sent releases its slot and refunds its charge; event 574 records it. What is at a server goes on as before.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
 import org.reactivestreams.Publisher;
@@ -30,6 +31,10 @@
     /** Servers are a few milliseconds away; one that takes longer is down or unreachable. */
     private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
+    /** Requests of these methods have no Content-Length if they have no body. */
+    private static final Set<HttpMethod> METHODS_WITHOUT_BODY =
+            Set.of(HttpMethod.GET, HttpMethod.HEAD, HttpMethod.DELETE);
+
     private final HttpClient mClient;
     private final TcpClient mConnectionTest;
 
@@ -52,6 +57,8 @@
     /**
      * Sends the request once; signals {@link SendFailedException} if there is no response.
      *
+     * @param permission completes immediately before the first byte is written; its error means
+     *     that nothing is sent
      * @param onResponse converts the response head and the body chunks to the result
      */
     <T> Flux<T> send(
@@ -60,22 +67,27 @@
             String uri,
             HttpHeaders headers,
             byte[] body,
+            Mono<Void> permission,
             BiFunction<HttpClientResponse, Flux<byte[]>, Publisher<T>> onResponse) {
         return Flux.defer(
                 () -> {
                     AtomicBoolean sent = new AtomicBoolean();
                     HttpClient.RequestSender sender =
-                            mClient.doOnRequest((request, connection) -> sent.set(true))
-                                    .headers(
+                            mClient.headers(
                                             requestHeaders ->
                                                     writeHeaders(requestHeaders, headers, body))
                                     .request(method)
                                     .uri("http://" + address + uri);
+                    Mono<Void> beforeWrite = permission.doOnSuccess(permitted -> sent.set(true));
                     HttpClient.ResponseReceiver<?> receiver =
-                            body.length == 0
-                                    ? sender
+                            body.length == 0 && METHODS_WITHOUT_BODY.contains(method)
+                                    ? sender.send(
+                                            (request, outbound) ->
+                                                    beforeWrite.then(Mono.defer(outbound::then)))
                                     : sender.send(
-                                            Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)));
+                                            beforeWrite.then(
+                                                    Mono.fromSupplier(
+                                                            () -> Unpooled.wrappedBuffer(body))));
                     return receiver.responseConnection(
                                     (response, connection) -> {
                                         ResponseHeadLimit.remove(connection.channel());
@@ -106,7 +118,7 @@
     }
 
     private static Throwable toSendFailure(Throwable error, boolean sent) {
-        if (error instanceof SendFailedException) {
+        if (error instanceof SendFailedException || error instanceof CallerDisconnectedException) {
             return error;
         }
         String message = error.getClass().getSimpleName() + ": " + error.getMessage();
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BufferedRelay.java
@@ -56,9 +56,12 @@
                                     value ->
                                             result.emitValue(
                                                     value, Sinks.EmitFailureHandler.FAIL_FAST),
-                                    error ->
-                                            result.emitError(
-                                                    error, Sinks.EmitFailureHandler.FAIL_FAST));
+                                    error -> {
+                                        if (call.callerDisconnected()) {
+                                            call.refundUnlessRun();
+                                        }
+                                        result.emitError(error, Sinks.EmitFailureHandler.FAIL_FAST);
+                                    });
                     return result.asMono()
                             .doOnCancel(
                                     () -> {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -10,9 +10,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 import org.reactivestreams.Publisher;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
@@ -41,9 +39,6 @@
     /** Heap for the bodies of all calls that are not answered yet. */
     private static final long MAX_REQUEST_BYTES = 40L * 1024 * 1024;
 
-    /** Any delay above 0 suffices: the event loop polls its connections while it waits. */
-    private static final Duration READ_DELAY = Duration.ofMillis(1);
-
     private final BodyMemoryLimit mMemoryLimit = new BodyMemoryLimit(MAX_RESPONSE_BYTES);
     private final BodyMemoryLimit mRequestMemoryLimit = new BodyMemoryLimit(MAX_REQUEST_BYTES);
     private final CallAdmission mAdmission;
@@ -53,7 +48,6 @@
     private final Standbys mStandbys;
     private final BufferedRelay mBufferedRelay;
     private final RelayMetrics mMetrics;
-    private final BooleanSupplier mLoopDelayed;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
     private final AtomicInteger mActiveCalls = new AtomicInteger();
@@ -61,18 +55,12 @@
     private volatile boolean mClosingConnections;
     private volatile boolean mRefusingNewCalls;
 
-    /**
-     * Creates a relay.
-     *
-     * @param loopDelayed whether the event loop is stalled or was stalled recently
-     */
     CallRelay(
             CallAdmission admission,
             CallDialect dialect,
             CallSender sender,
             DemandReporter demandReporter,
             RelayMetrics metrics,
-            BooleanSupplier loopDelayed,
             DecisionLoop loop,
             EventLog log) {
         mAdmission = admission;
@@ -83,7 +71,6 @@
         mBufferedRelay =
                 new BufferedRelay(sender, new Standbys(sender, loop, log), mMemoryLimit, loop);
         mMetrics = metrics;
-        mLoopDelayed = loopDelayed;
         mLoop = loop;
         mLog = log;
     }
@@ -123,13 +110,14 @@
                     response.keepAlive(!mClosingConnections);
                     BodyMemoryLimit.Reservation bodyMemory = mRequestMemoryLimit.newReservation();
                     BodyDigest bodyDigest = new BodyDigest();
+                    CallerConnection caller = CallerConnection.of(response);
                     return RequestBody.read(request, bodyMemory, maxBodyBytes(), bodyDigest)
-                            .flatMap(this::awaitPendingReads)
-                            .filter(body -> callerIsConnected(response, headers, arrivedNanos))
+                            .filterWhen(body -> isConnected(caller, headers, arrivedNanos))
                             .flatMap(
                                     body ->
                                             serve(
                                                     new ReceivedCall(
+                                                            caller,
                                                             method,
                                                             uri,
                                                             headers,
@@ -147,35 +135,26 @@
                 });
     }
 
-    /**
-     * Lets the event loop read what arrived after the request, such as the closing of its
-     * connection. After a stall, a host reads requests whose callers disconnected long ago.
-     */
-    private Mono<byte[]> awaitPendingReads(byte[] body) {
-        if (!mLoopDelayed.getAsBoolean()) {
-            return Mono.just(body);
-        }
-        // A timer that expired while the loop was busy runs before the loop reads. A timer that is
-        // started from it runs after the read, so two delays are needed.
-        return Mono.just(body)
-                .delayElement(READ_DELAY, mLoop.scheduler())
-                .delayElement(READ_DELAY, mLoop.scheduler());
+    /** Drops a call whose caller has disconnected, before it is charged or takes a slot. */
+    private Mono<Boolean> isConnected(
+            CallerConnection caller, HttpHeaders headers, long arrivedNanos) {
+        return caller.checkOpen()
+                .doOnNext(
+                        open -> {
+                            if (!open) {
+                                recordCallerLeft(headers, arrivedNanos);
+                            }
+                        });
     }
 
-    private boolean callerIsConnected(
-            HttpServerResponse response, HttpHeaders headers, long arrivedNanos) {
-        AtomicBoolean connected = new AtomicBoolean();
-        response.withConnection(connection -> connected.set(connection.channel().isActive()));
-        if (!connected.get()) {
-            mLog.log(
-                    RelayEvent.CALLER_LEFT,
-                    field(
-                            "request",
-                            mDialect.parseRequestHead(headers).fold(malformed -> "", CallHead::id)),
-                    field("server", ""),
-                    field("after_ms", millisSince(arrivedNanos)));
-        }
-        return connected.get();
+    private void recordCallerLeft(HttpHeaders headers, long arrivedNanos) {
+        mLog.log(
+                RelayEvent.CALLER_LEFT,
+                field(
+                        "request",
+                        mDialect.parseRequestHead(headers).fold(malformed -> "", CallHead::id)),
+                field("server", ""),
+                field("after_ms", millisSince(arrivedNanos)));
     }
 
     private int maxBodyBytes() {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -163,6 +163,7 @@
                                             call.uri(),
                                             headers,
                                             call.body(),
+                                            call.caller().requireOpen(),
                                             (response, chunks) ->
                                                     handleResponse(
                                                             call,
@@ -334,6 +335,9 @@
         call.recordSendFailed();
         if (!(error instanceof SendFailedException failure)) {
             server.health().recordInconclusive();
+            if (error instanceof CallerDisconnectedException) {
+                mLog.log(RelayEvent.SEND_OMITTED, field("request", call.head().id()));
+            }
             return;
         }
         call.triedServers().add(server.instance());
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ReceivedCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ReceivedCall.java
@@ -12,6 +12,7 @@
  * @param bodyDigest identifies the contents of the body
  */
 record ReceivedCall(
+        CallerConnection caller,
         HttpMethod method,
         String uri,
         HttpHeaders headers,
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -73,6 +73,10 @@
         return mFingerprint;
     }
 
+    CallerConnection caller() {
+        return mReceived.caller();
+    }
+
     HttpMethod method() {
         return mReceived.method();
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
@@ -24,7 +24,8 @@
     STANDBY_DELIVERED(
             571, INFO, "The other backend server delivered first; the silent one is cancelled."),
     STANDBY_ENDED(572, INFO, "One of two runs of a call ended without an effect."),
-    RETRY_REFUSED(573, INFO, "The retry budget of a pool does not allow a retry.");
+    RETRY_REFUSED(573, INFO, "The retry budget of a pool does not allow a retry."),
+    SEND_OMITTED(574, INFO, "A call was not sent, because its caller had disconnected.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -323,7 +323,6 @@
                 sender,
                 demandReporter,
                 new RelayMetrics(mMetrics),
-                mLoopMonitor::isBehind,
                 mLoop,
                 mLog);
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/DecisionLoopMonitor.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/DecisionLoopMonitor.java
@@ -15,23 +15,15 @@
     /** Most callers still meet their latency objective after a shorter stall. */
     private static final Duration LOG_THRESHOLD = Duration.ofMillis(500);
 
-    /** Callers of requests that are read this late may have disconnected. */
-    private static final long LATE_NANOS = Duration.ofMillis(100).toNanos();
-
-    /** Time after a stall in which the loop processes the tasks that have queued up. */
-    private static final long CATCH_UP_NANOS = Duration.ofSeconds(1).toNanos();
-
     private final DecisionLoop mLoop;
     private final EventLog mLog;
     private long mExpectedNanos;
-    private long mLastLateNanos;
 
     /** Creates a monitor without starting it. */
     public DecisionLoopMonitor(DecisionLoop loop, EventLog log) {
         mLoop = loop;
         mLog = log;
         mExpectedNanos = Long.MAX_VALUE;
-        mLastLateNanos = loop.clock().nowNanos() - CATCH_UP_NANOS;
     }
 
     /** Starts the periodic checks. */
@@ -39,13 +31,6 @@
         scheduleCheck();
     }
 
-    /** Returns whether the loop is stalled or was stalled recently. */
-    public boolean isBehind() {
-        long now = mLoop.clock().nowNanos();
-        boolean overdue = mExpectedNanos != Long.MAX_VALUE && now - mExpectedNanos >= LATE_NANOS;
-        return overdue || now - mLastLateNanos < CATCH_UP_NANOS;
-    }
-
     private void scheduleCheck() {
         mExpectedNanos = mLoop.clock().nowNanos() + CHECK_INTERVAL.toNanos();
         mLoop.scheduler().schedule(this::check, CHECK_INTERVAL.toNanos(), TimeUnit.NANOSECONDS);
@@ -53,9 +38,6 @@
 
     private void check() {
         long lateNanos = mLoop.clock().nowNanos() - mExpectedNanos;
-        if (lateNanos >= LATE_NANOS) {
-            mLastLateNanos = mLoop.clock().nowNanos();
-        }
         if (lateNanos >= LOG_THRESHOLD.toNanos()) {
             mLog.log(
                     LifecycleEvent.LOOP_PAUSED,
--- a/daemon/src/test/java/org/vanillaslip/internal/relay/CallFingerprintTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/relay/CallFingerprintTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -56,7 +57,13 @@
         }
         return CallFingerprint.of(
                 new ReceivedCall(
-                        HttpMethod.valueOf(method), uri, headers, new byte[0], digest.finish(), 0),
+                        new CallerConnection(new EmbeddedChannel()),
+                        HttpMethod.valueOf(method),
+                        uri,
+                        headers,
+                        new byte[0],
+                        digest.finish(),
+                        0),
                 apiKey);
     }
 }
