--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -164,6 +164,7 @@
                                             call.uri(),
                                             headers,
                                             call.body(),
+                                            call.caller().requireOpen(),
                                             (response, chunks) ->
                                                     handleResponse(
                                                             call,
@@ -341,6 +342,9 @@
         call.usage().recordSendFailed(server.instance());
         if (!(error instanceof SendFailedException failure)) {
             server.health().recordInconclusive();
+            if (error instanceof CallerDisconnectedException) {
+                mLog.log(RelayEvent.SEND_OMITTED, field("request", call.head().id()));
+            }
             return;
         }
         call.triedServers().add(server.instance());
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayEvent.java
@@ -27,7 +27,8 @@
     RETRY_REFUSED(573, INFO, "The retry budget of a pool does not allow a retry."),
     MOVE_STARTED(
             574, INFO, "A call is also sent to another backend server, as its own stops soon."),
-    MOVED(575, INFO, "The other backend server has caught up; the stopping one is cancelled.");
+    MOVED(575, INFO, "The other backend server has caught up; the stopping one is cancelled."),
+    SEND_OMITTED(576, INFO, "A call was not sent, because its caller had disconnected.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -352,7 +352,6 @@
                 demandReporter,
                 mUsage.map(UsageReports::meter),
                 new RelayMetrics(mMetrics),
-                mLoopMonitor::isBehind,
                 mLoop,
                 mLog);
     }
