--- a/daemon/src/test/java/org/vanillaslip/internal/duty/UsageReportsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/UsageReportsTest.java
@@ -252,6 +252,22 @@
         assertNoneMissing();
     }
 
+    /** Guards against a report that the next holder cannot repeat, as it is not recorded. */
+    @Test
+    void nothingIsSentWhileTheStoreCannotRecordIt() {
+        for (int window = 0; window < 8; window++) {
+            mSimulation.runToEndOfWindow();
+            TestHost holder = mSimulation.holder();
+            holder.mStoreUnavailable = true;
+            mSimulation.run(Duration.ofMillis(1700));
+            holder.mStoreUnavailable = false;
+        }
+        mSimulation.run(Duration.ofSeconds(20));
+
+        assertOneReportOfEachWindow();
+        assertNoneMissing();
+    }
+
     /** Guards against sending what a write whose answer was lost has not recorded. */
     @Test
     void lostAnswersOfTheStoreLeadToNoOtherReports() {
@@ -361,6 +377,7 @@
 
     private void assertOneReportOfEachWindow() {
         assertThat(mSimulation.reports()).isNotEmpty();
+        assertThat(mSimulation.mUnrecorded).isEmpty();
         mSimulation
                 .reports()
                 .forEach((window, reports) -> assertThat(reports).as("%d", window).hasSize(1));
--- a/daemon/src/test/java/org/vanillaslip/internal/duty/UsageSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/UsageSimulation.java
@@ -8,10 +8,12 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -60,6 +62,11 @@
     final Map<String, TestHost> mHosts = new LinkedHashMap<>();
     final List<Call> mCalls = new ArrayList<>();
     final List<Call> mRefused = new ArrayList<>();
+
+    /** Calls with counts that no host had recorded before. */
+    final List<Call> mUnrecorded = new ArrayList<>();
+
+    private final Map<Long, Set<Map<String, Long>>> mEverRecorded = new HashMap<>();
     final Map<Long, Map<String, Long>> mTruth = new TreeMap<>();
     final UsageWindows mWindows = new UsageWindows(WINDOW);
     private final Map<String, StoredObject> mObjects = new HashMap<>();
@@ -315,6 +322,9 @@
     }
 
     private DutyAnswer receive(Call call, Treatment treatment) {
+        if (!mEverRecorded.getOrDefault(call.window(), Set.of()).contains(call.counts())) {
+            mUnrecorded.add(call);
+        }
         return switch (treatment) {
             case ACCEPTED -> {
                 mCalls.add(call);
@@ -444,6 +454,16 @@
             String collection, String name, ObjectNode spec) {
         StoredObject object = new StoredObject(collection, name, ++mRevision, spec.deepCopy());
         mObjects.put(collection + "/" + name, object);
+        if (collection.equals(PlatformCollections.USAGE_REPORTS)) {
+            UsageRecord.decode(spec)
+                    .windows()
+                    .forEach(
+                            window ->
+                                    mEverRecorded
+                                            .computeIfAbsent(
+                                                    window.window(), added -> new HashSet<>())
+                                            .add(window.callsByWorkspace()));
+        }
         return Either.right(object.inEra(mEra));
     }
 }
