--- a/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
@@ -132,6 +132,27 @@
         assertRulesKept();
     }
 
+    /** Guards against an order whose sender was suspended after it had recorded the number. */
+    @Test
+    void aHolderThatWasSuspendedBetweenRecordAndSendSendsNothing() {
+        growAfterAMinute();
+        mWorld.run(Duration.ofSeconds(60));
+        while (mWorld.mStore.countWrites().isEmpty()) {
+            mWorld.run(Duration.ofMillis(10));
+        }
+        ScalingWorld.TestHost first = mWorld.holder().orElseThrow();
+        first.mRunning = false;
+        mWorld.run(Duration.ofSeconds(12));
+        long resumedAtMillis = mWorld.millis();
+        first.mRunning = true;
+        mWorld.run(Duration.ofSeconds(10));
+        assertThat(mPlatform.calls()).anyMatch(call -> !call.holder().equals(first.mName));
+        assertThat(mPlatform.calls())
+                .filteredOn(call -> call.atMillis() >= resumedAtMillis)
+                .noneMatch(call -> call.holder().equals(first.mName));
+        assertRulesKept();
+    }
+
     /** Guards against two hosts that both order while one has lost the store. */
     @Test
     void aHolderWithoutTheStoreStopsBeforeTheNextOneStarts() {
--- a/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
@@ -115,7 +115,7 @@
     @Test
     void aFailureDomainThatIsNotHeardFromKeepsItsNumber() {
         ScalingSimulation pool = new ScalingSimulation(limits(1, 20), THREE_EACH);
-        pool.setCalls(seconds -> seconds < 60 ? 60 : 30);
+        pool.setCalls(seconds -> seconds < 60 ? 60 : 5);
         pool.run(Duration.ofSeconds(60));
         int before = pool.ordered("b");
         int steps = pool.steps().size();
@@ -173,6 +173,7 @@
         pool.setCalls(seconds -> 90);
         pool.run(Duration.ofMinutes(5));
         assertThat(pool.steps()).isNotEmpty().allMatch(step -> delta(step) == -1);
+        assertThat(pool.totalOrdered()).isEqualTo(9);
     }
 
     /** Guards against callers of rarely used models that displace each other's models. */
