Take a status outside 200 to 599 for no answer

Cause: the relays looked only for statuses from 500 (lookups, bookings) or outside 2xx (streams). The other clients had rules of their own; an order answered 099 counted as refused, a plain service's 099 was recorded as the outcome of an attempt. Reactor Netty takes 102 and 103 for final.

Change: FinalStatusCheck, behind the HTTP codec of each connection, drops interim responses and fails the request on any other status outside 200 to 599, 101 included, then closes the connection. A call that may run again is retried within the budget, any other ends with 3006 (502, may have run).

--- a/daemon/src/main/java/org/vanillaslip/internal/backend/EngineClient.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/EngineClient.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import org.vanillaslip.BackendKind;
 import org.vanillaslip.BackendServer;
+import org.vanillaslip.internal.http.FinalStatusCheck;
 import org.vanillaslip.internal.placement.Order;
 import org.vanillaslip.internal.placement.OrderAction;
 import reactor.core.publisher.Mono;
@@ -35,7 +36,7 @@
      */
     public EngineClient(HttpClient http, Duration timeout) {
         // The retry of the HTTP library would send an order twice without our knowledge.
-        mHttp = http.disableRetry(true).responseTimeout(timeout);
+        mHttp = FinalStatusCheck.addTo(http).disableRetry(true).responseTimeout(timeout);
     }
 
     /** Sends an order once. */
--- a/daemon/src/main/java/org/vanillaslip/internal/backend/forward/BackendClientFactory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/BackendClientFactory.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.vanillaslip.BackendServer;
+import org.vanillaslip.internal.http.FinalStatusCheck;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 
@@ -17,7 +18,7 @@
     private BackendClientFactory() {}
 
     static HttpClient create(BackendServer server, Runnable onSent) {
-        return HttpClient.create(ConnectionProvider.newConnection())
+        return FinalStatusCheck.addTo(HttpClient.create(ConnectionProvider.newConnection()))
                 .disableRetry(true)
                 .followRedirect(false)
                 .option(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
 import org.reactivestreams.Publisher;
+import org.vanillaslip.internal.http.FinalStatusCheck;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
@@ -51,7 +52,10 @@
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .doOnChannelInit(
-                                (observer, channel, address) -> ResponseHeadLimit.add(channel));
+                                (observer, channel, address) -> {
+                                    ResponseHeadLimit.add(channel);
+                                    FinalStatusCheck.add(channel);
+                                });
     }
 
     /**
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -11,6 +11,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.vanillaslip.internal.http.FinalStatusCheck;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -64,7 +65,8 @@
             Consumer<Duration> throttleListener) {
         // The HTTP client must not retry: only the caller knows whether a call may be repeated.
         mClient =
-                client.baseUrl(baseUrl)
+                FinalStatusCheck.addTo(client)
+                        .baseUrl(baseUrl)
                         .disableRetry(true)
                         .headers(headers -> headers.set("X-Failure-Domain", failureDomain));
         mJson = json;
