Order servers also for models that callers will ask for soon

The number of models that callers will ask for until a new server is ready now counts too, at the rate of the last 5 s.

--- a/daemon/src/main/java/org/vanillaslip/internal/duty/PoolObserver.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/PoolObserver.java
@@ -19,6 +19,7 @@
 import org.vanillaslip.internal.scaling.ServerCountPlanner;
 import org.vanillaslip.internal.serving.EngineProfile;
 import org.vanillaslip.internal.serving.ModelProfile;
+import org.vanillaslip.internal.serving.ServerScaling;
 import org.vanillaslip.internal.serving.ServicePool;
 import org.vanillaslip.messages.DemandReport;
 
@@ -111,7 +112,13 @@
                 pool.engine().map(EngineProfile::requestSlots).orElse(averageSlots),
                 models.count(),
                 pool.engine()
-                        .map(profile -> models.engines(profile, merge(running, waiting)))
+                        .map(
+                                profile ->
+                                        models.engines(
+                                                profile,
+                                                merge(running, waiting),
+                                                startTime(pool, profile),
+                                                now()))
                         .orElse(0.0),
                 pool.engine().map(PoolObserver::loadTime).orElse(Duration.ZERO),
                 domains);
@@ -155,6 +162,13 @@
         return calls;
     }
 
+    private static Duration startTime(ServicePool pool, EngineProfile profile) {
+        return pool.scaling()
+                .map(ServerScaling::bootTime)
+                .orElse(Duration.ZERO)
+                .plus(loadTime(profile));
+    }
+
     /** A new server has nothing on its disk. */
     private static Duration loadTime(EngineProfile profile) {
         return Duration.ofMillis(
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/RecentModels.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/RecentModels.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.serving.EngineProfile;
 import org.vanillaslip.internal.serving.ModelProfile;
@@ -18,16 +19,41 @@
     /** Longer than the longest load and the longest wave of demand, 8 s and 17 s. */
     private static final long RETENTION_NANOS = Duration.ofSeconds(20).toNanos();
 
+    /** Averages out bursts of calls for rare models, and is short against the time of a boot. */
+    private static final long GROWTH_NANOS = Duration.ofSeconds(5).toNanos();
+
     private final Map<ModelName, Long> mRequestedAt = new HashMap<>();
 
+    /** Times since which models are requested without a pause of the retention time. */
+    private final Map<String, Long> mRequestedSince = new HashMap<>();
+
     /** Records that callers ask for the model now. */
     public void recordRequest(ModelName name, long nowNanos) {
         mRequestedAt.put(name, nowNanos);
+        mRequestedSince.putIfAbsent(name.model(), nowNanos);
     }
 
     /** Forgets the models that nobody has asked for recently. */
     public void removeExpired(long nowNanos) {
         mRequestedAt.values().removeIf(at -> nowNanos - at > RETENTION_NANOS);
+        mRequestedSince
+                .keySet()
+                .retainAll(
+                        mRequestedAt.keySet().stream()
+                                .map(ModelName::model)
+                                .collect(Collectors.toSet()));
+    }
+
+    /**
+     * Returns the number of further models that callers will have asked for after the given time,
+     * if models go on to be asked for as they were in the last seconds.
+     */
+    double expectedNewModels(Duration time, long nowNanos) {
+        long recent =
+                mRequestedSince.values().stream()
+                        .filter(since -> nowNanos - since < GROWTH_NANOS)
+                        .count();
+        return (double) recent * time.toNanos() / GROWTH_NANOS;
     }
 
     /** Returns the number of models without their adapters. */
@@ -39,8 +65,13 @@
      * Returns the number of engines that can hold the models and their adapters.
      *
      * @param callsByModel concurrent calls by model; a busy model needs several copies
+     * @param startTime time until a server that is ordered now can hold a model
      */
-    public double engines(EngineProfile profile, Map<String, Integer> callsByModel) {
+    public double engines(
+            EngineProfile profile,
+            Map<String, Integer> callsByModel,
+            Duration startTime,
+            long nowNanos) {
         Set<String> names = new HashSet<>(callsByModel.keySet());
         int adapters = 0;
         double adapterMegabytes = 0;
@@ -70,9 +101,15 @@
         // Memory that is too small for another model stays empty.
         double modelsPerEngine =
                 Math.max(1, Math.floor(profile.weightsMegabytes() * models / modelMegabytes));
-        double byModels = copies / modelsPerEngine;
+        double newModels =
+                Math.min(
+                        expectedNewModels(startTime, nowNanos),
+                        Math.max(0, profile.models().size() - models));
+        double expectedCopies = copies + newModels;
+        double byModels = expectedCopies / modelsPerEngine;
         double byMemory =
-                (modelMegabytes * copies / models + adapterMegabytes) / profile.weightsMegabytes();
+                (modelMegabytes * expectedCopies / models + adapterMegabytes)
+                        / profile.weightsMegabytes();
         double byAdapters =
                 profile.adapterSlots() > 0 ? (double) adapters / profile.adapterSlots() : 0;
         return Math.max(byModels, Math.max(byMemory, byAdapters));
