--- a/daemon/src/main/java/org/vanillaslip/internal/duty/UsageReporter.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/UsageReporter.java
@@ -224,9 +224,13 @@
         mSender.forgetAllBut(stored.ledger());
     }
 
-    /** Returns the last window that an earlier holder may have reported until now. */
+    /**
+     * Returns the last window that an earlier holder may have reported until now. After a
+     * suspension the estimated time of day may be behind for some seconds.
+     */
     private long lastPossiblyReported() {
-        return mMeter.windows().lastEnded(mMeter.millis() + CLOCK_MARGIN.toMillis());
+        long latestMillis = Math.max(mMeter.millis(), mMeter.ownTimeOfDayMillis());
+        return mMeter.windows().lastEnded(latestMillis + CLOCK_MARGIN.toMillis());
     }
 
     private void settle(StoredLedger stored) {
--- a/daemon/src/test/java/org/vanillaslip/internal/duty/UsageReportsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/UsageReportsTest.java
@@ -301,7 +301,8 @@
 
     /** Injects random faults, also several at once. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    @ValueSource(
+            longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 92})
     void noTwoReportsOfAWindowDifferUnderRandomFaults(long seed) {
         Random random = new Random(seed);
         mSimulation.run(Duration.ofSeconds(10));
--- a/decisions/src/main/java/org/vanillaslip/internal/usage/FleetClock.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/usage/FleetClock.java
@@ -22,9 +22,14 @@
     /** Steady clocks differ by less than 10 ms within this time. */
     private static final long MAX_ESTIMATE_AGE_NANOS = Duration.ofSeconds(60).toNanos();
 
+    /** If the two clocks of a host advance by amounts that differ more, one was set or stopped. */
+    private static final long CLOCK_TOLERANCE_MILLIS = 200;
+
     private final Map<String, Reading> mClocks = new HashMap<>();
     private OptionalLong mEstimateOffset = OptionalLong.empty();
     private long mEstimateAt;
+    private long mOwnOffsetAtEstimate;
+    private long mOwnOffset;
     private OptionalLong mOffset = OptionalLong.empty();
 
     private record Reading(long offsetMillis, long atNanos) {}
@@ -38,22 +43,29 @@
     public void recordEstimate(long timeOfDayMillis, long nowNanos) {
         mEstimateOffset = OptionalLong.of(offset(timeOfDayMillis, nowNanos));
         mEstimateAt = nowNanos;
+        mOwnOffsetAtEstimate = mOwnOffset;
     }
 
     /** Estimates the time of day again from the clocks that are known now. */
     public void update(long ownTimeOfDayMillis, long nowNanos) {
         mClocks.values().removeIf(clock -> nowNanos - clock.atNanos() > MAX_CLOCK_AGE_NANOS);
         long own = offset(ownTimeOfDayMillis, nowNanos);
+        mOwnOffset = own;
         if (!mClocks.isEmpty()) {
             mOffset = OptionalLong.of(median(own));
-        } else if (mEstimateOffset.isPresent()
-                && nowNanos - mEstimateAt <= MAX_ESTIMATE_AGE_NANOS) {
+        } else if (mEstimateOffset.isPresent() && nowNanos - mEstimateAt <= maxEstimateAge()) {
             mOffset = mEstimateOffset;
         } else {
             mOffset = OptionalLong.of(own);
         }
     }
 
+    /** After a suspension the steady clock is behind, so the estimate must be a new one. */
+    private long maxEstimateAge() {
+        boolean agree = Math.abs(mOwnOffset - mOwnOffsetAtEstimate) <= CLOCK_TOLERANCE_MILLIS;
+        return agree ? MAX_ESTIMATE_AGE_NANOS : MAX_CLOCK_AGE_NANOS;
+    }
+
     /** Returns the time of day; {@link #update} was called before. */
     public long millis(long nowNanos) {
         return TimeUnit.NANOSECONDS.toMillis(nowNanos) + mOffset.orElseThrow();
--- a/decisions/src/test/java/org/vanillaslip/internal/usage/FleetClockTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/usage/FleetClockTest.java
@@ -34,12 +34,24 @@
 
     @Test
     void carriesTheEstimateOfTheHolderForwardWithTheSteadyClock() {
+        mClock.update(START + 5000, 0);
         mClock.recordEstimate(START, 0);
-        mClock.update(START + 5000, 30 * SECOND);
+        mClock.update(START + 35_000, 30 * SECOND);
 
         assertThat(mClock.millis(30 * SECOND)).isEqualTo(START + 30_000);
     }
 
+    /** Guards against a time of day that is behind by the time for which a host was suspended. */
+    @Test
+    void doesNotCarryTheEstimateOverASuspension() {
+        mClock.update(START, 0);
+        mClock.recordEstimate(START, 0);
+        mClock.update(START + 40_000, SECOND);
+        mClock.update(START + 43_000, 4 * SECOND);
+
+        assertThat(mClock.millis(4 * SECOND)).isEqualTo(START + 43_000);
+    }
+
     /** Guards against an estimate of a holder that is gone for long. */
     @Test
     void usesTheOwnClockWithoutOthers() {
