--- a/daemon/src/main/java/org/vanillaslip/internal/duty/UsageRecord.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/UsageRecord.java
@@ -21,10 +21,12 @@
 /** The usage reports in the platform's store. */
 public final class UsageRecord {
 
+    /** Field with the reports of single windows. */
+    public static final String WINDOWS = "windows";
+
     private static final String NAME = "fleet";
     private static final String RESTORES = "restores";
     private static final String CLOSED_THROUGH = "closed_through";
-    private static final String WINDOWS = "windows";
     private static final String WINDOW = "window";
     private static final String COUNTS = "counts";
     private static final String HOLDER = "holder";
@@ -40,6 +42,12 @@
         mStore = store;
     }
 
+    /** Reads the ledger as it is stored, for operators. */
+    public Mono<Either<PlatformFailure, ObjectNode>> readStored() {
+        return mStore.readRecent(PlatformCollections.USAGE_REPORTS, NAME)
+                .map(found -> found.map(StoredObject::spec));
+    }
+
     /** Reads the ledger. */
     Mono<Either<PlatformFailure, StoredLedger>> read() {
         return mStore.read(PlatformCollections.USAGE_REPORTS, NAME)
@@ -81,8 +89,7 @@
         return spec;
     }
 
-    /** Returns the report of a window as it is stored and shown to operators. */
-    static ObjectNode encode(SettledWindow window) {
+    private static ObjectNode encode(SettledWindow window) {
         ObjectNode node =
                 JsonNodeFactory.instance
                         .objectNode()
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -19,6 +19,7 @@
 import org.vanillaslip.internal.control.configuration.CollectionListener;
 import org.vanillaslip.internal.control.configuration.HostListWatcher;
 import org.vanillaslip.internal.duty.DutyEvent;
+import org.vanillaslip.internal.duty.UsageRecord;
 import org.vanillaslip.internal.fleet.DemandReporter;
 import org.vanillaslip.internal.fleet.DrainFollower;
 import org.vanillaslip.internal.fleet.FleetDirectory;
@@ -370,6 +371,7 @@
                 mServing.metricsAddress(),
                 mMetrics::scrape,
                 new QuarantinePage(mPromptFaults),
+                new UsagePage(mUsage.map(usage -> new UsageRecord(mStore))),
                 mLog);
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHttpServers.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHttpServers.java
@@ -43,6 +43,7 @@
             InetSocketAddress metricsAddress,
             Supplier<String> metrics,
             QuarantinePage quarantine,
+            UsagePage usage,
             EventLog log) {
         mRelay = relay;
         mEventLoop = eventLoop;
@@ -53,18 +54,22 @@
                         Map.of(
                                 readinessPath,
                                 request ->
-                                        ready.getAsBoolean()
-                                                ? new TextPageServer.Page(200, "ready\n")
-                                                : new TextPageServer.Page(503, "not ready\n")),
+                                        Mono.just(
+                                                ready.getAsBoolean()
+                                                        ? new TextPageServer.Page(200, "ready\n")
+                                                        : new TextPageServer.Page(
+                                                                503, "not ready\n"))),
                         eventLoop);
         mMetrics =
                 new TextPageServer(
                         metricsAddress,
                         Map.of(
                                 METRICS_PATH,
-                                request -> new TextPageServer.Page(200, metrics.get()),
+                                request -> Mono.just(new TextPageServer.Page(200, metrics.get())),
                                 QuarantinePage.PATH,
-                                quarantine::handle),
+                                request -> Mono.just(quarantine.handle(request)),
+                                UsagePage.PATH,
+                                usage::handle),
                         eventLoop);
         mLog = log;
     }
