--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -57,7 +57,6 @@
 import org.vanillaslip.internal.settings.Settings;
 import org.vanillaslip.internal.usage.UsageSource;
 import org.vanillaslip.messages.Heartbeat;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /** Creates, starts and stops all components of a host that serves pass-through routes. */
@@ -68,12 +67,6 @@
     /** Changes must take effect within two seconds, also after an outage of the store. */
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(400);
 
-    private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(50);
-
-    /** Time to send the error responses; the platform kills a host shortly afterwards. */
-    private static final Duration INTERRUPTED_RESPONSE_TIME = Duration.ofMillis(150);
-
-    private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(100);
     private static final Duration REMOVAL_TIMEOUT = Duration.ofMillis(500);
 
     /** Part of the rate slack; the rest covers calls that hosts admit at the same time. */
@@ -229,7 +222,7 @@
                 .doOnNext(tick -> mRelay.refuseNewCalls())
                 .delayElement(schedule.closing().minus(schedule.refusal()), mLoop.scheduler())
                 .doOnNext(tick -> mHttpServers.stopAccepting())
-                .then(awaitActiveCalls(timeout))
+                .then(new ActiveCallsAtStop(mRelay, mWaitingCalls, mLoop, mLog).awaitEnd(timeout))
                 .then(
                         mRegistration
                                 .stop()
@@ -375,34 +368,6 @@
                 mLog);
     }
 
-    private Mono<Void> awaitActiveCalls(Duration timeout) {
-        Mono<Long> refuseWaitingCalls =
-                Mono.delay(timeout.dividedBy(2), mLoop.scheduler())
-                        .doOnNext(tick -> mWaitingCalls.refuseUnanswered(STOPPING_RETRY_AFTER));
-        Mono<Void> idle =
-                Flux.interval(Duration.ZERO, IDLE_CHECK_INTERVAL, mLoop.scheduler())
-                        .filter(tick -> mRelay.activeCalls() == 0)
-                        .next()
-                        .then();
-        Mono<Void> interrupted =
-                Mono.delay(timeout, mLoop.scheduler())
-                        .doOnNext(tick -> interruptActiveCalls())
-                        .then(Mono.delay(INTERRUPTED_RESPONSE_TIME, mLoop.scheduler()))
-                        .then();
-        return Mono.firstWithSignal(idle, interrupted)
-                .doOnSubscribe(
-                        started -> {
-                            mLog.log(
-                                    LifecycleEvent.REFUSING, field("active", mRelay.activeCalls()));
-                            refuseWaitingCalls.subscribe();
-                        });
-    }
-
-    private void interruptActiveCalls() {
-        mLog.log(LifecycleEvent.STOP_INCOMPLETE, field("unfinished", mRelay.activeCalls()));
-        mRelay.interruptActiveCalls();
-    }
-
     private void follow(String collection, CollectionListener listener) {
         new CollectionFollower(
                         mRelayedStore, collection, mLoop, mRandom, mLog, listener, MAX_RETRY_DELAY)
