--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ActiveCallsEnd.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ActiveCallsAtStop.java
@@ -10,8 +10,8 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
-/** Waits for the end of all calls of a host that stops, and interrupts those that take too long. */
-final class ActiveCallsEnd {
+/** The calls of a host that stops: waiting ones are refused, running ones may end. */
+final class ActiveCallsAtStop {
 
     private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(50);
 
@@ -25,7 +25,7 @@
     private final DecisionLoop mLoop;
     private final EventLog mLog;
 
-    ActiveCallsEnd(
+    ActiveCallsAtStop(
             CallRelay relay, WaitingCallQueue waitingCalls, DecisionLoop loop, EventLog log) {
         mRelay = relay;
         mWaitingCalls = waitingCalls;
@@ -33,7 +33,8 @@
         mLog = log;
     }
 
-    Mono<Void> await(Duration timeout) {
+    /** Ends when no call is active; calls that are active after the time get an error. */
+    Mono<Void> awaitEnd(Duration timeout) {
         Mono<Long> refuseWaitingCalls =
                 Mono.delay(timeout.dividedBy(2), mLoop.scheduler())
                         .doOnNext(tick -> mWaitingCalls.refuseUnanswered(STOPPING_RETRY_AFTER));
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -21,6 +21,7 @@
 import org.vanillaslip.internal.duty.DutyEvent;
 import org.vanillaslip.internal.duty.ServerCountController;
 import org.vanillaslip.internal.duty.ServerCountDuty;
+import org.vanillaslip.internal.duty.UsageRecord;
 import org.vanillaslip.internal.fleet.DemandReporter;
 import org.vanillaslip.internal.fleet.DrainFollower;
 import org.vanillaslip.internal.fleet.FleetDirectory;
@@ -226,7 +227,7 @@
                 .doOnNext(tick -> mRelay.refuseNewCalls())
                 .delayElement(schedule.closing().minus(schedule.refusal()), mLoop.scheduler())
                 .doOnNext(tick -> mHttpServers.stopAccepting())
-                .then(new ActiveCallsEnd(mRelay, mWaitingCalls, mLoop, mLog).await(timeout))
+                .then(new ActiveCallsAtStop(mRelay, mWaitingCalls, mLoop, mLog).awaitEnd(timeout))
                 .then(
                         mRegistration
                                 .stop()
@@ -367,6 +368,7 @@
                 mServing.metricsAddress(),
                 mMetrics::scrape,
                 new QuarantinePage(mPromptFaults),
+                new UsagePage(mUsage.map(usage -> new UsageRecord(mStore))),
                 mLog);
     }
 
