--- a/daemon/src/main/java/org/vanillaslip/internal/duty/DomainViews.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/DomainViews.java
@@ -25,6 +25,7 @@
     private final Predicate<FailureDomain> mIsDrained;
     private final EventLog mLog;
     private final Set<String> mDomainsWithHosts = new HashSet<>();
+    private final Set<ScaledGroup> mGroupsWithServers = new HashSet<>();
     private Set<String> mHeardHosts = Set.of();
     private final Map<ScaledGroup, DomainView> mLogged = new HashMap<>();
 
@@ -61,7 +62,8 @@
         DomainView view =
                 mIsDrained.test(new FailureDomain(group.failureDomain()))
                         ? DomainView.DRAINED
-                        : hearsHosts(group.failureDomain()) && hearsServers(servers, expected)
+                        : hearsHosts(group.failureDomain())
+                                        && hearsServers(group, servers, expected)
                                 ? DomainView.FOLLOWED
                                 : DomainView.UNHEARD;
         DomainView before = mLogged.put(group, view);
@@ -95,9 +97,15 @@
                 : listed == 0 && !mDomainsWithHosts.contains(failureDomain);
     }
 
-    private static boolean hearsServers(List<FleetMember> servers, int expected) {
-        return servers.isEmpty()
-                ? expected == 0
-                : !servers.stream().allMatch(server -> server.health().failing());
+    /** A failure domain whose servers were all given back, or boot, has none to hear from. */
+    private boolean hearsServers(ScaledGroup group, List<FleetMember> servers, int expected) {
+        if (!servers.isEmpty()) {
+            mGroupsWithServers.add(group);
+            return !servers.stream().allMatch(server -> server.health().failing());
+        }
+        if (expected == 0) {
+            mGroupsWithServers.remove(group);
+        }
+        return !mGroupsWithServers.contains(group);
     }
 }
--- a/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
@@ -235,6 +235,28 @@
         assertThat(mPlatform.ordered("a") + mPlatform.ordered("b")).isEqualTo(7);
     }
 
+    /** Guards against a failure domain without servers that is taken for a lost one. */
+    @Test
+    void growsAgainAfterAllServersWereGivenBack() {
+        ScalingWorld world =
+                new ScalingWorld(Optional.of(ScalingWorld.limits(0, 20)), Map.of("a", 1, "b", 1));
+        world.setCalls(seconds -> seconds < 240 ? 0 : 30);
+        world.run(Duration.ofSeconds(240));
+        assertThat(world.mPlatform.servers()).isEmpty();
+        world.run(Duration.ofSeconds(30));
+        assertThat(world.mPlatform.servers()).hasSizeGreaterThanOrEqualTo(3);
+    }
+
+    /** Guards against a failure domain that loses all servers and gets no calls any more. */
+    @Test
+    void aFailureDomainWhoseServersAreAllMissingKeepsItsNumber() {
+        mWorld.setCalls(seconds -> seconds < 60 ? 60 : 10);
+        mWorld.run(Duration.ofSeconds(60));
+        mPlatform.servers().keySet().removeIf(name -> name.startsWith("b-"));
+        mWorld.run(Duration.ofMinutes(3));
+        assertThat(mPlatform.attempts()).isZero();
+    }
+
     private void growAfterAMinute() {
         mWorld.setCalls(seconds -> seconds < 60 ? 60 : 160);
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/DomainCount.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/DomainCount.java
@@ -69,10 +69,13 @@
      * for the ordered one, because servers may be listed one after another.
      */
     void observe(DomainServers servers, ServerScaling limits, long nowNanos) {
-        if (!mDecided) {
+        if (mDecided) {
+            mServers = Math.max(limits.minServers(), mServers);
+        } else {
+            // The platform may not have started the minimum yet, so it is not counted.
             mServers = Math.max(mServers, servers.ready() + servers.leaving().size());
         }
-        mServers = Math.max(limits.minServers(), Math.min(limits.maxServers(), mServers));
+        mServers = Math.min(limits.maxServers(), mServers);
         mLeaving.retainAll(servers.leaving());
         mLeavingAtShortNotice.retainAll(servers.leaving());
         while (!mGivenBackAt.isEmpty() && nowNanos - mGivenBackAt.getFirst() > GIVE_BACK_NANOS) {
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/ServerCountPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/ServerCountPlanner.java
@@ -161,8 +161,8 @@
     private List<ServerCountChange> meetShortage(ServerScaling limits) {
         Map<DomainCount, Integer> before = new LinkedHashMap<>();
         Collection<DomainCount> followed = followed();
-        int shortage = roundedUp(mNeed.total()) - total(followed);
-        for (; shortage > 0; shortage--) {
+        int needed = roundedUp(mNeed.total());
+        while (total(followed) < needed) {
             Optional<DomainCount> smallest =
                     followed.stream()
                             .filter(domain -> domain.servers() < limits.maxServers())
@@ -173,7 +173,7 @@
                 break;
             }
             before.putIfAbsent(smallest.get(), smallest.get().servers());
-            smallest.get().decide(smallest.get().servers() + 1);
+            smallest.get().decide(Math.max(limits.minServers(), smallest.get().servers() + 1));
         }
         List<ServerCountChange> changes = new ArrayList<>();
         before.forEach(
--- a/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
@@ -211,6 +211,15 @@
         assertThat(pool.totalOrdered()).isEqualTo(6);
     }
 
+    /** Guards against a minimum that is taken for servers although the platform has fewer. */
+    @Test
+    void ordersAtLeastTheMinimumWhenFewerServersAreListed() {
+        ScalingSimulation pool = new ScalingSimulation(limits(4, 8), Map.of("a", 1, "b", 1));
+        pool.setCalls(seconds -> 40);
+        pool.run(Duration.ofSeconds(4));
+        assertThat(pool.planner().decided()).isEqualTo(Map.of("a", 4));
+    }
+
     private static ServerScaling limits(int min, int max) {
         return ScalingSimulation.limits(min, max);
     }
