--- a/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountController.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.vanillaslip.internal.fleet.FleetDirectory;
 import org.vanillaslip.internal.fleet.FleetLease;
+import org.vanillaslip.internal.fleet.LeaseTerms;
 import org.vanillaslip.internal.fleet.PlanView;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.platform.PlatformFailure;
@@ -209,7 +210,7 @@
 
     private void restore(ScaledGroup group, RecordedCount recorded) {
         int ready = mObserver.ready(group);
-        boolean outdated = FleetLease.isOfEarlierEra(recorded.term(), mTerm);
+        boolean outdated = LeaseTerms.isOfEarlierEra(recorded.term(), mTerm);
         // Later numbers may be lost with the store's last changes, and fewer servers than are
         // listed must not be ordered by mistake.
         int servers = outdated ? Math.max(recorded.servers(), ready) : recorded.servers();
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetLease.java
@@ -40,7 +40,7 @@
     static final long FIRST_TERM = 1;
 
     /** Terms of an era of the store; far more than hosts can take in one. */
-    private static final int TERM_BITS_PER_ERA = 20;
+    static final int TERM_BITS_PER_ERA = 20;
 
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration READ_INTERVAL = Duration.ofMillis(400);
@@ -153,15 +153,6 @@
         return mState.term() == term && mayOrder();
     }
 
-    /**
-     * Returns whether the store was restored between two terms, so that what the holder of the
-     * earlier one stored last may be lost.
-     */
-    public static boolean isOfEarlierEra(long term, long laterTerm) {
-        return (term - FIRST_TERM) >> TERM_BITS_PER_ERA
-                < (laterTerm - FIRST_TERM) >> TERM_BITS_PER_ERA;
-    }
-
     /** Returns the orders that are unanswered when the holder changes. */
     LeaseHandover handover() {
         return mHandover;
--- a/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
@@ -153,6 +153,21 @@
         assertRulesKept();
     }
 
+    /** Guards against a number that is lost or sent with a lower token after a takeover. */
+    @Test
+    void aTakeoverDuringASendWithoutAnswerKeepsTheNumber() {
+        growAfterAMinute();
+        mPlatform.setTreatment(ScalingPlatform.Treatment.ANSWER_LOST);
+        mWorld.run(Duration.ofSeconds(60));
+        while (mPlatform.calls().isEmpty()) {
+            mWorld.run(Duration.ofMillis(10));
+        }
+        mWorld.holder().orElseThrow().mRunning = false;
+        mWorld.run(Duration.ofSeconds(60));
+        assertThat(mPlatform.ordered("a") + mPlatform.ordered("b")).isGreaterThanOrEqualTo(13);
+        assertRulesKept();
+    }
+
     /** Guards against two hosts that both order while one has lost the store. */
     @Test
     void aHolderWithoutTheStoreStopsBeforeTheNextOneStarts() {
