--- a/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountSender.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiPredicate;
@@ -24,6 +25,8 @@
     private final DecisionLoop mLoop;
     private final EventLog mLog;
     private final Map<ScaledGroup, CountOrder> mOrders = new TreeMap<>(BY_NAME);
+    private final Map<ScaledGroup, Long> mLastSends = new HashMap<>();
+    private long mSendCount;
     private boolean mCallInFlight;
 
     ServerCountSender(DutyCalls calls, double callsPerSecond, DecisionLoop loop, EventLog log) {
@@ -36,6 +39,7 @@
     /** Forgets all numbers, because another term of the lease begins. */
     void clear() {
         mOrders.clear();
+        mLastSends.clear();
     }
 
     /**
@@ -78,17 +82,21 @@
         if (mCallInFlight || !mPacing.mayCall(now()) || !right.permitted().getAsBoolean()) {
             return;
         }
-        for (Map.Entry<ScaledGroup, CountOrder> entry : mOrders.entrySet()) {
-            CountOrder order = entry.getValue();
-            if (order.pending() && maySend.test(entry.getKey(), order.servers())) {
-                send(right, entry.getKey(), order);
-                return;
-            }
-        }
+        // The longest waiting one is next, so that one without an answer holds up no others.
+        mOrders.entrySet().stream()
+                .filter(entry -> entry.getValue().pending())
+                .filter(entry -> maySend.test(entry.getKey(), entry.getValue().servers()))
+                .min(Comparator.comparingLong(entry -> lastSend(entry.getKey())))
+                .ifPresent(entry -> send(right, entry.getKey(), entry.getValue()));
+    }
+
+    private long lastSend(ScaledGroup group) {
+        return mLastSends.getOrDefault(group, 0L);
     }
 
     private void send(DutyRight right, ScaledGroup group, CountOrder order) {
         mCallInFlight = true;
+        mLastSends.put(group, ++mSendCount);
         mPacing.recordCall(now());
         int servers = order.servers();
         mCalls.orderServers(right, group.pool(), group.failureDomain(), servers)
