Add vanillaslip check, which reviews a list file without sending it

Cause: validate finds invalid values only. A workspace without keys, a plan that nobody holds or a burst below one call is valid and is noticed when callers are refused.

ConfigurationReview in decisions makes the findings; CommandResult carries the exit code, which is 2 if there is a fault. Nothing is written. Routes match exact paths here, so no route can hide another. The configuration of the users' platform is not read: its parser is in platform/, on which command-line does not depend.

--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/ChangeCalculator.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/ChangeCalculator.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.vanillaslip.Configuration;
 import org.vanillaslip.ConfigurationItem;
 import org.vanillaslip.ItemKind;
 import org.vanillaslip.ItemName;
@@ -42,10 +43,13 @@
      */
     Either<List<Fault>, List<ConfigurationChange>> calculate(
             StoredConfiguration stored, Map<ItemName, Optional<ConfigurationItem>> requested) {
-        List<Fault> faults = findFaults(stored, requested);
-        if (!faults.isEmpty()) {
-            return Either.left(faults);
-        }
+        return configurationAfter(stored, requested)
+                .map(configuration -> changes(stored, requested));
+    }
+
+    /** Returns the changes in the order in which to write them, whether they are valid or not. */
+    List<ConfigurationChange> changes(
+            StoredConfiguration stored, Map<ItemName, Optional<ConfigurationItem>> requested) {
         List<ConfigurationChange> changes = new ArrayList<>();
         requested.forEach(
                 (name, item) -> {
@@ -55,10 +59,11 @@
                     }
                 });
         changes.sort(writeOrder());
-        return Either.right(List.copyOf(changes));
+        return List.copyOf(changes);
     }
 
-    private List<Fault> findFaults(
+    /** Returns the configuration after the changes, or its faults. */
+    Either<List<Fault>, Configuration> configurationAfter(
             StoredConfiguration stored, Map<ItemName, Optional<ConfigurationItem>> requested) {
         Map<ItemName, VersionedItem> result = new HashMap<>(stored.items());
         Map<String, UnreadableItem> unreadable = new HashMap<>(stored.unreadable());
@@ -69,8 +74,9 @@
                 });
         List<Fault> faults = new ArrayList<>();
         unreadable.values().forEach(item -> faults.addAll(item.faults()));
-        mValidator.validate(result.values()).peekLeft(faults::addAll);
-        return faults;
+        Either<List<Fault>, Configuration> configuration =
+                mValidator.validate(result.values()).peekLeft(faults::addAll);
+        return faults.isEmpty() ? configuration : Either.left(List.copyOf(faults));
     }
 
     private static Comparator<ConfigurationChange> writeOrder() {
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandFailures.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandFailures.java
@@ -108,10 +108,13 @@
     }
 
     private static String describeFault(Fault fault) {
+        return fault.item() + ": " + describe(fault);
+    }
+
+    /** Describes the rejected value without the item. */
+    static String describe(Fault fault) {
         String field = fault.field().replaceFirst("^item\\.", "");
-        return fault.item()
-                + ": "
-                + FieldNames.toSnakeCase(field)
+        return FieldNames.toSnakeCase(field)
                 + " = '"
                 + fault.value()
                 + "': allowed is "
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandLine.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandLine.java
@@ -63,7 +63,7 @@
         } else {
             outcome.get().lines().forEach(mOutput::println);
         }
-        return ExitCode.OK;
+        return outcome.get().exitCode();
     }
 
     private ExitCode printFailure(CommandFailure failure, boolean json) {
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/Commands.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/Commands.java
@@ -17,6 +17,7 @@
                         "Shows and changes the configuration, and drains and restores its items")
                 .withCommands(
                         List.of(
+                                Check.class,
                                 Drain.class,
                                 Explain.class,
                                 Restore.class,
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/InputFile.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/InputFile.java
@@ -28,9 +28,15 @@
         }
     }
 
-    /** Returns all items of the file, or the faults of all entries. */
+    /** Returns all items of the file, or a failure that names the faults of all entries. */
     static Either<CommandFailure, Map<ItemName, Optional<ConfigurationItem>>> items(
             ListFile file, StoredConfiguration stored) {
+        return convert(file, stored).mapLeft(CommandFailures::invalid);
+    }
+
+    /** Returns all items of the file, or the faults of all entries. */
+    static Either<List<Fault>, Map<ItemName, Optional<ConfigurationItem>>> convert(
+            ListFile file, StoredConfiguration stored) {
         ListFileEntryConverter converter = new ListFileEntryConverter(new ConfigurationCodec());
         Map<ItemName, Optional<ConfigurationItem>> items = new LinkedHashMap<>();
         List<Fault> faults = new ArrayList<>();
@@ -40,8 +46,6 @@
                     .peek(item -> items.put(entry.name(), Optional.of(item)))
                     .peekLeft(faults::addAll);
         }
-        return faults.isEmpty()
-                ? Either.right(items)
-                : Either.left(CommandFailures.invalid(faults));
+        return faults.isEmpty() ? Either.right(items) : Either.left(List.copyOf(faults));
     }
 }
