--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -1,7 +1,5 @@
 package org.vanillaslip.internal.relay;
 
-import static org.vanillaslip.internal.logging.LogField.field;
-
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
@@ -18,14 +16,13 @@
 import org.vanillaslip.internal.control.configuration.CollectionFollower;
 import org.vanillaslip.internal.control.configuration.CollectionListener;
 import org.vanillaslip.internal.control.configuration.HostListWatcher;
-import org.vanillaslip.internal.duty.DutyEvent;
+import org.vanillaslip.internal.duty.IgnoredSettings;
 import org.vanillaslip.internal.duty.ServerCountController;
 import org.vanillaslip.internal.duty.ServerCountDuty;
 import org.vanillaslip.internal.duty.UsageRecord;
 import org.vanillaslip.internal.fleet.DemandReporter;
 import org.vanillaslip.internal.fleet.DrainFollower;
 import org.vanillaslip.internal.fleet.FleetDirectory;
-import org.vanillaslip.internal.fleet.FleetEvent;
 import org.vanillaslip.internal.fleet.FleetExchange;
 import org.vanillaslip.internal.fleet.FleetLease;
 import org.vanillaslip.internal.fleet.HealthTrackingObjectStore;
@@ -39,7 +36,6 @@
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.lease.LeaseTimes;
 import org.vanillaslip.internal.logging.EventLog;
-import org.vanillaslip.internal.logging.LifecycleEvent;
 import org.vanillaslip.internal.metrics.DaemonMetrics;
 import org.vanillaslip.internal.metrics.MeteredObjectStore;
 import org.vanillaslip.internal.peer.NettyPeerLinks;
@@ -53,13 +49,11 @@
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.runtime.DecisionLoopMonitor;
 import org.vanillaslip.internal.runtime.RunningDaemon;
-import org.vanillaslip.internal.settings.DutySettings;
 import org.vanillaslip.internal.settings.HostSettings;
 import org.vanillaslip.internal.settings.ServingSettings;
 import org.vanillaslip.internal.settings.Settings;
 import org.vanillaslip.internal.usage.UsageSource;
 import org.vanillaslip.messages.Heartbeat;
-import reactor.core.publisher.Mono;
 
 /** Creates, starts and stops all components of a host that serves pass-through routes. */
 public final class ServingHost implements RunningDaemon {
@@ -69,8 +63,6 @@
     /** Changes must take effect within two seconds, also after an outage of the store. */
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(400);
 
-    private static final Duration REMOVAL_TIMEOUT = Duration.ofMillis(500);
-
     /** Part of the rate slack; the rest covers calls that hosts admit at the same time. */
     private static final double OVERDRAFT_FRACTION = 0.4;
 
@@ -218,31 +210,19 @@
     @Override
     public void stop() {
         mLeaving = true;
-        mRelay.closeConnectionsAfterResponses();
-        mLog.log(LifecycleEvent.STOPPING, field("active", mRelay.activeCalls()));
-        Duration timeout = mHost.shutdownTimeout();
-        mLoop.scheduler().schedule(() -> mLease.release().subscribe());
-        StopSchedule schedule = StopSchedule.of(mHost.shutdownDelay());
-        Mono.delay(schedule.refusal(), mLoop.scheduler())
-                .doOnNext(tick -> mRelay.refuseNewCalls())
-                .delayElement(schedule.closing().minus(schedule.refusal()), mLoop.scheduler())
-                .doOnNext(tick -> mHttpServers.stopAccepting())
-                .then(new ActiveCallsAtStop(mRelay, mWaitingCalls, mLoop, mLog).awaitEnd(timeout))
-                .then(
-                        mRegistration
-                                .stop()
-                                .timeout(REMOVAL_TIMEOUT)
-                                .onErrorComplete(this::logFailure))
-                .block(mHost.shutdownDelay().plus(timeout).plus(REMOVAL_TIMEOUT.multipliedBy(2)));
+        new PlannedStop(
+                        mHost,
+                        mRelay,
+                        mWaitingCalls,
+                        mHttpServers,
+                        mLease,
+                        mRegistration,
+                        mLoop,
+                        mLog)
+                .run();
         mEventLoop.group().shutdownGracefully();
     }
 
-    /** Logs and ignores the failure, because other hosts remove a silent host from the list. */
-    private boolean logFailure(Throwable error) {
-        mLog.log(FleetEvent.REGISTRATION_FAILED, field("cause", error.toString()));
-        return true;
-    }
-
     private NettyPeerLinks peerLinks(List<InetSocketAddress> bootstrap) {
         return new NettyPeerLinks(
                 mHost.name(),
@@ -305,14 +285,7 @@
     }
 
     private Optional<UsageReports> usageReports(Settings settings) {
-        settings.duties()
-                .map(DutySettings::ignored)
-                .filter(ignored -> !ignored.isEmpty())
-                .ifPresent(
-                        ignored ->
-                                mLog.log(
-                                        DutyEvent.SETTINGS_IGNORED,
-                                        field("reasons", String.join("; ", ignored))));
+        IgnoredSettings.log(settings.duties(), mLog);
         return UsageReports.create(
                 settings.duties(),
                 mAdapters.dutyCalls(),
--- a/decisions/src/test/java/org/vanillaslip/internal/scaling/RecentModelsTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/scaling/RecentModelsTest.java
@@ -40,8 +40,11 @@
     /** Guards against a busy model that counts as one copy, and a running one that is forgotten. */
     @Test
     void countsCopiesOfBusyModels() {
-        assertThat(mModels.engines(profile(100, 0), Map.of("m0", 30), Duration.ZERO, 0)).isEqualTo(1);
-        assertThat(mModels.engines(profile(100, 0), Map.of("m0", 1, "unknown", 9), Duration.ZERO, 0))
+        assertThat(mModels.engines(profile(100, 0), Map.of("m0", 30), Duration.ZERO, 0))
+                .isEqualTo(1);
+        assertThat(
+                        mModels.engines(
+                                profile(100, 0), Map.of("m0", 1, "unknown", 9), Duration.ZERO, 0))
                 .isEqualTo(1 / 3.0);
     }
 
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformCollections.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformCollections.java
@@ -23,6 +23,7 @@
 
     /** Usage reports of the last windows; one object. */
     public static final String USAGE_REPORTS = "usagereports";
+
     /** Ordered numbers of backend servers; one object. */
     public static final String SERVER_COUNTS = "servercounts";
 
