--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -148,7 +148,6 @@
                             mPromptFaults.checkParts(call.crashSubjects());
                             boolean sentAfterCrash = mPromptFaults.hasCrashes(call.callSubject());
                             int send = call.recordSend(server.instance());
-                            call.usage().recordSend(server.instance());
                             mBudgets.recordSend(call);
                             logServerChosen(call, server);
                             long sentNanos = now();
@@ -178,7 +177,7 @@
                                                 recordSendFailure(call, server, send, error);
                                                 recordCrash(call, server, sentAfterCrash, error);
                                             })
-                                    .doOnCancel(() -> recordCancelled(call, server));
+                                    .doOnCancel(() -> call.recordCancelledSend(server.instance()));
                         })
                 .doOnError(RefusedException.class, refused -> mBudgets.cancelReservation(call))
                 .doFinally(signal -> release(call, slot, signal));
@@ -194,11 +193,6 @@
         }
     }
 
-    private static void recordCancelled(RelayCall call, FleetMember server) {
-        call.recordCancelledSend();
-        call.usage().recordCancelled(server.instance());
-    }
-
     /** Records a failed call in the health of the server, unless it asked for a pause instead. */
     void recordFailure(RelayCall call, FleetMember server) {
         if (call.wasTurnedAwayBy(server.instance())) {
@@ -338,8 +332,7 @@
     }
 
     private void recordSendFailure(RelayCall call, FleetMember server, int send, Throwable error) {
-        call.recordSendFailed();
-        call.usage().recordSendFailed(server.instance());
+        call.recordSendFailed(server.instance());
         if (!(error instanceof SendFailedException failure)) {
             server.health().recordInconclusive();
             if (error instanceof CallerDisconnectedException) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -241,6 +241,7 @@
         mSendInProgress = true;
         mAnsweringServers.remove(instance);
         mTurnedAwayBy.remove(instance);
+        mUsage.recordSend(instance);
         return ++mSendCount;
     }
 
@@ -274,8 +275,9 @@
     }
 
     /** Records that the send failed, so that no server is processing the call. */
-    void recordSendFailed() {
+    void recordSendFailed(String instance) {
         mSendInProgress = false;
+        mUsage.recordSendFailed(instance);
     }
 
     /** Returns whether the call has been sent to a server and the send has not failed. */
@@ -309,8 +311,9 @@
     }
 
     /** Records that a send was cancelled, whose server may have run the call. */
-    void recordCancelledSend() {
+    void recordCancelledSend(String instance) {
         mPossiblyRun = true;
+        mUsage.recordCancelled(instance);
     }
 
     /**
