Rank the calls that wait for a pool's servers over all targets

Cause: targets that share servers were dispatched in the order of a hash map, no workspace had a share, and a full queue refused the newest call. Change: where the configuration names several priorities, calls are ranked by begun answer, level, share of the workspace, time left and work, with floors against starvation. A full queue refuses the lowest rank, and calls that are clearly out of reach are refused at once with the expected wait. Without priorities the queue works as before.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -49,6 +49,7 @@
     private long mAssumedDoneAt = Long.MIN_VALUE / 2;
     private int mOtherCalls;
     private int mOwnCalls;
+    private long mEndedCalls;
     private long mColdUntil;
     private long mFullAt = Long.MIN_VALUE;
     private boolean mReplaced;
@@ -126,6 +127,11 @@
         return mOwnCalls;
     }
 
+    /** Returns the number of calls of this host that have ended since the server's start. */
+    long endedCalls() {
+        return mEndedCalls;
+    }
+
     /** Returns the number of calls of this host by model. */
     public Map<String, Integer> ownCallsByModel() {
         return mOwnCallsByModel;
@@ -296,6 +302,7 @@
     /** Records the end of a call. */
     void recordCallEnd(Optional<ModelName> model) {
         mOwnCalls--;
+        mEndedCalls++;
         model.ifPresent(
                 name ->
                         mOwnCallsByModel.computeIfPresent(
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -12,6 +12,7 @@
 import org.vanillaslip.internal.routing.SuspectedDomains;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.serving.ServicePool;
+import org.vanillaslip.internal.serving.ServingPlan;
 
 /** Selects the server of a call and reserves a request slot on it. */
 public final class ServerSelector {
@@ -101,6 +102,17 @@
                                         now));
     }
 
+    /** Returns whether a server that can serve the target has room for a call. */
+    boolean hasRoom(CallTarget target) {
+        long now = now();
+        return serversWith(target).stream().anyMatch(member -> hasRoom(member, target, now));
+    }
+
+    /** Returns whether the configuration names several priorities, by which calls are ranked. */
+    boolean ranksCalls() {
+        return mPlans.current().map(ServingPlan::hasSeveralPriorities).orElse(false);
+    }
+
     /** A silent server gets a call only if no other server can take it. */
     private static List<FleetMember> withoutSilent(List<FleetMember> available, long nowNanos) {
         List<FleetMember> heard =
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCall.java
@@ -1,22 +1,43 @@
 package org.vanillaslip.internal.fleet;
 
+import org.vanillaslip.internal.queue.RankedCall;
 import reactor.core.publisher.MonoSink;
 
 /**
  * A call that waits for a server.
  *
- * @param priority 0 is the most urgent
- * @param objectiveNanos time at which the call misses its objective
- * @param deadlineNanos time from which the call can no longer be served
- * @param answerBegun whether the caller has part of the answer
- * @param enqueuedNanos time at which the call started to wait
+ * @param criteria priority and times of the call
  * @param sink receives the server, or the refusal of the call
  */
-record WaitingCall(
-        ServerRequest request,
-        int priority,
-        long objectiveNanos,
-        long deadlineNanos,
-        boolean answerBegun,
-        long enqueuedNanos,
-        MonoSink<RequestSlot> sink) {}
+record WaitingCall(ServerRequest request, RankedCall criteria, MonoSink<RequestSlot> sink) {
+
+    /** Returns the call's target. */
+    CallTarget target() {
+        return request.target();
+    }
+
+    /** Returns the priority; 0 is the most urgent. */
+    int priority() {
+        return criteria.priority();
+    }
+
+    /** Returns the time at which the call misses its objective. */
+    long objectiveNanos() {
+        return criteria.objectiveNanos();
+    }
+
+    /** Returns the time from which the call can no longer be served. */
+    long deadlineNanos() {
+        return criteria.deadlineNanos();
+    }
+
+    /** Returns whether the caller has part of the answer. */
+    boolean answerBegun() {
+        return criteria.answerBegun();
+    }
+
+    /** Returns the time at which the call started to wait. */
+    long enqueuedNanos() {
+        return criteria.enqueuedNanos();
+    }
+}
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -1,20 +1,20 @@
 package org.vanillaslip.internal.fleet;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.gateway.RefusedException;
+import org.vanillaslip.internal.queue.RankPosition;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -48,17 +48,16 @@
     /** Detail of refusals because of pauses. */
     private static final String PAUSING_DETAIL = "all servers asked for a pause";
 
-    private static final Comparator<WaitingCall> BY_PRIORITY_AND_AGE =
-            Comparator.comparingInt(WaitingCall::priority)
-                    .thenComparingLong(WaitingCall::enqueuedNanos);
+    /** Detail of refusals because more urgent calls take all room until the deadline. */
+    private static final String OUT_OF_REACH_DETAIL = "all servers are busy";
 
     private final ServerSelector mSelector;
     private final DecisionLoop mLoop;
     private final int mMaxWaiting;
-    private final Map<CallTarget, List<WaitingCall>> mWaiting = new HashMap<>();
+    private final RankedCalls mRanked;
+    private final WaitingCalls mWaiting = new WaitingCalls();
     private Consumer<CallTarget> mOnModelMissing = target -> {};
     private BooleanSupplier mLeaseHolderReachable = () -> true;
-    private int mCount;
     private boolean mTickScheduled;
 
     /** Creates an empty queue for at most the given number of calls. */
@@ -66,6 +65,7 @@
         mSelector = selector;
         mLoop = loop;
         mMaxWaiting = maxWaiting;
+        mRanked = new RankedCalls(selector);
     }
 
     /** Sets the check for a reachable lease holder, without which no load can be ordered. */
@@ -85,16 +85,14 @@
 
     /** Reserves a request slot if there is one for which no call waits. */
     public Optional<RequestSlot> reserveNow(ServerRequest request) {
-        return mWaiting.getOrDefault(request.target(), List.of()).isEmpty()
-                ? mSelector.reserveSlot(request)
-                : Optional.empty();
+        return waitsBefore(request.target()) ? Optional.empty() : mSelector.reserveSlot(request);
     }
 
     private void awaitSlot(ServerRequest request, WaitBounds bounds, MonoSink<RequestSlot> sink) {
-        List<WaitingCall> queue = mWaiting.get(request.target());
-        if (queue == null || queue.isEmpty()) {
+        if (!waitsBefore(request.target())) {
             Optional<RequestSlot> slot = mSelector.reserveSlot(request);
             if (slot.isPresent()) {
+                mRanked.recordServedAtOnce(request.target(), bounds.profile(), now());
                 sink.success(slot.get());
                 return;
             }
@@ -117,7 +115,7 @@
                                     LEAVING_RETRY_AFTER)));
             return;
         }
-        if (mCount >= mMaxWaiting) {
+        if (mWaiting.size() >= mMaxWaiting && !mRanked.enabled()) {
             sink.error(
                     new RefusedException(
                             Refusal.retryable(
@@ -127,50 +125,111 @@
             return;
         }
         WaitingCall call =
-                new WaitingCall(
-                        request,
-                        bounds.priority(),
-                        bounds.objectiveNanos(),
-                        bounds.deadlineNanos(),
-                        bounds.answerBegun(),
-                        mLoop.clock().nowNanos(),
-                        sink);
-        List<WaitingCall> waiting =
-                mWaiting.computeIfAbsent(request.target(), target -> new ArrayList<>());
-        waiting.add(call);
-        waiting.sort(BY_PRIORITY_AND_AGE);
-        mCount++;
-        sink.onCancel(() -> remove(call));
+                new WaitingCall(request, mRanked.criteria(request.target(), bounds, now()), sink);
+        mWaiting.add(call);
+        sink.onCancel(
+                () -> {
+                    if (mWaiting.remove(call)) {
+                        mRanked.recordLost(call, false, now());
+                    }
+                });
+        if (mRanked.enabled() && mSelector.hasRoom(request.target())) {
+            dispatchRanked(request.target().pool());
+        }
+        if (mWaiting.size() > mMaxWaiting) {
+            refuseLowest(call);
+        }
+        if (!mWaiting.contains(call)) {
+            return;
+        }
         if (request.target().model().isPresent() && isModelMissing(request.target())) {
             mOnModelMissing.accept(request.target());
         }
         refuseBeyondPauses(request.target());
-        requestPermits(request.target(), mWaiting.getOrDefault(request.target(), List.of()));
+        requestPermits(request.target());
         scheduleTick();
     }
 
+    /**
+     * Returns whether a call waits that a new call must not overtake: for the target or, where
+     * calls are ranked, for a server of its pool.
+     */
+    private boolean waitsBefore(CallTarget target) {
+        return mRanked.enabled() ? mWaiting.waitsFor(target.pool()) : mWaiting.waitsFor(target);
+    }
+
+    /** Refuses the call of the lowest rank, whichever came last. */
+    private void refuseLowest(WaitingCall added) {
+        WaitingCall lowest = mRanked.lowest(mWaiting, added, now());
+        if (!lowest.answerBegun()) {
+            Duration retryAfter =
+                    mRanked.expectedWait(lowest.target(), mWaiting.size(), now())
+                            .orElse(MIN_RETRY_AFTER);
+            refuse(lowest, ResultCode.QUEUE_FULL, retryAfter, lowest.target().pool());
+        }
+    }
+
+    /** Assigns free request slots to the calls of a pool in the order of their rank. */
+    private void dispatchRanked(String pool) {
+        Set<CallTarget> withoutRoom = new HashSet<>();
+        for (RankPosition<WaitingCall> position : mRanked.order(pool, mWaiting.of(pool), now())) {
+            WaitingCall call = position.call();
+            if (withoutRoom.contains(call.target()) || !mWaiting.contains(call)) {
+                continue;
+            }
+            Optional<RequestSlot> slot = mSelector.reserveSlot(call.request());
+            if (slot.isPresent()) {
+                mWaiting.remove(call);
+                mRanked.recordServed(call, now());
+                call.sink().success(slot.get());
+            } else if (call.request().failedServers().isEmpty()) {
+                withoutRoom.add(call.target());
+            }
+        }
+    }
+
+    /** Refuses the calls that are clearly not served before their deadline. */
+    private void refuseOutOfReach() {
+        mRanked.sampleTurnover(mWaiting.targets(), now());
+        for (String pool : mWaiting.pools()) {
+            mRanked.outOfReach(mRanked.order(pool, mWaiting.of(pool), now()), now())
+                    .forEach(
+                            (call, retryAfter) ->
+                                    refuse(
+                                            call,
+                                            ResultCode.DEADLINE_UNREACHABLE,
+                                            retryAfter,
+                                            OUT_OF_REACH_DETAIL));
+        }
+    }
+
     /** Assigns servers with free request slots to waiting calls. */
     public void dispatch() {
-        for (CallTarget target : List.copyOf(mWaiting.keySet())) {
+        if (mRanked.enabled()) {
+            mWaiting.pools().forEach(this::dispatchRanked);
+            mWaiting.targets().forEach(this::requestPermits);
+            return;
+        }
+        for (CallTarget target : mWaiting.targets()) {
             dispatch(target);
         }
     }
 
     private void dispatch(CallTarget target) {
-        List<WaitingCall> queue = mWaiting.getOrDefault(target, List.of());
-        for (WaitingCall call : List.copyOf(queue)) {
+        for (WaitingCall call : mWaiting.of(target)) {
             Optional<RequestSlot> slot = mSelector.reserveSlot(call.request());
             if (slot.isPresent()) {
-                remove(call);
+                mWaiting.remove(call);
                 call.sink().success(slot.get());
             } else if (call.request().failedServers().isEmpty()) {
                 break;
             }
         }
-        requestPermits(target, mWaiting.getOrDefault(target, List.of()));
+        requestPermits(target);
     }
 
-    private void requestPermits(CallTarget target, List<WaitingCall> queue) {
+    private void requestPermits(CallTarget target) {
+        List<WaitingCall> queue = mWaiting.of(target);
         if (!queue.isEmpty()) {
             WaitingCall first = queue.get(0);
             long latestSendNanos = first.deadlineNanos() - answerTimeNanos(first);
@@ -191,7 +250,7 @@
         }
         long now = mLoop.clock().nowNanos();
         int served = 0;
-        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+        for (WaitingCall call : mWaiting.of(target)) {
             long sendTime = capacity.get().timeAfter(served);
             if (sendTime + answerTimeNanos(call) - call.deadlineNanos() > 0) {
                 Duration retryAfter = Duration.ofNanos(sendTime - now);
@@ -209,7 +268,7 @@
             return;
         }
         long endNanos = mLoop.clock().nowNanos() + pause.get().toNanos();
-        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+        for (WaitingCall call : mWaiting.of(target)) {
             if (!call.answerBegun() && endNanos - call.deadlineNanos() >= 0) {
                 refuse(call, ResultCode.DEADLINE_UNREACHABLE, pause.get(), PAUSING_DETAIL);
             }
@@ -219,7 +278,7 @@
     /** Refuses the calls whose deadline is before the expected end of the load. */
     public void applyForecast(CallTarget target, Duration expected) {
         long readyAt = mLoop.clock().nowNanos() + expected.toNanos();
-        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+        for (WaitingCall call : mWaiting.of(target)) {
             if (readyAt - call.deadlineNanos() > 0) {
                 refuse(call, ResultCode.DEADLINE_UNREACHABLE, expected);
             }
@@ -228,70 +287,60 @@
 
     /** Refuses all calls that wait for the target, because no load can be planned for it. */
     public void refuseUnplanned(CallTarget target, Duration retryAfter) {
-        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+        for (WaitingCall call : mWaiting.of(target)) {
             refuse(call, ResultCode.NO_BACKEND_SERVER, retryAfter);
         }
     }
 
     /** Refuses the calls that may crash servers because of the subject. */
     public void refuseCallsWith(String crashSubject, RefusedException refusal) {
-        for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
-            for (WaitingCall call : List.copyOf(queue)) {
-                if (call.request().crashSubjects().contains(crashSubject)) {
-                    remove(call);
-                    call.sink().error(refusal);
-                }
+        for (WaitingCall call : mWaiting.all()) {
+            if (call.request().crashSubjects().contains(crashSubject)) {
+                mWaiting.remove(call);
+                call.sink().error(refusal);
             }
         }
     }
 
     /** Refuses all calls whose answer has not begun, because this host shuts down. */
     public void refuseUnanswered(Duration retryAfter) {
-        for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
-            queue.stream()
-                    .filter(call -> !call.answerBegun())
-                    .toList()
-                    .forEach(call -> refuse(call, ResultCode.HOST_STOPPING, retryAfter));
-        }
+        mWaiting.all().stream()
+                .filter(call -> !call.answerBegun())
+                .forEach(call -> refuse(call, ResultCode.HOST_STOPPING, retryAfter));
     }
 
     /** Returns the calls whose model is not loaded on any server in service. */
     public Map<CallTarget, Collection<WaitingCall>> callsMissingModel() {
         Map<CallTarget, Collection<WaitingCall>> missing = new HashMap<>();
-        mWaiting.forEach(
-                (target, queue) -> {
-                    if (target.model().isPresent() && isModelMissing(target)) {
-                        missing.put(target, List.copyOf(queue));
-                    }
-                });
+        for (CallTarget target : mWaiting.targets()) {
+            if (target.model().isPresent() && isModelMissing(target)) {
+                missing.put(target, mWaiting.of(target));
+            }
+        }
         return missing;
     }
 
     /** Returns the number of waiting calls. */
     public int size() {
-        return mCount;
+        return mWaiting.size();
     }
 
     private void refuse(WaitingCall call, ResultCode code, Duration retryAfter) {
-        String detail = call.request().target().model().map(Object::toString).orElse("");
+        String detail = call.target().model().map(Object::toString).orElse("");
         refuse(call, code, retryAfter, detail);
     }
 
     private void refuse(WaitingCall call, ResultCode code, Duration retryAfter, String detail) {
-        remove(call);
+        if (mWaiting.remove(call)) {
+            mRanked.recordLost(call, true, now());
+        }
         Duration boundedRetryAfter =
                 retryAfter.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : retryAfter;
         call.sink().error(new RefusedException(Refusal.retryable(code, detail, boundedRetryAfter)));
     }
 
-    private void remove(WaitingCall call) {
-        List<WaitingCall> queue = mWaiting.get(call.request().target());
-        if (queue != null && queue.remove(call)) {
-            mCount--;
-            if (queue.isEmpty()) {
-                mWaiting.remove(call.request().target());
-            }
-        }
+    private long now() {
+        return mLoop.clock().nowNanos();
     }
 
     /**
@@ -318,7 +367,7 @@
     }
 
     private void scheduleTick() {
-        if (!mTickScheduled && mCount > 0) {
+        if (!mTickScheduled && mWaiting.size() > 0) {
             mTickScheduled = true;
             mLoop.scheduler().schedule(this::tick, TICK.toNanos(), TimeUnit.NANOSECONDS);
         }
@@ -327,22 +376,21 @@
     private void tick() {
         mTickScheduled = false;
         long now = mLoop.clock().nowNanos();
-        for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
-            Iterator<WaitingCall> calls = List.copyOf(queue).iterator();
-            while (calls.hasNext()) {
-                WaitingCall call = calls.next();
-                if (now - call.deadlineNanos() >= 0) {
-                    refuse(call, ResultCode.DEADLINE_UNREACHABLE, MIN_RETRY_AFTER);
-                } else if (cannotBeServed(call.request().target())) {
-                    refuse(call, ResultCode.NO_BACKEND_SERVER, UNREACHABLE_RETRY_AFTER);
-                } else if (cannotStart(call.request().target(), call.answerBegun())) {
-                    refuse(call, ResultCode.NO_BACKEND_SERVER, LEAVING_RETRY_AFTER, LEAVING_DETAIL);
-                }
+        for (WaitingCall call : mWaiting.all()) {
+            if (now - call.deadlineNanos() >= 0) {
+                refuse(call, ResultCode.DEADLINE_UNREACHABLE, MIN_RETRY_AFTER);
+            } else if (cannotBeServed(call.target())) {
+                refuse(call, ResultCode.NO_BACKEND_SERVER, UNREACHABLE_RETRY_AFTER);
+            } else if (cannotStart(call.target(), call.answerBegun())) {
+                refuse(call, ResultCode.NO_BACKEND_SERVER, LEAVING_RETRY_AFTER, LEAVING_DETAIL);
             }
         }
-        List.copyOf(mWaiting.keySet()).forEach(this::refuseBeyondPauses);
-        List.copyOf(mWaiting.keySet()).forEach(this::refuseBeyondLimits);
+        mWaiting.targets().forEach(this::refuseBeyondPauses);
+        mWaiting.targets().forEach(this::refuseBeyondLimits);
         dispatch();
+        if (mRanked.enabled()) {
+            refuseOutOfReach();
+        }
         scheduleTick();
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -12,6 +12,7 @@
 import org.vanillaslip.internal.fleet.ServerRequest;
 import org.vanillaslip.internal.fleet.WaitBounds;
 import org.vanillaslip.internal.quarantine.CallSubject;
+import org.vanillaslip.internal.queue.CallProfile;
 import org.vanillaslip.internal.quota.WorkspaceCharge;
 import org.vanillaslip.internal.serving.ServedRoute;
 import org.vanillaslip.internal.serving.WorkspacePolicy;
@@ -203,7 +204,16 @@
                 priority(),
                 arrivedNanos() + mRoute.objective().toNanos(),
                 Math.min(mDeadlineNanos, maxWaitEndNanos) - minRunTime.toNanos(),
-                mLastEventNanos.isPresent());
+                mLastEventNanos.isPresent(),
+                profile());
+    }
+
+    private CallProfile profile() {
+        return new CallProfile(
+                mRoute.name(),
+                mPolicy.map(policy -> policy.workspace().name()).orElse(""),
+                mHead.declaredTokens().orElse(0),
+                mFingerprint);
     }
 
     /** Without a model to wait for, the call is refused early; its caller can try another host. */
--- a/decisions/src/main/java/org/vanillaslip/internal/serving/ServingPlan.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/serving/ServingPlan.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.vanillaslip.internal.admission.KeyDigest;
 
 /** Routes, pools and workspaces of one configuration version. */
@@ -16,6 +17,7 @@
     private final Map<String, WorkspacePolicy> mByKeyDigest;
     private final CallerLimits mLimits;
     private final List<String> mIgnored;
+    private final boolean mHasSeveralPriorities;
 
     /**
      * Creates a plan from the parts of a configuration.
@@ -54,6 +56,15 @@
         mByKeyDigest = Map.copyOf(byKeyDigest);
         mLimits = limits;
         mIgnored = List.copyOf(ignored);
+        mHasSeveralPriorities =
+                IntStream.concat(
+                                        mRoutes.stream().mapToInt(ServedRoute::priority),
+                                        mWorkspaces.stream()
+                                                .flatMapToInt(
+                                                        workspace -> workspace.priority().stream()))
+                                .distinct()
+                                .count()
+                        > 1;
     }
 
     /** Returns the configuration version. */
@@ -86,6 +97,11 @@
         return Optional.ofNullable(mByKeyDigest.get(KeyDigest.of(key)));
     }
 
+    /** Returns whether routes and workspaces have different priorities. */
+    public boolean hasSeveralPriorities() {
+        return mHasSeveralPriorities;
+    }
+
     /** Returns the limits of requests and caller connections. */
     public CallerLimits limits() {
         return mLimits;
