Let calls rise a level before they miss their objective, and lift in-time calls first

Cause: levels that rose with the part of the deadline that had passed gave slots to calls that were late already. Change: a call rises one level from half of the time to its objective until it can no longer meet it; floors lift calls that can meet their objective first; the estimate of room runs every 100 ms, not with each dispatch.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -28,6 +28,9 @@
     /** Request slots become free without an event, so the queue is checked at this interval. */
     private static final Duration TICK = Duration.ofMillis(25);
 
+    /** Waiting calls are checked at this interval for whether they can be served in time. */
+    private static final Duration ESTIMATE_INTERVAL = Duration.ofMillis(100);
+
     /** By then another host reaches the lease holder, or a new one has acquired the lease. */
     private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(1500);
 
@@ -59,6 +62,7 @@
     private Consumer<CallTarget> mOnModelMissing = target -> {};
     private BooleanSupplier mLeaseHolderReachable = () -> true;
     private boolean mTickScheduled;
+    private long mEstimatedAt = Long.MIN_VALUE / 2;
 
     /** Creates an empty queue for at most the given number of calls. */
     public WaitingCallQueue(ServerSelector selector, DecisionLoop loop, int maxWaiting) {
@@ -388,7 +392,8 @@
         mWaiting.targets().forEach(this::refuseBeyondPauses);
         mWaiting.targets().forEach(this::refuseBeyondLimits);
         dispatch();
-        if (mRanked.enabled()) {
+        if (mRanked.enabled() && now - mEstimatedAt >= ESTIMATE_INTERVAL.toNanos()) {
+            mEstimatedAt = now;
             refuseOutOfReach();
         }
         scheduleTick();
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCalls.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCalls.java
@@ -28,15 +28,16 @@
 
     /** Removes a call and returns whether it was waiting. */
     boolean remove(WaitingCall call) {
-        List<WaitingCall> calls = mByTarget.get(call.target());
-        boolean removed = calls != null && calls.remove(call);
-        if (removed) {
-            mCount--;
-            if (calls.isEmpty()) {
-                mByTarget.remove(call.target());
-            }
+        List<WaitingCall> calls = mByTarget.getOrDefault(call.target(), List.of());
+        if (!calls.contains(call)) {
+            return false;
         }
-        return removed;
+        calls.remove(call);
+        mCount--;
+        if (calls.isEmpty()) {
+            mByTarget.remove(call.target());
+        }
+        return true;
     }
 
     boolean contains(WaitingCall call) {
--- a/decisions/src/main/java/org/vanillaslip/internal/queue/CallRanking.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/CallRanking.java
@@ -69,18 +69,28 @@
     private <T> List<RankPosition<T>> lift(
             List<Entry<T>> entries, Predicate<T> servable, long nowNanos) {
         ServiceFloors.Lifting lifting = mFloors.lifting(nowNanos);
+        // Calls that can meet their objective are lifted first: late ones are worth less.
+        for (boolean late : new boolean[] {false, true}) {
+            for (Entry<T> entry : entries) {
+                RankedCall call = entry.mCriteria;
+                entry.mLifted |=
+                        entry.mLate == late
+                                && !call.answerBegun()
+                                && servable.test(entry.mCall)
+                                && lifting.tryLift(call.profile(), call.target());
+            }
+        }
         List<RankPosition<T>> begun = new ArrayList<>();
         List<RankPosition<T>> lifted = new ArrayList<>();
         List<RankPosition<T>> others = new ArrayList<>(entries.size());
         for (Entry<T> entry : entries) {
-            RankedCall call = entry.mCriteria;
-            if (call.answerBegun()) {
-                begun.add(new RankPosition<>(entry.mCall, entry.mLevel, false));
-            } else if (servable.test(entry.mCall)
-                    && lifting.tryLift(call.profile(), call.target())) {
-                lifted.add(new RankPosition<>(entry.mCall, entry.mLevel, true));
+            RankPosition<T> position = new RankPosition<>(entry.mCall, entry.mLevel, entry.mLifted);
+            if (entry.mCriteria.answerBegun()) {
+                begun.add(position);
+            } else if (entry.mLifted) {
+                lifted.add(position);
             } else {
-                others.add(new RankPosition<>(entry.mCall, entry.mLevel, false));
+                others.add(position);
             }
         }
         List<RankPosition<T>> order = new ArrayList<>(entries.size());
@@ -109,26 +119,16 @@
         private final boolean mLate;
         private final long mUrgencyNanos;
         private double mStartTag;
+        private boolean mLifted;
 
         Entry(T call, RankedCall criteria, int topLevel, long nowNanos) {
             mCall = call;
             mCriteria = criteria;
-            mLevel =
-                    criteria.answerBegun()
-                            ? topLevel
-                            : Math.max(
-                                    topLevel, criteria.priority() - criteria.risenLevels(nowNanos));
-            boolean risen = mLevel < criteria.priority();
-            boolean meetsObjective =
-                    !criteria.answerBegun() && criteria.latestSendNanos() - nowNanos >= 0;
-            // A call that is late in any case must not make others late, unless it has risen.
-            mLate = !risen && !meetsObjective;
-            long time =
-                    risen
-                            ? criteria.enqueuedNanos()
-                            : meetsObjective
-                                    ? criteria.latestSendNanos()
-                                    : criteria.deadlineNanos();
+            boolean risen = !criteria.answerBegun() && criteria.hasRisen(nowNanos);
+            mLevel = Math.max(topLevel, criteria.priority() - (risen ? 1 : 0));
+            // A call that is late in any case must not make others late.
+            mLate = criteria.answerBegun() || !criteria.meetsObjective(nowNanos);
+            long time = mLate ? criteria.deadlineNanos() : criteria.latestSendNanos();
             mUrgencyNanos = time - nowNanos;
         }
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/queue/RankedCall.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/RankedCall.java
@@ -24,18 +24,29 @@
     /** Part of the time to the objective that a server needs for the first event. */
     private static final double ANSWER_TIME_FRACTION = 0.25;
 
+    /** A short objective leaves more of its time, because an engine may queue the call first. */
+    private static final double MAX_ANSWER_TIME_FRACTION = 0.4;
+
+    private static final double MIN_ANSWER_NANOS = 200e6;
+
     /** Returns the latest time to send the call at which it can meet its objective. */
     long latestSendNanos() {
-        return objectiveNanos - (long) ((objectiveNanos - enqueuedNanos) * ANSWER_TIME_FRACTION);
+        double objective = objectiveNanos - enqueuedNanos;
+        double answerTime =
+                Math.max(
+                        objective * ANSWER_TIME_FRACTION,
+                        Math.min(objective * MAX_ANSWER_TIME_FRACTION, MIN_ANSWER_NANOS));
+        return objectiveNanos - (long) answerTime;
+    }
+
+    /** Returns whether the call can still meet its objective. */
+    boolean meetsObjective(long nowNanos) {
+        return latestSendNanos() - nowNanos >= 0;
     }
 
-    /** Returns by how many levels the call has risen: one at half of its time, two at 3/4. */
-    int risenLevels(long nowNanos) {
-        long time = deadlineNanos - enqueuedNanos;
-        long waited = nowNanos - enqueuedNanos;
-        if (waited >= time - time / 4) {
-            return 2;
-        }
-        return waited >= time / 2 ? 1 : 0;
+    /** Returns whether the call rises a level: from half of the time to its objective on. */
+    boolean hasRisen(long nowNanos) {
+        long half = enqueuedNanos + (objectiveNanos - enqueuedNanos) / 2;
+        return nowNanos - half >= 0 && meetsObjective(nowNanos);
     }
 }
--- a/decisions/src/main/java/org/vanillaslip/internal/queue/ServiceFloors.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/ServiceFloors.java
@@ -22,12 +22,15 @@
 
     private static final double HALF_LIFE_NANOS = 30e9;
 
+    /** The counts are read for each pass, which would change them by next to nothing. */
+    private static final long DECAY_STEP_NANOS = 200_000_000L;
+
     /** A group with less than this has no influence and is dropped. */
     private static final double NEGLIGIBLE = 0.02;
 
     private static final int PRUNE_INTERVAL = 1000;
 
-    private final Map<String, Counts> mGroups = new HashMap<>();
+    private final Map<Group, Counts> mGroups = new HashMap<>();
     private final Counts mAll = new Counts();
     private final SizeClasses mSizes = new SizeClasses();
     private int mRecords;
@@ -46,7 +49,7 @@
         mSizes.recordCall(call);
         mAll.add(served, nowNanos);
         for (Group group : groups(call, target)) {
-            mGroups.computeIfAbsent(group.mName, name -> new Counts()).add(served, nowNanos);
+            mGroups.computeIfAbsent(group, name -> new Counts()).add(served, nowNanos);
         }
         if (++mRecords % PRUNE_INTERVAL == 0) {
             mGroups.values().removeIf(counts -> counts.decay(nowNanos).sum() < NEGLIGIBLE);
@@ -55,61 +58,76 @@
 
     /** Starts to lift calls in the order of their rank. */
     Lifting lifting(long nowNanos) {
-        return new Lifting(nowNanos);
+        Map<Group, Double> lacking = new HashMap<>();
+        mGroups.forEach(
+                (group, counts) -> {
+                    double lacks = lacks(group, counts, nowNanos);
+                    if (lacks > 0) {
+                        lacking.put(group, lacks);
+                    }
+                });
+        return new Lifting(lacking);
+    }
+
+    private double lacks(Group group, Counts counts, long nowNanos) {
+        Counts reference = mAll;
+        if (group.type() == GroupType.SIZE) {
+            Group kind = new Group(GroupType.KIND, group.kind(), "");
+            reference = mGroups.getOrDefault(kind, mAll);
+        }
+        if (counts.decay(nowNanos).mLost < 0.5) {
+            return 0;
+        }
+        double floor = group.type() == GroupType.SIZE ? SIZE_FLOOR : FLOOR;
+        return floor * reference.decay(nowNanos).ratio() * counts.sum() - counts.mServed;
     }
 
     private List<Group> groups(CallProfile call, String target) {
         List<Group> groups = new ArrayList<>(4);
-        String kind = "kind " + call.kind();
-        groups.add(new Group("workspace " + call.workspace(), "", FLOOR));
-        groups.add(new Group(kind, "", FLOOR));
-        groups.add(new Group("target " + target, "", FLOOR));
+        groups.add(new Group(GroupType.WORKSPACE, "", call.workspace()));
+        groups.add(new Group(GroupType.KIND, call.kind(), ""));
+        groups.add(new Group(GroupType.TARGET, "", target));
         mSizes.classOf(call)
-                .ifPresent(size -> groups.add(new Group(size + " " + kind, kind, SIZE_FLOOR)));
+                .ifPresent(size -> groups.add(new Group(GroupType.SIZE, call.kind(), size)));
         return groups;
     }
 
     /** What each group lacks, less the calls that were lifted in this pass. */
     final class Lifting {
-        private final Map<String, Double> mLacking = new HashMap<>();
-        private final long mNowNanos;
+        private final Map<Group, Double> mLacking;
 
-        private Lifting(long nowNanos) {
-            mNowNanos = nowNanos;
+        private Lifting(Map<Group, Double> lacking) {
+            mLacking = lacking;
         }
 
         /** Returns whether one of the call's groups lacks it. */
         boolean tryLift(CallProfile call, String target) {
-            List<Group> groups = groups(call, target);
-            boolean lifted = false;
-            for (Group group : groups) {
-                lifted |=
-                        mLacking.computeIfAbsent(group.mName, name -> lacking(group, mNowNanos))
-                                > 0;
+            if (mLacking.isEmpty()) {
+                return false;
             }
+            List<Group> groups = groups(call, target);
+            boolean lifted = groups.stream().anyMatch(mLacking::containsKey);
             if (lifted) {
-                groups.forEach(group -> mLacking.merge(group.mName, -1.0, Double::sum));
+                groups.forEach(
+                        group ->
+                                mLacking.computeIfPresent(
+                                        group,
+                                        (name, lacks) ->
+                                                lacks > 1 ? Double.valueOf(lacks - 1) : null));
             }
             return lifted;
         }
     }
 
-    private double lacking(Group group, long nowNanos) {
-        Counts counts = mGroups.get(group.mName);
-        Counts reference = group.mReference.isEmpty() ? mAll : mGroups.get(group.mReference);
-        if (counts == null || reference == null || counts.decay(nowNanos).mLost < 0.5) {
-            return 0;
-        }
-        double ratio = reference.decay(nowNanos).ratio();
-        return group.mFloor * ratio * counts.sum() - counts.mServed;
+    private enum GroupType {
+        WORKSPACE,
+        KIND,
+        TARGET,
+        SIZE
     }
 
-    /**
-     * Calls that are counted together.
-     *
-     * @param mReference group with whose ratio this one is compared; empty for all calls
-     */
-    private record Group(String mName, String mReference, double mFloor) {}
+    /** Calls that are counted together: those of a workspace, kind, target or size of a kind. */
+    private record Group(GroupType type, String kind, String name) {}
 
     /** Recent calls, with older ones counting less. */
     private static final class Counts {
@@ -127,7 +145,7 @@
         }
 
         Counts decay(long nowNanos) {
-            if (nowNanos != mUpdatedAt) {
+            if (nowNanos - mUpdatedAt >= DECAY_STEP_NANOS) {
                 double factor = Math.pow(0.5, (nowNanos - mUpdatedAt) / HALF_LIFE_NANOS);
                 mServed *= factor;
                 mLost *= factor;
