--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OverloadMeasure.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OverloadMeasure.java
@@ -41,11 +41,13 @@
                 groups().forEach(group -> print(order, group, simulation.mCalls));
                 System.err.printf(
                         Locale.ROOT,
-                        "%s %.1f: %d ms for %d calls%n",
+                        "%s %.1f: %d ms for %d calls, refusals %s, retries %d%n",
                         order,
                         load,
                         used / 1_000_000,
-                        simulation.mCalls.size());
+                        simulation.mCalls.size(),
+                        simulation.mRefusals,
+                        simulation.mRetries);
             }
         }
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OverloadSimulation.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OverloadSimulation.java
@@ -10,10 +10,12 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.vanillaslip.FailureDomain;
 import org.vanillaslip.ModelName;
+import org.vanillaslip.Refusal;
 import org.vanillaslip.internal.gateway.RefusedException;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.StoredObject;
@@ -59,9 +61,16 @@
                     (event, fields) -> {});
     final WaitingCallQueue mQueue;
     final List<OverloadCall> mCalls = new ArrayList<>();
+    final Map<String, Integer> mRefusals = new TreeMap<>();
+    int mRetries;
     private final Order mOrder;
     private final Map<String, Engine> mEngines = new HashMap<>();
 
+    /**
+     * Creates a host without servers.
+     *
+     * @param kinds kinds that the configuration names
+     */
     OverloadSimulation(Order order, int maxWaiting, List<OverloadKind> kinds) {
         mOrder = order;
         ServingPlan plan = plan(kinds);
@@ -150,6 +159,9 @@
     }
 
     private void attempt(OverloadCall call) {
+        if (call.mRefusals > 0) {
+            mRetries++;
+        }
         long deadline = call.mArrivedNanos + call.mKind.mLeaveNanos - MIN_RUN_TIME.toNanos();
         ServerRequest request =
                 new ServerRequest(
@@ -186,7 +198,9 @@
     private void refused(OverloadCall call, Throwable error) {
         long timeLeft = call.mArrivedNanos + call.mKind.mLeaveNanos - now();
         call.mHeldNanos = now() - call.mArrivedNanos;
-        Duration retryAfter = ((RefusedException) error).refusal().retryAfter().orElseThrow();
+        Refusal refusal = ((RefusedException) error).refusal();
+        Duration retryAfter = refusal.retryAfter().orElseThrow();
+        mRefusals.merge(reason(refusal), 1, Integer::sum);
         if (++call.mRefusals >= MAX_ATTEMPTS || timeLeft < Duration.ofMillis(300).toNanos()) {
             call.mLost = true;
             return;
@@ -197,6 +211,17 @@
                 TimeUnit.NANOSECONDS);
     }
 
+    private static String reason(Refusal refusal) {
+        return switch (refusal.code()) {
+            case QUEUE_FULL -> "queue full";
+            case DEADLINE_UNREACHABLE ->
+                    refusal.detail().equals("all servers are busy")
+                            ? "out of reach"
+                            : "at the deadline";
+            default -> refusal.code().toString();
+        };
+    }
+
     private void run(OverloadCall call, RequestSlot slot) {
         mEngines.get(slot.server().instance()).add(new Run(call, slot, now()));
     }
