Count only calls whose whole wait is under overload in the starvation tests

The tests for low priorities and pending loads passed without floors, because calls were served after the overload had ended. Result: with both floors set to 0 the two tests fail; with the floors all 8 tests pass.

--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/RankedQueueTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/RankedQueueTest.java
@@ -20,6 +20,9 @@
     private static final OverloadKind LIVE = OverloadMeasure.LIVE;
     private static final OverloadKind BATCH = OverloadMeasure.BATCH;
 
+    /** Callers wait up to 30 s; later ones may be served after the overload of 60 s. */
+    private static final Duration WITHOUT_END_OF_OVERLOAD = Duration.ofSeconds(28);
+
     private final List<String> mOutcomes = new ArrayList<>();
 
     /** Urgent calls alone exceed the capacity for a minute. */
@@ -124,7 +127,7 @@
                 .isGreaterThan(simulation.mRefusals.getOrDefault("at the deadline", 0));
     }
 
-    /** Six urgent servers' worth of calls for one server. */
+    /** Calls for 60 s at more than twice the capacity of one server. */
     private static void overload(OverloadSimulation simulation, OverloadKind kind, String model) {
         for (int call = 0; call < 60 * 25; call++) {
             simulation.arrive(Duration.ofMillis(call * 40L), kind, "w" + call % 5, model, 36);
@@ -140,7 +143,8 @@
                 simulation.mCalls.stream()
                         .filter(
                                 call ->
-                                        call.mKind == kind
+                                        call.mArrivedNanos < WITHOUT_END_OF_OVERLOAD.toNanos()
+                                                && call.mKind == kind
                                                 && call.mModel.equals(model)
                                                 && call.mEvents == events)
                         .toList();
