Log and count what the ranked queue does

Operators could not tell a refusal by rank from one by age. Events 536 to 539 and vanillaslip_ranked_calls_total show when calls are ranked, and which are lifted, returned, out of reach or displaced.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetEvent.java
@@ -43,6 +43,14 @@
             535,
             WARNING,
             "Entries of a configuration version contradict each other and are not in force."),
+    CALLS_RANKED(
+            536, INFO, "The configuration names several priorities; waiting calls are ranked."),
+    CALLS_NOT_RANKED(
+            537, INFO, "The configuration names one priority; waiting calls are served by age."),
+    CALL_OUT_OF_REACH(
+            538, DEBUG, "A waiting call is clearly not served before its deadline; it is refused."),
+    CALL_DISPLACED(
+            539, DEBUG, "The queue is full; the waiting call of the lowest rank is refused."),
     LEASE_TAKEN(540, INFO, "This host acquired the lease and orders loads from now on."),
     LEASE_LOST(541, WARNING, "This host lost the lease and no longer orders loads."),
     LEASE_WRITE_FAILED(542, WARNING, "The lease on orders could not be written."),
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCalls.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCalls.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +39,7 @@
     private static final int MAX_LOWEST = 200;
 
     private final ServerSelector mSelector;
+    private final RankedCallReports mReports;
     private final Map<String, CallRanking> mRankings = new HashMap<>();
     private final SlotTurnover mTurnover = new SlotTurnover();
     private final Deque<RankPosition<WaitingCall>> mLowest = new ArrayDeque<>();
@@ -46,8 +48,9 @@
     private long mLowestFoundAt;
     private boolean mUsed;
 
-    RankedCalls(ServerSelector selector) {
+    RankedCalls(ServerSelector selector, RankedCallReports reports) {
         mSelector = selector;
+        mReports = reports;
     }
 
     /** Returns whether calls are ranked; without priorities all state is dropped. */
@@ -59,6 +62,9 @@
             mReturning = new ReturningCalls();
             mLowest.clear();
         }
+        if (enabled != mUsed) {
+            mReports.recordRanking(enabled);
+        }
         mUsed = enabled;
         return enabled;
     }
@@ -66,6 +72,9 @@
     /** Returns the criteria of a call that starts to wait. */
     RankedCall criteria(CallTarget target, WaitBounds bounds, long nowNanos) {
         boolean returned = enabled() && mReturning.recordReturn(bounds.profile(), nowNanos);
+        if (returned) {
+            mReports.recordReturned();
+        }
         return new RankedCall(
                 bounds.priority(),
                 bounds.answerBegun(),
@@ -84,9 +93,10 @@
         }
     }
 
-    /** Records a call that waited and got a server. */
-    void recordServed(WaitingCall call, long nowNanos) {
+    private void recordServed(RankPosition<WaitingCall> position, long nowNanos) {
+        WaitingCall call = position.call();
         RankedCall criteria = call.criteria();
+        mReports.recordServed(position);
         mFloors.recordServed(criteria.profile(), criteria.target(), nowNanos);
         ranking(call.target().pool()).recordServed(criteria);
     }
@@ -103,6 +113,25 @@
         }
     }
 
+    /** Assigns free request slots to the calls of a pool in the order of their rank. */
+    void dispatch(String pool, WaitingCalls waiting, long nowNanos) {
+        Set<CallTarget> withoutRoom = new HashSet<>();
+        for (RankPosition<WaitingCall> position : order(pool, waiting.of(pool), nowNanos)) {
+            WaitingCall call = position.call();
+            if (withoutRoom.contains(call.target()) || !waiting.contains(call)) {
+                continue;
+            }
+            Optional<RequestSlot> slot = mSelector.reserveSlot(call.request());
+            if (slot.isPresent()) {
+                waiting.remove(call);
+                recordServed(position, nowNanos);
+                call.sink().success(slot.get());
+            } else if (call.request().failedServers().isEmpty()) {
+                withoutRoom.add(call.target());
+            }
+        }
+    }
+
     /** Returns the calls of a pool in the order in which they are served. */
     List<RankPosition<WaitingCall>> order(
             String pool, Collection<WaitingCall> calls, long nowNanos) {
@@ -145,6 +174,7 @@
                     && !position.lifted()
                     && estimate.isPresent()
                     && estimate.get().isOutOfReach(callsAhead, timeLeft)) {
+                mReports.recordOutOfReach(position, callsAhead, timeLeft, estimate.get());
                 outOfReach.put(call, bounded(estimate.get().waitBehind(callsAhead)));
             } else {
                 ahead.add(call.target());
@@ -183,6 +213,9 @@
                 return added;
             } else {
                 mLowest.removeFirst();
+                if (lowest.call() != added) {
+                    mReports.recordDisplaced(lowest.call(), added);
+                }
                 return lowest.call();
             }
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -3,18 +3,16 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.gateway.RefusedException;
-import org.vanillaslip.internal.queue.RankPosition;
+import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -64,12 +62,26 @@
     private boolean mTickScheduled;
     private long mEstimatedAt = Long.MIN_VALUE / 2;
 
-    /** Creates an empty queue for at most the given number of calls. */
+    /** Creates an empty queue for at most the given number of calls that logs nothing. */
     public WaitingCallQueue(ServerSelector selector, DecisionLoop loop, int maxWaiting) {
+        this(selector, loop, maxWaiting, result -> {}, (event, fields) -> {});
+    }
+
+    /**
+     * Creates an empty queue for at most the given number of calls.
+     *
+     * @param rankedCallCounter counts calls that waited while calls were ranked, by result
+     */
+    public WaitingCallQueue(
+            ServerSelector selector,
+            DecisionLoop loop,
+            int maxWaiting,
+            Consumer<String> rankedCallCounter,
+            EventLog log) {
         mSelector = selector;
         mLoop = loop;
         mMaxWaiting = maxWaiting;
-        mRanked = new RankedCalls(selector);
+        mRanked = new RankedCalls(selector, new RankedCallReports(rankedCallCounter, log));
     }
 
     /** Sets the check for a reachable lease holder, without which no load can be ordered. */
@@ -138,7 +150,7 @@
                     }
                 });
         if (mRanked.enabled() && mSelector.hasRoom(request.target())) {
-            dispatchRanked(request.target().pool());
+            mRanked.dispatch(request.target().pool(), mWaiting, now());
         }
         if (mWaiting.size() > mMaxWaiting) {
             refuseLowest(call);
@@ -173,25 +185,6 @@
         }
     }
 
-    /** Assigns free request slots to the calls of a pool in the order of their rank. */
-    private void dispatchRanked(String pool) {
-        Set<CallTarget> withoutRoom = new HashSet<>();
-        for (RankPosition<WaitingCall> position : mRanked.order(pool, mWaiting.of(pool), now())) {
-            WaitingCall call = position.call();
-            if (withoutRoom.contains(call.target()) || !mWaiting.contains(call)) {
-                continue;
-            }
-            Optional<RequestSlot> slot = mSelector.reserveSlot(call.request());
-            if (slot.isPresent()) {
-                mWaiting.remove(call);
-                mRanked.recordServed(call, now());
-                call.sink().success(slot.get());
-            } else if (call.request().failedServers().isEmpty()) {
-                withoutRoom.add(call.target());
-            }
-        }
-    }
-
     /** Refuses the calls that are clearly not served before their deadline. */
     private void refuseOutOfReach() {
         mRanked.sampleTurnover(mWaiting.targets(), now());
@@ -210,7 +203,7 @@
     /** Assigns servers with free request slots to waiting calls. */
     public void dispatch() {
         if (mRanked.enabled()) {
-            mWaiting.pools().forEach(this::dispatchRanked);
+            mWaiting.pools().forEach(pool -> mRanked.dispatch(pool, mWaiting, now()));
             mWaiting.targets().forEach(this::requestPermits);
             return;
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -98,6 +98,13 @@
             "vanillaslip.send.permits",
             "vanillaslip_send_permits_total",
             "Permits that this host requested for calls to backend servers with a limit.",
+            "result"),
+    RANKED_CALLS(
+            "vanillaslip.ranked.calls",
+            "vanillaslip_ranked_calls_total",
+            "Calls that waited while calls were ranked: served in the order of rank, lifted because"
+                    + " their group was served too rarely, returned after a refusal, out_of_reach"
+                    + " or displaced by a call of higher rank.",
             "result");
 
     private final String mMeterName;
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -159,6 +159,15 @@
         count(DaemonMetric.RELAY_BROKEN, 1, label(kind));
     }
 
+    /**
+     * Counts a call that waited while calls were ranked.
+     *
+     * @param result served, lifted, returned, out_of_reach or displaced
+     */
+    public void rankedCall(String result) {
+        count(DaemonMetric.RANKED_CALLS, 1, result);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public String scrape() {
         return mRegistry.scrape();
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -151,8 +151,8 @@
         mLimits = new WorkspaceLimits(overdraft, mLoop, mLinks, mNetwork, mRandom, log);
         mServerLimits = new ServerLimitExchange(mDirectory, mNetwork, mLinks, mLoop, mMetrics, log);
         ServerSelector selector = serverSelector();
-        mWaitingCalls =
-                new WaitingCallQueue(selector, mLoop, settings.admission().maxWaitingRequests());
+        int maxCalls = settings.admission().maxWaitingRequests();
+        mWaitingCalls = new WaitingCallQueue(selector, mLoop, maxCalls, mMetrics::rankedCall, log);
         mLease = fleetLease();
         mRegistration =
                 new HostRegistration(
