--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCalls.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCalls.java
@@ -42,6 +42,7 @@
     private final RankedCallReports mReports;
     private final Map<String, CallRanking> mRankings = new HashMap<>();
     private final SlotTurnover mTurnover = new SlotTurnover();
+    private final Map<String, Ordered> mOrders = new HashMap<>();
     private final Deque<RankPosition<WaitingCall>> mLowest = new ArrayDeque<>();
     private ServiceFloors mFloors = new ServiceFloors();
     private ReturningCalls mReturning = new ReturningCalls();
@@ -58,6 +59,7 @@
         boolean enabled = mSelector.ranksCalls();
         if (!enabled && mUsed) {
             mRankings.clear();
+            mOrders.clear();
             mFloors = new ServiceFloors();
             mReturning = new ReturningCalls();
             mLowest.clear();
@@ -115,8 +117,11 @@
 
     /** Assigns free request slots to the calls of a pool in the order of their rank. */
     void dispatch(String pool, WaitingCalls waiting, long nowNanos) {
+        if (waiting.targets().stream().noneMatch(target -> hasRoom(pool, target))) {
+            return;
+        }
         Set<CallTarget> withoutRoom = new HashSet<>();
-        for (RankPosition<WaitingCall> position : order(pool, waiting.of(pool), nowNanos)) {
+        for (RankPosition<WaitingCall> position : order(pool, waiting, nowNanos)) {
             WaitingCall call = position.call();
             if (withoutRoom.contains(call.target()) || !waiting.contains(call)) {
                 continue;
@@ -132,19 +137,37 @@
         }
     }
 
+    private boolean hasRoom(String pool, CallTarget target) {
+        return target.pool().equals(pool) && mSelector.hasRoom(target);
+    }
+
     /** Returns the calls of a pool in the order in which they are served. */
-    List<RankPosition<WaitingCall>> order(
-            String pool, Collection<WaitingCall> calls, long nowNanos) {
+    private List<RankPosition<WaitingCall>> order(
+            String pool, WaitingCalls waiting, long nowNanos) {
         Map<CallTarget, Boolean> servable = new HashMap<>();
-        return ranking(pool)
-                .order(
-                        calls,
-                        WaitingCall::criteria,
-                        call ->
-                                servable.computeIfAbsent(
-                                        call.target(),
-                                        target -> !mSelector.serversWith(target).isEmpty()),
-                        nowNanos);
+        List<RankPosition<WaitingCall>> order =
+                ranking(pool)
+                        .order(
+                                waiting.of(pool),
+                                WaitingCall::criteria,
+                                call ->
+                                        servable.computeIfAbsent(
+                                                call.target(),
+                                                target -> !mSelector.serversWith(target).isEmpty()),
+                                nowNanos);
+        mOrders.put(pool, new Ordered(order, nowNanos));
+        return order;
+    }
+
+    /** Returns the last order of a pool without calls that no longer wait, if it is recent. */
+    private List<RankPosition<WaitingCall>> recentOrder(
+            String pool, WaitingCalls waiting, long nowNanos) {
+        Ordered last = mOrders.get(pool);
+        return last == null || nowNanos - last.nanos() >= ORDER_VALID_NANOS
+                ? order(pool, waiting, nowNanos)
+                : last.calls().stream()
+                        .filter(position -> waiting.contains(position.call()))
+                        .toList();
     }
 
     /** Samples the turnover of the servers that calls wait for. */
@@ -162,10 +185,10 @@
     }
 
     /** Returns the calls that are clearly not served in time, with the time until room comes. */
-    Map<WaitingCall, Duration> outOfReach(List<RankPosition<WaitingCall>> order, long nowNanos) {
+    Map<WaitingCall, Duration> outOfReach(String pool, WaitingCalls waiting, long nowNanos) {
         Map<WaitingCall, Duration> outOfReach = new LinkedHashMap<>();
         CallsAhead ahead = new CallsAhead(nowNanos);
-        for (RankPosition<WaitingCall> position : order) {
+        for (RankPosition<WaitingCall> position : recentOrder(pool, waiting, nowNanos)) {
             WaitingCall call = position.call();
             Optional<RoomEstimate> estimate = ahead.estimate(call.target());
             int callsAhead = ahead.count(call.target());
@@ -224,7 +247,7 @@
     private void findLowest(WaitingCalls waiting, long nowNanos) {
         List<RankPosition<WaitingCall>> lowestFirst = new ArrayList<>();
         for (String pool : waiting.pools()) {
-            List<RankPosition<WaitingCall>> order = order(pool, waiting.of(pool), nowNanos);
+            List<RankPosition<WaitingCall>> order = recentOrder(pool, waiting, nowNanos);
             for (int index = order.size() - 1; index >= 0; index--) {
                 if (!order.get(index).call().answerBegun()) {
                     lowestFirst.add(order.get(index));
@@ -259,6 +282,9 @@
         return target.pool() + "/" + target.model().map(Object::toString).orElse("");
     }
 
+    /** The order of a pool's calls at a time. */
+    private record Ordered(List<RankPosition<WaitingCall>> calls, long nanos) {}
+
     /** Calls of higher rank that can use no other servers than those of a target. */
     private final class CallsAhead {
         private final Map<CallTarget, Integer> mCounts = new HashMap<>();
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -189,7 +189,7 @@
     private void refuseOutOfReach() {
         mRanked.sampleTurnover(mWaiting.targets(), now());
         for (String pool : mWaiting.pools()) {
-            mRanked.outOfReach(mRanked.order(pool, mWaiting.of(pool), now()), now())
+            mRanked.outOfReach(pool, mWaiting, now())
                     .forEach(
                             (call, retryAfter) ->
                                     refuse(
