--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -143,12 +143,7 @@
         WaitingCall call =
                 new WaitingCall(request, mRanked.criteria(request.target(), bounds, now()), sink);
         mWaiting.add(call);
-        sink.onCancel(
-                () -> {
-                    if (mWaiting.remove(call)) {
-                        mRanked.recordLost(call, false, now());
-                    }
-                });
+        sink.onCancel(() -> recordCallerLeft(call));
         if (mRanked.enabled() && mSelector.hasRoom(request.target())) {
             mRanked.dispatch(request.target().pool(), mWaiting, now());
         }
@@ -174,6 +169,12 @@
         return mRanked.enabled() ? mWaiting.waitsFor(target.pool()) : mWaiting.waitsFor(target);
     }
 
+    private void recordCallerLeft(WaitingCall call) {
+        if (mWaiting.remove(call)) {
+            mRanked.recordLost(call, false, now());
+        }
+    }
+
     /** Refuses the call of the lowest rank, whichever came last. */
     private void refuseLowest(WaitingCall added) {
         WaitingCall lowest = mRanked.lowest(mWaiting, added, now());
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OverloadMeasure.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OverloadMeasure.java
@@ -6,7 +6,9 @@
 import java.util.Locale;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
 
 /** Overload with three kinds of calls and five workspaces, one of them at six times its share. */
 final class OverloadMeasure {
@@ -23,11 +25,10 @@
     static final int MEAN_EVENTS = 36;
     static final Duration LENGTH = Duration.ofSeconds(60);
 
-    private OverloadMeasure() {}
-
-    /** Prints the tables of docs/measures/overload.md. */
-    public static void main(String[] arguments) {
-        long seed = arguments.length > 0 ? Long.parseLong(arguments[0]) : 1;
+    /** Prints the tables of docs/measures/overload.md; runs only if it is named. */
+    @Test
+    void printTables() {
+        long seed = Long.getLong("seed", 1);
         for (double load : new double[] {0.8, 1.5, 3}) {
             System.out.printf(Locale.ROOT, "%nLoad %.1f, seed %d%n%n", load, seed);
             System.out.println(
@@ -35,19 +36,11 @@
                             + " call | value | of possible |");
             System.out.println("|---|---|---|---|---|---|---|---|---|");
             for (OverloadSimulation.Order order : OverloadSimulation.Order.values()) {
-                long started = System.nanoTime();
                 OverloadSimulation simulation = run(order, load, seed);
-                long used = System.nanoTime() - started;
                 groups().forEach(group -> print(order, group, simulation.mCalls));
-                System.err.printf(
-                        Locale.ROOT,
-                        "%s %.1f: %d ms for %d calls, refusals %s, retries %d%n",
-                        order,
-                        load,
-                        used / 1_000_000,
-                        simulation.mCalls.size(),
-                        simulation.mRefusals,
-                        simulation.mRetries);
+                System.out.printf(
+                        "| %s | refusals %s, of those repeated %d | | | | | | | |%n",
+                        name(order), simulation.mRefusals, simulation.mRetries);
             }
         }
     }
@@ -62,7 +55,7 @@
         }
         groups.add(new Group("workspaces at their share", call -> !call.mWorkspace.equals("w5")));
         groups.add(new Group("workspace at 6 times", call -> call.mWorkspace.equals("w5")));
-        groups.add(new Group("largest tenth", call -> call.mEvents > 90));
+        groups.add(new Group("over 90 events", call -> call.mEvents > 90));
         groups.add(new Group("rarest third of models", call -> modelNumber(call) >= 8));
         return groups;
     }
@@ -71,6 +64,10 @@
         return Integer.parseInt(call.mModel.substring(1));
     }
 
+    private static String name(OverloadSimulation.Order order) {
+        return order.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
     private static void print(
             OverloadSimulation.Order order, Group group, List<OverloadCall> calls) {
         List<OverloadCall> ofGroup = calls.stream().filter(group.condition()).toList();
@@ -84,7 +81,7 @@
         System.out.printf(
                 Locale.ROOT,
                 "| %s | %s | %d | %d | %d | %d | %.2f | %.0f | %.3f |%n",
-                order.name().toLowerCase(Locale.ROOT).replace('_', ' '),
+                name(order),
                 group.name(),
                 ofGroup.size(),
                 served - late,
@@ -100,7 +97,7 @@
         OverloadSimulation simulation = new OverloadSimulation(order, 400, KINDS);
         List<Set<String>> models = new ArrayList<>();
         for (int server = 0; server < SERVERS; server++) {
-            models.add(new java.util.TreeSet<>());
+            models.add(new TreeSet<>());
         }
         for (int model = 0; model < MODELS; model++) {
             models.get(model % SERVERS).add("m" + model);
