Estimate room only while no server will soon take more calls

Cause: the rate of cold, pausing or failing servers is lower than what they take shortly after, so a call could be refused that would be served. A standby run was also denied while a call waited for another model's load. Change: no estimate while a server of the target is cold, pauses or fails; standby runs look at calls of their own target only, as before. Result: RankedQueueTest (10), OverloadTest (12), CallRankingTest (12), WaitingCallQueueTest and AskedPauseTest pass.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCallReports.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCallReports.java
@@ -40,6 +40,7 @@
         mLog.log(
                 FleetEvent.CALL_OUT_OF_REACH,
                 field("request", position.call().request().callId()),
+                field("workspace", position.call().criteria().profile().workspace()),
                 field("priority", position.call().priority()),
                 field("calls_ahead", callsAhead),
                 field("time_left_ms", timeLeft.toMillis()),
@@ -51,6 +52,7 @@
         mLog.log(
                 FleetEvent.CALL_DISPLACED,
                 field("request", call.request().callId()),
+                field("workspace", call.criteria().profile().workspace()),
                 field("priority", call.priority()),
                 field("for", added.request().callId()));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCalls.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCalls.java
@@ -300,7 +300,9 @@
             return mEstimates.computeIfAbsent(
                     target,
                     name ->
-                            servers(name).isEmpty() || mSelector.hasRoom(name)
+                            servers(name).isEmpty()
+                                            || mSelector.hasRoom(name)
+                                            || !mSelector.isCapacitySteady(name)
                                     ? Optional.empty()
                                     : mTurnover.estimate(servers(name), mNowNanos));
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -108,6 +108,17 @@
         return serversWith(target).stream().anyMatch(member -> hasRoom(member, target, now));
     }
 
+    /** Returns whether no server that can serve the target will take more calls than now soon. */
+    boolean isCapacitySteady(CallTarget target) {
+        long now = now();
+        return serversWith(target).stream()
+                .noneMatch(
+                        member ->
+                                member.isCold(now)
+                                        || member.pause().holds(now)
+                                        || !member.health().usable(now));
+    }
+
     /** Returns whether the configuration names several priorities, by which calls are ranked. */
     boolean ranksCalls() {
         return mPlans.current().map(ServingPlan::hasSeveralPriorities).orElse(false);
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -101,7 +101,9 @@
 
     /** Reserves a request slot if there is one for which no call waits. */
     public Optional<RequestSlot> reserveNow(ServerRequest request) {
-        return waitsBefore(request.target()) ? Optional.empty() : mSelector.reserveSlot(request);
+        return mWaiting.waitsFor(request.target())
+                ? Optional.empty()
+                : mSelector.reserveSlot(request);
     }
 
     private void awaitSlot(ServerRequest request, WaitBounds bounds, MonoSink<RequestSlot> sink) {
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/OverloadServers.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/OverloadServers.java
@@ -14,6 +14,7 @@
 final class OverloadServers implements ServingCollections {
 
     private final int mRequestSlots;
+    int mRemainingColdMillis;
     private final Map<String, Set<String>> mModels = new HashMap<>();
 
     OverloadServers(int requestSlots) {
@@ -57,7 +58,7 @@
                         mRequestSlots,
                         false,
                         OptionalLong.empty(),
-                        0,
+                        mRemainingColdMillis,
                         state(object.name())));
     }
 
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/RankedQueueTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/RankedQueueTest.java
@@ -127,6 +127,33 @@
                 .isGreaterThan(simulation.mRefusals.getOrDefault("at the deadline", 0));
     }
 
+    /** The rate of a cold server says nothing of the time after its warm-up. */
+    @Test
+    void noCallIsRefusedAsOutOfReachWhileAServerIsCold() {
+        OverloadSimulation simulation =
+                new OverloadSimulation(Order.RANKED, 2000, OverloadMeasure.KINDS);
+        simulation.mServers.mRemainingColdMillis = 20_000;
+        simulation.addServer("s0", Set.of("m0"));
+        simulation.list();
+        overload(simulation, LIVE, "m0");
+        simulation.mScheduler.advanceTimeBy(Duration.ofSeconds(19));
+        assertThat(simulation.mRefusals).doesNotContainKey("out of reach");
+
+        simulation.mScheduler.advanceTimeBy(Duration.ofSeconds(20));
+        assertThat(simulation.mRefusals).containsKey("out of reach");
+    }
+
+    /** A call that waits for a load takes no room from the standby run of another model. */
+    @Test
+    void aStandbyRunNeedsNoPlaceBehindCallsForAnotherModel() {
+        OverloadSimulation simulation = simulation(Order.RANKED, 400, Set.of("m0"));
+        simulation.arrive(Duration.ofMillis(1), BATCH, "w1", "pending", 36);
+        simulation.mScheduler.advanceTimeBy(Duration.ofMillis(50));
+
+        assertThat(simulation.mQueue.size()).isEqualTo(1);
+        assertThat(simulation.mQueue.reserveNow(request("standby"))).isPresent();
+    }
+
     /** Calls for 60 s at more than twice the capacity of one server. */
     private static void overload(OverloadSimulation simulation, OverloadKind kind, String model) {
         for (int call = 0; call < 60 * 25; call++) {
@@ -177,14 +204,7 @@
         simulation
                 .mQueue
                 .awaitSlot(
-                        new ServerRequest(
-                                call,
-                                new CallTarget(
-                                        "pool", Optional.of(new ModelName("m0", Optional.empty()))),
-                                List.of(),
-                                List.of(),
-                                Optional.empty(),
-                                Set.of()),
+                        request(call),
                         new WaitBounds(
                                 priority,
                                 now + Duration.ofSeconds(1).toNanos(),
@@ -196,6 +216,16 @@
                         error -> mOutcomes.add(call + " " + code(error)));
     }
 
+    private static ServerRequest request(String call) {
+        return new ServerRequest(
+                call,
+                new CallTarget("pool", Optional.of(new ModelName("m0", Optional.empty()))),
+                List.of(),
+                List.of(),
+                Optional.empty(),
+                Set.of());
+    }
+
     private static ResultCode code(Throwable error) {
         return ((RefusedException) error).refusal().code();
     }
