--- a/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
@@ -41,6 +41,7 @@
         mMetrics.sendPermitRequested("granted");
         mMetrics.serverSaidLeaving();
         mMetrics.serverPauseAsked();
+        mMetrics.rankedCall("lifted");
 
         String scrape = mMetrics.scrape();
 
