--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -1,11 +1,8 @@
 package org.vanillaslip.internal.fleet;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +13,7 @@
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.gateway.RefusedException;
+import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -29,6 +27,9 @@
     /** Request slots become free without an event, so the queue is checked at this interval. */
     private static final Duration TICK = Duration.ofMillis(25);
 
+    /** Waiting calls are checked at this interval for whether they can be served in time. */
+    private static final Duration ESTIMATE_INTERVAL = Duration.ofMillis(100);
+
     /** By then another host reaches the lease holder, or a new one has acquired the lease. */
     private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(1500);
 
@@ -49,24 +50,39 @@
     /** Detail of refusals because of pauses. */
     private static final String PAUSING_DETAIL = "all servers asked for a pause";
 
-    private static final Comparator<WaitingCall> BY_PRIORITY_AND_AGE =
-            Comparator.comparingInt(WaitingCall::priority)
-                    .thenComparingLong(WaitingCall::enqueuedNanos);
+    /** Detail of refusals because more urgent calls take all room until the deadline. */
+    private static final String OUT_OF_REACH_DETAIL = "all servers are busy";
 
     private final ServerSelector mSelector;
     private final DecisionLoop mLoop;
     private final int mMaxWaiting;
-    private final Map<CallTarget, List<WaitingCall>> mWaiting = new HashMap<>();
+    private final RankedCalls mRanked;
+    private final WaitingCalls mWaiting = new WaitingCalls();
     private Consumer<CallTarget> mOnModelMissing = target -> {};
     private BooleanSupplier mLeaseHolderReachable = () -> true;
-    private int mCount;
     private boolean mTickScheduled;
+    private long mEstimatedAt = Long.MIN_VALUE / 2;
 
-    /** Creates an empty queue for at most the given number of calls. */
+    /** Creates an empty queue for at most the given number of calls that logs nothing. */
     public WaitingCallQueue(ServerSelector selector, DecisionLoop loop, int maxWaiting) {
+        this(selector, loop, maxWaiting, result -> {}, (event, fields) -> {});
+    }
+
+    /**
+     * Creates an empty queue for at most the given number of calls.
+     *
+     * @param rankedCallCounter counts calls that waited while calls were ranked, by result
+     */
+    public WaitingCallQueue(
+            ServerSelector selector,
+            DecisionLoop loop,
+            int maxWaiting,
+            Consumer<String> rankedCallCounter,
+            EventLog log) {
         mSelector = selector;
         mLoop = loop;
         mMaxWaiting = maxWaiting;
+        mRanked = new RankedCalls(selector, new RankedCallReports(rankedCallCounter, log));
     }
 
     /** Sets the check for a reachable lease holder, without which no load can be ordered. */
@@ -86,16 +102,16 @@
 
     /** Reserves a request slot if there is one for which no call waits. */
     public Optional<RequestSlot> reserveNow(ServerRequest request) {
-        return mWaiting.getOrDefault(request.target(), List.of()).isEmpty()
-                ? mSelector.reserveSlot(request)
-                : Optional.empty();
+        return mWaiting.waitsFor(request.target())
+                ? Optional.empty()
+                : mSelector.reserveSlot(request);
     }
 
     private void awaitSlot(ServerRequest request, WaitBounds bounds, MonoSink<RequestSlot> sink) {
-        List<WaitingCall> queue = mWaiting.get(request.target());
-        if (queue == null || queue.isEmpty()) {
+        if (!waitsBefore(request.target())) {
             Optional<RequestSlot> slot = mSelector.reserveSlot(request);
             if (slot.isPresent()) {
+                mRanked.recordServedAtOnce(request.target(), bounds.profile(), now());
                 sink.success(slot.get());
                 return;
             }
@@ -118,7 +134,7 @@
                                     LEAVING_RETRY_AFTER)));
             return;
         }
-        if (mCount >= mMaxWaiting) {
+        if (mWaiting.size() >= mMaxWaiting && !mRanked.enabled()) {
             sink.error(
                     new RefusedException(
                             Refusal.retryable(
@@ -128,50 +144,93 @@
             return;
         }
         WaitingCall call =
-                new WaitingCall(
-                        request,
-                        bounds.priority(),
-                        bounds.objectiveNanos(),
-                        bounds.deadlineNanos(),
-                        bounds.answerBegun(),
-                        mLoop.clock().nowNanos(),
-                        sink);
-        List<WaitingCall> waiting =
-                mWaiting.computeIfAbsent(request.target(), target -> new ArrayList<>());
-        waiting.add(call);
-        waiting.sort(BY_PRIORITY_AND_AGE);
-        mCount++;
-        sink.onCancel(() -> remove(call));
+                new WaitingCall(request, mRanked.criteria(request.target(), bounds, now()), sink);
+        mWaiting.add(call);
+        sink.onCancel(() -> recordCallerLeft(call));
+        if (mRanked.enabled() && mSelector.hasRoom(request.target())) {
+            mRanked.dispatch(request.target().pool(), mWaiting, now());
+        }
+        if (mWaiting.size() > mMaxWaiting) {
+            refuseLowest(call);
+        }
+        if (!mWaiting.contains(call)) {
+            return;
+        }
         if (request.target().model().isPresent() && isModelMissing(request.target())) {
             mOnModelMissing.accept(request.target());
         }
         refuseBeyondPauses(request.target());
-        requestPermits(request.target(), mWaiting.getOrDefault(request.target(), List.of()));
+        requestPermits(request.target());
         scheduleTick();
     }
 
+    /**
+     * Returns whether a call waits that a new call must not overtake: for the target or, where
+     * calls are ranked, for a server of its pool.
+     */
+    private boolean waitsBefore(CallTarget target) {
+        return mRanked.enabled() ? mWaiting.waitsFor(target.pool()) : mWaiting.waitsFor(target);
+    }
+
+    private void recordCallerLeft(WaitingCall call) {
+        if (mWaiting.remove(call)) {
+            mRanked.recordLost(call, false, now());
+        }
+    }
+
+    /** Refuses the call of the lowest rank, whichever came last. */
+    private void refuseLowest(WaitingCall added) {
+        WaitingCall lowest = mRanked.lowest(mWaiting, added, now());
+        if (!lowest.answerBegun()) {
+            Duration retryAfter =
+                    mRanked.expectedWait(lowest.target(), mWaiting.size(), now())
+                            .orElse(MIN_RETRY_AFTER);
+            refuse(lowest, ResultCode.QUEUE_FULL, retryAfter, lowest.target().pool());
+        }
+    }
+
+    /** Refuses the calls that are clearly not served before their deadline. */
+    private void refuseOutOfReach() {
+        mRanked.sampleTurnover(mWaiting.targets(), now());
+        for (String pool : mWaiting.pools()) {
+            mRanked.outOfReach(pool, mWaiting, now())
+                    .forEach(
+                            (call, retryAfter) ->
+                                    refuse(
+                                            call,
+                                            ResultCode.DEADLINE_UNREACHABLE,
+                                            retryAfter,
+                                            OUT_OF_REACH_DETAIL));
+        }
+    }
+
     /** Assigns servers with free request slots to waiting calls. */
     public void dispatch() {
-        for (CallTarget target : List.copyOf(mWaiting.keySet())) {
+        if (mRanked.enabled()) {
+            mWaiting.pools().forEach(pool -> mRanked.dispatch(pool, mWaiting, now()));
+            mWaiting.targets().forEach(this::requestPermits);
+            return;
+        }
+        for (CallTarget target : mWaiting.targets()) {
             dispatch(target);
         }
     }
 
     private void dispatch(CallTarget target) {
-        List<WaitingCall> queue = mWaiting.getOrDefault(target, List.of());
-        for (WaitingCall call : List.copyOf(queue)) {
+        for (WaitingCall call : mWaiting.of(target)) {
             Optional<RequestSlot> slot = mSelector.reserveSlot(call.request());
             if (slot.isPresent()) {
-                remove(call);
+                mWaiting.remove(call);
                 call.sink().success(slot.get());
             } else if (call.request().failedServers().isEmpty()) {
                 break;
             }
         }
-        requestPermits(target, mWaiting.getOrDefault(target, List.of()));
+        requestPermits(target);
     }
 
-    private void requestPermits(CallTarget target, List<WaitingCall> queue) {
+    private void requestPermits(CallTarget target) {
+        List<WaitingCall> queue = mWaiting.of(target);
         if (!queue.isEmpty()) {
             WaitingCall first = queue.get(0);
             long latestSendNanos = first.deadlineNanos() - answerTimeNanos(first);
@@ -192,7 +251,7 @@
         }
         long now = mLoop.clock().nowNanos();
         int served = 0;
-        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+        for (WaitingCall call : mWaiting.of(target)) {
             long sendTime = capacity.get().timeAfter(served);
             if (sendTime + answerTimeNanos(call) - call.deadlineNanos() > 0) {
                 Duration retryAfter = Duration.ofNanos(sendTime - now);
@@ -210,7 +269,7 @@
             return;
         }
         long endNanos = mLoop.clock().nowNanos() + pause.get().toNanos();
-        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+        for (WaitingCall call : mWaiting.of(target)) {
             if (!call.answerBegun() && endNanos - call.deadlineNanos() >= 0) {
                 refuse(call, ResultCode.DEADLINE_UNREACHABLE, pause.get(), PAUSING_DETAIL);
             }
@@ -220,7 +279,7 @@
     /** Refuses the calls whose deadline is before the expected end of the load. */
     public void applyForecast(CallTarget target, Duration expected) {
         long readyAt = mLoop.clock().nowNanos() + expected.toNanos();
-        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+        for (WaitingCall call : mWaiting.of(target)) {
             if (readyAt - call.deadlineNanos() > 0) {
                 refuse(call, ResultCode.DEADLINE_UNREACHABLE, expected);
             }
@@ -229,31 +288,26 @@
 
     /** Refuses all calls that wait for the target, because no load can be planned for it. */
     public void refuseUnplanned(CallTarget target, Duration retryAfter) {
-        for (WaitingCall call : List.copyOf(mWaiting.getOrDefault(target, List.of()))) {
+        for (WaitingCall call : mWaiting.of(target)) {
             refuse(call, ResultCode.NO_BACKEND_SERVER, retryAfter);
         }
     }
 
     /** Refuses the calls that may crash servers because of the subject. */
     public void refuseCallsWith(String crashSubject, RefusedException refusal) {
-        for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
-            for (WaitingCall call : List.copyOf(queue)) {
-                if (call.request().crashSubjects().contains(crashSubject)) {
-                    remove(call);
-                    call.sink().error(refusal);
-                }
+        for (WaitingCall call : mWaiting.all()) {
+            if (call.request().crashSubjects().contains(crashSubject)) {
+                mWaiting.remove(call);
+                call.sink().error(refusal);
             }
         }
     }
 
     /** Refuses all calls whose answer has not begun, because this host shuts down. */
     public void refuseUnanswered(Duration retryAfter) {
-        for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
-            queue.stream()
-                    .filter(call -> !call.answerBegun())
-                    .toList()
-                    .forEach(call -> refuse(call, ResultCode.HOST_STOPPING, retryAfter));
-        }
+        mWaiting.all().stream()
+                .filter(call -> !call.answerBegun())
+                .forEach(call -> refuse(call, ResultCode.HOST_STOPPING, retryAfter));
     }
 
     /**
@@ -263,41 +317,36 @@
     public Map<CallTarget, Collection<WaitingCall>> callsMissingModel(
             Predicate<CallTarget> others) {
         Map<CallTarget, Collection<WaitingCall>> missing = new HashMap<>();
-        mWaiting.forEach(
-                (target, queue) -> {
-                    boolean missesModel = target.model().isPresent() && isModelMissing(target);
-                    if (missesModel || others.test(target)) {
-                        missing.put(target, List.copyOf(queue));
-                    }
-                });
+        for (CallTarget target : mWaiting.targets()) {
+            boolean missesModel = target.model().isPresent() && isModelMissing(target);
+            if (missesModel || others.test(target)) {
+                missing.put(target, mWaiting.of(target));
+            }
+        }
         return missing;
     }
 
     /** Returns the number of waiting calls. */
     public int size() {
-        return mCount;
+        return mWaiting.size();
     }
 
     private void refuse(WaitingCall call, ResultCode code, Duration retryAfter) {
-        String detail = call.request().target().model().map(Object::toString).orElse("");
+        String detail = call.target().model().map(Object::toString).orElse("");
         refuse(call, code, retryAfter, detail);
     }
 
     private void refuse(WaitingCall call, ResultCode code, Duration retryAfter, String detail) {
-        remove(call);
+        if (mWaiting.remove(call)) {
+            mRanked.recordLost(call, true, now());
+        }
         Duration boundedRetryAfter =
                 retryAfter.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : retryAfter;
         call.sink().error(new RefusedException(Refusal.retryable(code, detail, boundedRetryAfter)));
     }
 
-    private void remove(WaitingCall call) {
-        List<WaitingCall> queue = mWaiting.get(call.request().target());
-        if (queue != null && queue.remove(call)) {
-            mCount--;
-            if (queue.isEmpty()) {
-                mWaiting.remove(call.request().target());
-            }
-        }
+    private long now() {
+        return mLoop.clock().nowNanos();
     }
 
     /**
@@ -324,7 +373,7 @@
     }
 
     private void scheduleTick() {
-        if (!mTickScheduled && mCount > 0) {
+        if (!mTickScheduled && mWaiting.size() > 0) {
             mTickScheduled = true;
             mLoop.scheduler().schedule(this::tick, TICK.toNanos(), TimeUnit.NANOSECONDS);
         }
@@ -333,22 +382,22 @@
     private void tick() {
         mTickScheduled = false;
         long now = mLoop.clock().nowNanos();
-        for (List<WaitingCall> queue : List.copyOf(mWaiting.values())) {
-            Iterator<WaitingCall> calls = List.copyOf(queue).iterator();
-            while (calls.hasNext()) {
-                WaitingCall call = calls.next();
-                if (now - call.deadlineNanos() >= 0) {
-                    refuse(call, ResultCode.DEADLINE_UNREACHABLE, MIN_RETRY_AFTER);
-                } else if (cannotBeServed(call.request().target())) {
-                    refuse(call, ResultCode.NO_BACKEND_SERVER, UNREACHABLE_RETRY_AFTER);
-                } else if (cannotStart(call.request().target(), call.answerBegun())) {
-                    refuse(call, ResultCode.NO_BACKEND_SERVER, LEAVING_RETRY_AFTER, LEAVING_DETAIL);
-                }
+        for (WaitingCall call : mWaiting.all()) {
+            if (now - call.deadlineNanos() >= 0) {
+                refuse(call, ResultCode.DEADLINE_UNREACHABLE, MIN_RETRY_AFTER);
+            } else if (cannotBeServed(call.target())) {
+                refuse(call, ResultCode.NO_BACKEND_SERVER, UNREACHABLE_RETRY_AFTER);
+            } else if (cannotStart(call.target(), call.answerBegun())) {
+                refuse(call, ResultCode.NO_BACKEND_SERVER, LEAVING_RETRY_AFTER, LEAVING_DETAIL);
             }
         }
-        List.copyOf(mWaiting.keySet()).forEach(this::refuseBeyondPauses);
-        List.copyOf(mWaiting.keySet()).forEach(this::refuseBeyondLimits);
+        mWaiting.targets().forEach(this::refuseBeyondPauses);
+        mWaiting.targets().forEach(this::refuseBeyondLimits);
         dispatch();
+        if (mRanked.enabled() && now - mEstimatedAt >= ESTIMATE_INTERVAL.toNanos()) {
+            mEstimatedAt = now;
+            refuseOutOfReach();
+        }
         scheduleTick();
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -185,6 +185,15 @@
         count(DaemonMetric.USAGE_CALLS_LATE, calls, "host");
     }
 
+    /**
+     * Counts a call that waited while calls were ranked.
+     *
+     * @param result served, lifted, returned, out_of_reach or displaced
+     */
+    public void rankedCall(String result) {
+        count(DaemonMetric.RANKED_CALLS, 1, result);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public String scrape() {
         return mRegistry.scrape();
