--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -127,7 +127,14 @@
             "Listed backend servers of a scaled pool that do not leave; only on the host that"
                     + " holds the lease.",
             "pool",
-            "failure_domain");
+            "failure_domain"),
+    RANKED_CALLS(
+            "vanillaslip.ranked.calls",
+            "vanillaslip_ranked_calls_total",
+            "Calls that waited while calls were ranked: served in the order of rank, lifted because"
+                    + " their group was served too rarely, returned after a refusal, out_of_reach"
+                    + " or displaced by a call of higher rank.",
+            "result");
 
     private final String mMeterName;
     private final String mScrapeName;
