--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCalls.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCalls.java
@@ -39,6 +39,7 @@
     private static final int MAX_LOWEST = 200;
 
     private final ServerSelector mSelector;
+    private final boolean mAllowed;
     private final RankedCallReports mReports;
     private final Map<String, CallRanking> mRankings = new HashMap<>();
     private final SlotTurnover mTurnover = new SlotTurnover();
@@ -49,14 +50,20 @@
     private long mLowestFoundAt;
     private boolean mUsed;
 
-    RankedCalls(ServerSelector selector, RankedCallReports reports) {
+    /**
+     * Creates a ranking without calls.
+     *
+     * @param allowed whether the settings ask for it; otherwise no call is ranked
+     */
+    RankedCalls(ServerSelector selector, boolean allowed, RankedCallReports reports) {
         mSelector = selector;
+        mAllowed = allowed;
         mReports = reports;
     }
 
     /** Returns whether calls are ranked; without priorities all state is dropped. */
     boolean enabled() {
-        boolean enabled = mSelector.ranksCalls();
+        boolean enabled = mAllowed && mSelector.ranksCalls();
         if (!enabled && mUsed) {
             mRankings.clear();
             mOrders.clear();
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCall.java
@@ -11,6 +11,9 @@
  */
 record WaitingCall(ServerRequest request, RankedCall criteria, MonoSink<RequestSlot> sink) {
 
+    /** Part of its time that a call leaves for the answer of a server with a limit. */
+    private static final double ANSWER_TIME_FRACTION = 0.25;
+
     /** Returns the call's target. */
     CallTarget target() {
         return request.target();
@@ -40,4 +43,9 @@
     long enqueuedNanos() {
         return criteria.enqueuedNanos();
     }
+
+    /** Returns the time for the answer; a call sent later only costs the server a request. */
+    long answerTimeNanos() {
+        return (long) ((deadlineNanos() - enqueuedNanos()) * ANSWER_TIME_FRACTION);
+    }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -15,6 +15,7 @@
 import org.vanillaslip.internal.gateway.RefusedException;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.internal.settings.WaitingOrder;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
@@ -38,9 +39,6 @@
 
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(250);
 
-    /** Part of its time that a call leaves for the answer of a server with a limit. */
-    private static final double ANSWER_TIME_FRACTION = 0.25;
-
     /** Detail of refusals because of limits; {@code vanillaslip explain} recognizes it. */
     private static final String LIMITED_DETAIL = "all servers limit their requests";
 
@@ -63,9 +61,9 @@
     private boolean mTickScheduled;
     private long mEstimatedAt = Long.MIN_VALUE / 2;
 
-    /** Creates an empty queue for at most the given number of calls that logs nothing. */
-    public WaitingCallQueue(ServerSelector selector, DecisionLoop loop, int maxWaiting) {
-        this(selector, loop, maxWaiting, result -> {}, (event, fields) -> {});
+    /** Creates an empty queue that ranks calls and logs nothing. */
+    WaitingCallQueue(ServerSelector selector, DecisionLoop loop, int maxWaiting) {
+        this(selector, loop, maxWaiting, WaitingOrder.RANK, result -> {}, (event, fields) -> {});
     }
 
     /**
@@ -77,12 +75,14 @@
             ServerSelector selector,
             DecisionLoop loop,
             int maxWaiting,
+            WaitingOrder order,
             Consumer<String> rankedCallCounter,
             EventLog log) {
         mSelector = selector;
         mLoop = loop;
         mMaxWaiting = maxWaiting;
-        mRanked = new RankedCalls(selector, new RankedCallReports(rankedCallCounter, log));
+        RankedCallReports reports = new RankedCallReports(rankedCallCounter, log);
+        mRanked = new RankedCalls(selector, order == WaitingOrder.RANK, reports);
     }
 
     /** Sets the check for a reachable lease holder, without which no load can be ordered. */
@@ -233,16 +233,11 @@
         List<WaitingCall> queue = mWaiting.of(target);
         if (!queue.isEmpty()) {
             WaitingCall first = queue.get(0);
-            long latestSendNanos = first.deadlineNanos() - answerTimeNanos(first);
+            long latestSendNanos = first.deadlineNanos() - first.answerTimeNanos();
             mSelector.requestPermits(target, queue.size(), latestSendNanos);
         }
     }
 
-    /** A call that is sent just before its deadline only costs the server a request. */
-    private static long answerTimeNanos(WaitingCall call) {
-        return (long) ((call.deadlineNanos() - call.enqueuedNanos()) * ANSWER_TIME_FRACTION);
-    }
-
     /** Refuses the last calls of the queue that servers with a limit cannot take in time. */
     private void refuseBeyondLimits(CallTarget target) {
         Optional<LimitedCapacity> capacity = mSelector.limitedCapacity(target);
@@ -253,7 +248,7 @@
         int served = 0;
         for (WaitingCall call : mWaiting.of(target)) {
             long sendTime = capacity.get().timeAfter(served);
-            if (sendTime + answerTimeNanos(call) - call.deadlineNanos() > 0) {
+            if (sendTime + call.answerTimeNanos() - call.deadlineNanos() > 0) {
                 Duration retryAfter = Duration.ofNanos(sendTime - now);
                 refuse(call, ResultCode.DEADLINE_UNREACHABLE, retryAfter, LIMITED_DETAIL);
             } else {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -49,6 +49,7 @@
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.runtime.DecisionLoopMonitor;
 import org.vanillaslip.internal.runtime.RunningDaemon;
+import org.vanillaslip.internal.settings.AdmissionSettings;
 import org.vanillaslip.internal.settings.HostSettings;
 import org.vanillaslip.internal.settings.ServingSettings;
 import org.vanillaslip.internal.settings.Settings;
@@ -144,8 +145,15 @@
         mLimits = new WorkspaceLimits(overdraft, mLoop, mLinks, mNetwork, mRandom, log);
         mServerLimits = new ServerLimitExchange(mDirectory, mNetwork, mLinks, mLoop, mMetrics, log);
         ServerSelector selector = serverSelector();
-        int maxCalls = settings.admission().maxWaitingRequests();
-        mWaitingCalls = new WaitingCallQueue(selector, mLoop, maxCalls, mMetrics::rankedCall, log);
+        AdmissionSettings admission = settings.admission();
+        mWaitingCalls =
+                new WaitingCallQueue(
+                        selector,
+                        mLoop,
+                        admission.maxWaitingRequests(),
+                        admission.waitingOrder(),
+                        mMetrics::rankedCall,
+                        log);
         mLease = fleetLease();
         mRegistration =
                 new HostRegistration(
@@ -184,7 +192,10 @@
         follow(mAdapters.collections().drains(), mDrains);
         follow(mAdapters.collections().servers(), mDirectory);
         mRetryBudgets.start();
-        mHosts.changes().subscribe(hosts -> linkToListedHosts());
+        // Without its links a host that has just started knows nothing of the other hosts.
+        mHosts.changes()
+                .doOnNext(hosts -> mLinks.refresh())
+                .subscribe(hosts -> mPeerLinks.connectToMissingHosts());
         mHosts.onLost(mRegistration::restore);
         mHosts.start();
         mRegistration.start();
@@ -200,12 +211,6 @@
         mLoopMonitor.start();
     }
 
-    /** Without its links a host that has just started knows nothing of the other hosts. */
-    private void linkToListedHosts() {
-        mLinks.refresh();
-        mPeerLinks.connectToMissingHosts();
-    }
-
     /** Ends readiness first, then new connections, then waiting and running calls. */
     @Override
     public void stop() {
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/AdmissionSettings.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/AdmissionSettings.java
@@ -8,10 +8,12 @@
  *
  * @param maxConfigurationAge age of the configuration from which requests with a key are refused;
  *     empty disables the check
+ * @param waitingOrder order in which waiting pass-through calls get servers
  */
 public record AdmissionSettings(
         int maxBodyBytes,
         int maxWaitingRequests,
         int maxWaitingRequestsPerWorkspace,
         long maxWaitingBytes,
-        Optional<Duration> maxConfigurationAge) {}
+        Optional<Duration> maxConfigurationAge,
+        WaitingOrder waitingOrder) {}
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
@@ -126,6 +126,14 @@
                             "Age of the configuration from which keyed requests are refused;"
                                     + " 0 means never.")
                     .orDefault("0");
+    static final Setting<WaitingOrder> WAITING_ORDER =
+            optional(
+                            "admission",
+                            "waiting_order",
+                            SettingTypes.choice(SettingTypes.byName(WaitingOrder.values())),
+                            "Order in which waiting pass-through calls get servers: by age for each"
+                                    + " model, or by rank over all models of a pool.")
+                    .orDefault("age");
     static final Setting<Double> IDLE_WEIGHT =
             optional(
                             "placement",
@@ -296,6 +304,7 @@
                     MAX_WAITING_REQUESTS_PER_WORKSPACE,
                     MAX_WAITING_BYTES,
                     MAX_CONFIGURATION_AGE,
+                    WAITING_ORDER,
                     IDLE_WEIGHT,
                     WEIGHT_STORE_LOADS_PER_SECOND,
                     WEIGHT_STORE_PARALLEL_LOADS,
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsValidator.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsValidator.java
@@ -155,7 +155,8 @@
                 value(SettingsCatalogue.MAX_WAITING_REQUESTS),
                 value(SettingsCatalogue.MAX_WAITING_REQUESTS_PER_WORKSPACE),
                 value(SettingsCatalogue.MAX_WAITING_BYTES),
-                age == 0 ? Optional.empty() : Optional.of(Duration.ofSeconds(age)));
+                age == 0 ? Optional.empty() : Optional.of(Duration.ofSeconds(age)),
+                value(SettingsCatalogue.WAITING_ORDER));
     }
 
     private <T> T value(Setting<T> setting) {
