--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -15,6 +15,7 @@
 import org.vanillaslip.internal.gateway.RefusedException;
 import org.vanillaslip.internal.logging.EventLog;
 import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.internal.settings.AdmissionSettings;
 import org.vanillaslip.internal.settings.WaitingOrder;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -39,15 +40,6 @@
 
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(250);
 
-    /** Detail of refusals because of limits; {@code vanillaslip explain} recognizes it. */
-    private static final String LIMITED_DETAIL = "all servers limit their requests";
-
-    /** Detail of refusals because no server of a pool takes new calls. */
-    private static final String LEAVING_DETAIL = "all servers leave";
-
-    /** Detail of refusals because of pauses. */
-    private static final String PAUSING_DETAIL = "all servers asked for a pause";
-
     /** Detail of refusals because more urgent calls take all room until the deadline. */
     private static final String OUT_OF_REACH_DETAIL = "all servers are busy";
 
@@ -62,27 +54,31 @@
     private long mEstimatedAt = Long.MIN_VALUE / 2;
 
     /** Creates an empty queue that ranks calls and logs nothing. */
-    WaitingCallQueue(ServerSelector selector, DecisionLoop loop, int maxWaiting) {
-        this(selector, loop, maxWaiting, WaitingOrder.RANK, result -> {}, (event, fields) -> {});
+    WaitingCallQueue(ServerSelector selector, DecisionLoop loop, int max) {
+        this(
+                selector,
+                loop,
+                new AdmissionSettings(0, max, max, 0, Optional.empty(), WaitingOrder.RANK),
+                result -> {},
+                (event, fields) -> {});
     }
 
     /**
-     * Creates an empty queue for at most the given number of calls.
+     * Creates an empty queue.
      *
      * @param rankedCallCounter counts calls that waited while calls were ranked, by result
      */
     public WaitingCallQueue(
             ServerSelector selector,
             DecisionLoop loop,
-            int maxWaiting,
-            WaitingOrder order,
+            AdmissionSettings admission,
             Consumer<String> rankedCallCounter,
             EventLog log) {
         mSelector = selector;
         mLoop = loop;
-        mMaxWaiting = maxWaiting;
+        mMaxWaiting = admission.maxWaitingRequests();
         RankedCallReports reports = new RankedCallReports(rankedCallCounter, log);
-        mRanked = new RankedCalls(selector, order == WaitingOrder.RANK, reports);
+        mRanked = new RankedCalls(selector, admission.waitingOrder() == WaitingOrder.RANK, reports);
     }
 
     /** Sets the check for a reachable lease holder, without which no load can be ordered. */
@@ -130,7 +126,7 @@
                     new RefusedException(
                             Refusal.retryable(
                                     ResultCode.NO_BACKEND_SERVER,
-                                    LEAVING_DETAIL,
+                                    RefusalDetail.LEAVING,
                                     LEAVING_RETRY_AFTER)));
             return;
         }
@@ -250,7 +246,7 @@
             long sendTime = capacity.get().timeAfter(served);
             if (sendTime + call.answerTimeNanos() - call.deadlineNanos() > 0) {
                 Duration retryAfter = Duration.ofNanos(sendTime - now);
-                refuse(call, ResultCode.DEADLINE_UNREACHABLE, retryAfter, LIMITED_DETAIL);
+                refuse(call, ResultCode.DEADLINE_UNREACHABLE, retryAfter, RefusalDetail.LIMITED);
             } else {
                 served++;
             }
@@ -266,7 +262,7 @@
         long endNanos = mLoop.clock().nowNanos() + pause.get().toNanos();
         for (WaitingCall call : mWaiting.of(target)) {
             if (!call.answerBegun() && endNanos - call.deadlineNanos() >= 0) {
-                refuse(call, ResultCode.DEADLINE_UNREACHABLE, pause.get(), PAUSING_DETAIL);
+                refuse(call, ResultCode.DEADLINE_UNREACHABLE, pause.get(), RefusalDetail.PAUSING);
             }
         }
     }
@@ -383,7 +379,11 @@
             } else if (cannotBeServed(call.target())) {
                 refuse(call, ResultCode.NO_BACKEND_SERVER, UNREACHABLE_RETRY_AFTER);
             } else if (cannotStart(call.target(), call.answerBegun())) {
-                refuse(call, ResultCode.NO_BACKEND_SERVER, LEAVING_RETRY_AFTER, LEAVING_DETAIL);
+                refuse(
+                        call,
+                        ResultCode.NO_BACKEND_SERVER,
+                        LEAVING_RETRY_AFTER,
+                        RefusalDetail.LEAVING);
             }
         }
         mWaiting.targets().forEach(this::refuseBeyondPauses);
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -49,7 +49,6 @@
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.runtime.DecisionLoopMonitor;
 import org.vanillaslip.internal.runtime.RunningDaemon;
-import org.vanillaslip.internal.settings.AdmissionSettings;
 import org.vanillaslip.internal.settings.HostSettings;
 import org.vanillaslip.internal.settings.ServingSettings;
 import org.vanillaslip.internal.settings.Settings;
@@ -145,15 +144,9 @@
         mLimits = new WorkspaceLimits(overdraft, mLoop, mLinks, mNetwork, mRandom, log);
         mServerLimits = new ServerLimitExchange(mDirectory, mNetwork, mLinks, mLoop, mMetrics, log);
         ServerSelector selector = serverSelector();
-        AdmissionSettings admission = settings.admission();
         mWaitingCalls =
                 new WaitingCallQueue(
-                        selector,
-                        mLoop,
-                        admission.maxWaitingRequests(),
-                        admission.waitingOrder(),
-                        mMetrics::rankedCall,
-                        log);
+                        selector, mLoop, settings.admission(), mMetrics::rankedCall, log);
         mLease = fleetLease();
         mRegistration =
                 new HostRegistration(
@@ -172,7 +165,6 @@
                         this::hostCount,
                         mLoop);
         mUsage = usageReports(settings);
-        mUsage.ifPresent(usage -> mExchange.setUsage(usage.exchange()));
         mPromptFaults = promptFaults();
         mRetryBudgets = new RetryBudgets(mHost.name(), serving, mHosts, storeAnswers, mLoop, log);
         mRelay = callRelay(selector, demandReporter);
@@ -201,6 +193,7 @@
         mRegistration.start();
         mLimits.start();
         mServerLimits.start(mAdapters.engines());
+        mUsage.ifPresent(usage -> mExchange.setUsage(usage.exchange()));
         mExchange.start();
         mPromptFaults.onQuarantine(mWaitingCalls::refuseCallsWith);
         mPromptFaults.start();
