--- a/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
@@ -45,6 +45,9 @@
         mMetrics.serverSaidLeaving();
         mMetrics.serverPauseAsked();
         mMetrics.rankedCall("lifted");
+        mMetrics.usageWindow("settled");
+        mMetrics.usageReportSent("ACCEPTED");
+        mMetrics.usageCallsLate(1);
 
         String scrape = mMetrics.scrape();
 
