Order engines for all configured models before the demand is known

Cause: rarely used models are asked for evenly, an engine holds three, and a server that is ordered when the calls come is ready after boot and load, 15.8 s later. Most of their callers met no copy.

Change: a pool without recorded numbers needs engines for each configured model for its first 60 s. What the observed demand does not need is given back slowly, as before. Only pools with limits and the duty `autoscale` are affected.

--- a/daemon/src/main/java/org/vanillaslip/internal/duty/PoolObserver.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/PoolObserver.java
@@ -120,6 +120,7 @@
                                                 startTime(pool, profile),
                                                 now()))
                         .orElse(0.0),
+                pool.engine().map(RecentModels::enginesForAll).orElse(0.0),
                 pool.engine().map(PoolObserver::loadTime).orElse(Duration.ZERO),
                 domains);
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountController.java
@@ -270,6 +270,7 @@
                 field("models", observation.recentModels()),
                 field("need_calls", ServerCountText.of(planner.need().forCalls())),
                 field("need_models", ServerCountText.of(planner.need().forModels())),
+                field("need_configured", ServerCountText.of(planner.need().forConfiguredModels())),
                 field("short_notice", planner.need().replacements()),
                 field("domains", ServerCountText.of(observation.domains(), planner)));
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/PoolObservation.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/PoolObservation.java
@@ -11,6 +11,7 @@
  * @param slotsPerServer number of requests that one server runs in parallel
  * @param recentModels number of models that callers asked for recently
  * @param modelEngines number of engines that can hold these models; 0 for a pool without engines
+ * @param configuredEngines number of engines that can hold all models of the configuration
  * @param loadTime time of a load that a new server needs before it helps
  */
 public record PoolObservation(
@@ -19,6 +20,7 @@
         int slotsPerServer,
         int recentModels,
         double modelEngines,
+        double configuredEngines,
         Duration loadTime,
         List<DomainServers> domains) {
 
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/RecentModels.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/RecentModels.java
@@ -56,6 +56,23 @@
         return (double) recent * time.toNanos() / GROWTH_NANOS;
     }
 
+    /** Returns the number of engines that can hold each model of the profile once. */
+    public static double enginesForAll(EngineProfile profile) {
+        int models = profile.models().size();
+        double megabytes =
+                profile.models().values().stream()
+                        .mapToDouble(ModelProfile::weightsMegabytes)
+                        .sum();
+        return models == 0 || profile.weightsMegabytes() <= 0
+                ? 0
+                : models / modelsPerEngine(profile, models, megabytes);
+    }
+
+    /** Returns a whole number, since memory that is too small for another model stays empty. */
+    private static double modelsPerEngine(EngineProfile profile, int models, double megabytes) {
+        return Math.max(1, Math.floor(profile.weightsMegabytes() * models / megabytes));
+    }
+
     /** Returns the number of models without their adapters. */
     public int count() {
         return (int) mRequestedAt.keySet().stream().map(ModelName::model).distinct().count();
@@ -98,9 +115,7 @@
         if (models == 0 || profile.weightsMegabytes() <= 0) {
             return 0;
         }
-        // Memory that is too small for another model stays empty.
-        double modelsPerEngine =
-                Math.max(1, Math.floor(profile.weightsMegabytes() * models / modelMegabytes));
+        double modelsPerEngine = modelsPerEngine(profile, models, modelMegabytes);
         double newModels =
                 Math.min(
                         expectedNewModels(startTime, nowNanos),
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/ServerCountPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/ServerCountPlanner.java
@@ -29,6 +29,13 @@
     /** All hosts have reported their demand, and all servers have renewed their entries. */
     static final Duration SETTLING_TIME = Duration.ofSeconds(3);
 
+    /**
+     * Time in which callers may ask for any configured model. Callers of a model that no server
+     * holds wait for a load, and for a boot before it if no server has room; servers that are
+     * ordered when the calls come are too late for them.
+     */
+    static final Duration FIRST_DEMAND_TIME = Duration.ofSeconds(60);
+
     /** A server that is needed again this soon was given back too early. */
     private static final Duration EARLY_RETURN_TIME = Duration.ofMinutes(2);
 
@@ -49,6 +56,8 @@
     private long mGiveBackAllowedAt;
     private Duration mGiveBackPause = Duration.ZERO;
     private boolean mGivenBack;
+    private boolean mPlanned;
+    private long mDemandKnownAt;
     private ServerNeed mNeed = ServerNeed.NONE;
 
     /** Forgets the observed demand; numbers that were decided or restored stay. */
@@ -122,6 +131,12 @@
 
     private List<ServerCountChange> planSettled(
             ServerScaling limits, PoolObservation observation, boolean allHeard, long nowNanos) {
+        if (!mPlanned) {
+            mPlanned = true;
+            // Recorded numbers follow the demand that an earlier holder has observed.
+            mDemandKnownAt =
+                    decided().isEmpty() ? nowNanos + FIRST_DEMAND_TIME.toNanos() : nowNanos;
+        }
         mTrend.record(observation.running() + observation.waiting(), nowNanos);
         double expectedCalls = mTrend.expectedAfter(limits.bootTime().plus(observation.loadTime()));
         int missing = followed().stream().mapToInt(DomainCount::leavingAtShortNotice).sum();
@@ -130,6 +145,7 @@
                         expectedCalls,
                         CallCapacity.servers(expectedCalls, observation.slotsPerServer()),
                         observation.modelEngines(),
+                        nowNanos - mDemandKnownAt < 0 ? observation.configuredEngines() : 0,
                         missing);
         mPeakNeed.record(mNeed.total(), nowNanos);
         List<ServerCountChange> changes = meetShortage(limits);
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/ServerCountReason.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/ServerCountReason.java
@@ -6,6 +6,8 @@
     CALLS,
     /** The models that callers asked for recently need it. */
     MODELS,
+    /** Callers may ask for any configured model, since no demand has been observed yet. */
+    CONFIGURED_MODELS,
     /** Servers leave at short notice. */
     LEAVING,
     /** Nothing needed the server for the whole hold time. */
--- a/decisions/src/test/java/org/vanillaslip/internal/scaling/ExpectedModelsTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/scaling/ExpectedModelsTest.java
@@ -32,6 +32,12 @@
         assertThat(engines(4)).isCloseTo(42 / 3.0, within(0.5));
     }
 
+    /** Guards against a count by memory alone: an engine with room for 3.3 models holds 3. */
+    @Test
+    void allModelsNeedEnginesThatHoldThreeEach() {
+        assertThat(RecentModels.enginesForAll(profile())).isCloseTo(MODELS / 3.0, within(0.01));
+    }
+
     /** Guards against more engines than all models of the pool need. */
     @Test
     void noMoreModelsAreExpectedThanThePoolHas() {
--- a/decisions/src/test/java/org/vanillaslip/internal/scaling/ScalingSimulation.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/scaling/ScalingSimulation.java
@@ -34,6 +34,7 @@
     private final List<Step> mSteps = new ArrayList<>();
     private DoubleToIntFunction mCalls = seconds -> 0;
     private double mModelEngines;
+    private double mConfiguredEngines;
     private boolean mGiveBackShowsAsLeaving;
     private long mNanos;
 
@@ -59,6 +60,10 @@
         mModelEngines = engines;
     }
 
+    void setConfiguredEngines(double engines) {
+        mConfiguredEngines = engines;
+    }
+
     void setView(String domain, DomainView view) {
         mViews.put(domain, view);
     }
@@ -117,6 +122,7 @@
                         SLOTS,
                         0,
                         mModelEngines,
+                        mConfiguredEngines,
                         LOAD_TIME,
                         domains);
         for (ServerCountChange change : mPlanner.plan(mLimits, observation, mNanos)) {
--- a/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
@@ -188,6 +188,42 @@
                 .allMatch(step -> step.change().reason() == ServerCountReason.MODELS);
     }
 
+    /** Guards against servers for rarely used models that are ordered when their callers wait. */
+    @Test
+    void ordersEnginesForAllConfiguredModelsBeforeTheFirstCalls() {
+        ScalingSimulation pool = new ScalingSimulation(limits(1, 20), THREE_EACH);
+        pool.setConfiguredEngines(11.5);
+        pool.run(Duration.ofMillis(3250));
+        assertThat(pool.totalOrdered()).isEqualTo(12);
+        assertThat(pool.steps())
+                .allMatch(step -> step.change().reason() == ServerCountReason.CONFIGURED_MODELS);
+    }
+
+    /** Guards against servers that stay although callers ask for few of the models. */
+    @Test
+    void givesBackSlowlyWhatTheObservedModelsDoNotNeed() {
+        ScalingSimulation pool = new ScalingSimulation(limits(1, 20), THREE_EACH);
+        pool.setConfiguredEngines(11.5);
+        pool.setModelEngines(4);
+        pool.run(Duration.ofSeconds(100));
+        assertThat(pool.totalOrdered())
+                .as("within the first demand and the hold time")
+                .isEqualTo(12);
+        pool.run(Duration.ofMinutes(10));
+        assertThat(pool.totalOrdered()).isBetween(4, 5);
+        assertThat(directionChanges(pool.steps())).isLessThanOrEqualTo(1);
+    }
+
+    /** Guards against a new holder that orders servers for all models once more. */
+    @Test
+    void aNewHolderWithRecordedNumbersExpectsNoUnobservedModels() {
+        ScalingSimulation pool = new ScalingSimulation(limits(1, 20), THREE_EACH);
+        pool.planner().restore("a", 4);
+        pool.setConfiguredEngines(11.5);
+        pool.run(Duration.ofSeconds(42));
+        assertThat(pool.steps()).isEmpty();
+    }
+
     /** Guards against a new holder that orders a number from its short view of the demand. */
     @Test
     void aNewHolderContinuesFromTheRecordedNumber() {
