Check files of the platform's configuration

vanillaslip check read only the project's own lists, so faults of the platform's configuration were found in operation. The command now also reads that format. Faults end with exit code 1 for this format; list files keep their codes.

--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/CheckTable.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/CheckTable.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import org.vanillaslip.internal.platform.ConfigurationFinding;
 
 /** The findings of a check as a table. */
 final class CheckTable {
@@ -31,8 +32,31 @@
         mDifferences.add(new Row(finding, change.name().objectName(), detail));
     }
 
+    /** Adds a fault or a difference that the check of a deployment's configuration found. */
+    void add(ConfigurationFinding finding) {
+        Row row = new Row(finding.kind().text(), finding.item(), finding.detail());
+        (finding.kind().isFault() ? mFaults : mDifferences).add(row);
+    }
+
     /** Returns the rows and a summary, with an exit code other than 0 if there is a fault. */
     CommandResult toResult() {
+        return toResult(ExitCode.INVALID);
+    }
+
+    /** Returns the rows and a summary, with the given exit code if there is a fault. */
+    CommandResult toResult(ExitCode faultCode) {
+        return new CommandResult(lines(), toJson(), mFaults.isEmpty() ? ExitCode.OK : faultCode);
+    }
+
+    /** Returns the rows and a summary, of a check that could not be completed. */
+    CommandResult toIncompleteResult(String reason) {
+        List<String> lines = new ArrayList<>(lines());
+        lines.add("Not compared: " + reason);
+        return new CommandResult(
+                List.copyOf(lines), toJson().put("not_compared", reason), ExitCode.INVALID);
+    }
+
+    private List<String> lines() {
         List<Row> rows = new ArrayList<>(mFaults);
         rows.addAll(mDifferences);
         List<String> lines = new ArrayList<>();
@@ -50,8 +74,7 @@
             rows.forEach(row -> lines.add(format(format, row)));
         }
         lines.add(mFaults.size() + " faults, " + mDifferences.size() + " differences");
-        return new CommandResult(
-                List.copyOf(lines), toJson(), mFaults.isEmpty() ? ExitCode.OK : ExitCode.INVALID);
+        return List.copyOf(lines);
     }
 
     private ObjectNode toJson() {
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandFailures.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandFailures.java
@@ -28,6 +28,14 @@
                 List.of());
     }
 
+    static CommandFailure unreadableContent(String file, String reason) {
+        return new CommandFailure(
+                ExitCode.INVALID,
+                Optional.empty(),
+                "The file '" + file + "' cannot be read. " + reason,
+                List.of());
+    }
+
     static CommandFailure invalid(List<Fault> faults) {
         return withResultCode(
                 ExitCode.INVALID,
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandLineMain.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandLineMain.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.ServiceLoader;
 import org.slf4j.LoggerFactory;
+import org.vanillaslip.internal.platform.DeploymentConfigurationCheck;
 import org.vanillaslip.internal.platform.HttpObjectStore;
 import org.vanillaslip.internal.platform.ObjectJsonCodec;
 import org.vanillaslip.internal.platform.ObjectStore;
@@ -30,7 +32,8 @@
                         CommandLineMain::connect,
                         new HttpStatusReader(HttpClient.create(), new ObjectMapper()),
                         new HttpQuarantineClient(HttpClient.create(), new ObjectMapper()),
-                        () -> Keys.create(random));
+                        () -> Keys.create(random),
+                        ServiceLoader.load(DeploymentConfigurationCheck.class).findFirst());
         int exitCode = new CommandLine(context, System.out, System.err).run(arguments);
         System.exit(exitCode);
     }
--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/InputFile.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/InputFile.java
@@ -20,9 +20,16 @@
     private InputFile() {}
 
     static Either<CommandFailure, ListFile> read(String file) {
+        return text(file).flatMap(InputFile::parse);
+    }
+
+    static Either<CommandFailure, ListFile> parse(String text) {
+        return ListFileReader.read(text).mapLeft(CommandFailures::invalid);
+    }
+
+    static Either<CommandFailure, String> text(String file) {
         try {
-            return ListFileReader.read(Files.readString(Path.of(file)))
-                    .mapLeft(CommandFailures::invalid);
+            return Either.right(Files.readString(Path.of(file)));
         } catch (IOException | InvalidPathException exception) {
             return Either.left(CommandFailures.unreadableFile(file));
         }
--- a/command-line/src/test/java/org/vanillaslip/internal/commandline/OperatorFixture.java
+++ b/command-line/src/test/java/org/vanillaslip/internal/commandline/OperatorFixture.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import org.vanillaslip.internal.platform.DeploymentConfigurationCheck;
 import org.vanillaslip.internal.platform.ObjectStore;
 import org.vanillaslip.internal.platform.PlatformCollections;
 import org.vanillaslip.internal.platform.StoredObject;
@@ -30,6 +31,7 @@
     final ObjectStorage mStorage = new ObjectStorage(1000);
     final PlatformFaults mFaults = new PlatformFaults();
     final FakeQuarantine mQuarantine = new FakeQuarantine("127.0.0.1:1");
+    Optional<DeploymentConfigurationCheck> mDeploymentCheck = Optional.empty();
     Runnable mAfterList = () -> {};
     Runnable mAfterWrite = () -> {};
     String mOutput = "";
@@ -46,7 +48,12 @@
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         ByteArrayOutputStream errors = new ByteArrayOutputStream();
         CommandContext context =
-                new CommandContext(address -> connect(), this::status, mQuarantine, () -> KEY);
+                new CommandContext(
+                        address -> connect(),
+                        this::status,
+                        mQuarantine,
+                        () -> KEY,
+                        mDeploymentCheck);
         int exitCode =
                 new CommandLine(context, new PrintStream(output), new PrintStream(errors))
                         .run(arguments);
