Settle windows of a long store outage only after hosts could report them

Cause: hosts report their four oldest open windows at once, but a holder whose collection had begun 2.5 s before settled every window past its limit. After an outage of the store of a minute, windows behind the first eight were reported with the counts of some hosts, or left out, although all hosts had counted them.

Change: CollectionProgress gives the last window that hosts have had time to report: four more, 2.5 s after the windows before them were closed. Windows that no host keeps delay nothing. Constants of the reporter get their reasons.

--- a/daemon/src/main/java/org/vanillaslip/internal/duty/UsageReporter.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/UsageReporter.java
@@ -18,6 +18,8 @@
 import org.vanillaslip.internal.platform.PlatformFailure;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.internal.usage.CollectedUsage;
+import org.vanillaslip.internal.usage.CollectionProgress;
+import org.vanillaslip.internal.usage.HostUsage;
 import org.vanillaslip.internal.usage.SettledWindow;
 import org.vanillaslip.internal.usage.Settlement;
 import org.vanillaslip.internal.usage.UsageLedger;
@@ -32,10 +34,13 @@
  */
 public final class UsageReporter {
 
+    /** Interval of checks; short against the 4 s in which a window is settled by default. */
     private static final Duration TICK = Duration.ofMillis(100);
+
+    /** Pause after a failed call to the store; at most 5 calls a second while it fails. */
     private static final Duration STORE_RETRY_DELAY = Duration.ofMillis(200);
 
-    /** In this time all hosts hear of a new holder and report to it. */
+    /** In this time all hosts hear of a holder or a closed window and report what is open. */
     private static final Duration MIN_COLLECTION = Duration.ofMillis(2500);
 
     /** The rest of the time until a report is due is left for the record and for repeats. */
@@ -56,6 +61,7 @@
     private final DaemonMetrics mMetrics;
     private final EventLog mLog;
     private final CollectedUsage mCollected = new CollectedUsage();
+    private final CollectionProgress mProgress = new CollectionProgress(MIN_COLLECTION);
     private Optional<StoredLedger> mStored = Optional.empty();
 
     /** The last confirmed ledger, kept after the lease ends; a restored store may lack parts. */
@@ -63,7 +69,6 @@
 
     private long mTerm;
     private long mGeneration;
-    private long mTermBeganAt;
     private long mClosedBefore;
     private boolean mNewDeployment;
     private boolean mStoreCallInFlight;
@@ -139,7 +144,6 @@
         if (mLease.term() != mTerm) {
             endTerm();
             mTerm = mLease.term();
-            mTermBeganAt = now();
         }
         if (!mStoreCallInFlight && now() >= mNoStoreCallUntil) {
             mStored.ifPresentOrElse(this::settle, this::read);
@@ -158,6 +162,7 @@
         mStoreCallInFlight = false;
         mNoStoreCallUntil = now();
         mCollected.clear();
+        mProgress.clear();
     }
 
     private void read() {
@@ -217,6 +222,7 @@
         if (mStored.isEmpty()) {
             mClosedBefore = stored.ledger().closedThrough();
         }
+        mProgress.recordClosed(stored.ledger().closedThrough(), now());
         mStored = Optional.of(stored);
         mKnown = Optional.of(stored.ledger());
         mMeter.counts().setClosedThrough(stored.ledger().closedThrough());
@@ -236,9 +242,12 @@
     private void settle(StoredLedger stored) {
         long closed = stored.ledger().closedThrough();
         long lastEnded = mMeter.windows().lastEnded(mMeter.millis());
-        long lastTimeUp = lastTimeUp();
+        long firstKnown = mCollected.firstWindow().orElse(lastEnded + 1);
+        long lastNotKept = Math.max(firstKnown - 1, lastEnded - 1 - HostUsage.MAX_OPEN_WINDOWS);
+        long lastReported = mProgress.reportedThrough(lastNotKept, now());
+        long lastTimeUp = Math.min(lastTimeUp(), lastReported);
         // Windows from before all processes that are known.
-        long lastUnknown = Math.min(mCollected.firstWindow().orElse(lastEnded + 1) - 1, lastTimeUp);
+        long lastUnknown = Math.min(firstKnown - 1, lastTimeUp);
         List<SettledWindow> settled = new ArrayList<>();
         long through = Math.max(closed, lastUnknown);
         while (through < lastEnded) {
@@ -273,9 +282,6 @@
 
     /** Returns the last window for whose counts no host is waited for any longer. */
     private long lastTimeUp() {
-        if (now() - mTermBeganAt < MIN_COLLECTION.toNanos()) {
-            return Long.MIN_VALUE;
-        }
         long limitMillis = Math.round(mDue.toMillis() * COLLECTION_PART);
         return mMeter.windows().lastEnded(mMeter.millis() - limitMillis);
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/duty/UsageReportChecks.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/UsageReportChecks.java
@@ -62,20 +62,31 @@
             assertThat(mSimulation.delayMillis(window))
                     .as("delay of %d", window)
                     .isBetween(0L, UsageSimulation.DUE.toMillis());
-            mSimulation
-                    .mTruth
-                    .get(window)
-                    .forEach(
-                            (workspace, calls) ->
-                                    assertThat(
-                                                    mSimulation.reports().get(window).stream()
-                                                            .findFirst()
-                                                            .orElseThrow()
-                                                            .getOrDefault(workspace, 0L))
-                                            .as("%s in %d", workspace, window)
-                                            .isCloseTo(
-                                                    calls,
-                                                    Percentage.withPercentage(TOLERANCE_PERCENT)));
+            assertRight(window);
         }
     }
+
+    /** Checks the counts of the windows, whenever they were reported. */
+    void assertRight(List<Long> windows) {
+        assertThat(windows).isNotEmpty();
+        windows.forEach(this::assertRight);
+    }
+
+    private void assertRight(long window) {
+        assertThat(mSimulation.reports()).containsKey(window);
+        mSimulation
+                .mTruth
+                .get(window)
+                .forEach(
+                        (workspace, calls) ->
+                                assertThat(
+                                                mSimulation.reports().get(window).stream()
+                                                        .findFirst()
+                                                        .orElseThrow()
+                                                        .getOrDefault(workspace, 0L))
+                                        .as("%s in %d", workspace, window)
+                                        .isCloseTo(
+                                                calls,
+                                                Percentage.withPercentage(TOLERANCE_PERCENT)));
+    }
 }
--- a/daemon/src/test/java/org/vanillaslip/internal/duty/UsageReportsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/UsageReportsTest.java
@@ -235,6 +235,20 @@
         mChecks.assertInTimeAndRight(mChecks.windowsUntil(Duration.ofSeconds(12)));
     }
 
+    /** Guards against partial counts, since hosts report only their oldest open windows at once. */
+    @ParameterizedTest
+    @ValueSource(ints = {60, 90, 200})
+    void allWindowsOfALongOutageOfTheStoreAreReportedInFull(int seconds) {
+        mSimulation.run(Duration.ofSeconds(30));
+        mSimulation.mHosts.values().forEach(host -> host.mStore.mUnavailable = true);
+        mSimulation.run(Duration.ofSeconds(seconds));
+        mSimulation.mHosts.values().forEach(host -> host.mStore.mUnavailable = false);
+        mSimulation.run(Duration.ofSeconds(90));
+
+        mChecks.assertOneReportOfEachWindow();
+        mChecks.assertRight(mChecks.windowsUntil(Duration.ofSeconds(12)));
+    }
+
     /** Guards against zeros for windows that only processes that have ended counted. */
     @Test
     void windowsThatNoProcessKnowsAreLeftOut() {
--- a/decisions/src/main/java/org/vanillaslip/internal/usage/HostUsage.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/usage/HostUsage.java
@@ -18,10 +18,10 @@
     private static final Duration RETENTION = Duration.ofSeconds(30);
 
     /** Windows that are kept while no holder closes them. */
-    private static final int MAX_OPEN_WINDOWS = 60;
+    public static final int MAX_OPEN_WINDOWS = 60;
 
     /** Bounds a message; the holder closes windows in order, so the oldest are needed first. */
-    private static final int MAX_COMPLETE_WINDOWS = 4;
+    static final int MAX_COMPLETE_WINDOWS = 4;
 
     /** Closed windows that are still reported once, so that the holder can name late counts. */
     private static final int CLOSED_WINDOWS = 3;
