Send a larger number of servers also when all servers are missing

Cause: a number is sent only for failure domains that are heard from, and one whose servers are all missing counts as lost. If the last server of a pool left while the API took no calls, its replacement was recorded and never sent, so no server came back and the domain stayed lost.

Change: a number that the API has not answered and that is larger than the last answered one is also sent while the domain's hosts are heard from and the domain is not drained. Repeats and lower numbers still wait for the domain.

--- a/daemon/src/main/java/org/vanillaslip/internal/duty/DomainViews.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/DomainViews.java
@@ -78,6 +78,12 @@
         return view;
     }
 
+    /** Returns whether the hosts of the failure domain are heard from, and it is in service. */
+    boolean hearsHosts(ScaledGroup group) {
+        return !mIsDrained.test(new FailureDomain(group.failureDomain()))
+                && hearsHosts(group.failureDomain());
+    }
+
     /** Hosts that are lost one by one are replaced; of a partitioned domain most are missing. */
     private boolean hearsHosts(String failureDomain) {
         int listed = 0;
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/PoolObserver.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/PoolObserver.java
@@ -73,6 +73,11 @@
         return mFollowed.contains(group);
     }
 
+    /** Returns whether the hosts of the failure domain are heard from, and it is in service. */
+    boolean hearsHosts(ScaledGroup group) {
+        return mViews.hearsHosts(group);
+    }
+
     /** Returns the number of listed servers that do not leave. */
     int ready(ScaledGroup group) {
         return (int)
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountController.java
@@ -18,6 +18,7 @@
 import org.vanillaslip.internal.platform.PlatformFailure;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.runtime.DecisionLoop;
+import org.vanillaslip.internal.scaling.CountOrder;
 import org.vanillaslip.internal.scaling.PoolObservation;
 import org.vanillaslip.internal.scaling.ServerCountChange;
 import org.vanillaslip.internal.scaling.ServerCountPlanner;
@@ -121,7 +122,7 @@
 
     private void sendNext() {
         if (mTerm != NO_TERM && mRecordRead) {
-            mSender.sendNext(right(mTerm), this::isRecorded);
+            mSender.sendNext(right(mTerm), this::maySend);
         }
     }
 
@@ -155,9 +156,15 @@
         return new DutyRight(mHost, term, () -> mLease.mayOrder(term));
     }
 
-    private boolean isRecorded(ScaledGroup group, int servers) {
+    /**
+     * A larger number is also sent if all servers of the failure domain are missing, because none
+     * comes back if the platform did not take it.
+     */
+    private boolean maySend(ScaledGroup group, CountOrder order) {
         RecordedCount recorded = mRecorded.get(group);
-        return recorded != null && recorded.servers() == servers && mObserver.isFollowed(group);
+        return recorded != null
+                && recorded.servers() == order.servers()
+                && (mObserver.isFollowed(group) || order.raises() && mObserver.hearsHosts(group));
     }
 
     private void readRecord() {
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountSender.java
@@ -78,14 +78,14 @@
      *
      * @param maySend whether the number is recorded and its failure domain is heard from
      */
-    void sendNext(DutyRight right, BiPredicate<ScaledGroup, Integer> maySend) {
+    void sendNext(DutyRight right, BiPredicate<ScaledGroup, CountOrder> maySend) {
         if (mCallInFlight || !mPacing.mayCall(now()) || !right.permitted().getAsBoolean()) {
             return;
         }
         // The longest waiting one is next, so that one without an answer holds up no others.
         mOrders.entrySet().stream()
                 .filter(entry -> entry.getValue().pending())
-                .filter(entry -> maySend.test(entry.getKey(), entry.getValue().servers()))
+                .filter(entry -> maySend.test(entry.getKey(), entry.getValue()))
                 .min(Comparator.comparingLong(entry -> lastSend(entry.getKey())))
                 .ifPresent(entry -> send(right, entry.getKey(), entry.getValue()));
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
@@ -272,6 +272,26 @@
         assertThat(mPlatform.attempts()).isZero();
     }
 
+    /** Guards against a replacement that is never sent, because no server is left to hear from. */
+    @Test
+    void aReplacementThatTheApiDidNotTakeIsSentAlsoWhenNoServerIsLeft() {
+        ScalingWorld world =
+                new ScalingWorld(Optional.of(ScalingWorld.limits(1, 3)), Map.of("a", 1));
+        world.setCalls(seconds -> 6);
+        world.run(Duration.ofSeconds(60));
+        String server = world.mPlatform.servers().keySet().iterator().next();
+        world.mPlatform.setTreatment(ScalingPlatform.Treatment.UNREACHED);
+        world.mPlatform.announceLeaving(server);
+        world.run(Duration.ofSeconds(5));
+        world.mPlatform.servers().remove(server);
+        world.run(Duration.ofSeconds(5));
+        assertThat(world.mPlatform.attempts()).isPositive();
+        world.mPlatform.setTreatment(ScalingPlatform.Treatment.ACCEPTED);
+        world.run(Duration.ofSeconds(30));
+        assertThat(world.mPlatform.ordered("a")).isEqualTo(2);
+        assertThat(world.mPlatform.servers()).isNotEmpty();
+    }
+
     private void growAfterAMinute() {
         mWorld.setCalls(seconds -> seconds < 60 ? 60 : 160);
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/CountOrder.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/CountOrder.java
@@ -12,6 +12,7 @@
     private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(15);
 
     private int mServers;
+    private int mSettledServers;
     private boolean mPending;
     private boolean mDiffers;
     private long mDiffersSince;
@@ -20,6 +21,7 @@
     /** Creates an order that the platform is assumed to know. */
     public CountOrder(int servers) {
         mServers = servers;
+        mSettledServers = servers;
     }
 
     /** Returns the number to order. */
@@ -70,9 +72,15 @@
         return mPending;
     }
 
+    /** Returns whether the number has to be sent and is larger than what the platform knows. */
+    public boolean raises() {
+        return mPending && mServers > mSettledServers;
+    }
+
     /** Records an answer that settles the number, unless another one was ordered since. */
     public void recordSettled(int servers, long nowNanos) {
         mSentAt = nowNanos;
+        mSettledServers = servers;
         mPending = mPending && servers != mServers;
     }
 }
