Forget servers that were listed for a moment before the first order

Cause: before the first decision the largest number that was ever listed counted as the ordered one. A replaced server that was listed beside its successor raised it for good, so a later shortage of one server was not met.

Change: the number follows the list down after fewer servers were listed for a minute by a failure domain that is heard from.

Result: ServerCountPlannerTest.aServerThatWasListedForAMomentIsNotCountedForEver failed before (6 servers for 84 calls, 7 needed) and passes; a second case guards against lowering the number of a domain that is not heard from.

--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/DomainCount.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/DomainCount.java
@@ -13,6 +13,12 @@
     /** A server that leaves within this time after a step back leaves because of it. */
     private static final long GIVE_BACK_NANOS = Duration.ofMinutes(1).toNanos();
 
+    /**
+     * By then a restarted server has booted and is listed again; what is still missing after it was
+     * listed twice, or is not replaced.
+     */
+    private static final long MISSING_NANOS = Duration.ofMinutes(1).toNanos();
+
     private final String mName;
     private final Deque<Long> mGivenBackAt = new ArrayDeque<>();
     private final Set<String> mLeaving = new HashSet<>();
@@ -20,6 +26,9 @@
     private int mServers;
     private boolean mDecided;
     private boolean mLeavingKnown;
+    private boolean mFewerListed;
+    private long mFewerListedSince;
+    private int mMostListedSince;
 
     DomainCount(String name) {
         mName = name;
@@ -65,15 +74,15 @@
     }
 
     /**
-     * Adopts what is listed. Before the first decision, the largest number that was listed is taken
-     * for the ordered one, because servers may be listed one after another.
+     * Adopts what is listed. Before the first decision, the largest number that was listed lately
+     * is taken for the ordered one, because servers may be listed one after another.
      */
     void observe(DomainServers servers, ServerScaling limits, long nowNanos) {
         if (mDecided) {
             mServers = Math.max(limits.minServers(), mServers);
         } else {
             // The platform may not have started the minimum yet, so it is not counted.
-            mServers = Math.max(mServers, servers.ready() + servers.leaving().size());
+            adoptListed(servers, nowNanos);
         }
         mServers = Math.min(limits.maxServers(), mServers);
         mLeaving.retainAll(servers.leaving());
@@ -89,6 +98,26 @@
         mLeavingKnown = true;
     }
 
+    /** Lowers the number only after fewer were listed for some time by a domain that is heard. */
+    private void adoptListed(DomainServers servers, long nowNanos) {
+        int listed = servers.ready() + servers.leaving().size();
+        if (servers.view() != DomainView.FOLLOWED || listed >= mServers) {
+            mServers = Math.max(mServers, listed);
+            mFewerListed = false;
+            return;
+        }
+        if (!mFewerListed) {
+            mFewerListed = true;
+            mFewerListedSince = nowNanos;
+            mMostListedSince = listed;
+        }
+        mMostListedSince = Math.max(mMostListedSince, listed);
+        if (nowNanos - mFewerListedSince >= MISSING_NANOS) {
+            mServers = mMostListedSince;
+            mFewerListed = false;
+        }
+    }
+
     private boolean leavesAtShortNotice(DomainServers servers) {
         if (!mLeavingKnown) {
             // An earlier holder may have lowered the number.
--- a/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
@@ -32,6 +32,38 @@
                 .contains(new ServerCountChange("a", 5, 8, ServerCountReason.CALLS));
     }
 
+    /** Guards against a replaced server that is listed beside its successor and counts for ever. */
+    @Test
+    void aServerThatWasListedForAMomentIsNotCountedForEver() {
+        ScalingSimulation pool = new ScalingSimulation(limits(1, 8), THREE_EACH);
+        pool.setCalls(seconds -> (int) Math.max(70, Math.min(84, 70 + (seconds - 180) / 5)));
+        pool.run(Duration.ofSeconds(60));
+        pool.setServers("a", 4, 0);
+        pool.run(Duration.ofSeconds(5));
+        pool.setServers("a", 3, 0);
+        pool.run(Duration.ofSeconds(235));
+
+        assertThat(pool.totalReady()).as("servers for 84 calls").isGreaterThanOrEqualTo(7);
+    }
+
+    /** Guards against an order below the number in force after servers come back one by one. */
+    @Test
+    void serversThatAreMissingForAShortTimeOrInALostDomainStayCounted() {
+        ScalingSimulation pool = new ScalingSimulation(limits(1, 8), THREE_EACH);
+        pool.setCalls(seconds -> 70);
+        pool.run(Duration.ofSeconds(60));
+        pool.setServers("a", 0, 0);
+        pool.setView("a", DomainView.UNHEARD);
+        pool.setCalls(seconds -> 30);
+        pool.run(Duration.ofMinutes(3));
+        pool.setView("a", DomainView.FOLLOWED);
+        pool.setServers("a", 1, 1);
+        pool.setCalls(seconds -> 70);
+        pool.run(Duration.ofSeconds(20));
+
+        assertThat(pool.steps()).isEmpty();
+    }
+
     /** Guards against orders that only repeat what is listed. */
     @Test
     void decidesNothingWhileTheListedServersSuffice() {
