Bound what one call changes in the mean work of workspace shares

Cause: the size of a call is declared by its caller, with up to 15 digits. One served call of such a size raised the mean work so far that about a thousand later calls were all charged the minimum, so shares counted calls instead of work.

Change: a call counts with at most 16 times the mean, which changes the mean by at most half. Calls of usual sizes are charged as before.

--- a/decisions/src/main/java/org/vanillaslip/internal/queue/WorkspaceShares.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/WorkspaceShares.java
@@ -16,6 +16,9 @@
     /** Weight of the newest call in the mean work, which covers about 30 calls. */
     private static final double NEWEST_WEIGHT = 0.03;
 
+    /** Bounds what one call, whose size its caller declares, changes in the mean: by half of it. */
+    private static final double MAX_WORK_RATIO = 16;
+
     private final Map<Flow, Double> mStartTags = new HashMap<>();
     private final Map<Integer, Double> mVirtualTimes = new HashMap<>();
     private final Set<Flow> mBusy = new HashSet<>();
@@ -69,7 +72,8 @@
         mStartTags.put(flow, startTag + charge(call));
         long work = call.profile().work();
         if (work > 0) {
-            mMeanWork = mMeanWork == 0 ? work : mMeanWork + NEWEST_WEIGHT * (work - mMeanWork);
+            double bounded = mMeanWork == 0 ? work : Math.min(work, MAX_WORK_RATIO * mMeanWork);
+            mMeanWork += (mMeanWork == 0 ? 1 : NEWEST_WEIGHT) * (bounded - mMeanWork);
         }
     }
 
--- a/decisions/src/test/java/org/vanillaslip/internal/queue/CallRankingTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/queue/CallRankingTest.java
@@ -56,6 +56,29 @@
         assertThat(served).isEqualTo(Map.of("busy", 2, "quiet", 2));
     }
 
+    /** Guards against one call with a huge declared size that makes all later charges equal. */
+    @Test
+    void aHugeCallDoesNotChangeTheSharesOfLaterCalls() {
+        for (int count = 0; count < 40; count++) {
+            mRanking.recordServed(call("w0", 0, 0, 10, 30, 100));
+        }
+        mRanking.recordServed(call("w0", 0, 0, 10, 30, Long.MAX_VALUE / 2));
+        List<RankedCall> calls = new ArrayList<>();
+        for (int call = 0; call < 16; call++) {
+            calls.add(call("small", 0, call, 10 + call, 40, 80));
+            calls.add(call("large", 0, call, 10 + call, 40, 240));
+        }
+        Map<String, Integer> served = new HashMap<>();
+        for (int count = 0; count < 16; count++) {
+            RankedCall first = order(SECOND, calls.toArray(RankedCall[]::new)).get(0);
+            calls.remove(first);
+            mRanking.recordServed(first);
+            served.merge(first.profile().workspace(), 1, Integer::sum);
+        }
+
+        assertThat(served.get("small")).isGreaterThanOrEqualTo(2 * served.get("large"));
+    }
+
     /** A workspace that was idle must not use the share of that time at once. */
     @Test
     void anIdleWorkspaceSavesNoShare() {
