Forget the ranked orders of pools for which no call waits

Cause: RankedCalls kept the last order of each pool, and with it every call of an overload and what its caller had sent, until calls of that pool waited again.

Change: orders without waiting calls are dropped at the end of each pass.

Result: RankedQueueTest.aCallThatNoLongerWaitsIsNotKept failed before and passes; WaitingCallQueueTest passes unchanged.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCalls.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/RankedCalls.java
@@ -271,6 +271,14 @@
         mLowestFoundAt = nowNanos;
     }
 
+    /** Forgets the orders of pools for which no call waits, which would keep their calls. */
+    void forgetOrders(WaitingCalls waiting) {
+        mOrders.keySet().removeIf(pool -> !waiting.waitsFor(pool));
+        if (waiting.size() == 0) {
+            mLowest.clear();
+        }
+    }
+
     private CallRanking ranking(String pool) {
         return mRankings.computeIfAbsent(pool, name -> new CallRanking(mFloors));
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/WaitingCallQueue.java
@@ -393,6 +393,7 @@
             mEstimatedAt = now;
             refuseOutOfReach();
         }
+        mRanked.forgetOrders(mWaiting);
         scheduleTick();
     }
 }
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/RankedQueueTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/RankedQueueTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.lang.ref.WeakReference;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -154,6 +155,25 @@
         assertThat(simulation.mQueue.reserveNow(request("standby"))).isPresent();
     }
 
+    /** Guards against memory that the calls of an overload use until the next one. */
+    @Test
+    void aCallThatNoLongerWaitsIsNotKept() {
+        OverloadSimulation simulation = fullServer(Order.RANKED, 400);
+        WeakReference<?> call = submitted(simulation);
+        simulation.mScheduler.advanceTimeBy(Duration.ofSeconds(4));
+        System.gc();
+
+        assertThat(mOutcomes).contains("kept served");
+        assertThat(simulation.mQueue.size()).isZero();
+        assertThat(call.get()).isNull();
+    }
+
+    private WeakReference<?> submitted(OverloadSimulation simulation) {
+        String call = new StringBuilder("kept").toString();
+        submit(simulation, call, 0, false);
+        return new WeakReference<>(call);
+    }
+
     /** Calls for 60 s at more than twice the capacity of one server. */
     private static void overload(OverloadSimulation simulation, OverloadKind kind, String model) {
         for (int call = 0; call < 60 * 25; call++) {
