Count calls whose server failed after it may have begun them

Cause: a plain call was taken out of the usage counts at every failed send, also when its server had answered with status 500 or was lost with the call, and no other server answered. The server had begun to run it, so the report lacked it.

Change: a send that may have run keeps its count until another server answers; the count then moves as before. Sends that were refused or did not arrive are taken out as before.

Result: UsageMeterTest.aCallWhoseServerFailedAfterItMayHaveBegunCounts failed before and passes; the other cases pass with the new parameter, which names what each of their sends was.

--- a/daemon/src/main/java/org/vanillaslip/internal/duty/CallUsage.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/CallUsage.java
@@ -10,7 +10,7 @@
                 public void recordSend(String server) {}
 
                 @Override
-                public void recordSendFailed(String server) {}
+                public void recordSendFailed(String server, boolean mayHaveRun) {}
 
                 @Override
                 public void recordCancelled(String server) {}
@@ -25,8 +25,12 @@
     /** Records that the call is sent to the server. */
     void recordSend(String server);
 
-    /** Records that the server has not answered the call, which may be sent to another. */
-    void recordSendFailed(String server);
+    /**
+     * Records that the server has not answered the call, which may be sent to another.
+     *
+     * @param mayHaveRun whether the server may have begun to run the call
+     */
+    void recordSendFailed(String server, boolean mayHaveRun);
 
     /** Records that the server runs the call and its answer is no longer wanted. */
     void recordCancelled(String server);
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/CountedCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/CountedCall.java
@@ -38,7 +38,10 @@
     }
 
     @Override
-    public void recordSendFailed(String server) {
+    public void recordSendFailed(String server, boolean mayHaveRun) {
+        if (mayHaveRun) {
+            return;
+        }
         mWindowByServer.remove(server);
         if (!mFinal && server.equals(mCountedServer) && removeCount()) {
             mWindowByServer.keySet().stream().findFirst().ifPresent(this::count);
@@ -50,7 +53,7 @@
         if (server.equals(mCountedServer) && mWindowByServer.size() == 1) {
             mFinal = true;
         } else {
-            recordSendFailed(server);
+            recordSendFailed(server, false);
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/CountedStream.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/CountedStream.java
@@ -20,7 +20,7 @@
     public void recordSend(String server) {}
 
     @Override
-    public void recordSendFailed(String server) {}
+    public void recordSendFailed(String server, boolean mayHaveRun) {}
 
     @Override
     public void recordCancelled(String server) {}
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallSender.java
@@ -332,7 +332,7 @@
     }
 
     private void recordSendFailure(RelayCall call, FleetMember server, int send, Throwable error) {
-        call.recordSendFailed(server.instance());
+        call.recordSendFailed(server.instance(), error);
         if (!(error instanceof SendFailedException failure)) {
             server.health().recordInconclusive();
             if (error instanceof CallerDisconnectedException) {
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RelayCall.java
@@ -285,9 +285,12 @@
     }
 
     /** Records that the send failed, so that no server is processing the call. */
-    void recordSendFailed(String instance) {
+    void recordSendFailed(String instance, Throwable error) {
         mSendInProgress = false;
-        mUsage.recordSendFailed(instance);
+        boolean mayHaveRun =
+                error instanceof SendFailedException failure
+                        && failure.kind() == SendFailureKind.UNKNOWN;
+        mUsage.recordSendFailed(instance, mayHaveRun);
     }
 
     /** Returns whether the call has been sent to a server and the send has not failed. */
--- a/daemon/src/test/java/org/vanillaslip/internal/duty/UsageMeterTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/UsageMeterTest.java
@@ -50,7 +50,7 @@
         CallUsage call = mMeter.begin("w", false);
         call.recordSend("a");
         advance(Duration.ofSeconds(5));
-        call.recordSendFailed("a");
+        call.recordSendFailed("a", false);
         call.recordSend("b");
         call.recordAnswer("b");
         call.recordCancelled("b");
@@ -65,7 +65,7 @@
         call.recordSend("a");
         advance(Duration.ofSeconds(5));
         mMeter.counts().setClosedThrough(FIRST);
-        call.recordSendFailed("a");
+        call.recordSendFailed("a", false);
         call.recordSend("b");
         call.recordAnswer("b");
 
@@ -88,11 +88,37 @@
     void aCallThatNoServerAnsweredDoesNotCount() {
         CallUsage call = mMeter.begin("w", false);
         call.recordSend("a");
-        call.recordSendFailed("a");
+        call.recordSendFailed("a", false);
 
         assertThat(calls()).isEqualTo(Map.of(FIRST, 0L));
     }
 
+    /** Guards against calls that are lacking because their server failed while it ran them. */
+    @Test
+    void aCallWhoseServerFailedAfterItMayHaveBegunCounts() {
+        CallUsage call = mMeter.begin("w", false);
+        call.recordSend("a");
+        call.recordSendFailed("a", true);
+        advance(Duration.ofSeconds(5));
+        call.recordSend("b");
+        call.recordSendFailed("b", false);
+
+        assertThat(calls()).isEqualTo(Map.of(FIRST, 1L, FIRST + 1, 0L));
+    }
+
+    /** Guards against a count in the window of a server that did not answer. */
+    @Test
+    void aCallThatMovedFromAServerThatMayHaveBegunCountsOnceWhereItIsAnswered() {
+        CallUsage call = mMeter.begin("w", false);
+        call.recordSend("a");
+        call.recordSendFailed("a", true);
+        advance(Duration.ofSeconds(5));
+        call.recordSend("b");
+        call.recordAnswer("b");
+
+        assertThat(calls()).isEqualTo(Map.of(FIRST, 0L, FIRST + 1, 1L));
+    }
+
     @Test
     void aCallThatItsCallerLeavesCounts() {
         CallUsage call = mMeter.begin("w", false);
@@ -108,7 +134,7 @@
         stream.recordSend("a");
         advance(Duration.ofSeconds(5));
         stream.recordFirstEvent();
-        stream.recordSendFailed("a");
+        stream.recordSendFailed("a", true);
         advance(Duration.ofSeconds(5));
         stream.recordSend("b");
         stream.recordFirstEvent();
