--- a/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/ServerCountController.java
@@ -32,13 +32,13 @@
  */
 public final class ServerCountController {
 
-    /** Interval of planning; demand is reported about as often. */
+    /** Interval of planning; demand is reported about as often, each 300 ms. */
     private static final Duration TICK = Duration.ofMillis(250);
 
-    /** Interval of checks for a number to send; the rate of calls is lower. */
+    /** Interval of checks for a number to send; below the 80 ms between calls at 50 a second. */
     private static final Duration SEND_INTERVAL = Duration.ofMillis(50);
 
-    /** Pause after a failed call to the store. */
+    /** Pause after a failed call to the store; short against the boot of a server, some seconds. */
     private static final Duration STORE_RETRY_DELAY = Duration.ofMillis(700);
 
     private static final long NO_TERM = -1;
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/UsageExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/UsageExchange.java
@@ -23,7 +23,10 @@
     /** Bounds what is lost with a host; in large deployments each host has few of the calls. */
     private static final Duration MIN_RUNNING_INTERVAL = Duration.ofMillis(300);
 
+    /** Keeps messages at 100 a second for all hosts together, up to 100 hosts. */
     private static final Duration RUNNING_INTERVAL_PER_HOST = Duration.ofMillis(10);
+
+    /** Bounds the loss with a host to a fifth of its calls in a window of 5 s. */
     private static final Duration MAX_RUNNING_INTERVAL = Duration.ofSeconds(1);
 
     private final UsageSource mSelf;
--- a/daemon/src/main/java/org/vanillaslip/internal/duty/UsageSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/duty/UsageSender.java
@@ -19,7 +19,10 @@
     /** This duty and the other one may use half of the calls together. */
     private static final double PART_OF_CALLS = 0.25;
 
+    /** Pause after the first failure; a single lost call costs little of the due time of 10 s. */
     private static final Duration MIN_BACKOFF = Duration.ofMillis(200);
+
+    /** Leaves two tries or more in the 6 s between record and due time once the API is back. */
     private static final Duration MAX_BACKOFF = Duration.ofSeconds(2);
 
     /** A report that the platform rejects must not keep it from getting later ones. */
--- a/decisions/src/main/java/org/vanillaslip/internal/queue/FairQueue.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/FairQueue.java
@@ -17,6 +17,7 @@
 /** All waiting requests of a host, in one fair queue per target and with common limits. */
 public final class FairQueue {
 
+    /** Callers that come back sooner would find the queue still full. */
     private static final Duration MIN_RETRY_AFTER_WHEN_FULL = Duration.ofSeconds(1);
 
     private final QueueLimits mLimits;
--- a/decisions/src/main/java/org/vanillaslip/internal/queue/RankedCall.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/RankedCall.java
@@ -27,6 +27,7 @@
     /** A short objective leaves more of its time, because an engine may queue the call first. */
     private static final double MAX_ANSWER_TIME_FRACTION = 0.4;
 
+    /** 200 ms: time for the first event that a short objective leaves if it can. */
     private static final double MIN_ANSWER_NANOS = 200e6;
 
     /** Returns the latest time to send the call at which it can meet its objective. */
--- a/decisions/src/main/java/org/vanillaslip/internal/queue/ReturningCalls.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/ReturningCalls.java
@@ -7,7 +7,10 @@
 /** Recognizes repetitions of calls that this host has refused, once for each refusal. */
 public final class ReturningCalls {
 
+    /** 30 s: the longest {@code Retry-After} is 10 s, and callers may wait longer. */
     private static final long MEMORY_NANOS = 30_000_000_000L;
+
+    /** Bounds the memory; as many calls as a full queue holds by default. */
     private static final int MAX_CALLS = 2_000;
 
     private final Map<String, Refused> mRefused = new LinkedHashMap<>();
--- a/decisions/src/main/java/org/vanillaslip/internal/queue/ServiceFloors.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/ServiceFloors.java
@@ -20,6 +20,7 @@
     /** Each size has to be served half as often as its kind. */
     private static final double SIZE_FLOOR = 0.65;
 
+    /** 30 s: covers many calls of rare groups, and follows an overload of minutes. */
     private static final double HALF_LIFE_NANOS = 30e9;
 
     /** The counts are read for each pass, which would change them by next to nothing. */
@@ -28,6 +29,7 @@
     /** A group with less than this has no influence and is dropped. */
     private static final double NEGLIGIBLE = 0.02;
 
+    /** Number of recorded calls between two removals, which visit all groups. */
     private static final int PRUNE_INTERVAL = 1000;
 
     private final Map<Group, Counts> mGroups = new HashMap<>();
--- a/decisions/src/main/java/org/vanillaslip/internal/queue/SizeClasses.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/SizeClasses.java
@@ -8,13 +8,19 @@
 /** Tells the largest tenth of the calls of a kind, and the fifth below it, from the others. */
 final class SizeClasses {
 
+    /** Last calls of a kind that are kept: about 13 of them are in the largest tenth. */
     private static final int SAMPLES = 128;
 
     /** With fewer calls the quantiles are too uncertain. */
     private static final int MIN_SAMPLES = 40;
 
+    /** Number of calls between two renewals of the bounds, which sort the samples. */
     private static final int RENEWAL_INTERVAL = 16;
+
+    /** Quantile above which a call belongs to the largest tenth. */
     private static final double LARGEST = 0.9;
+
+    /** Quantile above which a call belongs to the fifth below the largest tenth. */
     private static final double LARGE = 0.7;
 
     private final Map<String, Sizes> mKinds = new HashMap<>();
--- a/decisions/src/main/java/org/vanillaslip/internal/queue/SlotTurnover.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/queue/SlotTurnover.java
@@ -10,10 +10,13 @@
 /** Measures how fast this host's calls end and begin on servers, while calls wait for them. */
 public final class SlotTurnover {
 
+    /** 4 s: averages out single answers, and follows a change of the load. */
     private static final long WINDOW_NANOS = 4_000_000_000L;
+
+    /** 2 s: a shorter observation may lie between the ends of calls that began together. */
     private static final long MIN_OBSERVED_NANOS = 2_000_000_000L;
 
-    /** Without a newer sample the observation begins anew. */
+    /** Samples are taken each 100 ms; after a gap of two or more the observation begins anew. */
     private static final long MAX_GAP_NANOS = 250_000_000L;
 
     /** Fewer ended calls say too little about the rate. */
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/CallPacing.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/CallPacing.java
@@ -8,7 +8,10 @@
     /** Leaves room for the usage reports, which may use another quarter. */
     private static final double RATE_FRACTION = 0.25;
 
+    /** Pause after the first failure; short against the boot of a server, some seconds. */
     private static final Duration FIRST_PAUSE = Duration.ofMillis(500);
+
+    /** Longest pause; about the boot time by which a number is late once the API is back. */
     private static final Duration MAX_PAUSE = Duration.ofSeconds(8);
 
     private final long mIntervalNanos;
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/CountOrder.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/CountOrder.java
@@ -5,10 +5,10 @@
 /** Whether the number of servers of a pool and a failure domain has to be sent. */
 public final class CountOrder {
 
-    /** Time for the list of servers to follow, beyond the boot time. */
+    /** Time for the list of servers to follow beyond the boot time, which its heartbeats show. */
     private static final Duration LISTING_TIME = Duration.ofSeconds(5);
 
-    /** Pause between repeats while the list of servers does not follow. */
+    /** Time beyond the boot time in which the list of servers follows. */
     private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(15);
 
     private int mServers;
--- a/decisions/src/main/java/org/vanillaslip/internal/usage/HostUsage.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/usage/HostUsage.java
@@ -14,10 +14,10 @@
     /** Clocks of hosts may differ by this much, so calls of the window may still be counted. */
     private static final Duration COMPLETION_DELAY = Duration.ofMillis(300);
 
-    /** A closed window is kept this long. */
+    /** A closed window is kept this long, so that another holder can collect it again. */
     private static final Duration RETENTION = Duration.ofSeconds(30);
 
-    /** Windows that are kept while no holder closes them. */
+    /** Windows that are kept while no holder closes them; 5 minutes of windows of 5 s. */
     public static final int MAX_OPEN_WINDOWS = 60;
 
     /** Bounds a message; the holder closes windows in order, so the oldest are needed first. */
@@ -26,6 +26,7 @@
     /** Closed windows that are still reported once, so that the holder can name late counts. */
     private static final int CLOSED_WINDOWS = 3;
 
+    /** Time between repeats of a complete window; some fit in before it is settled. */
     private static final long REPEAT_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final UsageWindows mWindows;
