Test the growing pauses of step backs and the record of a later holder

Cause: no test failed when the pause after an early step back was removed, or when a host ignored numbers recorded under a later term (both tried with a changed copy of the code).

Change: one test each.

--- a/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -10,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.vanillaslip.internal.platform.PlatformCollections;
 import org.vanillaslip.internal.serving.ServerScaling;
 
 /** Tests who orders servers, and what happens to an order that fails halfway. */
@@ -168,6 +171,29 @@
         assertRulesKept();
     }
 
+    /** Guards against a host that orders although a later holder has recorded numbers. */
+    @Test
+    void nothingIsSentAfterALaterHolderHasRecordedNumbers() {
+        ObjectNode later = JsonNodeFactory.instance.objectNode();
+        later.putArray("counts")
+                .addObject()
+                .put("pool", ScalingPlatform.POOL)
+                .put("failure_domain", "a")
+                .put("servers", 5)
+                .put("term", Long.MAX_VALUE);
+        mWorld.mHosts
+                .get("a0")
+                .mAccess
+                .create(PlatformCollections.SERVER_COUNTS, "fleet", later)
+                .subscribe();
+        growAfterAMinute();
+        mWorld.run(Duration.ofSeconds(80));
+
+        assertThat(mWorld.mStore.countCalls()).isGreaterThan(10);
+        assertThat(mWorld.mStore.countWrites()).containsExactly(later);
+        assertThat(mPlatform.attempts()).isZero();
+    }
+
     /** Guards against two hosts that both order while one has lost the store. */
     @Test
     void aHolderWithoutTheStoreStopsBeforeTheNextOneStarts() {
--- a/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
@@ -133,6 +133,22 @@
                         (int) CallCapacity.servers(peak * 0.9, ScalingSimulation.SLOTS));
     }
 
+    /** Guards against a number that follows waves longer than the hold time, each time anew. */
+    @Test
+    void givesBackMoreRarelyWhenServersAreNeededAgainSoonAfterwards() {
+        ScalingSimulation pool = new ScalingSimulation(limits(2, 20), THREE_EACH);
+        pool.setCalls(seconds -> seconds % 120 < 60 ? 100 : 50);
+        pool.run(Duration.ofMinutes(40));
+
+        long waves =
+                pool.steps().stream()
+                        .filter(step -> step.change().after() < step.change().before())
+                        .mapToLong(step -> (long) (step.atSeconds() - 30) / 120)
+                        .distinct()
+                        .count();
+        assertThat(waves).as("waves of 20 in which servers are given back").isBetween(1L, 5L);
+    }
+
     /** Guards against noise that orders and gives back in turn. */
     @Test
     void staysConstantUnderRandomDemand() {
