--- a/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/duty/ServerCountControllerTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -10,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.vanillaslip.internal.platform.PlatformCollections;
 import org.vanillaslip.internal.serving.ServerScaling;
 
 /** Tests who orders servers, and what happens to an order that fails halfway. */
@@ -168,6 +171,29 @@
         assertRulesKept();
     }
 
+    /** Guards against a host that orders although a later holder has recorded numbers. */
+    @Test
+    void nothingIsSentAfterALaterHolderHasRecordedNumbers() {
+        ObjectNode later = JsonNodeFactory.instance.objectNode();
+        later.putArray("counts")
+                .addObject()
+                .put("pool", ScalingPlatform.POOL)
+                .put("failure_domain", "a")
+                .put("servers", 5)
+                .put("term", Long.MAX_VALUE);
+        mWorld.mHosts
+                .get("a0")
+                .mAccess
+                .create(PlatformCollections.SERVER_COUNTS, "fleet", later)
+                .subscribe();
+        growAfterAMinute();
+        mWorld.run(Duration.ofSeconds(80));
+
+        assertThat(mWorld.mStore.countCalls()).isGreaterThan(10);
+        assertThat(mWorld.mStore.countWrites()).containsExactly(later);
+        assertThat(mPlatform.attempts()).isZero();
+    }
+
     /** Guards against two hosts that both order while one has lost the store. */
     @Test
     void aHolderWithoutTheStoreStopsBeforeTheNextOneStarts() {
@@ -272,6 +298,26 @@
         assertThat(mPlatform.attempts()).isZero();
     }
 
+    /** Guards against a replacement that is never sent, because no server is left to hear from. */
+    @Test
+    void aReplacementThatTheApiDidNotTakeIsSentAlsoWhenNoServerIsLeft() {
+        ScalingWorld world =
+                new ScalingWorld(Optional.of(ScalingWorld.limits(1, 3)), Map.of("a", 1));
+        world.setCalls(seconds -> 6);
+        world.run(Duration.ofSeconds(60));
+        String server = world.mPlatform.servers().keySet().iterator().next();
+        world.mPlatform.setTreatment(ScalingPlatform.Treatment.UNREACHED);
+        world.mPlatform.announceLeaving(server);
+        world.run(Duration.ofSeconds(5));
+        world.mPlatform.servers().remove(server);
+        world.run(Duration.ofSeconds(5));
+        assertThat(world.mPlatform.attempts()).isPositive();
+        world.mPlatform.setTreatment(ScalingPlatform.Treatment.ACCEPTED);
+        world.run(Duration.ofSeconds(30));
+        assertThat(world.mPlatform.ordered("a")).isEqualTo(2);
+        assertThat(world.mPlatform.servers()).isNotEmpty();
+    }
+
     private void growAfterAMinute() {
         mWorld.setCalls(seconds -> seconds < 60 ? 60 : 160);
     }
--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/CountOrder.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/CountOrder.java
@@ -5,13 +5,14 @@
 /** Whether the number of servers of a pool and a failure domain has to be sent. */
 public final class CountOrder {
 
-    /** Time for the list of servers to follow, beyond the boot time. */
+    /** Time for the list of servers to follow beyond the boot time, which its heartbeats show. */
     private static final Duration LISTING_TIME = Duration.ofSeconds(5);
 
-    /** Pause between repeats while the list of servers does not follow. */
+    /** Time beyond the boot time in which the list of servers follows. */
     private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(15);
 
     private int mServers;
+    private int mSettledServers;
     private boolean mPending;
     private boolean mDiffers;
     private long mDiffersSince;
@@ -20,6 +21,7 @@
     /** Creates an order that the platform is assumed to know. */
     public CountOrder(int servers) {
         mServers = servers;
+        mSettledServers = servers;
     }
 
     /** Returns the number to order. */
@@ -70,9 +72,15 @@
         return mPending;
     }
 
+    /** Returns whether the number has to be sent and is larger than what the platform knows. */
+    public boolean raises() {
+        return mPending && mServers > mSettledServers;
+    }
+
     /** Records an answer that settles the number, unless another one was ordered since. */
     public void recordSettled(int servers, long nowNanos) {
         mSentAt = nowNanos;
+        mSettledServers = servers;
         mPending = mPending && servers != mServers;
     }
 }
