Lengthen the pause of step backs once for each shortage

Change: the pause is lengthened once for each step back that was followed by a shortage.

Result: aShortageThatIsMetInSeveralStepsLengthensThePauseOnce failed before and passes; the other 26 cases pass unchanged.

--- a/decisions/src/main/java/org/vanillaslip/internal/scaling/ServerCountPlanner.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/scaling/ServerCountPlanner.java
@@ -56,6 +56,7 @@
     private long mGiveBackAllowedAt;
     private Duration mGiveBackPause = Duration.ZERO;
     private boolean mGivenBack;
+    private boolean mNeededAgain;
     private boolean mPlanned;
     private long mDemandKnownAt;
     private ServerNeed mNeed = ServerNeed.NONE;
@@ -163,6 +164,12 @@
         if (!mGivenBack) {
             return;
         }
+        if (mNeededAgain) {
+            // The same step back; a shortage that is met in several steps is one return.
+            mGiveBackAllowedAt = nowNanos + mGiveBackPause.toNanos();
+            return;
+        }
+        mNeededAgain = true;
         if (nowNanos - mGivenBackAt - mGiveBackPause.toNanos() < EARLY_RETURN_TIME.toNanos()) {
             Duration doubled = mGiveBackPause.multipliedBy(2);
             Duration longer =
@@ -221,6 +228,7 @@
                     domain.giveBackOne(nowNanos);
                     mSteppedAt = nowNanos;
                     mGivenBackAt = nowNanos;
+                    mNeededAgain = false;
                     if (!mGivenBack) {
                         mGivenBack = true;
                         mGiveBackAllowedAt = nowNanos;
--- a/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
+++ b/decisions/src/test/java/org/vanillaslip/internal/scaling/ServerCountPlannerTest.java
@@ -149,6 +149,23 @@
         assertThat(waves).as("waves of 20 in which servers are given back").isBetween(1L, 5L);
     }
 
+    /** Guards against a pause that doubles with each order of one shortage. */
+    @Test
+    void aShortageThatIsMetInSeveralStepsLengthensThePauseOnce() {
+        ScalingSimulation pool = new ScalingSimulation(limits(2, 20), THREE_EACH);
+        pool.setCalls(
+                seconds ->
+                        seconds < 120 || seconds > 150
+                                ? 40
+                                : (int) Math.min(100, 40 + 10 * (seconds - 120)));
+        pool.run(Duration.ofSeconds(150));
+        assertThat(pool.stepsAfter(120)).hasSizeGreaterThan(3);
+        pool.run(Duration.ofMinutes(3));
+        assertThat(pool.steps().get(pool.steps().size() - 1).change().reason())
+                .as("step back after a pause of 2 min")
+                .isEqualTo(ServerCountReason.SURPLUS);
+    }
+
     /** Guards against noise that orders and gives back in turn. */
     @Test
     void staysConstantUnderRandomDemand() {
