Measure the speed of servers and rank them by it

Cause: ServerRanking compares calls per slot, so slow servers of a pool get as many calls as fast ones, and their first events are late.

Change: with [routing] server_speed = measured, hosts report the gaps between stream events in DemandReport, the lease holder estimates speeds (package speed of decisions) and distributes them in FleetDigest, and ServerRanking divides the load by them. The default equal measures, sends and ranks nothing by speed.

--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/DemandReporter.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/DemandReporter.java
@@ -21,6 +21,7 @@
     private final DecisionLoop mLoop;
     private final Map<CallTarget, Arrivals> mArrivalsByTarget = new HashMap<>();
     private Predicate<CallTarget> mAllCallsReported = target -> false;
+    private Optional<EventGapMeter> mEventGaps = Optional.empty();
 
     /** Creates a reporter without recorded calls. */
     public DemandReporter(
@@ -38,6 +39,16 @@
         mAllCallsReported = targets;
     }
 
+    /** Also measures and reports the gaps between the events of streams. */
+    void measureEventGaps() {
+        mEventGaps = Optional.of(new EventGapMeter());
+    }
+
+    /** Returns a measurement of the stream that has reserved the slot. */
+    public EventGaps newStream(RequestSlot slot) {
+        return mEventGaps.map(meter -> meter.newStream(slot)).orElse(EventGaps.NONE);
+    }
+
     /** Records the arrival of a call, if it needs a model. */
     public void recordCall(CallTarget target, Duration objective) {
         if (target.model().isPresent()) {
@@ -50,8 +61,8 @@
     }
 
     /**
-     * Returns the arrivals since the last report and the calls that wait or run now, and resets the
-     * arrivals. Empty if there are none of them.
+     * Returns the arrivals and event gaps since the last report and the calls that wait or run now,
+     * and resets the arrivals and gaps. Empty if there are none of them.
      */
     public Optional<DemandReport> takeReport() {
         DemandReport.Builder report = DemandReport.newBuilder();
@@ -72,6 +83,7 @@
                                         calls));
         demands.values().forEach(report::addModels);
         report.addAllRunning(runningCalls());
+        mEventGaps.ifPresent(meter -> meter.takeGaps(report));
         return report.getModelsCount() + report.getRunningCount() == 0
                 ? Optional.empty()
                 : Optional.of(report.build());
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
@@ -66,6 +66,7 @@
     private long mDigestReceivedAt = Long.MIN_VALUE;
     private boolean mDemandScheduled;
     private UsageMessages mUsage = UsageMessages.NONE;
+    private SpeedMessages mSpeeds = SpeedMessages.NONE;
 
     /**
      * Creates an exchange that is not started.
@@ -103,6 +104,11 @@
         mUsage = usage;
     }
 
+    /** Sets what the messages carry about the speed of servers; called before the start. */
+    void setSpeeds(SpeedMessages speeds) {
+        mSpeeds = speeds;
+    }
+
     /** Starts to exchange messages. */
     public void start() {
         mLinks.handle(Envelope.BodyCase.DEMAND_REPORT, this::handleDemand);
@@ -147,7 +153,7 @@
             return;
         }
         if (mLease.held()) {
-            mController.recordDemand(mHost, report.get());
+            recordDemand(mHost, report.get());
         } else {
             mLinks.send(holder.get(), Envelope.newBuilder().setDemandReport(report.get()));
         }
@@ -164,13 +170,18 @@
                 mUsage.handleCounts(
                         message.getSender(), message.getSenderIncarnation(), report.getUsage());
             }
-            if (report.getModelsCount() + report.getRunningCount() > 0) {
-                mController.recordDemand(message.getSender(), report);
-            }
+            recordDemand(message.getSender(), report);
         }
         return Mono.empty();
     }
 
+    private void recordDemand(String host, DemandReport report) {
+        DemandReport demand = mSpeeds.takeGaps(report);
+        if (demand.getModelsCount() + demand.getRunningCount() > 0) {
+            mController.recordDemand(host, demand);
+        }
+    }
+
     private void publishForecast(
             CallTarget target, Optional<Duration> expected, Map<String, Long> reportTimes) {
         applyForecast(target, expected);
@@ -229,8 +240,10 @@
         if (!mLease.held()) {
             mLastSentStates.clear();
             mForecasts.clear();
+            mSpeeds.clear();
             return;
         }
+        mSpeeds.update();
         mForecasts.removeSentBefore(mLoop.clock().nowNanos() - FORECAST_RETENTION.toNanos());
         Set<String> instances =
                 mDirectory.members().stream()
@@ -262,13 +275,14 @@
         mLinks.broadcast(Envelope.newBuilder().setFleetDigest(digest));
     }
 
-    private static ServerState toServerState(FleetMember member) {
+    private ServerState toServerState(FleetMember member) {
         ServerState.Builder state =
                 ServerState.newBuilder()
                         .setServer(member.instance())
                         .setBornMillis(member.registered().startedAtMillis())
                         .setOrderCount(member.modelState().orderCount())
-                        .setRunning(member.activeCalls());
+                        .setRunning(member.activeCalls())
+                        .setSpeedPercent(mSpeeds.percent(member));
         for (String model : new TreeSet<>(member.modelState().loaded().keySet())) {
             state.addModels(
                     LoadedModel.newBuilder()
@@ -298,6 +312,7 @@
                         .map(this::toServerReport)
                         .flatMap(Optional::stream)
                         .toList());
+        mSpeeds.handleStates(digest.getServersList());
         for (LoadForecast forecast : digest.getForecastsList()) {
             applyForecast(toCallTarget(forecast), expectedWait(forecast));
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetMember.java
@@ -42,6 +42,7 @@
     private final ServerLimit mLimit = new ServerLimit();
     private final ServerPause mPause = new ServerPause();
     private final SendPermits mPermits = new SendPermits();
+    private final ReportedSpeed mSpeed = new ReportedSpeed();
     private final Map<String, Integer> mOwnCallsByModel = new HashMap<>();
     private final Map<ModelName, Long> mModelMissingAt = new HashMap<>();
     private final boolean mFirstStart;
@@ -137,6 +138,11 @@
         return mPause;
     }
 
+    /** Returns the speed of the server as the lease holder has measured it. */
+    ReportedSpeed speed() {
+        return mSpeed;
+    }
+
     /** Returns this host's permits for requests to the server while it has a limit. */
     public SendPermits permits() {
         return mPermits;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/RequestSlot.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/RequestSlot.java
@@ -30,6 +30,11 @@
         return mServer;
     }
 
+    /** Returns the model of the call, if it needs one. */
+    Optional<ModelName> model() {
+        return mModel;
+    }
+
     /**
      * Releases the slot, once.
      *
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSelector.java
@@ -211,7 +211,8 @@
                 member.registered().failureDomain().equals(mFailureDomain),
                 affinityInstance.equals(Optional.of(member.instance())),
                 suspected.isSuspected(
-                        member.registered().failureDomain(), member.health(), nowNanos));
+                        member.registered().failureDomain(), member.health(), nowNanos),
+                member.speed().speed(nowNanos));
     }
 
     private double coldCallsPerSecond(String pool) {
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetric.java
@@ -115,6 +115,13 @@
             "vanillaslip_usage_calls_late_total",
             "Calls that the lease holder heard of after the report of their window was recorded.",
             "source"),
+    SERVER_SPEED(
+            "vanillaslip.server.speed",
+            "vanillaslip_server_speed",
+            "Measured speed of a backend server, relative to the median of its pool; only on the"
+                    + " host that holds the lease.",
+            "pool",
+            "server"),
     SERVERS_ORDERED(
             "vanillaslip.servers.ordered",
             "vanillaslip_servers_ordered",
--- a/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/metrics/DaemonMetrics.java
@@ -40,11 +40,13 @@
 
     private final PrometheusMeterRegistry mRegistry;
     private final ServerCountMetrics mServerCounts;
+    private final ServerSpeedMetrics mServerSpeeds;
 
     /** Creates the metrics on the given registry. */
     public DaemonMetrics(PrometheusMeterRegistry registry) {
         mRegistry = registry;
         mServerCounts = new ServerCountMetrics(registry);
+        mServerSpeeds = new ServerSpeedMetrics(registry);
     }
 
     /**
@@ -161,6 +163,11 @@
         return mServerCounts;
     }
 
+    /** Returns the gauges of the measured speeds of backend servers. */
+    public ServerSpeedMetrics serverSpeeds() {
+        return mServerSpeeds;
+    }
+
     /** Counts a pass-through answer that broke off. */
     public void relayBroken(CallKind kind) {
         count(DaemonMetric.RELAY_BROKEN, 1, label(kind));
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -220,7 +220,15 @@
     }
 
     private Mono<Void> relayStream(RelayCall call, HttpServerResponse response) {
-        StreamRelay stream = new StreamRelay(call, mSender, mStandbys, mMemoryLimit, mLoop, mLog);
+        StreamRelay stream =
+                new StreamRelay(
+                        call,
+                        mSender,
+                        mStandbys,
+                        mDemandReporter::newStream,
+                        mMemoryLimit,
+                        mLoop,
+                        mLog);
         return stream.events()
                 .takeUntilOther(interruption(call))
                 .switchOnFirst(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -32,6 +32,7 @@
 import org.vanillaslip.internal.fleet.PlanFollower;
 import org.vanillaslip.internal.fleet.ServerLimitExchange;
 import org.vanillaslip.internal.fleet.ServerSelector;
+import org.vanillaslip.internal.fleet.ServerSpeedExchange;
 import org.vanillaslip.internal.fleet.StoreAnswerHistory;
 import org.vanillaslip.internal.fleet.WaitingCallQueue;
 import org.vanillaslip.internal.lease.LeaseTimes;
@@ -164,6 +165,7 @@
                         mLinks,
                         this::hostCount,
                         mLoop);
+        connectSpeeds(settings, demandReporter);
         mUsage = usageReports(settings);
         mPromptFaults = promptFaults();
         mRetryBudgets = new RetryBudgets(mHost.name(), serving, mHosts, storeAnswers, mLoop, log);
@@ -298,6 +300,11 @@
                 mLog);
     }
 
+    private void connectSpeeds(Settings settings, DemandReporter reporter) {
+        ServerSpeedExchange.connect(
+                settings.routing(), mExchange, reporter, mDirectory, mLoop, mMetrics, mLog);
+    }
+
     private PromptFaultExchange promptFaults() {
         QuarantineRecord record = new QuarantineRecord(mStore, InstantSource.system(), mLoop, mLog);
         return new PromptFaultExchange(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/StreamRelay.java
@@ -9,8 +9,10 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Publisher;
+import org.vanillaslip.internal.fleet.EventGaps;
 import org.vanillaslip.internal.fleet.FleetMember;
 import org.vanillaslip.internal.fleet.RequestSlot;
 import org.vanillaslip.internal.logging.EventLog;
@@ -37,6 +39,7 @@
     private final RelayCall mCall;
     private final CallSender mSender;
     private final Standbys mStandbys;
+    private final Function<RequestSlot, EventGaps> mEventGaps;
     private final BodyMemoryLimit mMemoryLimit;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
@@ -50,12 +53,14 @@
             RelayCall call,
             CallSender sender,
             Standbys standbys,
+            Function<RequestSlot, EventGaps> eventGaps,
             BodyMemoryLimit memoryLimit,
             DecisionLoop loop,
             EventLog log) {
         mCall = call;
         mSender = sender;
         mStandbys = standbys;
+        mEventGaps = eventGaps;
         mMemoryLimit = memoryLimit;
         mLoop = loop;
         mLog = log;
@@ -128,13 +133,14 @@
      */
     private Flux<byte[]> run(RequestSlot slot, Runnable onResponse) {
         EventFramer framer = new EventFramer();
+        EventGaps gaps = mEventGaps.apply(slot);
         return mSender.send(
                 mCall,
                 slot,
                 mLastEventId,
                 (response, chunks) -> {
                     onResponse.run();
-                    return readResponse(slot.server(), response, chunks, framer);
+                    return readResponse(slot.server(), response, chunks, framer, gaps);
                 });
     }
 
@@ -142,7 +148,8 @@
             FleetMember server,
             HttpClientResponse response,
             Flux<byte[]> chunks,
-            EventFramer framer) {
+            EventFramer framer,
+            EventGaps gaps) {
         int status = response.status().code();
         boolean success = status >= 200 && status < 300;
         if (!success && (mEventReceived || mayTryAnotherServer())) {
@@ -163,7 +170,7 @@
         BodyMemoryLimit.Reservation reservation = mMemoryLimit.newReservation();
         return chunks.concatMapIterable(chunk -> frame(framer, reservation, chunk), 1)
                 .filter(this::isNew)
-                .doOnNext(event -> recordEvent(server, head, event))
+                .doOnNext(event -> recordEvent(server, head, gaps, event))
                 .map(StreamEvent::bytes)
                 .concatWith(Flux.defer(() -> checkEnd(server, response, head, framer)))
                 .doFinally(signal -> reservation.release());
@@ -191,7 +198,9 @@
                 || event.id().getAsLong() > mLastEventId.getAsLong();
     }
 
-    private void recordEvent(FleetMember server, ResponseHead head, StreamEvent event) {
+    private void recordEvent(
+            FleetMember server, ResponseHead head, EventGaps gaps, StreamEvent event) {
+        gaps.recordEvent(mLoop.clock().nowNanos());
         mSender.recordAnswerBegun(mCall, server);
         mStandbys.recordHeard(server);
         mCall.recordEvent(mLoop.clock().nowNanos());
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/Settings.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/Settings.java
@@ -9,6 +9,7 @@
         PlatformSettings platform,
         PeerSettings peers,
         AdmissionSettings admission,
+        RoutingSettings routing,
         PlacementSettings placement,
         LogSettings log,
         Optional<ServingSettings> serving,
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsCatalogue.java
@@ -134,6 +134,14 @@
                             "Order in which waiting pass-through calls get servers: by age for each"
                                     + " model, or by rank over all models of a pool.")
                     .orDefault("age");
+    static final Setting<ServerSpeed> SERVER_SPEED =
+            optional(
+                            "routing",
+                            "server_speed",
+                            SettingTypes.choice(SettingTypes.byName(ServerSpeed.values())),
+                            "Speeds by which calls are distributed over the servers of a pool:"
+                                    + " equal, or as measured from the gaps between events.")
+                    .orDefault("equal");
     static final Setting<Double> IDLE_WEIGHT =
             optional(
                             "placement",
@@ -305,6 +313,7 @@
                     MAX_WAITING_BYTES,
                     MAX_CONFIGURATION_AGE,
                     WAITING_ORDER,
+                    SERVER_SPEED,
                     IDLE_WEIGHT,
                     WEIGHT_STORE_LOADS_PER_SECOND,
                     WEIGHT_STORE_PARALLEL_LOADS,
--- a/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsValidator.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/settings/SettingsValidator.java
@@ -96,6 +96,7 @@
                         value(SettingsCatalogue.REQUEST_TIMEOUT)),
                 new PeerSettings(value(SettingsCatalogue.BOOTSTRAP)),
                 buildAdmissionSettings(),
+                new RoutingSettings(value(SettingsCatalogue.SERVER_SPEED)),
                 new PlacementSettings(
                         value(SettingsCatalogue.IDLE_WEIGHT),
                         value(SettingsCatalogue.WEIGHT_STORE_LOADS_PER_SECOND),
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/RankedServer.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/RankedServer.java
@@ -8,6 +8,7 @@
  * @param sameDomain whether the server is in the failure domain of this host
  * @param promptCached whether the server has cached the prompt parts of the call
  * @param suspected whether the server may be unreachable like others of its failure domain
+ * @param speed speed relative to the median server of the pool; 1 if it is not measured
  */
 public record RankedServer(
         String instance,
@@ -15,4 +16,17 @@
         int requestSlots,
         boolean sameDomain,
         boolean promptCached,
-        boolean suspected) {}
+        boolean suspected,
+        double speed) {
+
+    /** Creates a server without a measured speed. */
+    public RankedServer(
+            String instance,
+            double inUse,
+            int requestSlots,
+            boolean sameDomain,
+            boolean promptCached,
+            boolean suspected) {
+        this(instance, inUse, requestSlots, sameDomain, promptCached, suspected, 1);
+    }
+}
--- a/decisions/src/main/java/org/vanillaslip/internal/routing/ServerRanking.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/routing/ServerRanking.java
@@ -5,8 +5,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Ranks servers by their relative load. A server in another failure domain counts as a little more
- * loaded, a server that caches the prompt as a little less.
+ * Ranks servers by their load relative to their speed. A server in another failure domain counts as
+ * a little more loaded, a server that caches the prompt as a little less.
  */
 public final class ServerRanking {
 
@@ -45,7 +45,7 @@
                     Math.max(
                             JITTER,
                             Math.min(1, unreportedCalls / Math.max(1, server.requestSlots())));
-            double cost = cost(server) + random.nextDouble() * uncertainty;
+            double cost = cost(server) + random.nextDouble() * uncertainty / server.speed();
             if (server.suspected()) {
                 cost += SUSPECTED_COST + uncertainty;
             }
@@ -58,7 +58,7 @@
     }
 
     private static double cost(RankedServer server) {
-        double cost = server.inUse() / Math.max(1, server.requestSlots());
+        double cost = server.inUse() / Math.max(1, server.requestSlots()) / server.speed();
         if (!server.sameDomain()) {
             cost += OTHER_DOMAIN_COST;
         }
