--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/EventGapMeter.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/EventGapMeter.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.vanillaslip.ModelName;
 import org.vanillaslip.internal.speed.ServerSpeeds;
 import org.vanillaslip.messages.DemandReport;
 import org.vanillaslip.messages.RunningCalls;
@@ -17,17 +18,13 @@
 
     private final Map<Source, Sum> mSums = new HashMap<>();
 
-    /** Returns a measurement of one stream; a stream without a model is not measured. */
+    /** Returns a measurement of one stream; streams without a model are measured together. */
     EventGaps newStream(RequestSlot slot) {
-        return slot.model()
-                .<EventGaps>map(
-                        model ->
-                                new Stream(
-                                        new Source(
-                                                slot.server().instance(),
-                                                slot.server().registered().startedAtMillis(),
-                                                model.model())))
-                .orElse(EventGaps.NONE);
+        return new Stream(
+                new Source(
+                        slot.server().instance(),
+                        slot.server().registered().startedAtMillis(),
+                        slot.model().map(ModelName::model).orElse("")));
     }
 
     /** Adds the gaps since the last report to the running calls of a report. */
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetExchange.java
@@ -256,12 +256,24 @@
             if (isReported(state, mLastSentStates.get(member.instance()))) {
                 mLastSentStates.put(member.instance(), state);
                 digest.addServers(state);
+            } else if (state.getSpeedPercent() != 0) {
+                digest.addServers(speedState(state));
             }
         }
         mUsage.addStatus(digest);
         broadcast(digest);
     }
 
+    /** Calls of servers without models are not polled, so only their speed is known. */
+    private static ServerState speedState(ServerState state) {
+        return ServerState.newBuilder()
+                .setServer(state.getServer())
+                .setBornMillis(state.getBornMillis())
+                .setSpeedPercent(state.getSpeedPercent())
+                .setSpeedOnly(true)
+                .build();
+    }
+
     private static boolean isReported(ServerState state, @Nullable ServerState sent) {
         return state.getModelsCount() > 0 || sent != null;
     }
@@ -309,6 +321,7 @@
         }
         mDirectory.applyReports(
                 digest.getServersList().stream()
+                        .filter(state -> !state.getSpeedOnly())
                         .map(this::toServerReport)
                         .flatMap(Optional::stream)
                         .toList());
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSpeedExchange.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServerSpeedExchange.java
@@ -66,11 +66,11 @@
         return SpeedMessages.withoutGapEntries(report);
     }
 
-    /** Only listed servers and named models are recorded, so that the sums stay bounded. */
+    /** Only listed servers are recorded, so that the sums stay bounded. */
     private void recordGaps(RunningCalls calls, long nowNanos) {
         mDirectory
                 .member(calls.getServer())
-                .filter(member -> calls.getGaps() != 0 && !calls.getModel().isEmpty())
+                .filter(member -> calls.getGaps() != 0)
                 .filter(member -> isSameStart(member, calls.getBornMillis()))
                 .ifPresent(
                         member ->
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/MeasuredSpeedTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/MeasuredSpeedTest.java
@@ -63,6 +63,23 @@
         assertThat(mEvents).containsExactly(SpeedEvent.SPEED_CHANGED);
     }
 
+    /**
+     * Guards against loads of plain services that come from the lease holder, which only knows its
+     * own calls there.
+     */
+    @Test
+    void onlyTheSpeedIsLearntOfServersWithoutModels() {
+        Pair hosts = new Pair(ServerSpeed.MEASURED, Optional.empty());
+        for (int call = 0; call < 5; call++) {
+            hosts.mHolder.reserve("a");
+        }
+        hosts.stream(Duration.ofSeconds(30), 2);
+
+        assertThat(hosts.mMember.speed("a")).isCloseTo(0.5, within(0.03));
+        assertThat(hosts.mMember.member("a").activeCalls()).isEqualTo(1);
+        assertThat(reportedStates()).isNotEmpty().allMatch(ServerState::getSpeedOnly);
+    }
+
     /** Guards against more bytes and other choices for deployments that do not measure. */
     @Test
     void nothingIsMeasuredOrSentByDefault() {
@@ -165,8 +182,14 @@
         private final TestHost mMember;
 
         Pair(ServerSpeed serverSpeed) {
+            this(serverSpeed, MODEL);
+        }
+
+        Pair(ServerSpeed serverSpeed, Optional<ModelName> model) {
             List<TestHost> hosts =
-                    mLeases.hosts().stream().map(host -> new TestHost(host, serverSpeed)).toList();
+                    mLeases.hosts().stream()
+                            .map(host -> new TestHost(host, serverSpeed, model))
+                            .toList();
             mLeases.setHolderReachable(true);
             mLeases.run(Duration.ofSeconds(5));
             mHolder = hosts.get(hosts.get(0).mHost.mLease.held() ? 0 : 1);
@@ -206,6 +229,7 @@
 
     private final class TestHost implements PeerLinks {
         private final LeaseSimulation.TestHost mHost;
+        private final Optional<ModelName> mModel;
         private final EngineSimulation mEngines;
         private final FleetDirectory mDirectory;
         private final DemandReporter mReporter;
@@ -216,10 +240,13 @@
         private TestHost mPeer = this;
         private boolean mConnected = true;
 
-        TestHost(LeaseSimulation.TestHost host, ServerSpeed serverSpeed) {
+        TestHost(
+                LeaseSimulation.TestHost host, ServerSpeed serverSpeed, Optional<ModelName> model) {
             mHost = host;
+            mModel = model;
+            Set<String> loaded = model.map(ModelName::model).map(Set::of).orElse(Set.of());
             mEngines = new EngineSimulation(1, host.mScheduler);
-            Stream.of("a", "b", "c").forEach(name -> mEngines.add(name, Set.of("m0")));
+            Stream.of("a", "b", "c").forEach(name -> mEngines.add(name, loaded));
             EngineCollections collections = new EngineCollections(mEngines);
             mDirectory =
                     new FleetDirectory(
@@ -305,7 +332,7 @@
         }
 
         RequestSlot reserve(String server) {
-            return member(server).reserveSlot(MODEL, 0, 2, nowNanos());
+            return member(server).reserveSlot(mModel, 0, 2, nowNanos());
         }
 
         EventGaps newStream(String server) {
