--- a/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/metrics/DaemonMetricsTest.java
@@ -14,6 +14,8 @@
 import org.vanillaslip.internal.duty.ServerCountGauge;
 import org.vanillaslip.internal.platform.PlatformFailure;
 import org.vanillaslip.internal.serving.CallKind;
+import org.vanillaslip.internal.speed.MeasuredServer;
+import org.vanillaslip.internal.speed.MeasuredSpeed;
 
 /**
  * Guards against metrics that are missing from the scrape or differ from their documented names.
@@ -40,6 +42,8 @@
         mMetrics.relayRefused(ResultCode.RATE_EXCEEDED);
         mMetrics.relayBroken(CallKind.STREAM);
         mMetrics.serverCounts().show(List.of(new ServerCountGauge("pool", "zone", 4, 3)));
+        MeasuredServer server = new MeasuredServer("pool", "s1", 1);
+        mMetrics.serverSpeeds().show(List.of(new MeasuredSpeed(server, 0.7)));
         mMetrics.serverLimitChanged(true);
         mMetrics.sendPermitRequested("granted");
         mMetrics.serverSaidLeaving();
