Test that a speed is no report of a server's models

Cause: the test of servers without models passed when an entry that only carries a speed was applied as a report.

Change: it also lists a model afterwards, which a report would hide.

Result: MeasuredSpeedTest passes, and fails without the filter.

--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/MeasuredSpeedTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/MeasuredSpeedTest.java
@@ -65,7 +65,7 @@
 
     /**
      * Guards against loads of plain services that come from the lease holder, which only knows its
-     * own calls there.
+     * own calls there, and against a speed that passes for a report of the server's models.
      */
     @Test
     void onlyTheSpeedIsLearntOfServersWithoutModels() {
@@ -78,6 +78,9 @@
         assertThat(hosts.mMember.speed("a")).isCloseTo(0.5, within(0.03));
         assertThat(hosts.mMember.member("a").activeCalls()).isEqualTo(1);
         assertThat(reportedStates()).isNotEmpty().allMatch(ServerState::getSpeedOnly);
+        hosts.mMember.mEngines.mEngines.get("a").mLoaded.add("m1");
+        hosts.mMember.list(2);
+        assertThat(hosts.mMember.member("a").modelState().loaded()).containsOnlyKeys("m1");
     }
 
     /** Guards against more bytes and other choices for deployments that do not measure. */
