Log a caller that leaves just before its response is written as such

Cause: when a caller's connection ended between the result and the write of the response, Reactor Netty reports AbortedException, which CallRelay took for an internal error (event 567) and tried to answer.

Change: such a call is logged as left by its caller (as when the end is seen earlier), and nothing is written.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -26,6 +26,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
+import reactor.netty.channel.AbortedException;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -270,6 +271,10 @@
     }
 
     private Mono<Void> fail(HttpServerResponse response, RelayCall call, Throwable error) {
+        if (error instanceof AbortedException) {
+            recordCallerDisconnected(call);
+            return Mono.empty();
+        }
         call.refundUnlessRun();
         if (response.hasSentHeaders()) {
             mMetrics.recordBroken(call.route());
@@ -303,6 +308,11 @@
         if (response.hasSentHeaders()) {
             return Mono.error(error);
         }
+        if (error instanceof AbortedException) {
+            // The caller's connection ended just before the response was written.
+            recordCallerLeft(headers, arrivedNanos);
+            return Mono.empty();
+        }
         Refusal refusal = refusalOf(error, id);
         mMetrics.recordRefused(refusal.code());
         mLog.log(
