--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/SimulatedStore.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/SimulatedStore.java
@@ -4,7 +4,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,8 +27,8 @@
 import reactor.core.scheduler.Scheduler;
 
 /**
- * One collection of the platform's store in virtual time. Hosts watch it by long polls and pause
- * after each poll that returned changes, as on the users' platform.
+ * Collections of the platform's store in virtual time. Hosts watch it by long polls and pause after
+ * each poll that returned changes, as on the users' platform.
  */
 final class SimulatedStore {
 
@@ -52,7 +55,13 @@
     enum Treatment {
         ANSWERED,
         REFUSED,
-        SILENT
+        SILENT,
+
+        /** Watches get no response, all other calls are answered. */
+        WATCH_SILENT,
+
+        /** Watches and lists show the state at the time at which the treatment began. */
+        STALE
     }
 
     SimulatedStore(Scheduler scheduler, Duration watchPause) {
@@ -111,10 +120,23 @@
     /** The store as seen by one host. */
     final class Access implements ObjectStore {
 
+        private final Map<String, Integer> mPollCounts = new HashMap<>();
         private Treatment mTreatment = Treatment.ANSWERED;
+        private long mStaleRevision;
 
         void setTreatment(Treatment treatment) {
             mTreatment = treatment;
+            mStaleRevision = mRevision;
+        }
+
+        /** Returns the number of watch calls of the collection that this host has sent. */
+        int pollCount(String collection) {
+            return mPollCounts.getOrDefault(collection, 0);
+        }
+
+        private long newestRevision() {
+            long newest = Math.min(mRevision, mMutedSince);
+            return mTreatment == Treatment.STALE ? Math.min(newest, mStaleRevision) : newest;
         }
 
         @Override
@@ -129,10 +151,15 @@
         @Override
         public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
             return respond(
-                    () ->
-                            Either.right(
-                                    new ObjectList(mRevision, List.copyOf(mObjects.values()))
-                                            .inEra(mEra)));
+                    () -> {
+                        long newest = mTreatment == Treatment.STALE ? mStaleRevision : mRevision;
+                        List<StoredObject> objects =
+                                mObjects.values().stream()
+                                        .filter(object -> object.collection().equals(collection))
+                                        .filter(object -> object.version() <= newest)
+                                        .toList();
+                        return Either.right(new ObjectList(newest, objects).inEra(mEra));
+                    });
         }
 
         @Override
@@ -169,6 +196,7 @@
         }
 
         private Flux<WatchEvent> poll(String collection, AtomicLong position) {
+            mPollCounts.merge(collection, 1, Integer::sum);
             long started = now();
             long cuts = mCutCount;
             return Flux.interval(RESPONSE_DELAY, CHECK_INTERVAL, mScheduler)
@@ -188,7 +216,7 @@
             if (mTreatment == Treatment.REFUSED || cuts != mCutCount) {
                 return failure(PlatformFailure.UNAVAILABLE);
             }
-            if (mTreatment == Treatment.SILENT) {
+            if (mTreatment == Treatment.SILENT || mTreatment == Treatment.WATCH_SILENT) {
                 return waited >= POLL_TIME.plus(RESPONSE_TIMEOUT).toMillis()
                         ? failure(PlatformFailure.UNAVAILABLE)
                         : Mono.empty();
@@ -196,16 +224,12 @@
             if (position < mHistoryStart || StoreVersion.era(fromVersion) < mEra) {
                 return failure(PlatformFailure.GONE);
             }
-            List<WatchEvent> changes =
-                    mHistory.stream()
-                            .filter(event -> event.object().version() > position)
-                            .filter(event -> event.object().version() <= mMutedSince)
-                            .toList();
+            List<WatchEvent> changes = changesAfter(position, newestRevision(), collection);
             if (changes.isEmpty() && waited < POLL_TIME.toMillis()) {
                 return Mono.empty();
             }
             List<WatchEvent> events = new ArrayList<>(changes);
-            events.add(bookmark(collection, Math.max(position, Math.min(mRevision, mMutedSince))));
+            events.add(bookmark(collection, Math.max(position, newestRevision())));
             return Mono.just(events.stream().map(event -> event.inEra(mEra)).toList());
         }
 
@@ -220,11 +244,28 @@
                                             mScheduler)
                                     .map(
                                             tick ->
-                                                    mTreatment == Treatment.ANSWERED
-                                                            ? answer.get()
-                                                            : Either.left(
-                                                                    PlatformFailure.UNAVAILABLE)));
+                                                    mTreatment == Treatment.REFUSED
+                                                                    || mTreatment
+                                                                            == Treatment.SILENT
+                                                            ? Either.left(
+                                                                    PlatformFailure.UNAVAILABLE)
+                                                            : answer.get()));
+        }
+    }
+
+    /** Reads the history from its end, since polls ask only for the newest changes. */
+    private List<WatchEvent> changesAfter(long position, long newest, String collection) {
+        Deque<WatchEvent> changes = new ArrayDeque<>();
+        for (int index = mHistory.size() - 1; index >= 0; index--) {
+            StoredObject object = mHistory.get(index).object();
+            if (object.version() <= position) {
+                break;
+            }
+            if (object.version() <= newest && object.collection().equals(collection)) {
+                changes.addFirst(mHistory.get(index));
+            }
         }
+        return List.copyOf(changes);
     }
 
     private static WatchEvent bookmark(String collection, long revision) {
