--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/StoreCallsWorld.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/StoreCallsWorld.java
@@ -169,6 +169,14 @@
         return calls;
     }
 
+    /** Returns the watch calls that hosts which are no relays now have sent. */
+    int watchCallsOfMembers(String collection) {
+        return mHosts.hosts().stream()
+                .filter(host -> !host.network().isRelay())
+                .mapToInt(host -> mAccess.get(host.name()).pollCount(collection))
+                .sum();
+    }
+
     /** Keeps the names of all objects that the host has heard of. */
     private record KnownNames(Set<String> known) implements CollectionListener {
 
