Send changes of rare collections to all members and document long polls

Ranges with changes of rarely changing collections are now requested at once, and both relays send them to all members. A slow store no longer ends each long poll: after one was ended, the second relay polls each second for 5 s.

StoreCallsTest, RelayedStoreTest, RelayedLinksTest, both propagation tests, CollectionFollowerTest and PlatformHttpCallsTest pass.

--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
@@ -93,6 +93,22 @@
             }
         }
         send(changes, receivers);
+        List<String> otherMembers = new ArrayList<>(mNetwork.members());
+        otherMembers.removeAll(receivers);
+        send(changesOfRareCollections(changes), otherMembers);
+    }
+
+    /**
+     * Returns the ranges that both relays send to all members, so that members do not wait for the
+     * next confirmation while the relay that they prefer is silent.
+     */
+    private CollectionChanges.Builder changesOfRareCollections(CollectionChanges.Builder changes) {
+        CollectionChanges.Builder rare = CollectionChanges.newBuilder();
+        changes.getRangesList().stream()
+                .filter(range -> range.getChangesCount() > 0)
+                .filter(range -> mSubscriptions.get(range.getCollection()).mRarelyChanging)
+                .forEach(rare::addRanges);
+        return rare;
     }
 
     private void addNewChanges(
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/CollectionSubscription.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/CollectionSubscription.java
@@ -57,11 +57,14 @@
     /** Time at which the first relay last told that this relay has all changes. */
     long mVouchedAt = Long.MIN_VALUE / 2;
 
-    /** Whether a poll is running that the store may leave unanswered for long. */
+    /** Whether the last poll is one that the store may leave unanswered for long. */
     boolean mLongPoll;
 
     boolean mLongPollCheckScheduled;
 
+    /** Time at which a long poll was last ended before the store answered it. */
+    long mLongPollEndedAt = Long.MIN_VALUE / 2;
+
     /** Whether the next answer of the store replaces what the first relay no longer confirms. */
     boolean mChecksStore;
 
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/LongPolls.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/LongPolls.java
@@ -1,8 +1,12 @@
 package org.vanillaslip.internal.changes;
 
+import static org.vanillaslip.internal.logging.LogField.field;
+
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.peer.PeerEvent;
 import org.vanillaslip.internal.peer.RelayNetwork;
 import org.vanillaslip.internal.platform.ObjectStore;
 import org.vanillaslip.internal.platform.WatchEvent;
@@ -18,10 +22,10 @@
  */
 final class LongPolls {
 
-    /** As long as the poll of the collection of hosts, the longest that is used today. */
+    /** As long as a poll of the collection of hosts, which the store and its clients support. */
     private static final Duration LONG_POLL = Duration.ofSeconds(10);
 
-    /** The first answer after a long poll is needed soon, since members have none from anyone. */
+    /** The first answer after a long poll is needed before the members give the first relay up. */
     private static final Duration CHECKING_POLL = Duration.ofMillis(100);
 
     /**
@@ -36,17 +40,25 @@
      */
     private static final long MAX_AGE_NANOS = Duration.ofMillis(1250).toNanos();
 
+    /**
+     * Time without long polls after one had to be ended. A store that takes 250 ms for an answer
+     * would otherwise end each of them and get more calls than without long polls.
+     */
+    private static final long STABLE_NANOS = Duration.ofSeconds(5).toNanos();
+
     /** Added to a check's time, since timers may fire early by less than this. */
     private static final long CHECK_DELAY_NANOS = Duration.ofMillis(5).toNanos();
 
     private final RelayNetwork mNetwork;
     private final ChangeRelay mRelay;
     private final DecisionLoop mLoop;
+    private final EventLog mLog;
 
-    LongPolls(RelayNetwork network, ChangeRelay relay, DecisionLoop loop) {
+    LongPolls(RelayNetwork network, ChangeRelay relay, DecisionLoop loop, EventLog log) {
         mNetwork = network;
         mRelay = relay;
         mLoop = loop;
+        mLog = log;
     }
 
     /** Watches the store with polls that are long while the first relay confirms. */
@@ -65,7 +77,9 @@
         if (subscription.mChecksStore) {
             return CHECKING_POLL;
         }
-        subscription.mLongPoll = nanosUntilUnconfirmed(subscription) > 0;
+        subscription.mLongPoll =
+                nanosUntilUnconfirmed(subscription) > 0
+                        && now() - subscription.mLongPollEndedAt >= STABLE_NANOS;
         if (subscription.mLongPoll) {
             scheduleCheck(subscription);
         }
@@ -73,7 +87,6 @@
     }
 
     private void recordAnswer(CollectionSubscription subscription) {
-        subscription.mLongPoll = false;
         if (subscription.mChecksStore) {
             subscription.mChecksStore = false;
             // The members that prefer the first relay would get this answer only at the next
@@ -101,14 +114,14 @@
             subscription.mVouchedUntil = Math.max(subscription.mVouchedUntil, knownUntilNanos);
             mRelay.scheduleForward();
         } else if (range.getGone()) {
-            endLongPoll(subscription);
+            endLongPoll(subscription, "the first relay no longer has all changes");
         }
     }
 
     /** Handles the message of a relay that the store no longer answers it. */
     void handleStoreLost(String relay, CollectionSubscription subscription) {
         if (isFollowed(relay, subscription)) {
-            endLongPoll(subscription);
+            endLongPoll(subscription, "the first relay has lost the store");
         }
     }
 
@@ -117,10 +130,17 @@
                 && mNetwork.firstRelayBeforeThis().equals(Optional.of(relay));
     }
 
-    private void endLongPoll(CollectionSubscription subscription) {
-        if (subscription.mLongPoll) {
+    private void endLongPoll(CollectionSubscription subscription, String reason) {
+        if (subscription.mLongPoll && subscription.mStoreWatch.isPresent()) {
+            mLog.log(
+                    PeerEvent.CHANGES_FROM,
+                    field("collection", subscription.mCollection),
+                    field("source", "store"),
+                    field("reason", reason),
+                    field("position", subscription.mBuffer.position()));
             subscription.mLongPoll = false;
             subscription.mChecksStore = true;
+            subscription.mLongPollEndedAt = now();
             subscription.restartStoreWatch();
         }
     }
@@ -142,7 +162,7 @@
         if (subscription.mLongPoll && nanosUntilUnconfirmed(subscription) > 0) {
             scheduleCheck(subscription);
         } else {
-            endLongPoll(subscription);
+            endLongPoll(subscription, "the first relay does not know the latest state");
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ReceivedChanges.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ReceivedChanges.java
@@ -54,7 +54,7 @@
             return List.of();
         }
         if (range.getAfter() > position) {
-            if (mayRequest(relay, subscription)) {
+            if (mayRequest(relay, subscription, range)) {
                 request(relay, subscription);
             }
             return List.of();
@@ -66,12 +66,17 @@
     }
 
     /**
-     * Returns whether the last request is some time ago. A relay that the store does not answer
-     * does not answer a request either, which must not delay a request to the other relay.
+     * Returns whether the last request is some time ago. Rarely changing collections do not wait
+     * for that if the range has changes, which would otherwise be known only after the next
+     * confirmation, or if the last request went to another relay, which does not answer it while
+     * the store does not answer that relay.
      */
-    private boolean mayRequest(String relay, CollectionSubscription subscription) {
+    private boolean mayRequest(
+            String relay, CollectionSubscription subscription, ChangeRange range) {
         return mLoop.clock().nowNanos() - subscription.mRequestedAt >= REQUEST_INTERVAL_NANOS
-                || subscription.mRarelyChanging && !relay.equals(subscription.mRequestedFrom);
+                || subscription.mRarelyChanging
+                        && (range.getChangesCount() > 0
+                                || !relay.equals(subscription.mRequestedFrom));
     }
 
     private List<WatchEvent> decode(
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
@@ -101,7 +101,7 @@
         ChangeCodec codec = new ChangeCodec();
         mRelay = new ChangeRelay(mSubscriptions, codec, network, links, loop);
         mReceivedChanges = new ReceivedChanges(codec, links, loop);
-        mLongPolls = new LongPolls(network, mRelay, loop);
+        mLongPolls = new LongPolls(network, mRelay, loop, log);
         mRarelyChanging = Set.copyOf(rarelyChanging);
     }
 
--- a/daemon/src/test/java/org/vanillaslip/internal/fleet/StoreCallsWorld.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/fleet/StoreCallsWorld.java
@@ -45,8 +45,12 @@
     private int mChangeCount;
 
     StoreCallsWorld(long seed, Set<String> rarelyChanging) {
+        this(seed, rarelyChanging, HOSTS, DOMAINS);
+    }
+
+    StoreCallsWorld(long seed, Set<String> rarelyChanging, int hosts, int domains) {
         mRarelyChanging = rarelyChanging;
-        mHosts = new RelaySimulation(HOSTS, DOMAINS, seed);
+        mHosts = new RelaySimulation(hosts, domains, seed);
         mRandom = new Random(seed);
         mStore = new SimulatedStore(mHosts.loop().scheduler(), WATCH_PAUSE);
         mHosts.hosts().forEach(this::start);
