--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
@@ -106,11 +106,16 @@
         CollectionChanges.Builder rare = CollectionChanges.newBuilder();
         changes.getRangesList().stream()
                 .filter(range -> range.getChangesCount() > 0)
-                .filter(range -> mSubscriptions.get(range.getCollection()).mRarelyChanging)
+                .filter(range -> isRarelyChanging(range.getCollection()))
                 .forEach(rare::addRanges);
         return rare;
     }
 
+    private boolean isRarelyChanging(String collection) {
+        CollectionSubscription subscription = mSubscriptions.get(collection);
+        return subscription != null && subscription.mRarelyChanging;
+    }
+
     private void addNewChanges(
             CollectionSubscription subscription, CollectionChanges.Builder changes) {
         long position = subscription.mBuffer.position();
