--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
@@ -93,6 +93,27 @@
             }
         }
         send(changes, receivers);
+        List<String> otherMembers = new ArrayList<>(mNetwork.members());
+        otherMembers.removeAll(receivers);
+        send(changesOfRareCollections(changes), otherMembers);
+    }
+
+    /**
+     * Returns the ranges that both relays send to all members, so that members do not wait for the
+     * next confirmation while the relay that they prefer is silent.
+     */
+    private CollectionChanges.Builder changesOfRareCollections(CollectionChanges.Builder changes) {
+        CollectionChanges.Builder rare = CollectionChanges.newBuilder();
+        changes.getRangesList().stream()
+                .filter(range -> range.getChangesCount() > 0)
+                .filter(range -> isRarelyChanging(range.getCollection()))
+                .forEach(rare::addRanges);
+        return rare;
+    }
+
+    private boolean isRarelyChanging(String collection) {
+        CollectionSubscription subscription = mSubscriptions.get(collection);
+        return subscription != null && subscription.mRarelyChanging;
     }
 
     private void addNewChanges(
@@ -108,11 +129,11 @@
         if (!events.isEmpty()) {
             changes.addRanges(toRange(subscription, subscription.mForwardedPosition, events));
         } else if (subscription.isReadingStore()
-                && subscription.mAnsweredAt - subscription.mConfirmedAt > 0) {
+                && subscription.knownUntilNanos() - subscription.mConfirmedAt > 0) {
             changes.addRanges(confirmation(subscription));
         }
         subscription.mForwardedPosition = Math.max(subscription.mForwardedPosition, position);
-        subscription.mConfirmedAt = subscription.mAnsweredAt;
+        subscription.mConfirmedAt = subscription.knownUntilNanos();
     }
 
     /** Notifies the members that this relay may miss changes of the collection from now on. */
@@ -167,9 +188,9 @@
         return range.build();
     }
 
-    /** Returns the time since the platform last answered this host. */
+    /** Returns the time since the platform last answered this host, or the relay it follows. */
     private int ageMillis(CollectionSubscription subscription) {
-        long ageNanos = mLoop.clock().nowNanos() - subscription.mAnsweredAt;
+        long ageNanos = mLoop.clock().nowNanos() - subscription.knownUntilNanos();
         return (int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(ageNanos));
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ReceivedChanges.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ReceivedChanges.java
@@ -33,6 +33,7 @@
     /** Requests the changes after the position of this host. */
     void request(String relay, CollectionSubscription subscription) {
         subscription.mRequestedAt = mLoop.clock().nowNanos();
+        subscription.mRequestedFrom = relay;
         mLinks.send(
                 relay,
                 Envelope.newBuilder()
@@ -53,7 +54,7 @@
             return List.of();
         }
         if (range.getAfter() > position) {
-            if (mLoop.clock().nowNanos() - subscription.mRequestedAt >= REQUEST_INTERVAL_NANOS) {
+            if (mayRequest(relay, subscription, range)) {
                 request(relay, subscription);
             }
             return List.of();
@@ -64,6 +65,20 @@
         return events;
     }
 
+    /**
+     * Returns whether the last request is some time ago. Rarely changing collections do not wait
+     * for that if the range has changes, which would otherwise be known only after the next
+     * confirmation, or if the last request went to another relay, which does not answer it while
+     * the store does not answer that relay.
+     */
+    private boolean mayRequest(
+            String relay, CollectionSubscription subscription, ChangeRange range) {
+        return mLoop.clock().nowNanos() - subscription.mRequestedAt >= REQUEST_INTERVAL_NANOS
+                || subscription.mRarelyChanging
+                        && (range.getChangesCount() > 0
+                                || !relay.equals(subscription.mRequestedFrom));
+    }
+
     private List<WatchEvent> decode(
             CollectionSubscription subscription, ChangeRange range, long position)
             throws IOException {
