--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/ServingCollections.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/ServingCollections.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.Set;
 import org.vanillaslip.FailureDomain;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.serving.ServingPlan;
@@ -24,6 +25,11 @@
     /** Returns the name of the collection of drained failure domains. */
     String drains();
 
+    /** Returns the collections that operators write, and so change rarely. */
+    default Set<String> rarelyChanging() {
+        return Set.of(plans(), drains());
+    }
+
     /** Returns the failure domain that the object drains. */
     FailureDomain drained(StoredObject object);
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -68,10 +68,6 @@
     /** Part of the rate slack; the rest covers calls that hosts admit at the same time. */
     private static final double OVERDRAFT_FRACTION = 0.4;
 
-    /** Short, because after a lease holder fails, no load is ordered until its lease expires. */
-    private static final LeaseTimes LEASE_TIMES =
-            new LeaseTimes(Duration.ofMillis(2500), 0.01, Duration.ofMillis(150));
-
     private final SecureRandom mSecureRandom = new SecureRandom();
     private final DaemonMetrics mMetrics =
             new DaemonMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
@@ -87,7 +83,7 @@
     private final DrainFollower mDrains;
     private final FleetDirectory mDirectory;
     private final HostListWatcher mHosts;
-    private final String mIncarnation;
+    private final String mIncarnation = ProcessIncarnation.create(mSecureRandom);
     private final NettyPeerLinks mPeerLinks;
     private final DecisionLoopMonitor mLoopMonitor;
     private final RelayNetwork mNetwork;
@@ -124,7 +120,6 @@
         mRandom =
                 RandomGeneratorFactory.of("L64X128MixRandom")
                         .create(mHost.randomSeed().orElseGet(mSecureRandom::nextLong));
-        mIncarnation = ProcessIncarnation.create(mSecureRandom);
         mLoopMonitor = new DecisionLoopMonitor(mLoop, log);
         StoreAnswerHistory storeAnswers = new StoreAnswerHistory();
         mStore =
@@ -137,8 +132,7 @@
         mNetwork = new RelayNetwork(self, this::listedHosts, mLoop.clock(), log);
         mPeerLinks = peerLinks(List.copyOf(settings.peers().bootstrap().values()));
         mLinks = new RelayedLinks(mHost.name(), mIncarnation, mPeerLinks, mNetwork, mLoop, log);
-        Set<String> rare = Set.of(adapters.collections().plans(), adapters.collections().drains());
-        mRelayedStore = new RelayedStore(mStore, storeAnswers, rare, mNetwork, mLinks, mLoop, log);
+        mRelayedStore = relayedStore(storeAnswers);
         mHosts = new HostListWatcher(mRelayedStore, new HostCodec(), mLoop, mRandom, log);
         mPlans = new PlanFollower(adapters.collections(), log);
         mDrains = new DrainFollower(adapters.collections(), mLoop, log);
@@ -167,7 +161,8 @@
                         mLinks,
                         this::hostCount,
                         mLoop);
-        connectSpeeds(settings, demandReporter);
+        ServerSpeedExchange.connect(
+                settings.routing(), mExchange, demandReporter, mDirectory, mLoop, mMetrics, log);
         mUsage = usageReports(settings);
         mPromptFaults = promptFaults();
         mRetryBudgets = new RetryBudgets(mHost.name(), serving, mHosts, storeAnswers, mLoop, log);
@@ -255,7 +250,7 @@
                 mStore,
                 mLoop,
                 InstantSource.system(),
-                LEASE_TIMES,
+                LeaseTimes.FAST_TAKEOVER,
                 mServing.orderTurn(),
                 () -> Long.toHexString(mSecureRandom.nextLong()),
                 mNetwork::liveRelays,
@@ -302,9 +297,9 @@
                 mLog);
     }
 
-    private void connectSpeeds(Settings settings, DemandReporter reporter) {
-        ServerSpeedExchange.connect(
-                settings.routing(), mExchange, reporter, mDirectory, mLoop, mMetrics, mLog);
+    private RelayedStore relayedStore(StoreAnswerHistory answers) {
+        Set<String> rare = mAdapters.collections().rarelyChanging();
+        return new RelayedStore(mStore, answers, rare, mNetwork, mLinks, mLoop, mLog);
     }
 
     private PromptFaultExchange promptFaults() {
--- a/decisions/src/main/java/org/vanillaslip/internal/lease/LeaseTimes.java
+++ b/decisions/src/main/java/org/vanillaslip/internal/lease/LeaseTimes.java
@@ -16,6 +16,10 @@
     public static final LeaseTimes STANDARD =
             new LeaseTimes(Duration.ofSeconds(10), 0.01, Duration.ofSeconds(1));
 
+    /** Short, because after a lease holder fails, no load is ordered until its lease expires. */
+    public static final LeaseTimes FAST_TAKEOVER =
+            new LeaseTimes(Duration.ofMillis(2500), 0.01, Duration.ofMillis(150));
+
     /** Returns how long a holder may make decisions after it sent a successful write. */
     public long decisionPeriodNanos() {
         return validity.toNanos() * 2 / 3;
