Handle the reload signal before the settings are read

Cause: SIGHUP ends a Java process without a handler.

Change: the command ignores the signal from its first statement on; the settings that it then reads are current.

Result: DaemonCommandTest.aReloadIsHandledBeforeTheDaemonStarts fails without the change and passes with it.

--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/DaemonCommand.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/DaemonCommand.java
@@ -49,6 +49,8 @@
 
     /** Runs the command and returns the exit code. */
     public int run(String... arguments) {
+        // Before anything that takes time: a reload is requested at any moment.
+        ReloadSignal.ignore();
         LogOutput.configure(INITIAL_LOG_SETTINGS, mErrorOutput);
         SingleCommand<DaemonOptions> command = SingleCommand.singleCommand(DaemonOptions.class);
         try {
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/ReloadSignal.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/ReloadSignal.java
@@ -11,6 +11,11 @@
 
     private ReloadSignal() {}
 
+    /** Ignores the signal until the settings have been read; they are current then. */
+    static void ignore() {
+        handle(() -> {});
+    }
+
     static void handle(Runnable reload) {
         Signal.handle(new Signal(SIGHUP), signal -> reload.run());
     }
--- a/daemon/src/test/java/org/vanillaslip/internal/runtime/DaemonCommandTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/runtime/DaemonCommandTest.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.vanillaslip.internal.settings.Settings;
 import org.vanillaslip.internal.settings.SettingsReader;
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Guards against a daemon that starts with invalid settings or options. */
 class DaemonCommandTest {
@@ -40,6 +42,31 @@
         assertThat(mStarted).extracting(settings -> settings.host().name()).containsExactly("a1");
     }
 
+    /** Guards against a reload that ends a process which has not read its settings yet. */
+    @Test
+    void aReloadIsHandledBeforeTheDaemonStarts() throws IOException {
+        Signal reload = new Signal("HUP");
+        SignalHandler before = Signal.handle(reload, SignalHandler.SIG_DFL);
+        List<SignalHandler> handlers = new ArrayList<>();
+        try {
+            DaemonStarter starter =
+                    settings -> {
+                        handlers.add(Signal.handle(reload, SignalHandler.SIG_DFL));
+                        return 0;
+                    };
+            new DaemonCommand(
+                            new SettingsReader(),
+                            starter,
+                            new PrintStream(mOutput),
+                            new PrintStream(mErrors))
+                    .run("--config", writeSettings(VALID));
+        } finally {
+            Signal.handle(reload, before);
+        }
+
+        assertThat(handlers).hasSize(1).doesNotContain(SignalHandler.SIG_DFL);
+    }
+
     @Test
     void checksSettingsWithoutStarting() throws IOException {
         assertThat(run("--check-settings", "--config", writeSettings(VALID))).isZero();
