--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -74,7 +74,12 @@
     }
 
     final Host addHost(String name, String zone, String store) throws IOException {
-        Host host = new Host(mRoot, mDirectory, name, zone, "127.0.0.1", store);
+        return addHost(name, zone, store, 1000);
+    }
+
+    final Host addHost(String name, String zone, String store, double linkMegabits)
+            throws IOException {
+        Host host = new Host(mRoot, mDirectory, name, zone, "127.0.0.1", store, linkMegabits);
         mHosts.add(host);
         return host;
     }
--- a/review/standins-2/Host.java
+++ b/review/standins-2/Host.java
@@ -20,7 +20,14 @@
     private Process mProcess;
     private int mStarts;
 
-    Host(Path root, Path directory, String name, String zone, String address, String store)
+    Host(
+            Path root,
+            Path directory,
+            String name,
+            String zone,
+            String address,
+            String store,
+            double linkMegabits)
             throws IOException {
         mRoot = root;
         mDirectory = directory;
@@ -35,7 +42,7 @@
                 peer_address = %s:%d
                 shutdown_delay_seconds = 3
                 shutdown_timeout_seconds = 4
-                link_megabits = 1000.0
+                link_megabits = %s
 
                 [platform]
                 address = %s
@@ -64,6 +71,7 @@
                                 mPort,
                                 address,
                                 freePort(),
+                                linkMegabits,
                                 store,
                                 address,
                                 mReadinessPort,
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -14,12 +14,22 @@
 /** The platform's store: objects by kind and name, with one revision counter and watches. */
 final class Store {
 
-    private record Change(long revision, String kind, Map<String, Object> object, boolean deleted) {}
+    private static final long HISTORY_NANOS = 20_000_000_000L;
+
+    private record Change(
+            long revision,
+            String kind,
+            Map<String, Object> object,
+            boolean deleted,
+            long nanos) {}
 
     private final Map<String, TreeMap<String, Map<String, Object>>> mKinds = new HashMap<>();
     private final List<Change> mHistory = new ArrayList<>();
     private long mRevision = 100;
 
+    /** Changes up to this revision are no longer in the history. */
+    private long mForgottenUpTo = 100;
+
     /** One address of the store; what it does to its callers can be changed at any time. */
     final class Endpoint {
         private final ServerSocket mSocket;
@@ -87,7 +97,7 @@
         Map<String, Object> known = objects(kind).remove(name);
         if (known != null) {
             Map<String, Object> last = withRevision(known, ++mRevision);
-            mHistory.add(new Change(mRevision, kind, last, true));
+            addToHistory(kind, last, true);
             notifyAll();
         }
     }
@@ -119,11 +129,22 @@
                         "status",
                         Json.of());
         objects(kind).put(name, object);
-        mHistory.add(new Change(revision, kind, object, false));
+        addToHistory(kind, object, false);
         notifyAll();
         return revision;
     }
 
+    private void addToHistory(String kind, Map<String, Object> object, boolean deleted) {
+        mHistory.add(new Change(mRevision, kind, object, deleted, System.nanoTime()));
+    }
+
+    private void forget() {
+        while (!mHistory.isEmpty()
+                && System.nanoTime() - mHistory.get(0).nanos() > HISTORY_NANOS) {
+            mForgottenUpTo = mHistory.remove(0).revision();
+        }
+    }
+
     @SuppressWarnings("unchecked")
     private static Object created(Map<String, Object> object) {
         return ((Map<String, Object>) object.get("metadata")).get("created");
@@ -191,6 +212,10 @@
                 System.nanoTime()
                         + Long.parseLong(query.getOrDefault("waitMs", "0")) * 1_000_000;
         while (true) {
+            forget();
+            if (from < mForgottenUpTo) {
+                return answer(410, Json.of("currentRev", mRevision));
+            }
             List<Object> events = new ArrayList<>();
             for (Change change : mHistory) {
                 if (change.revision > from && change.kind.equals(kind)) {
