--- a/review/standins-2/ManyRoutes.java
+++ b/review/standins-2/ManyRoutes.java
@@ -38,7 +38,8 @@
         }
         for (String zone : List.of("hokkaido-a", "hokkaido-b")) {
             SlowLink link = new SlowLink(store, LINK_MEGABITS);
-            addHost("frontend-" + zone + "-1", zone, link.address()).start();
+            addHost("frontend-" + zone + "-1", zone, link.address(), LINK_MEGABITS)
+                    .start();
         }
         for (Host host : mHosts) {
             if (!Platform.awaitReady(host, 20_000)) {
