--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The manifest grows by many routes, then the final fault; slow links.
+# A long manifest changes many times.
 set -u
 cd "$(dirname "$0")"
-exec timeout 115 java -cp ../standins-2/target ManyRoutes ../.. .
+exec timeout 115 java -cp ../standins-2/target ManyVersions ../.. .
