--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The manifest grows by many routes, then the final fault; slow links.
+# Another writer's unreadable entry in the list of servers, then the final fault.
 set -u
 cd "$(dirname "$0")"
-exec timeout 115 java -cp ../standins-2/target ManyRoutes ../.. .
+exec timeout 115 java -cp ../standins-2/target UnreadableEntry ../.. .
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A long manifest changes twelve times in four seconds; slow links.
+# A long manifest changes many times.
 set -u
 cd "$(dirname "$0")"
-exec timeout 115 java -cp ../standins-2/target ManifestStorm ../.. .
+exec timeout 115 java -cp ../standins-2/target ManyVersions ../.. .
