Read each object of the store by itself, so that an unreadable one costs only itself

Cause: lists and watch answers were parsed as a whole. One byte that is no UTF-8, a number of 1,201 digits or lists nested 1,200 deep made the whole answer unreadable. The client took that for a lost answer, and the watch was resumed at the same position, where the same entry came again.

Fix: JsonSlice finds the bounds of the objects without parsing them, StoredObjectReader reads name, version and spec of each by itself and names in the object what cannot be read. The position moves past it. An unreadable entry names no server and is logged once; the log is bounded. An answer that cannot be read as a whole is a failure of its own (UNREADABLE, event 211) that leads to a list, not to a watch at the same position, and no longer counts as a lost store. The same cause is mended in the own interface's client, in changes from relays (ChangeCodecTest) and in messages of other hosts (EnvelopeCodecTest: one closed its link, silently).

--- a/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandLineMain.java
+++ b/command-line/src/main/java/org/vanillaslip/internal/commandline/CommandLineMain.java
@@ -9,6 +9,7 @@
 import org.slf4j.LoggerFactory;
 import org.vanillaslip.internal.platform.DeploymentConfigurationCheck;
 import org.vanillaslip.internal.platform.HttpObjectStore;
+import org.vanillaslip.internal.platform.JsonLimits;
 import org.vanillaslip.internal.platform.ObjectJsonCodec;
 import org.vanillaslip.internal.platform.ObjectStore;
 import reactor.core.scheduler.Schedulers;
@@ -43,7 +44,7 @@
                 HttpClient.create(),
                 "http://" + address,
                 "operators",
-                new ObjectJsonCodec(new ObjectMapper()),
+                new ObjectJsonCodec(JsonLimits.storedValues()),
                 RESPONSE_TIMEOUT,
                 Schedulers.parallel());
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeCodec.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeCodec.java
@@ -10,8 +10,10 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.util.Optional;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
+import org.vanillaslip.internal.platform.JsonLimits;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.platform.WatchEvent;
 import org.vanillaslip.internal.platform.WatchEventType;
@@ -27,7 +29,7 @@
     /** Above the platform's limit of one megabyte per value. */
     private static final int MAX_OBJECT_BYTES = 4 * 1024 * 1024;
 
-    private final ObjectMapper mMapper = new ObjectMapper();
+    private final ObjectMapper mMapper = JsonLimits.storedValues();
 
     ObjectChange encode(WatchEvent event) {
         StoredObject object = event.object();
@@ -51,21 +53,32 @@
                 .build();
     }
 
-    /** Returns the change, or throws {@link IOException} if its content cannot be decoded. */
-    WatchEvent decode(String collection, ObjectChange change) throws IOException {
-        byte[] bytes = change.getObject().getSpecJson().toByteArray();
-        byte[] json = change.getCompressed() ? decompress(bytes) : bytes;
-        ObjectNode spec =
-                mMapper.readTree(json) instanceof ObjectNode object
-                        ? object
-                        : JsonNodeFactory.instance.objectNode();
+    /** Returns the change; content that cannot be decoded is named in the fault of its object. */
+    WatchEvent decode(String collection, ObjectChange change) {
+        ObjectNode spec = JsonNodeFactory.instance.objectNode();
+        Optional<String> fault = Optional.empty();
+        try {
+            spec = decodeSpec(change);
+        } catch (IOException malformed) {
+            fault = Optional.of(malformed.toString());
+        }
         return new WatchEvent(
                 change.getDeleted() ? WatchEventType.DELETED : WatchEventType.MODIFIED,
                 new StoredObject(
                         collection,
                         change.getObject().getName(),
                         change.getObject().getVersion(),
-                        spec));
+                        spec,
+                        fault));
+    }
+
+    private ObjectNode decodeSpec(ObjectChange change) throws IOException {
+        byte[] bytes = change.getObject().getSpecJson().toByteArray();
+        byte[] json = change.getCompressed() ? decompress(bytes) : bytes;
+        if (mMapper.readTree(json) instanceof ObjectNode spec) {
+            return spec;
+        }
+        throw new IOException("The spec is no JSON object.");
     }
 
     private static byte[] compress(byte[] bytes) throws IOException {
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ReceivedChanges.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ReceivedChanges.java
@@ -1,7 +1,6 @@
 package org.vanillaslip.internal.changes;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -47,8 +46,7 @@
      * Adds the changes that this host does not have to its buffer and returns them. If some before
      * them are missing, requests those.
      */
-    List<WatchEvent> add(String relay, CollectionSubscription subscription, ChangeRange range)
-            throws IOException {
+    List<WatchEvent> add(String relay, CollectionSubscription subscription, ChangeRange range) {
         long position = subscription.mBuffer.position();
         if (range.getGone() || range.getPosition() <= position) {
             return List.of();
@@ -80,8 +78,7 @@
     }
 
     private List<WatchEvent> decode(
-            CollectionSubscription subscription, ChangeRange range, long position)
-            throws IOException {
+            CollectionSubscription subscription, ChangeRange range, long position) {
         List<WatchEvent> events = new ArrayList<>();
         for (ObjectChange change : range.getChangesList()) {
             if (change.getObject().getVersion() > position) {
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
@@ -4,7 +4,6 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
-import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -356,14 +355,7 @@
                             PlatformFailure.GONE, "The relay no longer has all changes."));
             return;
         }
-        try {
-            mReceivedChanges.add(relay, subscription, range).forEach(sink::next);
-        } catch (IOException e) {
-            logSource(subscription, "store", String.valueOf(e.getMessage()));
-            sink.error(
-                    new PlatformException(
-                            PlatformFailure.SILENT, "The changes from the relay are malformed."));
-        }
+        mReceivedChanges.add(relay, subscription, range).forEach(sink::next);
     }
 
     /** Applies changes from a relay that this host has not read from the store yet. */
@@ -372,15 +364,10 @@
             CollectionSubscription subscription,
             FluxSink<WatchEvent> sink,
             ChangeRange range) {
-        try {
-            List<WatchEvent> events = mReceivedChanges.add(relay, subscription, range);
-            if (!events.isEmpty()) {
-                events.forEach(sink::next);
-                mRelay.scheduleForward();
-            }
-        } catch (IOException e) {
-            // This host reads the same changes from the store.
-            logSource(subscription, "store", String.valueOf(e.getMessage()));
+        List<WatchEvent> events = mReceivedChanges.add(relay, subscription, range);
+        if (!events.isEmpty()) {
+            events.forEach(sink::next);
+            mRelay.scheduleForward();
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
@@ -179,6 +179,10 @@
                 field("position", mWatchPosition),
                 field("cause", String.valueOf(cause.getMessage())));
         if (cause instanceof PlatformException failure
+                && failure.failure() == PlatformFailure.UNREADABLE) {
+            // Resuming the watch would return the same answer again, so a list replaces it.
+            listAfterFault();
+        } else if (cause instanceof PlatformException failure
                 && failure.failure() == PlatformFailure.SILENT) {
             // Lists without a delay: the silence used most of the time within which a change must
             // be in force.
--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/ConfigurationEvent.java
@@ -19,7 +19,8 @@
     HOSTS_CHANGED(208, INFO, "The list of hosts changed."),
     HOST_UNREADABLE(209, WARNING, "Ignoring an entry of the host list that cannot be read."),
     LISTENER_FAILED(
-            210, WARNING, "A list or change could not be applied; the collection is listed again.");
+            210, WARNING, "A list or change could not be applied; the collection is listed again."),
+    ANSWER_UNREADABLE(211, WARNING, "An answer of the platform's store cannot be read as a whole.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/HostListWatcher.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/HostListWatcher.java
@@ -15,6 +15,7 @@
 import org.vanillaslip.Host;
 import org.vanillaslip.internal.control.HostView;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.logging.UnreadableEntries;
 import org.vanillaslip.internal.platform.HostCodec;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.ObjectStore;
@@ -37,6 +38,7 @@
     private final HostCodec mCodec;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
+    private final UnreadableEntries mUnreadable;
     private final CollectionFollower mFollower;
     private final Sinks.Many<List<Host>> mChanges = Sinks.many().multicast().directBestEffort();
     private Consumer<Set<String>> mOnLost = names -> {};
@@ -53,6 +55,7 @@
         mCodec = codec;
         mLoop = loop;
         mLog = log;
+        mUnreadable = new UnreadableEntries(ConfigurationEvent.HOST_UNREADABLE, loop.clock(), log);
         mFollower =
                 new CollectionFollower(
                         store,
@@ -96,12 +99,12 @@
     private HostListState.Entry decodeEntry(StoredObject object) {
         Optional<Host> host =
                 mCodec.decode(object)
+                        .peek(readable -> mUnreadable.remove(object.name()))
                         .peekLeft(
                                 faults ->
-                                        mLog.log(
-                                                ConfigurationEvent.HOST_UNREADABLE,
-                                                field("host", object.name()),
-                                                field("faults", faults)))
+                                        mUnreadable.report(
+                                                object.name(),
+                                                object.fault().orElseGet(faults::toString)))
                         .toJavaOptional();
         return new HostListState.Entry(object.version(), host);
     }
@@ -114,6 +117,8 @@
         @Override
         public void listed(ObjectList list) {
             Map<String, HostListState.Entry> entries = new HashMap<>();
+            mUnreadable.retain(
+                    list.objects().stream().map(StoredObject::name).collect(Collectors.toSet()));
             list.objects().forEach(object -> entries.put(object.name(), decodeEntry(object)));
             boolean restored = mListed && StoreVersion.era(list.version()) > mEra;
             mEra = Math.max(mEra, StoreVersion.era(list.version()));
@@ -148,6 +153,7 @@
             if (event.type() == WatchEventType.DELETED) {
                 HostListState.Entry removal =
                         new HostListState.Entry(object.version(), Optional.empty());
+                mUnreadable.remove(object.name());
                 replaceState(mState.withEntry(object.name(), removal));
             } else if (event.type() != WatchEventType.BOOKMARK) {
                 replaceState(mState.withEntry(object.name(), decodeEntry(object)));
--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/PeerItemCodec.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/PeerItemCodec.java
@@ -1,12 +1,12 @@
 package org.vanillaslip.internal.control.configuration;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.protobuf.ByteString;
 import io.vavr.control.Either;
 import java.util.List;
 import org.vanillaslip.VersionedItem;
 import org.vanillaslip.internal.configuration.Fault;
 import org.vanillaslip.internal.platform.ConfigurationCodec;
+import org.vanillaslip.internal.platform.JsonLimits;
 import org.vanillaslip.internal.platform.ObjectJsonCodec;
 import org.vanillaslip.internal.platform.PlatformCollections;
 import org.vanillaslip.internal.platform.StoredObject;
@@ -20,7 +20,7 @@
     static final int TARGET_MESSAGE_BYTES = 512 << 10;
 
     private final ConfigurationCodec mCodec;
-    private final ObjectJsonCodec mJson = new ObjectJsonCodec(new ObjectMapper());
+    private final ObjectJsonCodec mJson = new ObjectJsonCodec(JsonLimits.storedValues());
 
     PeerItemCodec(ConfigurationCodec codec) {
         mCodec = codec;
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/FleetDirectory.java
@@ -15,6 +15,7 @@
 import org.jspecify.annotations.Nullable;
 import org.vanillaslip.internal.control.configuration.CollectionListener;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.logging.UnreadableEntries;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.StoreVersion;
 import org.vanillaslip.internal.platform.StoredObject;
@@ -45,6 +46,7 @@
     private final List<Runnable> mListeners = new ArrayList<>();
     private final Map<String, RemovedServer> mRemoved = new HashMap<>();
     private final ListContinuity mContinuity = new ListContinuity();
+    private final UnreadableEntries mUnreadable;
     private long mEra;
     private boolean mListed;
 
@@ -64,6 +66,7 @@
         mLoop = loop;
         mStoreAnswers = storeAnswers;
         mLog = log;
+        mUnreadable = new UnreadableEntries(FleetEvent.SERVER_UNREADABLE, loop.clock(), log);
     }
 
     /** Registers a listener for changes of servers or of their loaded models. */
@@ -186,6 +189,7 @@
                 // A list may have been read before a change that has arrived earlier.
                 .filter(name -> mVersions.getOrDefault(name, 0L) <= list.version())
                 .forEach(name -> handleRemovedEntry(name, list.version()));
+        mUnreadable.retain(names);
         list.objects().forEach(this::update);
         mVersions
                 .entrySet()
@@ -205,6 +209,7 @@
             return;
         }
         if (event.type() == WatchEventType.DELETED) {
+            mUnreadable.remove(event.object().name());
             handleRemovedEntry(event.object().name(), event.object().version());
         } else {
             update(event.object());
@@ -213,6 +218,10 @@
     }
 
     private void update(StoredObject object) {
+        if (object.version() == 0) {
+            removeUnreadable(object.name(), object.fault().orElse("the version is missing"));
+            return;
+        }
         if (object.version() <= mVersions.getOrDefault(object.name(), 0L)) {
             return;
         }
@@ -220,7 +229,7 @@
         try {
             mCollections
                     .server(object)
-                    .peek(entry -> registerUnlessRestored(entry, object.version()))
+                    .peek(entry -> registerReadable(entry, object.version()))
                     .peekLeft(fault -> removeUnreadable(object.name(), fault));
         } catch (RuntimeException fault) {
             // Any writer can add entries, and one of them must not hide the entries after it.
@@ -228,8 +237,13 @@
         }
     }
 
+    private void registerReadable(RegisteredServer entry, long version) {
+        mUnreadable.remove(entry.instance());
+        registerUnlessRestored(entry, version);
+    }
+
     private void removeUnreadable(String name, String fault) {
-        mLog.log(FleetEvent.SERVER_UNREADABLE, field("object", name), field("fault", fault));
+        mUnreadable.report(name, fault);
         remove(name, mVersions.getOrDefault(name, 0L), "unreadable entry");
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/PlanFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/PlanFollower.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.vanillaslip.MonotonicClock;
 import org.vanillaslip.internal.control.configuration.CollectionListener;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.logging.UnreadableEntries;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.platform.WatchEvent;
@@ -20,13 +22,15 @@
 
     private final ServingCollections mCollections;
     private final EventLog mLog;
+    private final UnreadableEntries mUnreadable;
     private final List<Consumer<ServingPlan>> mListeners = new ArrayList<>();
     private Optional<ServingPlan> mCurrent = Optional.empty();
 
     /** Creates a follower without a configuration. */
-    public PlanFollower(ServingCollections collections, EventLog log) {
+    public PlanFollower(ServingCollections collections, MonotonicClock clock, EventLog log) {
         mCollections = collections;
         mLog = log;
+        mUnreadable = new UnreadableEntries(FleetEvent.PLAN_UNREADABLE, clock, log);
     }
 
     /** Registers a listener for versions that are put in force. */
@@ -55,14 +59,9 @@
         Optional<Either<String, ServingPlan>> decoded = mCollections.plan(object);
         decoded.ifPresent(
                 plan ->
-                        plan.peek(this::putInForce)
-                                .peekLeft(
-                                        fault ->
-                                                mLog.log(
-                                                        FleetEvent.PLAN_UNREADABLE,
-                                                        field("object", object.name()),
-                                                        field("revision", object.version()),
-                                                        field("fault", fault))));
+                        plan.peek(readable -> mUnreadable.remove(object.name()))
+                                .peek(this::putInForce)
+                                .peekLeft(fault -> mUnreadable.report(object.name(), fault)));
     }
 
     private void putInForce(ServingPlan plan) {
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/EnvelopeCodec.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/EnvelopeCodec.java
@@ -1,6 +1,7 @@
 package org.vanillaslip.internal.peer;
 
 import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.ByteBufOutputStream;
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.CorruptedFrameException;
 import java.io.IOException;
 import java.util.List;
+import java.util.function.Consumer;
 import org.vanillaslip.messages.Envelope;
 
 /** Encodes and decodes messages that are preceded by their length as a varint. */
@@ -19,6 +21,17 @@
 
     private static final int MAX_VARINT_BYTES = 5;
 
+    private final Consumer<String> mUnreadableListener;
+
+    /**
+     * Creates a codec.
+     *
+     * @param unreadableListener receives the fault of each message that is dropped
+     */
+    EnvelopeCodec(Consumer<String> unreadableListener) {
+        mUnreadableListener = unreadableListener;
+    }
+
     @Override
     protected void encode(ChannelHandlerContext context, Envelope message, ByteBuf out)
             throws IOException {
@@ -40,6 +53,9 @@
         }
         try (ByteBufInputStream stream = new ByteBufInputStream(in.readSlice(length))) {
             out.add(Envelope.parseFrom(stream));
+        } catch (InvalidProtocolBufferException malformed) {
+            // The length is known, so the next message can be read.
+            mUnreadableListener.accept(String.valueOf(malformed.getMessage()));
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
@@ -24,6 +24,7 @@
 import java.util.function.Supplier;
 import org.vanillaslip.Host;
 import org.vanillaslip.internal.logging.EventLog;
+import org.vanillaslip.internal.logging.UnreadableEntries;
 import org.vanillaslip.internal.metrics.DaemonMetrics;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.messages.Envelope;
@@ -54,6 +55,7 @@
     private final Supplier<Heartbeat> mHeartbeat;
     private final PeerTimes mTimes;
     private final LinkTraffic mTraffic;
+    private final UnreadableEntries mUnreadable;
     private final EventLog mLog;
     private final PeerExchange mExchange;
     private final Map<String, PeerLink> mLinksByHost = new HashMap<>();
@@ -97,6 +99,7 @@
         mHeartbeat = heartbeat;
         mTimes = times;
         mTraffic = new LinkTraffic(metrics, log);
+        mUnreadable = new UnreadableEntries(PeerEvent.MESSAGE_UNREADABLE, loop.clock(), log);
         mLog = log;
         mExchange =
                 new PeerExchange(
@@ -195,7 +198,8 @@
             @Override
             protected void initChannel(Channel channel) {
                 PeerLink link = new PeerLink(channel, outboundAddress, mLoop.clock().nowNanos());
-                channel.pipeline().addLast(new EnvelopeCodec());
+                channel.pipeline()
+                        .addLast(new EnvelopeCodec(fault -> reportUnreadable(link, fault)));
                 channel.pipeline().addLast(new PeerMessageCounter(mTraffic));
                 channel.pipeline().addLast(new PeerLinkHandler(link, NettyPeerLinks.this, mLoop));
             }
@@ -277,11 +281,17 @@
     /** Removes a closed connection. */
     void onClosed(PeerLink link) {
         mOpenLinks.remove(link);
+        mUnreadable.remove(link.name());
         link.peer()
                 .filter(peer -> mLinksByHost.remove(peer, link))
                 .ifPresent(peer -> mLog.log(PeerEvent.LINK_DOWN, field("host", peer)));
     }
 
+    /** Logs a message that cannot be read, once for each link. */
+    void reportUnreadable(PeerLink link, String fault) {
+        mLoop.scheduler().schedule(() -> mUnreadable.report(link.name(), fault));
+    }
+
     /** Handles a message received on the connection. */
     void onMessage(PeerLink link, Envelope message) {
         link.recordMessage(mLoop.clock().nowNanos());
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/PeerEvent.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerEvent.java
@@ -24,7 +24,11 @@
     LINK_TRAFFIC(
             488,
             System.Logger.Level.INFO,
-            "Bytes exchanged with other hosts in the last five seconds.");
+            "Bytes exchanged with other hosts in the last five seconds."),
+    MESSAGE_UNREADABLE(
+            489,
+            System.Logger.Level.WARNING,
+            "A message of another host cannot be read; it is dropped, or its link is closed.");
 
     private final int mNumber;
     private final System.Logger.Level mLevel;
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/PeerLink.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerLink.java
@@ -32,6 +32,11 @@
         return mPeer;
     }
 
+    /** Returns the name of the peer, or its address before its first message. */
+    String name() {
+        return mPeer.orElseGet(() -> String.valueOf(mChannel.remoteAddress()));
+    }
+
     void setPeer(String peer) {
         mPeer = Optional.of(peer);
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/PeerLinkHandler.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerLinkHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.messages.Envelope;
 
@@ -35,6 +36,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof DecoderException) {
+            mLinks.reportUnreadable(mLink, cause.toString());
+        }
         context.close();
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/ServingHost.java
@@ -134,7 +134,7 @@
         mLinks = new RelayedLinks(mHost.name(), mIncarnation, mPeerLinks, mNetwork, mLoop, log);
         mRelayedStore = relayedStore(storeAnswers);
         mHosts = new HostListWatcher(mRelayedStore, new HostCodec(), mLoop, mRandom, log);
-        mPlans = new PlanFollower(adapters.collections(), log);
+        mPlans = new PlanFollower(adapters.collections(), mLoop.clock(), log);
         mDrains = new DrainFollower(adapters.collections(), mLoop, log);
         mDirectory = new FleetDirectory(adapters.collections(), mDrains, mLoop, storeAnswers, log);
         double overdraft = serving.rateSlack() * OVERDRAFT_FRACTION;
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -2,7 +2,6 @@
 
 import static org.vanillaslip.internal.logging.LogField.field;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoopGroup;
@@ -17,6 +16,7 @@
 import org.vanillaslip.internal.control.ConfigurationView;
 import org.vanillaslip.internal.control.HostView;
 import org.vanillaslip.internal.control.PlacementView;
+import org.vanillaslip.internal.control.configuration.ConfigurationEvent;
 import org.vanillaslip.internal.control.configuration.ConfigurationExchange;
 import org.vanillaslip.internal.control.configuration.ConfigurationWatcher;
 import org.vanillaslip.internal.control.configuration.HostListWatcher;
@@ -38,6 +38,7 @@
 import org.vanillaslip.internal.platform.ConfigurationCodec;
 import org.vanillaslip.internal.platform.HostCodec;
 import org.vanillaslip.internal.platform.HttpObjectStore;
+import org.vanillaslip.internal.platform.JsonLimits;
 import org.vanillaslip.internal.platform.ObjectJsonCodec;
 import org.vanillaslip.internal.platform.ObjectStore;
 import org.vanillaslip.internal.quota.QuotaService;
@@ -92,7 +93,7 @@
         RandomGenerator random = createRandom(settings.host());
         DaemonMetrics metrics =
                 new DaemonMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-        ObjectStore store = new MeteredObjectStore(createStore(settings, loop), metrics);
+        ObjectStore store = new MeteredObjectStore(createStore(settings, loop, log), metrics);
         HostContext context =
                 new HostContext(settings, loop, store, random, new Identifiers(), metrics, log);
         ConfigurationCodec codec = new ConfigurationCodec();
@@ -149,7 +150,7 @@
         return RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     }
 
-    private static ObjectStore createStore(Settings settings, DecisionLoop loop) {
+    private static ObjectStore createStore(Settings settings, DecisionLoop loop, EventLog log) {
         PlatformSettings platform = settings.platform();
         String address = platform.address().getHostString() + ":" + platform.address().getPort();
         double callsPerSecond = platform.callsPerSecond();
@@ -164,10 +165,14 @@
                         HttpClient.create(),
                         "http://" + address,
                         settings.failureDomain().name(),
-                        new ObjectJsonCodec(new ObjectMapper()),
+                        new ObjectJsonCodec(JsonLimits.storedValues()),
                         platform.requestTimeout(),
                         loop.scheduler(),
-                        budget::pause);
+                        budget::pause,
+                        fault ->
+                                log.log(
+                                        ConfigurationEvent.ANSWER_UNREADABLE,
+                                        field("fault", fault.getMessage())));
         return new BudgetedObjectStore(store, budget);
     }
 
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.vanillaslip.internal.http.FinalStatusCheck;
@@ -34,7 +33,7 @@
     private final Scheduler mTimer;
     private final ObjectApiClient mApi;
 
-    /** Creates a store that ignores the Retry-After times of throttled calls. */
+    /** Creates a store without listeners. */
     public HttpObjectStore(
             HttpClient client,
             String baseUrl,
@@ -42,7 +41,15 @@
             ObjectJsonCodec json,
             Duration responseTimeout,
             Scheduler timer) {
-        this(client, baseUrl, failureDomain, json, responseTimeout, timer, retryAfter -> {});
+        this(
+                client,
+                baseUrl,
+                failureDomain,
+                json,
+                responseTimeout,
+                timer,
+                retryAfter -> {},
+                fault -> {});
     }
 
     /**
@@ -54,6 +61,7 @@
      * @param responseTimeout time after which the response to a call is considered lost
      * @param timer scheduler for the timeouts of calls and watches
      * @param throttleListener receives the time for which the platform requests no further calls
+     * @param unreadableListener receives why an answer as a whole cannot be read
      */
     public HttpObjectStore(
             HttpClient client,
@@ -62,7 +70,8 @@
             ObjectJsonCodec json,
             Duration responseTimeout,
             Scheduler timer,
-            Consumer<Duration> throttleListener) {
+            Consumer<Duration> throttleListener,
+            Consumer<IllegalArgumentException> unreadableListener) {
         // The HTTP client must not retry: only the caller knows whether a call may be repeated.
         mClient =
                 FinalStatusCheck.addTo(client)
@@ -72,7 +81,14 @@
         mJson = json;
         mResponseTimeout = responseTimeout;
         mTimer = timer;
-        mApi = new ObjectApiClient(mClient, timer, ERA_HEADER, status -> false, throttleListener);
+        mApi =
+                new ObjectApiClient(
+                        mClient,
+                        timer,
+                        ERA_HEADER,
+                        status -> false,
+                        throttleListener,
+                        unreadableListener);
     }
 
     @Override
@@ -87,7 +103,7 @@
                 API_PATH + collection,
                 null,
                 0,
-                (node, era) -> mJson.decodeList(collection, node).inEra(era));
+                (response, era) -> mJson.decodeList(collection, response).inEra(era));
     }
 
     @Override
@@ -149,13 +165,15 @@
                                 });
         Flux<WatchEvent> events =
                 Flux.defer(() -> chunks.concatMapIterable(newSplitter()::split))
-                        .map(
-                                line ->
-                                        mJson.decodeEvent(collection, mJson.parse(line))
-                                                .inEra(era.get()))
+                        .map(line -> mJson.decodeEvent(collection, line).inEra(era.get()))
+                        .onErrorMap(
+                                IllegalArgumentException.class,
+                                cause -> watchFailed(collection, PlatformFailure.UNREADABLE, cause))
                         .onErrorMap(
                                 cause -> !(cause instanceof PlatformException),
-                                cause -> watchFailed(collection, cause));
+                                cause ->
+                                        watchFailed(
+                                                collection, PlatformFailure.UNAVAILABLE, cause));
         return WatchIdleTimeout.apply(events, mTimer);
     }
 
@@ -168,19 +186,13 @@
             String path,
             @Nullable ObjectNode body,
             long version,
-            BiFunction<ObjectNode, Long, T> decode) {
+            ObjectApiClient.Decoder<T> decoder) {
         byte[] bytes = body == null ? new byte[0] : mJson.toBytes(body);
-        return mApi.call(
-                method,
-                path,
-                bytes,
-                version,
-                mResponseTimeout,
-                (response, era) -> decode.apply(mJson.parse(response), era));
+        return mApi.call(method, path, bytes, version, mResponseTimeout, decoder);
     }
 
-    private BiFunction<ObjectNode, Long, StoredObject> objectDecoder(String collection) {
-        return (node, era) -> mJson.decodeObject(collection, node).inEra(era);
+    private ObjectApiClient.Decoder<StoredObject> objectDecoder(String collection) {
+        return (response, era) -> mJson.decodeObject(collection, response).inEra(era);
     }
 
     private static PlatformException positionGone(String collection) {
@@ -201,11 +213,11 @@
                         + ".");
     }
 
-    private static PlatformException watchFailed(String collection, Throwable cause) {
+    private static PlatformException watchFailed(
+            String collection, PlatformFailure failure, Throwable cause) {
         PlatformException exception =
                 new PlatformException(
-                        PlatformFailure.UNAVAILABLE,
-                        "The watch of '" + collection + "' failed: " + cause.getMessage());
+                        failure, "The watch of '" + collection + "' failed: " + cause.getMessage());
         exception.initCause(cause);
         return exception;
     }
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
@@ -19,9 +19,13 @@
     private final Scheduler mTimer;
     private final IntPredicate mNothingChangedStatus;
     private final Consumer<Duration> mThrottleListener;
+    private final Consumer<IllegalArgumentException> mUnreadableListener;
     private final StoreEra mEra;
 
-    /** Decodes the body of a response, whose versions are revisions of the era. */
+    /**
+     * Decodes the body of a response, whose versions are revisions of the era; throws {@link
+     * IllegalArgumentException} if the body as a whole cannot be read.
+     */
     @FunctionalInterface
     public interface Decoder<T> {
         T decode(byte[] body, long era);
@@ -33,17 +37,20 @@
      * @param eraHeader header of responses that names the era of the store's revisions
      * @param nothingChangedStatus accepts the 5xx statuses that guarantee that nothing was changed
      * @param throttleListener receives the time for which the platform requests no further calls
+     * @param unreadableListener receives why an answer as a whole cannot be read
      */
     public ObjectApiClient(
             HttpClient client,
             Scheduler timer,
             String eraHeader,
             IntPredicate nothingChangedStatus,
-            Consumer<Duration> throttleListener) {
+            Consumer<Duration> throttleListener,
+            Consumer<IllegalArgumentException> unreadableListener) {
         mClient = client;
         mTimer = timer;
         mNothingChangedStatus = nothingChangedStatus;
         mThrottleListener = throttleListener;
+        mUnreadableListener = unreadableListener;
         mEra = new StoreEra(eraHeader);
     }
 
@@ -117,7 +124,7 @@
             return Either.left(failureWithoutResponse(isWrite));
         }
         if (status >= 200 && status < 300) {
-            return Either.right(decoder.decode(bytes, era));
+            return decode(bytes, era, isWrite, decoder);
         }
         PlatformFailure failure = failureOf(status);
         reportThrottling(response);
@@ -129,6 +136,17 @@
         return Either.left(failure);
     }
 
+    private <T> Either<PlatformFailure, T> decode(
+            byte[] bytes, long era, boolean isWrite, Decoder<T> decoder) {
+        try {
+            return Either.right(decoder.decode(bytes, era));
+        } catch (IllegalArgumentException malformed) {
+            mUnreadableListener.accept(malformed);
+            return Either.left(
+                    isWrite ? PlatformFailure.OUTCOME_UNKNOWN : PlatformFailure.UNREADABLE);
+        }
+    }
+
     /** Passes the Retry-After time of a throttled call to the listener. */
     void reportThrottling(HttpClientResponse response) {
         if (failureOf(response.status().code()) == PlatformFailure.THROTTLED) {
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectJsonCodec.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectJsonCodec.java
@@ -7,8 +7,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /** Converts objects, lists and watch events of the object API to and from JSON. */
 public final class ObjectJsonCodec {
@@ -17,10 +17,12 @@
     private static final String VERSION = "resourceVersion";
 
     private final ObjectMapper mMapper;
+    private final StoredObjectReader mReader;
 
     /** Creates a codec that uses the given mapper. */
     public ObjectJsonCodec(ObjectMapper mapper) {
         mMapper = mapper;
+        mReader = new StoredObjectReader(mapper, VERSION);
     }
 
     /** Returns {@code {metadata: {name, resourceVersion}, spec}}; omits the version if it is 0. */
@@ -78,28 +80,48 @@
                 spec instanceof ObjectNode object ? object : JsonNodeFactory.instance.objectNode());
     }
 
-    /** Decodes a list of the given collection. */
-    public ObjectList decodeList(String collection, JsonNode node) {
-        if (!node.path("items").isArray()) {
+    /** Decodes the text of an object of the given collection. */
+    public StoredObject decodeObject(String collection, byte[] text) {
+        return mReader.read(collection, JsonSlice.of(text));
+    }
+
+    /** Decodes the text of a list; an object that cannot be read costs that object alone. */
+    public ObjectList decodeList(String collection, byte[] text) {
+        Map<String, JsonSlice> fields = JsonSlice.of(text).fields();
+        JsonSlice items = fields.get("items");
+        JsonSlice metadata = fields.get(METADATA);
+        if (items == null || metadata == null) {
             throw new IllegalArgumentException(
-                    "The platform sent a list without the array 'items'.");
+                    "The platform sent a list without the fields 'items' and 'metadata'.");
         }
-        List<StoredObject> objects = new ArrayList<>();
-        node.path("items").forEach(item -> objects.add(decodeObject(collection, item)));
-        return new ObjectList(resourceVersion(node), objects);
+        List<StoredObject> objects =
+                items.elements().stream().map(item -> mReader.read(collection, item)).toList();
+        Map<String, JsonSlice> listMetadata = metadata.fields();
+        return new ObjectList(
+                // The version of a store without any change is omitted.
+                listMetadata.containsKey(VERSION)
+                        ? mReader.requiredVersion(listMetadata, VERSION)
+                        : 0,
+                objects);
     }
 
-    /** Decodes a watch event; throws {@link PlatformException} for an event of type ERROR. */
-    public WatchEvent decodeEvent(String collection, JsonNode node) {
-        String type = node.path("type").asText();
-        if (type.equals("ERROR")) {
-            int code = node.path("object").path("code").asInt();
+    /** Decodes the text of a watch event; throws {@link PlatformException} for an ERROR. */
+    public WatchEvent decodeEvent(String collection, byte[] text) {
+        Map<String, JsonSlice> fields = JsonSlice.of(text).fields();
+        JsonSlice type = fields.get("type");
+        JsonSlice object = fields.get("object");
+        if (type == null || object == null) {
+            throw new IllegalArgumentException(
+                    "The platform sent an event without the fields 'type' and 'object'.");
+        }
+        String typeName = mReader.parse(type).asText();
+        if (typeName.equals("ERROR")) {
+            int code = mReader.parse(object).path("code").asInt();
             throw new PlatformException(
                     code == 410 ? PlatformFailure.GONE : PlatformFailure.UNAVAILABLE,
                     "The platform ended the watch of '" + collection + "' with code " + code + ".");
         }
-        return new WatchEvent(
-                WatchEventType.valueOf(type), decodeObject(collection, node.path("object")));
+        return new WatchEvent(WatchEventType.valueOf(typeName), mReader.read(collection, object));
     }
 
     /** Returns the resource version in the metadata, or 0 if there is none. */
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformFailure.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformFailure.java
@@ -9,6 +9,8 @@
     THROTTLED,
     /** The call failed or did not reach the platform; nothing was changed. */
     UNAVAILABLE,
+    /** The platform answered, but its answer cannot be read; asking again gets the same answer. */
+    UNREADABLE,
     /** The response was lost; the change may have taken effect, so the caller has to read again. */
     OUTCOME_UNKNOWN,
     /** No event arrived on a watch for too long; changes may have been missed. */
--- a/stand-ins/src/test/java/org/vanillaslip/internal/standins/platform/HttpObjectStoreTest.java
+++ b/stand-ins/src/test/java/org/vanillaslip/internal/standins/platform/HttpObjectStoreTest.java
@@ -187,7 +187,8 @@
                                 mCodec,
                                 RESPONSE_TIMEOUT,
                                 mScheduler,
-                                budget::pause),
+                                budget::pause,
+                                fault -> {}),
                         budget);
         assertThat(post("/faults", "{\"throttledCalls\":1,\"retryAfterSeconds\":3}"))
                 .isEqualTo(200);
