Limit the silence of long answers of the store, not their whole time

Cause: one time limit of 600 ms for the whole answer to any call. A list that needs longer began again at nothing for ever; a watch that was given up asked for more changes each time.

Fix: lists and watches have a limit of the time to the head and between parts; reads and writes (leases among them) keep their limit of the whole. Changes that arrive slowly and mostly replace each other are followed by one list, at once. The idle timeouts of the own interface's watch and of links between hosts count bytes, not whole messages.

--- a/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
@@ -210,7 +210,7 @@
                                     subscription.mBuffer.add(event);
                                     mRelay.scheduleForward();
                                 })
-                        .doOnError(error -> recordStoreAnswer(subscription, isPositionGone(error)))
+                        .doOnError(error -> recordStoreAnswer(subscription, isAnswer(error)))
                         .takeUntilOther(end.asMono())
                         .doFinally(
                                 signal -> {
@@ -227,11 +227,13 @@
     }
 
     /**
-     * Returns whether the platform answered that it no longer has the changes since the position.
+     * Returns whether the platform answered, and the collection is to be listed because the changes
+     * since the position are gone or take too long.
      */
-    private static boolean isPositionGone(Throwable error) {
-        return error instanceof PlatformException failure
-                && failure.failure() == PlatformFailure.GONE;
+    private static boolean isAnswer(Throwable error) {
+        return error instanceof PlatformException exception
+                && (exception.failure() == PlatformFailure.GONE
+                        || exception.failure() == PlatformFailure.BEHIND);
     }
 
     private Flux<WatchEvent> watchRelays(CollectionSubscription subscription) {
--- a/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/control/configuration/CollectionFollower.java
@@ -178,17 +178,17 @@
                 field("collection", mCollection),
                 field("position", mWatchPosition),
                 field("cause", String.valueOf(cause.getMessage())));
-        if (cause instanceof PlatformException failure
-                && failure.failure() == PlatformFailure.UNREADABLE) {
+        PlatformFailure failure =
+                cause instanceof PlatformException exception
+                        ? exception.failure()
+                        : PlatformFailure.UNAVAILABLE;
+        switch (failure) {
             // Resuming the watch would return the same answer again, so a list replaces it.
-            listAfterFault();
-        } else if (cause instanceof PlatformException failure
-                && failure.failure() == PlatformFailure.SILENT) {
-            // Lists without a delay: the silence used most of the time within which a change must
-            // be in force.
-            listThenWatch();
-        } else {
-            retry(this::watch);
+            case UNREADABLE -> listAfterFault();
+            // Lists without a delay: silence, or changes that arrived late, used most of the time
+            // within which a change must be in force.
+            case SILENT, BEHIND -> listThenWatch();
+            default -> retry(this::watch);
         }
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/fleet/HealthTrackingObjectStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/fleet/HealthTrackingObjectStore.java
@@ -134,7 +134,7 @@
 
     private static boolean isAnswer(PlatformFailure failure) {
         return switch (failure) {
-            case NOT_FOUND, CONFLICT, GONE, UNREADABLE -> true;
+            case NOT_FOUND, CONFLICT, GONE, UNREADABLE, BEHIND -> true;
             case THROTTLED, UNAVAILABLE, OUTCOME_UNKNOWN, SILENT -> false;
         };
     }
--- a/daemon/src/main/java/org/vanillaslip/internal/gateway/AttemptRunner.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/gateway/AttemptRunner.java
@@ -221,7 +221,8 @@
             case CONFLICT -> AttemptFailure.CONFLICT;
             case OUTCOME_UNKNOWN -> AttemptFailure.ANSWER_LOST;
             case NOT_FOUND -> AttemptFailure.MISSING;
-            case THROTTLED, UNAVAILABLE, SILENT, GONE, UNREADABLE -> AttemptFailure.UNREACHABLE;
+            case THROTTLED, UNAVAILABLE, SILENT, GONE, UNREADABLE, BEHIND ->
+                    AttemptFailure.UNREACHABLE;
         };
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
@@ -198,6 +198,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 PeerLink link = new PeerLink(channel, outboundAddress, mLoop.clock().nowNanos());
+                channel.pipeline().addLast(new ReadRecorder(link, mLoop.clock()));
                 channel.pipeline()
                         .addLast(new EnvelopeCodec(fault -> reportUnreadable(link, fault)));
                 channel.pipeline().addLast(new PeerMessageCounter(mTraffic));
@@ -294,7 +295,6 @@
 
     /** Handles a message received on the connection. */
     void onMessage(PeerLink link, Envelope message) {
-        link.recordMessage(mLoop.clock().nowNanos());
         if (link.peer().isEmpty() && !acceptPeer(link, message.getSender())) {
             return;
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/PeerLink.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/PeerLink.java
@@ -4,18 +4,20 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 
-/** A connection to another host. Only used on the decision loop. */
+/** A connection to another host. Used on the decision loop, except where stated. */
 final class PeerLink {
 
     private final Channel mChannel;
     private final Optional<InetSocketAddress> mOutboundAddress;
     private Optional<String> mPeer = Optional.empty();
-    private long mLastMessageNanos;
+
+    /** Time at which bytes of a message arrived; a long message takes a while. */
+    private volatile long mLastReadNanos;
 
     PeerLink(Channel channel, Optional<InetSocketAddress> outboundAddress, long nowNanos) {
         mChannel = channel;
         mOutboundAddress = outboundAddress;
-        mLastMessageNanos = nowNanos;
+        mLastReadNanos = nowNanos;
     }
 
     Channel channel() {
@@ -41,11 +43,12 @@
         mPeer = Optional.of(peer);
     }
 
-    void recordMessage(long nowNanos) {
-        mLastMessageNanos = nowNanos;
+    /** Records that bytes have arrived; may be called on any thread. */
+    void recordRead(long nowNanos) {
+        mLastReadNanos = nowNanos;
     }
 
     long silentNanos(long nowNanos) {
-        return nowNanos - mLastMessageNanos;
+        return nowNanos - mLastReadNanos;
     }
 }
--- a/daemon/src/test/java/org/vanillaslip/internal/control/configuration/CollectionFollowerTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/control/configuration/CollectionFollowerTest.java
@@ -14,6 +14,7 @@
 import org.vanillaslip.internal.logging.LogEvent;
 import org.vanillaslip.internal.platform.ObjectList;
 import org.vanillaslip.internal.platform.ObjectStore;
+import org.vanillaslip.internal.platform.PlatformException;
 import org.vanillaslip.internal.platform.PlatformFailure;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.platform.WatchEvent;
@@ -85,6 +86,30 @@
         assertThat(mStore.mLists).isBetween(3, 30);
     }
 
+    /** Guards against a watch that returns the same unreadable answer again and again. */
+    @Test
+    void aWatchWhoseAnswerIsUnreadableIsReplacedByAList() {
+        follow();
+        run(Duration.ofSeconds(1));
+        mStore.failWatch(PlatformFailure.UNREADABLE);
+        run(Duration.ofSeconds(1));
+        mStore.change("later");
+
+        assertThat(mListener.mListed).isEqualTo(2);
+        assertThat(mListener.mChanged).containsExactly("later");
+    }
+
+    /** Guards against a host on a slow link that reads every version that it has missed. */
+    @Test
+    void aWatchThatIsBehindIsReplacedByAListAtOnce() {
+        follow();
+        run(Duration.ofSeconds(1));
+        mStore.failWatch(PlatformFailure.BEHIND);
+        run(Duration.ZERO);
+
+        assertThat(mListener.mListed).isEqualTo(2);
+    }
+
     private void follow() {
         new CollectionFollower(
                         mStore,
@@ -129,7 +154,7 @@
 
     /** Answers lists at once and passes changes on to all watches. */
     private static final class OneCollectionStore implements ObjectStore {
-        private final Sinks.Many<WatchEvent> mChanges = Sinks.many().multicast().directBestEffort();
+        private Sinks.Many<WatchEvent> mChanges = Sinks.many().multicast().directBestEffort();
         private RuntimeException mListFailure;
         private long mRevision = 1;
         private int mLists;
@@ -142,6 +167,12 @@
                             new StoredObject(COLLECTION, name, ++mRevision, spec)));
         }
 
+        void failWatch(PlatformFailure failure) {
+            Sinks.Many<WatchEvent> failed = mChanges;
+            mChanges = Sinks.many().multicast().directBestEffort();
+            failed.tryEmitError(new PlatformException(failure, "failed"));
+        }
+
         @Override
         public Mono<Either<PlatformFailure, ObjectList>> list(String collection) {
             mLists++;
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -30,6 +30,7 @@
     private final HttpClient mClient;
     private final ObjectJsonCodec mJson;
     private final Duration mResponseTimeout;
+    private final AnswerTimeLimits mWhole;
     private final Scheduler mTimer;
     private final ObjectApiClient mApi;
 
@@ -80,6 +81,7 @@
                         .headers(headers -> headers.set("X-Failure-Domain", failureDomain));
         mJson = json;
         mResponseTimeout = responseTimeout;
+        mWhole = AnswerTimeLimits.ofWhole(responseTimeout);
         mTimer = timer;
         mApi =
                 new ObjectApiClient(
@@ -93,7 +95,8 @@
 
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
-        return call(HttpMethod.GET, path(collection, name), null, 0, objectDecoder(collection));
+        return call(
+                HttpMethod.GET, path(collection, name), null, 0, mWhole, objectDecoder(collection));
     }
 
     @Override
@@ -103,14 +106,16 @@
                 API_PATH + collection,
                 null,
                 0,
-                (response, era) -> mJson.decodeList(collection, response).inEra(era));
+                AnswerTimeLimits.ofSilence(mResponseTimeout, mResponseTimeout),
+                (response, era, time) -> mJson.decodeList(collection, response).inEra(era));
     }
 
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> create(
             String collection, String name, ObjectNode spec) {
         ObjectNode body = mJson.encode(new StoredObject(collection, name, 0, spec));
-        return call(HttpMethod.POST, API_PATH + collection, body, 0, objectDecoder(collection));
+        return call(
+                HttpMethod.POST, API_PATH + collection, body, 0, mWhole, objectDecoder(collection));
     }
 
     @Override
@@ -122,6 +127,7 @@
                 path(collection, name),
                 body,
                 expectedVersion,
+                mWhole,
                 objectDecoder(collection));
     }
 
@@ -135,6 +141,7 @@
                 path(collection, name),
                 body,
                 expectedVersion,
+                mWhole,
                 objectDecoder(collection));
     }
 
@@ -163,18 +170,16 @@
                                             ? content.asByteArray()
                                             : Flux.error(watchRejected(collection, response));
                                 });
-        Flux<WatchEvent> events =
-                Flux.defer(() -> chunks.concatMapIterable(newSplitter()::split))
-                        .map(line -> mJson.decodeEvent(collection, line).inEra(era.get()))
-                        .onErrorMap(
-                                IllegalArgumentException.class,
-                                cause -> watchFailed(collection, PlatformFailure.UNREADABLE, cause))
-                        .onErrorMap(
-                                cause -> !(cause instanceof PlatformException),
-                                cause ->
-                                        watchFailed(
-                                                collection, PlatformFailure.UNAVAILABLE, cause));
-        return WatchIdleTimeout.apply(events, mTimer);
+        // A long event on a slow link arrives in many chunks.
+        Flux<byte[]> live = WatchIdleTimeout.apply(chunks, mTimer);
+        return Flux.defer(() -> live.concatMapIterable(newSplitter()::split))
+                .map(line -> mJson.decodeEvent(collection, line).inEra(era.get()))
+                .onErrorMap(
+                        IllegalArgumentException.class,
+                        cause -> watchFailed(collection, PlatformFailure.UNREADABLE, cause))
+                .onErrorMap(
+                        cause -> !(cause instanceof PlatformException),
+                        cause -> watchFailed(collection, PlatformFailure.UNAVAILABLE, cause));
     }
 
     private static LineSplitter newSplitter() {
@@ -186,13 +191,14 @@
             String path,
             @Nullable ObjectNode body,
             long version,
+            AnswerTimeLimits limits,
             ObjectApiClient.Decoder<T> decoder) {
         byte[] bytes = body == null ? new byte[0] : mJson.toBytes(body);
-        return mApi.call(method, path, bytes, version, mResponseTimeout, decoder);
+        return mApi.call(method, path, bytes, version, limits, decoder);
     }
 
     private ObjectApiClient.Decoder<StoredObject> objectDecoder(String collection) {
-        return (response, era) -> mJson.decodeObject(collection, response).inEra(era);
+        return (response, era, time) -> mJson.decodeObject(collection, response).inEra(era);
     }
 
     private static PlatformException positionGone(String collection) {
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
@@ -5,8 +5,10 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.IntPredicate;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.http.client.HttpClient;
@@ -15,6 +17,8 @@
 /** Makes HTTP calls to the object API and classifies their failures. */
 public final class ObjectApiClient {
 
+    private static final byte[] NO_BYTES = new byte[0];
+
     private final HttpClient mClient;
     private final Scheduler mTimer;
     private final IntPredicate mNothingChangedStatus;
@@ -28,7 +32,13 @@
      */
     @FunctionalInterface
     public interface Decoder<T> {
-        T decode(byte[] body, long era);
+
+        /**
+         * Returns the decoded body.
+         *
+         * @param transferTime time from the head of the response to its end
+         */
+        T decode(byte[] body, long era, Duration transferTime);
     }
 
     /**
@@ -65,14 +75,14 @@
      * @param body body of the request, empty for a request without one
      * @param version version that the request names, 0 if none; in a later era of the store, its
      *     revision may belong to another change, so the call fails
-     * @param responseTimeout time after which the response is considered lost
+     * @param limits times after which the response is considered lost
      */
     public <T> Mono<Either<PlatformFailure, T>> call(
             HttpMethod method,
             String path,
             byte[] body,
             long version,
-            Duration responseTimeout,
+            AnswerTimeLimits limits,
             Decoder<T> decoder) {
         boolean isWrite = !method.equals(HttpMethod.GET);
         return Mono.defer(
@@ -81,25 +91,26 @@
                         return Mono.just(Either.left(failureInLaterEra(isWrite)));
                     }
                     AtomicBoolean sent = new AtomicBoolean();
-                    return mClient.doOnRequest((request, connection) -> sent.set(true))
-                            .headers(headers -> headers.set("Content-Type", "application/json"))
-                            .request(method)
-                            .uri(path)
-                            .send(
-                                    body.length == 0
-                                            ? Mono.empty()
-                                            : Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
-                            .responseSingle(
-                                    (response, content) ->
-                                            content.asByteArray()
-                                                    .defaultIfEmpty(new byte[0])
-                                                    .map(
-                                                            bytes ->
-                                                                    toResult(
-                                                                            response, bytes,
-                                                                            isWrite, version,
-                                                                            decoder)))
-                            .timeout(responseTimeout, mTimer)
+                    AtomicReference<HttpClientResponse> head = new AtomicReference<>();
+                    Flux<byte[]> parts =
+                            mClient.doOnRequest((request, connection) -> sent.set(true))
+                                    .headers(
+                                            headers ->
+                                                    headers.set("Content-Type", "application/json"))
+                                    .request(method)
+                                    .uri(path)
+                                    .send(
+                                            body.length == 0
+                                                    ? Mono.empty()
+                                                    : Mono.fromSupplier(
+                                                            () -> Unpooled.wrappedBuffer(body)))
+                                    .response(
+                                            (response, content) -> {
+                                                head.set(response);
+                                                return content.asByteArray().startWith(NO_BYTES);
+                                            });
+                    return AnswerBody.collect(parts, limits, mTimer)
+                            .map(answer -> toResult(head.get(), answer, isWrite, version, decoder))
                             .onErrorResume(
                                     cause ->
                                             Mono.just(
@@ -111,7 +122,7 @@
 
     private <T> Either<PlatformFailure, T> toResult(
             HttpClientResponse response,
-            byte[] bytes,
+            AnswerBody.Collected answer,
             boolean isWrite,
             long version,
             Decoder<T> decoder) {
@@ -124,7 +135,7 @@
             return Either.left(failureWithoutResponse(isWrite));
         }
         if (status >= 200 && status < 300) {
-            return decode(bytes, era, isWrite, decoder);
+            return decode(answer, era, isWrite, decoder);
         }
         PlatformFailure failure = failureOf(status);
         reportThrottling(response);
@@ -137,9 +148,9 @@
     }
 
     private <T> Either<PlatformFailure, T> decode(
-            byte[] bytes, long era, boolean isWrite, Decoder<T> decoder) {
+            AnswerBody.Collected answer, long era, boolean isWrite, Decoder<T> decoder) {
         try {
-            return Either.right(decoder.decode(bytes, era));
+            return Either.right(decoder.decode(answer.bytes(), era, answer.transferTime()));
         } catch (IllegalArgumentException malformed) {
             mUnreadableListener.accept(malformed);
             return Either.left(
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformFailure.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/PlatformFailure.java
@@ -11,6 +11,8 @@
     UNAVAILABLE,
     /** The platform answered, but its answer cannot be read; asking again gets the same answer. */
     UNREADABLE,
+    /** Changes are made faster than they arrive; a list is shorter than the changes. */
+    BEHIND,
     /** The response was lost; the change may have taken effect, so the caller has to read again. */
     OUTCOME_UNKNOWN,
     /** No event arrived on a watch for too long; changes may have been missed. */
