Bound what hosts keep in bytes, and end a process that has run out of heap

Cause: a host kept the last 512 changes of each collection as trees, 2 MB each, though only the last change of each object is ever sent. A watch answer with many versions was parsed into as many trees. The error of memory cost the event loop a task; the loop and readiness went on.

A process ends at an error of memory in its heap.

--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeBuffer.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeBuffer.java
@@ -1,21 +1,28 @@
 package org.vanillaslip.internal.changes;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.vanillaslip.internal.platform.WatchEvent;
-import org.vanillaslip.internal.platform.WatchEventType;
+import org.vanillaslip.messages.ObjectChange;
 
-/** The newest changes of one collection, without gaps. Confined to the decision loop. */
+/**
+ * The newest changes of one collection, without gaps, as they are sent to other hosts. Of each
+ * object only the last change is kept. Confined to the decision loop.
+ */
 final class ChangeBuffer {
 
-    /** Limits memory use; a host that is further behind lists the collection. */
+    /** Limits the changes of small objects; a host that is further behind lists the collection. */
     static final int MAX_CHANGES = 512;
 
-    private final Deque<WatchEvent> mChanges = new ArrayDeque<>();
+    /** Limits the changes of large objects: twice the platform's limit of one value. */
+    static final int MAX_BYTES = 2 << 20;
+
+    /** The last change of each object, the oldest first. */
+    private final Map<String, ObjectChange> mChanges = new LinkedHashMap<>();
+
+    private long mBytes;
     private long mDroppedUpTo;
     private long mPosition;
 
@@ -25,20 +32,32 @@
     void restartAt(long position) {
         if (position != mPosition) {
             mChanges.clear();
+            mBytes = 0;
             mDroppedUpTo = position;
             mPosition = position;
         }
     }
 
-    /** Adds a change, or a bookmark that only advances the position. */
-    void add(WatchEvent event) {
-        if (event.type() != WatchEventType.BOOKMARK) {
-            mChanges.add(event);
-            if (mChanges.size() > MAX_CHANGES) {
-                mDroppedUpTo = Math.max(mDroppedUpTo, mChanges.remove().object().version());
-            }
+    /** Adds a change. */
+    void add(ObjectChange change) {
+        String name = change.getObject().getName();
+        ObjectChange replaced = mChanges.remove(name);
+        mBytes +=
+                change.getSerializedSize() - (replaced == null ? 0 : replaced.getSerializedSize());
+        mChanges.put(name, change);
+        Iterator<ObjectChange> oldest = mChanges.values().iterator();
+        while (mChanges.size() > MAX_CHANGES || mBytes > MAX_BYTES) {
+            ObjectChange dropped = oldest.next();
+            oldest.remove();
+            mBytes -= dropped.getSerializedSize();
+            mDroppedUpTo = Math.max(mDroppedUpTo, dropped.getObject().getVersion());
         }
-        mPosition = Math.max(mPosition, event.object().version());
+        advanceTo(change.getObject().getVersion());
+    }
+
+    /** Records that there are no other changes up to the position. */
+    void advanceTo(long position) {
+        mPosition = Math.max(mPosition, position);
     }
 
     /** Returns the position up to which this buffer has received all changes. */
@@ -46,21 +65,22 @@
         return mPosition;
     }
 
+    /** Returns the bytes of the buffered changes. */
+    long bytes() {
+        return mBytes;
+    }
+
     /**
      * Returns the last change of each object after the position, or empty if some changes are no
      * longer buffered.
      */
-    Optional<List<WatchEvent>> changesAfter(long position) {
+    Optional<List<ObjectChange>> changesAfter(long position) {
         if (position < mDroppedUpTo) {
             return Optional.empty();
         }
-        Map<String, WatchEvent> lastChanges = new LinkedHashMap<>();
-        for (WatchEvent event : mChanges) {
-            if (event.object().version() > position) {
-                lastChanges.remove(event.object().name());
-                lastChanges.put(event.object().name(), event);
-            }
-        }
-        return Optional.of(List.copyOf(lastChanges.values()));
+        return Optional.of(
+                mChanges.values().stream()
+                        .filter(change -> change.getObject().getVersion() > position)
+                        .toList());
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ChangeRelay.java
@@ -7,12 +7,12 @@
 import java.util.concurrent.TimeUnit;
 import org.vanillaslip.internal.peer.PeerLinks;
 import org.vanillaslip.internal.peer.RelayNetwork;
-import org.vanillaslip.internal.platform.WatchEvent;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.messages.ChangeRange;
 import org.vanillaslip.messages.ChangesRequest;
 import org.vanillaslip.messages.CollectionChanges;
 import org.vanillaslip.messages.Envelope;
+import org.vanillaslip.messages.ObjectChange;
 import reactor.core.publisher.Mono;
 
 /** Forwards the changes that a relay has read to the hosts of its failure domain. */
@@ -21,8 +21,10 @@
     /** Changes that arrive within this time are forwarded in one message. */
     private static final Duration BATCH_DELAY = Duration.ofMillis(10);
 
+    /** Ranges of several collections go into one message up to this size. */
+    private static final int MAX_MESSAGE_BYTES = ChangeBuffer.MAX_BYTES;
+
     private final Map<String, CollectionSubscription> mSubscriptions;
-    private final ChangeCodec mCodec;
     private final RelayNetwork mNetwork;
     private final PeerLinks mLinks;
     private final DecisionLoop mLoop;
@@ -30,12 +32,10 @@
 
     ChangeRelay(
             Map<String, CollectionSubscription> subscriptions,
-            ChangeCodec codec,
             RelayNetwork network,
             PeerLinks links,
             DecisionLoop loop) {
         mSubscriptions = subscriptions;
-        mCodec = codec;
         mNetwork = network;
         mLinks = links;
         mLoop = loop;
@@ -61,12 +61,27 @@
     }
 
     private void send(CollectionChanges.Builder changes, List<String> hosts) {
-        if (changes.getRangesCount() > 0) {
-            Envelope.Builder message = Envelope.newBuilder().setCollectionChanges(changes);
-            hosts.forEach(host -> mLinks.send(host, message));
+        CollectionChanges.Builder part = CollectionChanges.newBuilder();
+        int bytes = 0;
+        for (ChangeRange range : changes.getRangesList()) {
+            if (bytes > 0 && bytes + range.getSerializedSize() > MAX_MESSAGE_BYTES) {
+                sendPart(part, hosts);
+                part = CollectionChanges.newBuilder();
+                bytes = 0;
+            }
+            part.addRanges(range);
+            bytes += range.getSerializedSize();
+        }
+        if (bytes > 0) {
+            sendPart(part, hosts);
         }
     }
 
+    private void sendPart(CollectionChanges.Builder changes, List<String> hosts) {
+        Envelope.Builder message = Envelope.newBuilder().setCollectionChanges(changes);
+        hosts.forEach(host -> mLinks.send(host, message));
+    }
+
     /** Schedules forwarding of the changes read since the last time. */
     void scheduleForward() {
         if (!mForwardScheduled) {
@@ -119,7 +134,7 @@
     private void addNewChanges(
             CollectionSubscription subscription, CollectionChanges.Builder changes) {
         long position = subscription.mBuffer.position();
-        List<WatchEvent> events =
+        List<ObjectChange> events =
                 position > subscription.mForwardedPosition
                         ? subscription
                                 .mBuffer
@@ -177,15 +192,14 @@
     }
 
     private ChangeRange toRange(
-            CollectionSubscription subscription, long after, List<WatchEvent> events) {
+            CollectionSubscription subscription, long after, List<ObjectChange> events) {
         ChangeRange.Builder range =
                 ChangeRange.newBuilder()
                         .setCollection(subscription.mCollection)
                         .setAfter(after)
                         .setPosition(subscription.mBuffer.position())
                         .setAgeMillis(ageMillis(subscription));
-        events.forEach(event -> range.addChanges(mCodec.encode(event)));
-        return range.build();
+        return range.addAllChanges(events).build();
     }
 
     /** Returns the time since the platform last answered this host, or the relay it follows. */
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/ReceivedChanges.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/ReceivedChanges.java
@@ -58,7 +58,7 @@
             return List.of();
         }
         List<WatchEvent> events = decode(subscription, range, position);
-        events.forEach(subscription.mBuffer::add);
+        subscription.mBuffer.advanceTo(range.getPosition());
         subscription.mReceivedPosition = range.getPosition();
         return events;
     }
@@ -82,6 +82,7 @@
         List<WatchEvent> events = new ArrayList<>();
         for (ObjectChange change : range.getChangesList()) {
             if (change.getObject().getVersion() > position) {
+                subscription.mBuffer.add(change);
                 events.add(mCodec.decode(subscription.mCollection, change));
             }
         }
--- a/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/changes/RelayedStore.java
@@ -22,6 +22,7 @@
 import org.vanillaslip.internal.platform.PlatformFailure;
 import org.vanillaslip.internal.platform.StoredObject;
 import org.vanillaslip.internal.platform.WatchEvent;
+import org.vanillaslip.internal.platform.WatchEventType;
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.messages.ChangeRange;
 import org.vanillaslip.messages.CollectionChanges;
@@ -54,6 +55,7 @@
     private final PeerLinks mLinks;
     private final DecisionLoop mLoop;
     private final EventLog mLog;
+    private final ChangeCodec mCodec = new ChangeCodec();
     private final ChangeRelay mRelay;
     private final ReceivedChanges mReceivedChanges;
     private final LongPolls mLongPolls;
@@ -97,9 +99,8 @@
         mLinks = links;
         mLoop = loop;
         mLog = log;
-        ChangeCodec codec = new ChangeCodec();
-        mRelay = new ChangeRelay(mSubscriptions, codec, network, links, loop);
-        mReceivedChanges = new ReceivedChanges(codec, links, loop);
+        mRelay = new ChangeRelay(mSubscriptions, network, links, loop);
+        mReceivedChanges = new ReceivedChanges(mCodec, links, loop);
         mLongPolls = new LongPolls(network, mRelay, loop, log);
         mRarelyChanging = Set.copyOf(rarelyChanging);
     }
@@ -207,7 +208,7 @@
                         .filter(subscription::isUnknown)
                         .doOnNext(
                                 event -> {
-                                    subscription.mBuffer.add(event);
+                                    buffer(subscription, event);
                                     mRelay.scheduleForward();
                                 })
                         .doOnError(error -> recordStoreAnswer(subscription, isAnswer(error)))
@@ -226,6 +227,14 @@
                 });
     }
 
+    private void buffer(CollectionSubscription subscription, WatchEvent event) {
+        if (event.type() == WatchEventType.BOOKMARK) {
+            subscription.mBuffer.advanceTo(event.object().version());
+        } else {
+            subscription.mBuffer.add(mCodec.encode(event));
+        }
+    }
+
     /**
      * Returns whether the platform answered, and the collection is to be listed because the changes
      * since the position are gone or take too long.
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/EnvelopeCodec.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/EnvelopeCodec.java
@@ -16,8 +16,8 @@
 /** Encodes and decodes messages that are preceded by their length as a varint. */
 final class EnvelopeCodec extends ByteToMessageCodec<Envelope> {
 
-    /** A platform object has at most 1 MB, and one message may contain several of them. */
-    private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
+    /** A message with changes has at most 2 MB, others have less. */
+    private static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
     private static final int MAX_VARINT_BYTES = 5;
 
--- a/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/peer/NettyPeerLinks.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.vanillaslip.Host;
 import org.vanillaslip.internal.logging.EventLog;
@@ -38,8 +39,11 @@
  */
 public final class NettyPeerLinks implements PeerLinks {
 
-    /** Limits the memory used by messages that a slow peer has not read yet. */
-    private static final int MAX_UNSENT_BYTES = 4 * 1024 * 1024;
+    /** A link with more unsent bytes than this takes no message. */
+    private static final int MAX_UNSENT_BYTES = 1024 * 1024;
+
+    /** Limits the memory used by messages that slow peers have not read yet, over all links. */
+    private static final int MAX_TOTAL_UNSENT_BYTES = 24 * 1024 * 1024;
 
     private static final int CONNECT_TIMEOUT_MILLIS = 2000;
 
@@ -61,6 +65,7 @@
     private final Map<String, PeerLink> mLinksByHost = new HashMap<>();
     private final Set<PeerLink> mOpenLinks = new HashSet<>();
     private final Set<InetSocketAddress> mConnecting = new HashSet<>();
+    private final AtomicLong mUnsentBytes = new AtomicLong();
     private volatile Optional<Channel> mServerChannel = Optional.empty();
     private volatile Optional<Disposable> mTickTask = Optional.empty();
     private volatile Optional<Disposable> mTrafficLogTask = Optional.empty();
@@ -344,7 +349,14 @@
         if (link == null || !link.channel().isWritable()) {
             return false;
         }
-        link.channel().writeAndFlush(message);
+        int bytes = message.getSerializedSize();
+        if (mUnsentBytes.addAndGet(bytes) > MAX_TOTAL_UNSENT_BYTES) {
+            mUnsentBytes.addAndGet(-bytes);
+            return false;
+        }
+        link.channel()
+                .writeAndFlush(message)
+                .addListener(written -> mUnsentBytes.addAndGet(-bytes));
         return true;
     }
 }
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BodyMemoryLimit.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BodyMemoryLimit.java
@@ -75,6 +75,12 @@
             return true;
         }
 
+        /** Reserves memory that is in use already, even if it exceeds the total limit. */
+        void hold(long bytes) {
+            mReservedBytes += bytes - mReserved;
+            mReserved = bytes;
+        }
+
         void release() {
             mReservedBytes -= mReserved;
             mReserved = 0;
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -36,11 +36,11 @@
     /** Short, because other hosts can serve the call immediately. */
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(50);
 
-    /** Heap for incomplete responses; a host has 160 MB for everything. */
+    /** Heap for responses that are incomplete or not written yet; a host has 160 MB for all. */
     private static final long MAX_RESPONSE_BYTES = 32L * 1024 * 1024;
 
-    /** Heap for the bodies of all calls that are not answered yet. */
-    private static final long MAX_REQUEST_BYTES = 40L * 1024 * 1024;
+    /** Heap for the heads and bodies of all calls that are not answered yet. */
+    private static final long MAX_REQUEST_BYTES = 42L * 1024 * 1024;
 
     private final BodyMemoryLimit mMemoryLimit = new BodyMemoryLimit(MAX_RESPONSE_BYTES);
     private final BodyMemoryLimit mRequestMemoryLimit = new BodyMemoryLimit(MAX_REQUEST_BYTES);
@@ -255,14 +255,20 @@
         return response.send(buffers, buffer -> true).then();
     }
 
-    private static Mono<Void> sendResponse(
+    private Mono<Void> sendResponse(
             HttpServerResponse response, HttpMethod method, BufferedResponse buffered) {
         copyHeaders(buffered.headers(), response.status(buffered.status()));
         if (method.equals(HttpMethod.HEAD)) {
             return response.send().then();
         }
         response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(buffered.body().length));
-        return response.sendByteArray(Mono.just(buffered.body())).then();
+        // A caller that reads slowly keeps the body in memory after the call has been answered.
+        BodyMemoryLimit.Reservation unwritten = mMemoryLimit.newReservation();
+        unwritten.hold(buffered.body().length);
+        OutboundBuffer outbound = OutboundBuffer.of(response);
+        return response.sendByteArray(Mono.just(buffered.body()))
+                .then()
+                .doFinally(signal -> outbound.whenWritten(unwritten::release));
     }
 
     /** Adds the headers; those already set by the HTTP server, which frame the body, are kept. */
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/RequestBody.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/RequestBody.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.Map;
 import org.vanillaslip.Refusal;
 import org.vanillaslip.ResultCode;
 import org.vanillaslip.internal.gateway.RefusedException;
@@ -10,7 +11,7 @@
 import reactor.netty.http.server.HttpServerRequest;
 
 /**
- * The body of a call while it is read. A body that does not fit into the memory of all calls is
+ * The body of a call while it is read. A call that does not fit into the memory of all calls is
  * read to its end without being kept, so that the caller gets the refusal.
  */
 final class RequestBody {
@@ -21,15 +22,21 @@
     /** First size of the buffer of a body whose length the caller does not state. */
     private static final int INITIAL_BYTES = 4096;
 
+    /** Objects that hold the name and the value of one header. */
+    private static final int HEADER_OVERHEAD_BYTES = 150;
+
     private final BodyMemoryLimit.Reservation mMemory;
+    private final int mHeadBytes;
     private final int mMaxBytes;
     private byte[] mBytes = new byte[0];
     private int mSize;
     private boolean mDiscarded;
 
-    private RequestBody(BodyMemoryLimit.Reservation memory, int maxBytes) {
+    private RequestBody(BodyMemoryLimit.Reservation memory, int headBytes, int maxBytes) {
         mMemory = memory;
+        mHeadBytes = headBytes;
         mMaxBytes = maxBytes;
+        mDiscarded = !memory.resize(headBytes);
     }
 
     /**
@@ -49,11 +56,20 @@
                 .asByteArray()
                 .doOnNext(digest::add)
                 .collect(
-                        () -> new RequestBody(memory, maxBytes),
+                        () -> new RequestBody(memory, headBytes(request), maxBytes),
                         (body, chunk) -> body.add(chunk, statedBytes))
                 .map(RequestBody::bytes);
     }
 
+    /** Returns about as many bytes as the head takes while its call is active. */
+    private static int headBytes(HttpServerRequest request) {
+        int bytes = request.uri().length();
+        for (Map.Entry<String, String> header : request.requestHeaders()) {
+            bytes += header.getKey().length() + header.getValue().length() + HEADER_OVERHEAD_BYTES;
+        }
+        return bytes;
+    }
+
     private void add(byte[] chunk, int statedBytes) {
         int size = mSize + chunk.length;
         if (size > mMaxBytes) {
@@ -71,7 +87,7 @@
 
     private void grow(int capacity) {
         int bounded = Math.min(capacity, mMaxBytes);
-        mDiscarded = !mMemory.resize(bounded);
+        mDiscarded = !mMemory.resize((long) mHeadBytes + bounded);
         if (mDiscarded) {
             mMemory.release();
         }
--- a/daemon/src/test/java/org/vanillaslip/internal/relay/BodyMemoryLimitTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/relay/BodyMemoryLimitTest.java
@@ -46,6 +46,21 @@
         assertThat(mMemoryLimit.reservedBytes()).isZero();
     }
 
+    /** Guards against bodies that slow callers keep in memory and no limit counts. */
+    @Test
+    void responsesThatAreNotWrittenYetCountAgainstTheLimit() {
+        List<String> failed = new ArrayList<>();
+        BodyMemoryLimit.Reservation unwritten = mMemoryLimit.newReservation();
+        unwritten.hold(MAX_BYTES + 100);
+        collect(Flux.just(new byte[100]), failed);
+        assertThat(failed).hasSize(1);
+        unwritten.release();
+        collect(Flux.just(new byte[100]), failed);
+
+        assertThat(failed).hasSize(1);
+        assertThat(mMemoryLimit.reservedBytes()).isZero();
+    }
+
     @Test
     void aCancelledCallReleasesItsMemory() {
         Sinks.Many<byte[]> server = Sinks.many().unicast().onBackpressureBuffer();
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/AnswerBody.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/AnswerBody.java
@@ -20,13 +20,15 @@
     /** Time in which an answer may be slower, such as after packets were lost. */
     private static final Duration SLOW_TIME = Duration.ofSeconds(5);
 
-    /** The body, and the time from the head to the end of the answer. */
+    /** Far above the page of a list, which has at most 500 objects or about 1 MB. */
+    static final int MAX_BYTES = 4 << 20;
+
+    /** The body, and the time from its first part to its end. */
     record Collected(byte[] bytes, Duration transferTime) {}
 
     private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
     private final Scheduler mTimer;
-    private long mHeadNanos;
-    private boolean mHeadReceived;
+    private long mFirstPartNanos;
 
     private AnswerBody(Scheduler timer) {
         mTimer = timer;
@@ -39,18 +41,35 @@
      */
     static Mono<Collected> collect(Flux<byte[]> parts, AnswerTimeLimits limits, Scheduler timer) {
         Mono<Collected> collected =
-                parts.timeout(
-                                Mono.delay(limits.head(), timer),
-                                part -> Mono.delay(limits.silence(), timer))
-                        .collect(() -> new AnswerBody(timer), AnswerBody::add)
-                        .map(AnswerBody::finish);
+                Mono.defer(
+                        () -> {
+                            long startNanos = timer.now(TimeUnit.NANOSECONDS);
+                            AnswerBody body = new AnswerBody(timer);
+                            return parts.timeout(
+                                            Mono.delay(limits.firstPart(), timer),
+                                            part ->
+                                                    Mono.delay(
+                                                            part.length > 0
+                                                                    ? limits.silence()
+                                                                    : body.rest(limits, startNanos),
+                                                            timer))
+                                    .doOnNext(body::add)
+                                    .then(Mono.fromSupplier(body::finish));
+                        });
         return limits.whole().map(whole -> collected.timeout(whole, timer)).orElse(collected);
     }
 
+    /** Returns the time left for the first part of the body. */
+    private Duration rest(AnswerTimeLimits limits, long startNanos) {
+        return limits.firstPart().minusNanos(mTimer.now(TimeUnit.NANOSECONDS) - startNanos);
+    }
+
     private void add(byte[] part) {
-        if (!mHeadReceived) {
-            mHeadReceived = true;
-            mHeadNanos = mTimer.now(TimeUnit.NANOSECONDS);
+        if (mBytes.size() == 0) {
+            mFirstPartNanos = mTimer.now(TimeUnit.NANOSECONDS);
+        }
+        if (mBytes.size() + part.length > MAX_BYTES) {
+            throw new AnswerTooLongException();
         }
         mBytes.writeBytes(part);
         Duration allowed = SLOW_TIME.plusMillis(mBytes.size() * 1000L / MIN_BYTES_PER_SECOND);
@@ -64,7 +83,16 @@
     }
 
     private Duration transferTime() {
-        return Duration.ofNanos(mTimer.now(TimeUnit.NANOSECONDS) - mHeadNanos);
+        return Duration.ofNanos(mTimer.now(TimeUnit.NANOSECONDS) - mFirstPartNanos);
+    }
+
+    /** Signals an answer that would take too much memory. */
+    static final class AnswerTooLongException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        AnswerTooLongException() {
+            super("The answer is longer than " + MAX_BYTES + " bytes.");
+        }
     }
 
     /** Signals an answer that arrives too slowly to be of use. */
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/AnswerTimeLimits.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/AnswerTimeLimits.java
@@ -6,12 +6,13 @@
 /**
  * Time limits of the answer to a call.
  *
- * @param head time from the request to the head of the answer
- * @param silence time between two parts of the answer
+ * @param firstPart time from the request to the first part of the body; a store may send the head
+ *     while it waits for changes
+ * @param silence time between two parts of the body
  * @param whole time from the request to the end of the answer; empty for answers of any length,
  *     which take as long as their link needs
  */
-public record AnswerTimeLimits(Duration head, Duration silence, Optional<Duration> whole) {
+public record AnswerTimeLimits(Duration firstPart, Duration silence, Optional<Duration> whole) {
 
     /** Returns the limits of an answer that is short on any link. */
     public static AnswerTimeLimits ofWhole(Duration whole) {
@@ -19,7 +20,7 @@
     }
 
     /** Returns the limits of an answer whose length is unknown. */
-    public static AnswerTimeLimits ofSilence(Duration head, Duration silence) {
-        return new AnswerTimeLimits(head, silence, Optional.empty());
+    public static AnswerTimeLimits ofSilence(Duration firstPart, Duration silence) {
+        return new AnswerTimeLimits(firstPart, silence, Optional.empty());
     }
 }
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -72,7 +72,7 @@
             Duration responseTimeout,
             Scheduler timer,
             Consumer<Duration> throttleListener,
-            Consumer<IllegalArgumentException> unreadableListener) {
+            Consumer<RuntimeException> unreadableListener) {
         // The HTTP client must not retry: only the caller knows whether a call may be repeated.
         mClient =
                 FinalStatusCheck.addTo(client)
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
@@ -23,7 +23,7 @@
     private final Scheduler mTimer;
     private final IntPredicate mNothingChangedStatus;
     private final Consumer<Duration> mThrottleListener;
-    private final Consumer<IllegalArgumentException> mUnreadableListener;
+    private final Consumer<RuntimeException> mUnreadableListener;
     private final StoreEra mEra;
 
     /**
@@ -36,7 +36,7 @@
         /**
          * Returns the decoded body.
          *
-         * @param transferTime time from the head of the response to its end
+         * @param transferTime time from the first part of the body to its end
          */
         T decode(byte[] body, long era, Duration transferTime);
     }
@@ -55,7 +55,7 @@
             String eraHeader,
             IntPredicate nothingChangedStatus,
             Consumer<Duration> throttleListener,
-            Consumer<IllegalArgumentException> unreadableListener) {
+            Consumer<RuntimeException> unreadableListener) {
         mClient = client;
         mTimer = timer;
         mNothingChangedStatus = nothingChangedStatus;
@@ -111,6 +111,9 @@
                                             });
                     return AnswerBody.collect(parts, limits, mTimer)
                             .map(answer -> toResult(head.get(), answer, isWrite, version, decoder))
+                            .onErrorResume(
+                                    AnswerBody.AnswerTooLongException.class,
+                                    tooLong -> Mono.just(unreadable(tooLong, isWrite)))
                             .onErrorResume(
                                     cause ->
                                             Mono.just(
@@ -152,12 +155,15 @@
         try {
             return Either.right(decoder.decode(answer.bytes(), era, answer.transferTime()));
         } catch (IllegalArgumentException malformed) {
-            mUnreadableListener.accept(malformed);
-            return Either.left(
-                    isWrite ? PlatformFailure.OUTCOME_UNKNOWN : PlatformFailure.UNREADABLE);
+            return unreadable(malformed, isWrite);
         }
     }
 
+    private <T> Either<PlatformFailure, T> unreadable(RuntimeException fault, boolean isWrite) {
+        mUnreadableListener.accept(fault);
+        return Either.left(isWrite ? PlatformFailure.OUTCOME_UNKNOWN : PlatformFailure.UNREADABLE);
+    }
+
     /** Passes the Retry-After time of a throttled call to the listener. */
     void reportThrottling(HttpClientResponse response) {
         if (failureOf(response.status().code()) == PlatformFailure.THROTTLED) {
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/StoredObjectReader.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/StoredObjectReader.java
@@ -49,6 +49,14 @@
                 faults.isEmpty() ? Optional.empty() : Optional.of(limit(faults.toString())));
     }
 
+    /** Returns the name of an object, or an empty one if it has none. */
+    public String name(JsonSlice object) {
+        List<String> ignored = new ArrayList<>();
+        Map<String, JsonSlice> fields = fields(object, "object", ignored);
+        JsonSlice metadata = fields.getOrDefault("metadata", EMPTY_OBJECT);
+        return name(fields(metadata, "metadata", ignored).get("name"), ignored);
+    }
+
     /** Returns a field with an integer, or throws if there is none. */
     public long requiredVersion(Map<String, JsonSlice> fields, String field) {
         List<String> faults = new ArrayList<>();
--- a/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/JavaProcess.java
+++ b/proofs/src/main/java/org/vanillaslip/internal/proofs/processes/JavaProcess.java
@@ -37,6 +37,7 @@
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.add("-Xmx" + heapLimit);
         command.add("-XX:+UseSerialGC");
+        command.add("-XX:+ExitOnOutOfMemoryError");
         // Same as in deploy/system.toml; C2 compilation does not pay off in short-lived processes.
         command.add("-XX:TieredStopAtLevel=1");
         command.add("-Xss256k");
