Take the end of a response without a length from an orderly end alone

Cause: the write of the request met the reset and closed the channel, and the codec ends a response without a length whenever its channel closes. The relay only asked whether the server still accepts connections.

Fix: ResponseEndCheck fails a response that ends with its connection unless the request was written to its end and no read or write failed; all sends to servers share it. A transfer coding other than chunks is no framing. Responses with a length or chunks pass as before, also early ones.

--- a/daemon/src/main/java/org/vanillaslip/internal/backend/forward/BackendClientFactory.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/backend/forward/BackendClientFactory.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.vanillaslip.BackendServer;
 import org.vanillaslip.internal.http.FinalStatusCheck;
+import org.vanillaslip.internal.http.ResponseEndCheck;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 
@@ -18,7 +19,12 @@
     private BackendClientFactory() {}
 
     static HttpClient create(BackendServer server, Runnable onSent) {
-        return FinalStatusCheck.addTo(HttpClient.create(ConnectionProvider.newConnection()))
+        return HttpClient.create(ConnectionProvider.newConnection())
+                .doOnChannelInit(
+                        (observer, channel, address) -> {
+                            FinalStatusCheck.add(channel);
+                            ResponseEndCheck.add(channel);
+                        })
                 .disableRetry(true)
                 .followRedirect(false)
                 .option(
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BackendRequestSender.java
@@ -13,6 +13,7 @@
 import java.util.function.BiFunction;
 import org.reactivestreams.Publisher;
 import org.vanillaslip.internal.http.FinalStatusCheck;
+import org.vanillaslip.internal.http.ResponseEndCheck;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
@@ -55,6 +56,7 @@
                                 (observer, channel, address) -> {
                                     ResponseHeadLimit.add(channel);
                                     FinalStatusCheck.add(channel);
+                                    ResponseEndCheck.add(channel);
                                 });
     }
 
--- a/daemon/src/main/java/org/vanillaslip/internal/relay/BodyFraming.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/BodyFraming.java
@@ -1,6 +1,7 @@
 package org.vanillaslip.internal.relay;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 
 /** How a response shows the end of its body. */
@@ -11,7 +12,9 @@
     CONNECTION_END;
 
     static BodyFraming of(HttpHeaders responseHeaders) {
-        if (responseHeaders.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+        // Of the transfer codings, only this one shows the end of a body.
+        if (responseHeaders.containsValue(
+                HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true)) {
             return CHUNKED;
         }
         return responseHeaders.contains(HttpHeaderNames.CONTENT_LENGTH) ? LENGTH : CONNECTION_END;
