Treat a caller found gone before the send as one that left, not as an internal error

Cause: CallerConnection.requireOpen finds the channel closed before the HTTP server has cancelled the call; CallRelay.fail knew only the library's AbortedException for a caller that has left.

Evidence: DisconnectedCallersTest.callersThatLeaveAtOnceCauseNoInternalError, 3,000 callers that leave 0 to 5 ms after their request, failed on (1 of 1 run) and passes now (1 of 1).

Fix: both exceptions mean that the caller has left: event 563 or its like, a refund, no answer.

--- a/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/relay/CallRelay.java
@@ -277,7 +277,8 @@
     }
 
     private Mono<Void> fail(HttpServerResponse response, RelayCall call, Throwable error) {
-        if (error instanceof AbortedException) {
+        // The caller's channel may be found closed before the HTTP server cancels the call.
+        if (error instanceof AbortedException || error instanceof CallerDisconnectedException) {
             recordCallerDisconnected(call);
             return Mono.empty();
         }
