--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -172,7 +172,7 @@
                         fault ->
                                 log.log(
                                         ConfigurationEvent.ANSWER_UNREADABLE,
-                                        field("fault", fault.getMessage())));
+                                        field("fault", String.valueOf(fault.getMessage()))));
         return new BudgetedObjectStore(store, budget);
     }
 
