Let lists of the own interface be as long as the largest configuration

Cause: the bound of 4 MB for an answer of the store fits the pages of the users' platform. The own interface's store lists a collection in one answer, and the configuration of the design size has several megabytes (docs/CAPACITY.md), so such a list would never be read.

--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/AnswerBody.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/AnswerBody.java
@@ -20,17 +20,16 @@
     /** Time in which an answer may be slower, such as after packets were lost. */
     private static final Duration SLOW_TIME = Duration.ofSeconds(5);
 
-    /** Far above the page of a list, which has at most 500 objects or about 1 MB. */
-    static final int MAX_BYTES = 4 << 20;
-
     /** The body, and the time from its first part to its end. */
     record Collected(byte[] bytes, Duration transferTime) {}
 
     private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
+    private final int mMaxBytes;
     private final Scheduler mTimer;
     private long mFirstPartNanos;
 
-    private AnswerBody(Scheduler timer) {
+    private AnswerBody(int maxBytes, Scheduler timer) {
+        mMaxBytes = maxBytes;
         mTimer = timer;
     }
 
@@ -38,13 +37,15 @@
      * Returns the body, or signals {@link TimeoutException} if a limit is exceeded.
      *
      * @param parts an empty part when the head arrives, then the parts of the body
+     * @param maxBytes length above which {@link AnswerTooLongException} is signalled
      */
-    static Mono<Collected> collect(Flux<byte[]> parts, AnswerTimeLimits limits, Scheduler timer) {
+    static Mono<Collected> collect(
+            Flux<byte[]> parts, AnswerTimeLimits limits, int maxBytes, Scheduler timer) {
         Mono<Collected> collected =
                 Mono.defer(
                         () -> {
                             long startNanos = timer.now(TimeUnit.NANOSECONDS);
-                            AnswerBody body = new AnswerBody(timer);
+                            AnswerBody body = new AnswerBody(maxBytes, timer);
                             return parts.timeout(
                                             Mono.delay(limits.firstPart(), timer),
                                             part ->
@@ -68,8 +69,8 @@
         if (mBytes.size() == 0) {
             mFirstPartNanos = mTimer.now(TimeUnit.NANOSECONDS);
         }
-        if (mBytes.size() + part.length > MAX_BYTES) {
-            throw new AnswerTooLongException();
+        if (mBytes.size() + part.length > mMaxBytes) {
+            throw new AnswerTooLongException(mMaxBytes);
         }
         mBytes.writeBytes(part);
         Duration allowed = SLOW_TIME.plusMillis(mBytes.size() * 1000L / MIN_BYTES_PER_SECOND);
@@ -90,8 +91,8 @@
     static final class AnswerTooLongException extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
-        AnswerTooLongException() {
-            super("The answer is longer than " + MAX_BYTES + " bytes.");
+        AnswerTooLongException(int maxBytes) {
+            super("The answer is longer than " + maxBytes + " bytes.");
         }
     }
 
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/HttpObjectStore.java
@@ -27,6 +27,9 @@
     /** The platform limits values to 1 MB; JSON escapes make an event longer than its value. */
     private static final int MAX_EVENT_BYTES = 2 << 20;
 
+    /** A list is one answer; the configuration of the largest deployment has a few megabytes. */
+    private static final int MAX_LIST_BYTES = 32 << 20;
+
     private final HttpClient mClient;
     private final ObjectJsonCodec mJson;
     private final Duration mResponseTimeout;
@@ -86,6 +89,7 @@
         mApi =
                 new ObjectApiClient(
                         mClient,
+                        MAX_LIST_BYTES,
                         timer,
                         ERA_HEADER,
                         status -> false,
--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
@@ -20,6 +20,7 @@
     private static final byte[] NO_BYTES = new byte[0];
 
     private final HttpClient mClient;
+    private final int mMaxAnswerBytes;
     private final Scheduler mTimer;
     private final IntPredicate mNothingChangedStatus;
     private final Consumer<Duration> mThrottleListener;
@@ -44,6 +45,7 @@
     /**
      * Creates an API client on the given HTTP client, which must not retry calls.
      *
+     * @param maxAnswerBytes length above which an answer is not read
      * @param eraHeader header of responses that names the era of the store's revisions
      * @param nothingChangedStatus accepts the 5xx statuses that guarantee that nothing was changed
      * @param throttleListener receives the time for which the platform requests no further calls
@@ -51,12 +53,14 @@
      */
     public ObjectApiClient(
             HttpClient client,
+            int maxAnswerBytes,
             Scheduler timer,
             String eraHeader,
             IntPredicate nothingChangedStatus,
             Consumer<Duration> throttleListener,
             Consumer<RuntimeException> unreadableListener) {
         mClient = client;
+        mMaxAnswerBytes = maxAnswerBytes;
         mTimer = timer;
         mNothingChangedStatus = nothingChangedStatus;
         mThrottleListener = throttleListener;
@@ -109,7 +113,7 @@
                                                 head.set(response);
                                                 return content.asByteArray().startWith(NO_BYTES);
                                             });
-                    return AnswerBody.collect(parts, limits, mTimer)
+                    return AnswerBody.collect(parts, limits, mMaxAnswerBytes, mTimer)
                             .map(answer -> toResult(head.get(), answer, isWrite, version, decoder))
                             .onErrorResume(
                                     AnswerBody.AnswerTooLongException.class,
