--- a/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
+++ b/platform-client/src/main/java/org/vanillaslip/internal/platform/ObjectApiClient.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -114,7 +115,14 @@
                                                 return content.asByteArray().startWith(NO_BYTES);
                                             });
                     return AnswerBody.collect(parts, limits, mMaxAnswerBytes, mTimer)
-                            .map(answer -> toResult(head.get(), answer, isWrite, version, decoder))
+                            .map(
+                                    answer ->
+                                            toResult(
+                                                    Objects.requireNonNull(head.get()),
+                                                    answer,
+                                                    isWrite,
+                                                    version,
+                                                    decoder))
                             .onErrorResume(
                                     AnswerBody.AnswerTooLongException.class,
                                     tooLong -> Mono.just(unreadable(tooLong, isWrite)))
