End the watch of the share tables when a host stops

No caller is affected.

Cause: ShareTableController had no end. Daemon.stop closes the decision loop while the controller still watches the tables; the next change is rejected by the loop, the failure schedules a new list on the same loop, and that is rejected as well.

Hypotheses: the watch survives the stop (confirmed by the test), or the loop closes before what has to run at a stop (ruled out: leases and borrowed tokens are released before).

Fix: start() returns a handle, as the followers of other collections do, and Daemon ends it with its other subscriptions. It ends the watch, a list or the delay before it, a write and the periodic task.

Tests, both failing on the code before (2 of 2): SharesAndSlotsTest.aStoppedControllerNoLongerWatchesTheTables and aControllerThatIsStoppedAfterItsWatchEndedDoesNotWatchAgain.

The daemon on the users' platform has no share tables and is not changed.

--- a/daemon/src/main/java/org/vanillaslip/internal/quota/ShareTableController.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/quota/ShareTableController.java
@@ -30,6 +30,8 @@
 import org.vanillaslip.internal.runtime.DecisionLoop;
 import org.vanillaslip.messages.Envelope;
 import org.vanillaslip.messages.ShareConfirmation;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
 
 /**
@@ -63,6 +65,11 @@
     private final ShareTables mTables = new ShareTables();
     private final Map<String, Long> mUnlistedSince = new HashMap<>();
     private final Map<String, Long> mConfirmedGenerations = new HashMap<>();
+    private final Disposable.Swap mCall = Disposables.swap();
+    private final Disposable.Swap mRetry = Disposables.swap();
+    private final Disposable.Swap mWrite = Disposables.swap();
+    private final Disposable.Composite mSubscriptions =
+            Disposables.composite(mCall, mRetry, mWrite);
     private BooleanSupplier mFitsShare = () -> false;
     private boolean mWriteInProgress;
     private boolean mTablesCurrent;
@@ -94,17 +101,20 @@
     }
 
     /**
-     * Starts watching the tables.
+     * Starts watching the tables; the returned handle stops it.
      *
      * @param fitsShare whether all tokens that this host has lent fit into its current share
      */
-    public void start(BooleanSupplier fitsShare) {
+    public Disposable start(BooleanSupplier fitsShare) {
         mFitsShare = fitsShare;
         mLastTickAt = mLoop.clock().nowNanos();
         mLinks.handle(Envelope.BodyCase.SHARE_CONFIRMATION, this::recordConfirmation);
-        mLoop.scheduler().schedule(this::listAndWatch);
-        mLoop.scheduler()
-                .schedulePeriodically(this::tick, 0, TICK_INTERVAL.toNanos(), TimeUnit.NANOSECONDS);
+        mSubscriptions.add(mLoop.scheduler().schedule(this::listAndWatch));
+        mSubscriptions.add(
+                mLoop.scheduler()
+                        .schedulePeriodically(
+                                this::tick, 0, TICK_INTERVAL.toNanos(), TimeUnit.NANOSECONDS));
+        return mSubscriptions;
     }
 
     @Override
@@ -128,13 +138,14 @@
 
     private void listAndWatch() {
         int round = ++mWatchRound;
-        mStore.list(ShareTables.COLLECTION)
-                .publishOn(mLoop.scheduler())
-                .subscribe(
-                        list ->
-                                list.peek(found -> applyListAndWatch(found, round))
-                                        .peekLeft(this::handleListFailure),
-                        failure -> scheduleListAndWatch(round));
+        mCall.update(
+                mStore.list(ShareTables.COLLECTION)
+                        .publishOn(mLoop.scheduler())
+                        .subscribe(
+                                list ->
+                                        list.peek(found -> applyListAndWatch(found, round))
+                                                .peekLeft(this::handleListFailure),
+                                failure -> scheduleListAndWatch(round)));
     }
 
     private void applyListAndWatch(ObjectList list, int round) {
@@ -143,17 +154,18 @@
         }
         list.objects().forEach(this::apply);
         mTablesCurrent = true;
-        mStore.watch(ShareTables.COLLECTION, list.version())
-                .publishOn(mLoop.scheduler())
-                .takeWhile(event -> round == mWatchRound)
-                .subscribe(
-                        event -> {
-                            if (!event.object().name().isEmpty()) {
-                                apply(event.object());
-                            }
-                        },
-                        failure -> scheduleListAndWatch(round),
-                        () -> scheduleListAndWatch(round));
+        mCall.update(
+                mStore.watch(ShareTables.COLLECTION, list.version())
+                        .publishOn(mLoop.scheduler())
+                        .takeWhile(event -> round == mWatchRound)
+                        .subscribe(
+                                event -> {
+                                    if (!event.object().name().isEmpty()) {
+                                        apply(event.object());
+                                    }
+                                },
+                                failure -> scheduleListAndWatch(round),
+                                () -> scheduleListAndWatch(round)));
     }
 
     private void handleListFailure(PlatformFailure failure) {
@@ -164,15 +176,16 @@
     /** Lists again after 1 to 3 s, so that not all hosts call the store at once after an outage. */
     private void scheduleListAndWatch(int round) {
         long delay = 1000L + mRandom.nextInt(2000);
-        mLoop.scheduler()
-                .schedule(
-                        () -> {
-                            if (round == mWatchRound) {
-                                listAndWatch();
-                            }
-                        },
-                        delay,
-                        TimeUnit.MILLISECONDS);
+        mRetry.update(
+                mLoop.scheduler()
+                        .schedule(
+                                () -> {
+                                    if (round == mWatchRound) {
+                                        listAndWatch();
+                                    }
+                                },
+                                delay,
+                                TimeUnit.MILLISECONDS));
     }
 
     private void apply(StoredObject object) {
@@ -297,9 +310,10 @@
                         ? mStore.create(ShareTables.COLLECTION, name, spec)
                         : mStore.update(ShareTables.COLLECTION, name, version, spec);
         mWriteInProgress = true;
-        written.onErrorReturn(Either.left(PlatformFailure.OUTCOME_UNKNOWN))
-                .publishOn(mLoop.scheduler())
-                .subscribe(result -> handleWriteResult(name, result));
+        mWrite.update(
+                written.onErrorReturn(Either.left(PlatformFailure.OUTCOME_UNKNOWN))
+                        .publishOn(mLoop.scheduler())
+                        .subscribe(result -> handleWriteResult(name, result)));
     }
 
     private void handleWriteResult(String name, Either<PlatformFailure, StoredObject> result) {
--- a/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
+++ b/daemon/src/main/java/org/vanillaslip/internal/runtime/Daemon.java
@@ -125,7 +125,7 @@
         mSubscriptions.add(mConfiguration.start());
         mSubscriptions.add(mConfigurationExchange.start());
         mPlacement.start();
-        mShares.start(mQuota::fitsShare);
+        mSubscriptions.add(mShares.start(mQuota::fitsShare));
         mQuota.start();
         mSlots.start();
         mPeerLinks.start().block(START_TIMEOUT);
--- a/daemon/src/test/java/org/vanillaslip/internal/quota/FaultyMemoryStore.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/FaultyMemoryStore.java
@@ -33,6 +33,14 @@
         return mWriteCount;
     }
 
+    boolean isWatched() {
+        return mEvents.currentSubscriberCount() > 0;
+    }
+
+    void endWatches() {
+        replaceEvents().tryEmitComplete();
+    }
+
     @Override
     public Mono<Either<PlatformFailure, StoredObject>> read(String collection, String name) {
         return Mono.just(Either.right(mObjects.get(name)));
--- a/daemon/src/test/java/org/vanillaslip/internal/quota/SharesAndSlotsTest.java
+++ b/daemon/src/test/java/org/vanillaslip/internal/quota/SharesAndSlotsTest.java
@@ -22,6 +22,7 @@
 import org.vanillaslip.internal.control.ServerLoad;
 import org.vanillaslip.internal.gateway.Slot;
 import org.vanillaslip.internal.peer.FakePeerNetwork;
+import reactor.core.Disposable;
 
 /** Guards against shares used by two hosts at once, and against slots granted beyond the limit. */
 class SharesAndSlotsTest {
@@ -85,6 +86,33 @@
         assertThat(mStore.writeCount()).isLessThan(25);
     }
 
+    /** A host that had stopped logged an error when the next change of a table arrived. */
+    @Test
+    void aStoppedControllerNoLongerWatchesTheTables() {
+        setListedHosts("one");
+        Disposable controller = startController("one");
+        mNetwork.advanceTime(Duration.ofSeconds(5));
+        boolean watched = mStore.isWatched();
+        controller.dispose();
+
+        assertThat(watched).isTrue();
+        assertThat(mStore.isWatched()).isFalse();
+    }
+
+    /** The mirror of it: the watch had ended, and the controller was about to list again. */
+    @Test
+    void aControllerThatIsStoppedAfterItsWatchEndedDoesNotWatchAgain() {
+        setListedHosts("one");
+        Disposable controller = startController("one");
+        mNetwork.advanceTime(Duration.ofSeconds(5));
+        mStore.endWatches();
+        mNetwork.advanceTime(Duration.ofMillis(100));
+        controller.dispose();
+        mNetwork.advanceTime(Duration.ofSeconds(5));
+
+        assertThat(mStore.isWatched()).isFalse();
+    }
+
     private void checkSharesEverySecond(int seconds) {
         for (int i = 0; i < seconds; i++) {
             mNetwork.advanceTime(Duration.ofSeconds(1));
@@ -173,7 +201,7 @@
         return mControllers.get(host).ownParts();
     }
 
-    private void startController(String host) {
+    private Disposable startController(String host) {
         ShareTableController controller =
                 new ShareTableController(
                         host,
@@ -186,7 +214,7 @@
                         mNetwork.addHost(host),
                         mRandom,
                         (event, fields) -> {});
-        controller.start(() -> true);
         mControllers.put(host, controller);
+        return controller.start(() -> true);
     }
 }
